Add owners, membership and an emulated fleet

Change: one owning router per engine grants, holds or refuses slots within a limit from the pool mean; owners exchange totals through hubs; SWIM-like membership; real decision code of many routers over in-memory links.

--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,11 @@
 bin/golangci-lint-$(GOLANGCI_VERSION):
 	GOWORK=off go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
 	mv bin/golangci-lint $@
+
+# Writes the generated code anew; it is committed, so that a build needs none
+# of these tools.
+generate:
+	GOWORK=off go install github.com/bufbuild/buf/cmd/buf@$(BUF_VERSION)
+	GOWORK=off go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
+	GOWORK=off go install google.golang.org/grpc/cmd/protoc-gen-go-grpc@$(PROTOC_GEN_GO_GRPC_VERSION)
+	bin/buf generate
--- a/admission/errors.go
+++ b/admission/errors.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/peer/peerpb"
 	"github.com/slipwick/slipwick/placement"
 )
 
@@ -18,7 +19,7 @@
 		}
 	}
 	pool := view.Pools[name]
-	if pool == nil || len(pool.Backends) == 0 {
+	if pool == nil || len(pool.Usable) == 0 {
 		return nil, noBackend(name)
 	}
 	return pool, nil
@@ -43,3 +44,28 @@
 		RetryAfter: retryAfter,
 	}
 }
+
+func cancelled(cause error) error {
+	return &slipwick.Error{
+		Kind:    slipwick.KindCancelled,
+		Message: "the caller went away before a slot was free",
+		Remedy:  "send the request again",
+		Outcome: slipwick.OutcomeNotRun,
+		Cause:   cause,
+	}
+}
+
+// refusal is an owner's refusal as the caller sees it.
+func refusal(answer *peerpb.SlotAnswer) error {
+	retryAfter := max(time.Duration(answer.GetRetryAfterMs())*time.Millisecond, time.Second)
+	if !answer.GetWorkspaceLimit() {
+		return overloaded(retryAfter)
+	}
+	return &slipwick.Error{
+		Kind:       slipwick.KindWorkspaceLimit,
+		Message:    "the workspace has as many requests in flight as it may",
+		Remedy:     "try again after the time in Retry-After, or have max_in_flight raised",
+		Outcome:    slipwick.OutcomeNotRun,
+		RetryAfter: retryAfter,
+	}
+}
--- a/admission/local.go
+++ b/admission/local.go
@@ -50,7 +50,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, index := range pool.Set.Rank(nil, ask.Chat) {
+	for _, index := range pool.Rank(nil, ask.Chat) {
 		backend := pool.Backends[index]
 		if slices.Contains(ask.Avoid, backend.ID) || !l.hasRoom(pool, backend) {
 			continue
--- /dev/null
+++ b/admission/owned.go
@@ -0,0 +1,88 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/placement"
+)
+
+// owned is one engine that this router owns.
+type owned struct {
+	engine  uint64
+	backend slipwick.Backend
+	pool    string
+
+	leases      map[leaseKey]*lease
+	byWorkspace map[string]int
+	queue       queue
+	// pumpArmed says that a timer will look at the queue.
+	pumpArmed bool
+
+	// windowEnd ends the takeover window; windowGranted counts the slots
+	// granted in it that are still held.
+	windowEnd     time.Time
+	windowGranted int
+
+	pace   pace
+	health health
+	// reported is the load that others were told last.
+	reported int
+}
+
+func newOwned(engine uint64, place placement.Place) *owned {
+	return &owned{
+		engine:      engine,
+		backend:     *place.Backend(),
+		pool:        place.Pool.Name,
+		leases:      make(map[leaseKey]*lease),
+		byWorkspace: make(map[string]int),
+	}
+}
+
+// add counts a lease; it is renewed if it is known.
+func (o *owned) add(key leaseKey, workspace string, expires time.Time, ours bool) {
+	if known := o.leases[key]; known != nil {
+		known.expires = expires
+		return
+	}
+	o.leases[key] = &lease{
+		workspace: workspace,
+		expires:   expires,
+		ours:      ours,
+	}
+	o.byWorkspace[workspace]++
+	if ours {
+		o.windowGranted++
+	}
+}
+
+// remove forgets a lease; false says that it was not known.
+func (o *owned) remove(key leaseKey) bool {
+	known := o.leases[key]
+	if known == nil {
+		return false
+	}
+	delete(o.leases, key)
+	if o.byWorkspace[known.workspace]--; o.byWorkspace[known.workspace] == 0 {
+		delete(o.byWorkspace, known.workspace)
+	}
+	if known.ours {
+		o.windowGranted--
+	}
+	return true
+}
+
+// room is how many more slots may be granted now, within the bound.
+func (o *owned) room(bound int, now time.Time) int {
+	bound = o.health.scale(bound, now)
+	room := bound - len(o.leases)
+	if now.Before(o.windowEnd) {
+		// The predecessor may still grant the other half of the headroom.
+		learned := len(o.leases) - o.windowGranted
+		half := int(math.Ceil(float64(bound-learned) / 2))
+		room = min(room, half-o.windowGranted)
+	}
+	return room
+}
--- /dev/null
+++ b/emulation/engine.go
@@ -0,0 +1,39 @@
+package emulation
+
+import (
+	"sync"
+
+	lru "github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+// Engine is a fake engine: a bounded cache of chats' prefixes.
+type Engine struct {
+	ID string
+
+	mu    sync.Mutex
+	cache *lru.LRU[uint64, struct{}]
+}
+
+func newEngine(id string, chats int) *Engine {
+	e := &Engine{
+		ID: id,
+	}
+	e.cache, _ = lru.NewLRU[uint64, struct{}](max(chats, 1), nil)
+	return e
+}
+
+// serve keeps the chat's prefix and tells whether it was cached.
+func (e *Engine) serve(chat uint64) (cached bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_, cached = e.cache.Get(chat)
+	e.cache.Add(chat, struct{}{})
+	return cached
+}
+
+// wipe empties the cache, as a restart does.
+func (e *Engine) wipe() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cache.Purge()
+}
--- /dev/null
+++ b/emulation/router.go
@@ -0,0 +1,145 @@
+package emulation
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/admission"
+	"github.com/slipwick/slipwick/configuration"
+	"github.com/slipwick/slipwick/fleet"
+	"github.com/slipwick/slipwick/membership"
+	"github.com/slipwick/slipwick/membership/memberpb"
+	"github.com/slipwick/slipwick/peer/peerpb"
+)
+
+// Router is one emulated router: the real admission and membership.
+type Router struct {
+	Self        slipwick.Router
+	Coordinator *admission.Coordinator
+	Node        *membership.Node
+	Viewer      *fleet.Viewer
+
+	cancel context.CancelFunc
+
+	mu      sync.Mutex
+	stopped bool
+	// paused holds what arrives while the router is paused.
+	paused  bool
+	backlog []func()
+}
+
+// newRouter makes and starts a router that knows the boxes.
+func newRouter(
+	network *Network, self slipwick.Router, policy admission.Policy, snapshot *configuration.Snapshot,
+	boxes []slipwick.Box, seed uint64,
+) *Router {
+	r := &Router{
+		Self: self,
+	}
+	network.add(r)
+	r.Coordinator = admission.NewCoordinator(self.ID, &link{
+		network: network,
+		from:    r,
+	}, policy)
+	r.Coordinator.Share = shares(snapshot)
+	r.Viewer = &fleet.Viewer{
+		OnView: r.Coordinator.SetView,
+	}
+	random := rand.New(rand.NewPCG(seed, membership.IDSeed(self.ID)))
+	r.Node = membership.NewNode(self, &wire{
+		network: network,
+		from:    r,
+	}, membership.DefaultPolicy(), random)
+	r.Node.OnChange = r.onChange
+	r.Coordinator.OnHealth = func(backend string, health admission.Health) {
+		// The coordinator must not be called back from here.
+		go r.Node.SetBackend(backend, fleet.HealthState(health))
+	}
+	r.Node.Observe(boxes)
+	r.Viewer.SetConfiguration(snapshot)
+	ctx, cancel := context.WithCancel(context.Background())
+	r.cancel = cancel
+	go r.Coordinator.Run(ctx)
+	go r.Node.Run(ctx)
+	return r
+}
+
+func shares(snapshot *configuration.Snapshot) func(string) admission.Share {
+	byName := make(map[string]admission.Share)
+	for _, w := range snapshot.State.Workspaces {
+		byName[w.Name] = admission.Share{
+			Weight:      w.EffectiveShare(),
+			MaxInFlight: w.MaxInFlight,
+		}
+	}
+	return func(name string) admission.Share { return byName[name] }
+}
+
+func (r *Router) onChange(change membership.Change) {
+	r.Viewer.SetFleet(change.Routers, fleet.BackendStates(change.Backends))
+	for _, id := range change.Died {
+		r.Coordinator.RouterGone(id)
+	}
+}
+
+// Kill ends the router at once: nothing leaves or reaches it any more.
+func (r *Router) Kill() {
+	r.mu.Lock()
+	r.stopped = true
+	r.mu.Unlock()
+	r.cancel()
+}
+
+// Pause keeps what arrives until Resume. Requests that the router has in
+// progress go on, as only its control is paused.
+func (r *Router) Pause() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.paused = true
+}
+
+// Resume takes in what arrived meanwhile.
+func (r *Router) Resume() {
+	r.mu.Lock()
+	backlog := r.backlog
+	r.paused, r.backlog = false, nil
+	r.mu.Unlock()
+	for _, arrive := range backlog {
+		arrive()
+	}
+}
+
+func (r *Router) isStopped() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stopped
+}
+
+func (r *Router) whenRunning(arrive func()) {
+	r.mu.Lock()
+	switch {
+	case r.stopped:
+	case r.paused:
+		r.backlog = append(r.backlog, arrive)
+	default:
+		r.mu.Unlock()
+		arrive()
+		return
+	}
+	r.mu.Unlock()
+}
+
+func (r *Router) receive(from string, envelope *peerpb.Envelope) {
+	r.Coordinator.Receive(from, envelope)
+}
+
+func (r *Router) receivePacket(address string, packet []byte) {
+	r.Node.Receive(address, packet)
+}
+
+// SetBackend spreads a backend server's state, as its owner does on probing it.
+func (r *Router) SetBackend(id string, state memberpb.State) {
+	r.Node.SetBackend(id, state)
+}
--- /dev/null
+++ b/fleet/states.go
@@ -0,0 +1,33 @@
+package fleet
+
+import (
+	"github.com/slipwick/slipwick/admission"
+	"github.com/slipwick/slipwick/membership/memberpb"
+)
+
+// HealthState gives what an owner found out in the words of membership.
+func HealthState(health admission.Health) memberpb.State {
+	switch health {
+	case admission.HealthEjected:
+		return memberpb.State_STATE_EJECTED
+	case admission.HealthLeaving:
+		return memberpb.State_STATE_LEAVING
+	default:
+		return memberpb.State_STATE_LIVE
+	}
+}
+
+// BackendStates gives what membership knows in the words of the viewer.
+func BackendStates(states map[string]memberpb.State) map[string]BackendState {
+	translated := make(map[string]BackendState, len(states))
+	for id, state := range states {
+		switch state {
+		case memberpb.State_STATE_EJECTED:
+			translated[id] = BackendEjected
+		case memberpb.State_STATE_LEAVING, memberpb.State_STATE_DEAD:
+			translated[id] = BackendLeaving
+		default:
+		}
+	}
+	return translated
+}
--- a/fleet/viewer.go
+++ b/fleet/viewer.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 
 	"github.com/slipwick/slipwick"
@@ -18,7 +19,7 @@
 	mu       sync.Mutex
 	snapshot *configuration.Snapshot
 	routers  []slipwick.Router
-	leaving  map[string]bool
+	states   map[string]BackendState
 }
 
 // SetConfiguration takes a newer version of the configuration.
@@ -29,22 +30,15 @@
 	v.publish()
 }
 
-// SetRouters takes the live routers.
-func (v *Viewer) SetRouters(routers []slipwick.Router) {
+// SetFleet takes the routers that may own backend servers, sorted by ID, and
+// the states of the backend servers that are not live, by ID.
+func (v *Viewer) SetFleet(routers []slipwick.Router, states map[string]BackendState) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.routers = routers
-	v.publish()
-}
-
-// SetLeaving takes the IDs of the backend servers that get no new work.
-func (v *Viewer) SetLeaving(leaving map[string]bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if maps.Equal(v.leaving, leaving) {
+	if slices.Equal(v.routers, routers) && maps.Equal(v.states, states) {
 		return
 	}
-	v.leaving = maps.Clone(leaving)
+	v.routers, v.states = routers, maps.Clone(states)
 	v.publish()
 }
 
@@ -58,19 +52,29 @@
 		pools = append(pools, placement.Pool{
 			Name:          pool.Name,
 			MaxLoadFactor: pool.EffectiveMaxLoadFactor(),
-			Backends:      v.staying(pool.Backends),
+			Backends:      pool.Backends,
+			Usable:        v.usable(pool.Backends),
 		})
 	}
 	v.OnView(placement.NewView(pools, v.routers))
 }
 
-// staying gives the backend servers that may get new work.
-func (v *Viewer) staying(backends []slipwick.Backend) []slipwick.Backend {
-	staying := make([]slipwick.Backend, 0, len(backends))
-	for _, backend := range backends {
-		if !v.leaving[backend.ID] {
-			staying = append(staying, backend)
+// usable gives the indexes of the backend servers that may get new work. An
+// ejected one counts again when no other is left: that beats an empty pool.
+func (v *Viewer) usable(backends []slipwick.Backend) []int {
+	usable := make([]int, 0, len(backends))
+	var ejected []int
+	for i := range backends {
+		switch v.states[backends[i].ID] {
+		case BackendLive:
+			usable = append(usable, i)
+		case BackendEjected:
+			ejected = append(ejected, i)
+		case BackendLeaving:
 		}
 	}
-	return staying
+	if len(usable) == 0 {
+		return ejected
+	}
+	return usable
 }
--- /dev/null
+++ b/membership/member.go
@@ -0,0 +1,82 @@
+package membership
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/membership/memberpb"
+)
+
+// member is one box as this router knows it.
+type member struct {
+	news *memberpb.News
+	// suspectedAt is when this router began to suspect it; zero if not.
+	suspectedAt time.Time
+	diedAt      time.Time
+	// retriedAt is when a dead member was probed last, in case it is back.
+	retriedAt time.Time
+	// penalty grows with each death and halves with time.
+	penalty   float64
+	penaltyAt time.Time
+}
+
+// newer tells whether a says more than b on the same box.
+func newer(a, b *memberpb.News) bool {
+	if a.GetIncarnation() != b.GetIncarnation() {
+		return a.GetIncarnation() > b.GetIncarnation()
+	}
+	return a.GetState() > b.GetState()
+}
+
+func (m *member) router() slipwick.Router {
+	return slipwick.Router{
+		ID:         m.news.GetId(),
+		Address:    m.news.GetAddress(),
+		DataCentre: m.news.GetDataCentre(),
+		Region:     m.news.GetRegion(),
+	}
+}
+
+func (m *member) dead() bool {
+	return m.news.GetState() == memberpb.State_STATE_DEAD
+}
+
+// mayOwn tells whether the router is neither leaving, dead nor flapping.
+func (m *member) mayOwn(policy *Policy, now time.Time) bool {
+	state := m.news.GetState()
+	alive := state == memberpb.State_STATE_LIVE || state == memberpb.State_STATE_SUSPECT
+	return alive && m.penaltyNow(policy, now) < policy.FlapLimit
+}
+
+func (m *member) penaltyNow(policy *Policy, now time.Time) float64 {
+	if m.penalty == 0 {
+		return 0
+	}
+	return m.penalty * math.Exp2(-float64(now.Sub(m.penaltyAt))/float64(policy.FlapHalfLife))
+}
+
+func (m *member) punish(policy *Policy, now time.Time) {
+	m.penalty = m.penaltyNow(policy, now) + 1
+	m.penaltyAt = now
+}
+
+// digest hashes what matters of the box; a suspect counts as live, and a dead
+// router as unknown, since it is forgotten sooner or later.
+func (m *member) digest() uint64 {
+	state := m.news.GetState()
+	switch {
+	case state == memberpb.State_STATE_SUSPECT:
+		state = memberpb.State_STATE_LIVE
+	case state == memberpb.State_STATE_DEAD:
+		return 0
+	}
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(m.news.GetId())
+	_, _ = digest.Write([]byte{byte(state), boolByte(m.news.GetBackend())})
+	_, _ = digest.Write(littleEndian(m.news.GetIncarnation()))
+	return digest.Sum64()
+}
--- /dev/null
+++ b/membership/news.go
@@ -0,0 +1,93 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/slipwick/slipwick/membership/memberpb"
+)
+
+// pushDelay gathers news that arrives together into one packet.
+const pushDelay = 20 * time.Millisecond
+
+// apply takes news; what is no news is ignored.
+func (n *Node) apply(news *memberpb.News) {
+	if news.GetId() == n.Self.ID && !news.GetBackend() {
+		n.refute(news)
+		return
+	}
+	known := n.members
+	if news.GetBackend() {
+		known = n.backends
+	}
+	m := known[news.GetId()]
+	if m != nil && !newer(news, m.news) {
+		return
+	}
+	if m == nil {
+		if news.GetState() == memberpb.State_STATE_DEAD {
+			return
+		}
+		m = &member{}
+		known[news.GetId()] = m
+	}
+	n.replace(m, news)
+	n.spread(news)
+}
+
+// replace puts news in the place of older news.
+func (n *Node) replace(m *member, news *memberpb.News) {
+	wasDead := m.news != nil && m.dead()
+	m.news = news
+	n.stale = true
+	m.suspectedAt = time.Time{}
+	now := time.Now()
+	switch {
+	case news.GetBackend():
+		n.changed = true
+	case news.GetState() == memberpb.State_STATE_SUSPECT:
+		m.suspectedAt = now
+	case news.GetState() == memberpb.State_STATE_DEAD && !wasDead:
+		m.diedAt = now
+		m.punish(&n.Policy, now)
+		n.died = append(n.died, news.GetId())
+	}
+}
+
+// refute answers news of this router's own death or suspicion.
+func (n *Node) refute(news *memberpb.News) {
+	own := n.self()
+	if news.GetIncarnation() < own.news.GetIncarnation() || !newer(news, own.news) {
+		return
+	}
+	again := newsOf(n.Self)
+	again.State = own.news.GetState()
+	again.Incarnation = news.GetIncarnation() + 1
+	own.news = again
+	n.spread(again)
+}
+
+// spread passes news on with the next packets, and to a few routers at once.
+func (n *Node) spread(news *memberpb.News) {
+	n.rumours.add(news)
+	if n.pushing {
+		return
+	}
+	n.pushing = true
+	time.AfterFunc(pushDelay, func() {
+		n.locked(func() {
+			n.pushing = false
+			n.push()
+		})
+	})
+}
+
+// push sends the news to a few routers at once.
+func (n *Node) push() {
+	packet := n.packet(memberpb.Kind_KIND_NEWS, 0)
+	if len(packet.GetNews()) == 0 {
+		return
+	}
+	for _, m := range n.choose(n.Policy.Fanout, "") {
+		n.send(m.news.GetAddress(), packet)
+	}
+}
--- /dev/null
+++ b/membership/node.go
@@ -0,0 +1,254 @@
+package membership
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/membership/memberpb"
+)
+
+// Node is one router's part in membership. Set the exported fields before Run.
+type Node struct {
+	Self   slipwick.Router
+	Wire   Wire
+	Policy Policy
+	// Random chooses whom to probe.
+	Random *rand.Rand
+	// OnChange is told of each change, one call at a time. It must not call
+	// back.
+	OnChange func(Change)
+
+	mu       sync.Mutex
+	members  map[string]*member
+	backends map[string]*member
+	rumours  rumours
+	probes   map[uint64]*probe
+	sequence uint64
+	// round holds the routers still to be probed in this round.
+	round    []string
+	differed int
+	syncedAt time.Time
+	pushing  bool
+	died     []string
+	// changed says that OnChange is due, stale that it may be.
+	changed, stale bool
+	// eligible lists the routers that OnChange was told of last.
+	eligible string
+	done     chan struct{}
+}
+
+// NewNode makes a node that knows itself alone.
+func NewNode(self slipwick.Router, wire Wire, policy Policy, random *rand.Rand) *Node {
+	n := &Node{
+		Self:     self,
+		Wire:     wire,
+		Policy:   policy,
+		Random:   random,
+		OnChange: func(Change) {},
+		members:  make(map[string]*member),
+		backends: make(map[string]*member),
+		probes:   make(map[uint64]*probe),
+		done:     make(chan struct{}),
+	}
+	news := newsOf(self)
+	// A restarted router is newer than its earlier life.
+	news.Incarnation = uint64(time.Now().UnixMilli())
+	n.members[self.ID] = &member{
+		news: news,
+	}
+	return n
+}
+
+func newsOf(router slipwick.Router) *memberpb.News {
+	return &memberpb.News{
+		Id:         router.ID,
+		Address:    router.Address,
+		DataCentre: router.DataCentre,
+		Region:     router.Region,
+	}
+}
+
+// Run probes until ctx ends.
+func (n *Node) Run(ctx context.Context) {
+	defer close(n.done)
+	n.locked(func() {
+		n.changed = true
+		n.spread(n.self().news)
+	})
+	// Routers that start together do not probe together.
+	first := time.NewTimer(time.Duration(n.Random.Int64N(int64(n.Policy.Period))))
+	defer first.Stop()
+	select {
+	case <-ctx.Done():
+		return
+	case <-first.C:
+	}
+	ticker := time.NewTicker(n.Policy.Period)
+	defer ticker.Stop()
+	for {
+		n.locked(n.tick)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Done is closed when Run has ended.
+func (n *Node) Done() <-chan struct{} {
+	return n.done
+}
+
+// locked runs a step and tells of what it changed.
+func (n *Node) locked(step func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	step()
+	n.tell()
+}
+
+// tell calls OnChange if something changed that others act on.
+func (n *Node) tell() {
+	if !n.stale && !n.changed {
+		return
+	}
+	n.stale = false
+	change := n.snapshot()
+	ids := make([]string, 0, len(change.Routers))
+	for i := range change.Routers {
+		ids = append(ids, change.Routers[i].ID)
+	}
+	eligible := strings.Join(ids, " ")
+	if !n.changed && eligible == n.eligible && len(n.died) == 0 {
+		return
+	}
+	change.Died, n.died = n.died, nil
+	n.changed, n.eligible = false, eligible
+	n.OnChange(change)
+}
+
+func (n *Node) snapshot() Change {
+	change := Change{
+		Backends: make(map[string]memberpb.State),
+	}
+	now := time.Now()
+	for _, m := range n.members {
+		if m.mayOwn(&n.Policy, now) {
+			change.Routers = append(change.Routers, m.router())
+		}
+	}
+	slices.SortFunc(change.Routers, func(a, b slipwick.Router) int { return strings.Compare(a.ID, b.ID) })
+	for id, m := range n.backends {
+		if state := m.news.GetState(); state != memberpb.State_STATE_LIVE {
+			change.Backends[id] = state
+		}
+	}
+	return change
+}
+
+func (n *Node) self() *member {
+	return n.members[n.Self.ID]
+}
+
+// Leave tells the others that this router leaves: it owns nothing any more.
+func (n *Node) Leave() {
+	n.locked(func() { n.declare(memberpb.State_STATE_LEAVING) })
+}
+
+// Stop tells the others that this router is gone.
+func (n *Node) Stop() {
+	n.locked(func() {
+		n.declare(memberpb.State_STATE_DEAD)
+		n.push()
+	})
+}
+
+// declare gives this router a new state of its own.
+func (n *Node) declare(state memberpb.State) {
+	news := newsOf(n.Self)
+	news.State = state
+	news.Incarnation = n.self().news.GetIncarnation() + 1
+	n.self().news = news
+	n.changed = true
+	n.spread(news)
+}
+
+// SetBackend spreads the state of a backend server that this router owns.
+func (n *Node) SetBackend(id string, state memberpb.State) {
+	n.locked(func() {
+		known := n.backends[id]
+		if known != nil && known.news.GetState() == state {
+			return
+		}
+		incarnation := uint64(time.Now().UnixMilli())
+		if known != nil {
+			incarnation = max(incarnation, known.news.GetIncarnation()+1)
+		}
+		n.apply(&memberpb.News{
+			Id:          id,
+			State:       state,
+			Incarnation: incarnation,
+			Backend:     true,
+		})
+	})
+}
+
+// Observe takes the platform's list of boxes. It adds routers not known yet
+// and marks what leaves; what is missing from it, or live, proves nothing.
+func (n *Node) Observe(boxes []slipwick.Box) {
+	n.locked(func() {
+		for i := range boxes {
+			n.observe(&boxes[i])
+		}
+	})
+}
+
+func (n *Node) observe(box *slipwick.Box) {
+	known := n.members
+	news := &memberpb.News{
+		Id:         box.ID,
+		Address:    box.Address,
+		DataCentre: box.DataCentre,
+		Region:     box.Region,
+	}
+	if box.Kind == slipwick.BoxBackend {
+		known = n.backends
+		news = &memberpb.News{
+			Id:      box.ID,
+			Backend: true,
+		}
+	}
+	before := known[box.ID]
+	switch {
+	case box.State == slipwick.BoxLeaving:
+		news.State = memberpb.State_STATE_LEAVING
+		if before != nil {
+			news.Incarnation = before.news.GetIncarnation()
+		}
+	case before != nil || news.GetBackend():
+		return
+	}
+	if box.ID != n.Self.ID {
+		n.apply(news)
+	}
+}
+
+// Routers gives the routers that are not dead.
+func (n *Node) Routers() []slipwick.Router {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var routers []slipwick.Router
+	for _, m := range n.members {
+		if !m.dead() {
+			routers = append(routers, m.router())
+		}
+	}
+	slices.SortFunc(routers, func(a, b slipwick.Router) int { return strings.Compare(a.ID, b.ID) })
+	return routers
+}
--- a/placement/owner.go
+++ b/placement/owner.go
@@ -9,18 +9,35 @@
 	tierElsewhere
 )
 
-// Owner gives the index of the router that owns the backend server: the
+// ownerChooser finds backend servers' owners among routers.
+type ownerChooser struct {
+	routers []slipwick.Router
+	hashes  []uint64
+}
+
+func newOwnerChooser(routers []slipwick.Router) *ownerChooser {
+	o := &ownerChooser{
+		routers: routers,
+		hashes:  make([]uint64, len(routers)),
+	}
+	for i := range routers {
+		o.hashes[i] = IDHash(routers[i].ID)
+	}
+	return o
+}
+
+// owner gives the index of the router that owns the backend server: the
 // rendezvous choice among the routers of its data centre, else of its region,
 // else of all. It is -1 when there are no routers.
-func Owner(backend slipwick.Backend, routers []slipwick.Router) int {
+func (o *ownerChooser) owner(backend *slipwick.Backend) int {
 	best, bestTier, bestScore := -1, tierElsewhere+1, uint64(0)
 	box := IDHash(backend.ID)
-	for i := range routers {
-		tier := tierOf(backend, &routers[i])
+	for i := range o.routers {
+		tier := tierOf(backend, &o.routers[i])
 		if tier > bestTier {
 			continue
 		}
-		score := pair(IDHash(routers[i].ID), box)
+		score := pair(o.hashes[i], box)
 		if tier < bestTier || score > bestScore {
 			best, bestTier, bestScore = i, tier, score
 		}
@@ -28,7 +45,7 @@
 	return best
 }
 
-func tierOf(backend slipwick.Backend, router *slipwick.Router) int {
+func tierOf(backend *slipwick.Backend, router *slipwick.Router) int {
 	switch {
 	case router.DataCentre == backend.DataCentre:
 		return tierDataCentre
--- a/placement/owner_test.go
+++ b/placement/owner_test.go
@@ -52,7 +52,7 @@
 				want:    -1,
 			},
 		} {
-			if got := Owner(backend, tc.routers); got != tc.want {
+			if got := newOwnerChooser(tc.routers).owner(&backend); got != tc.want {
 				t.Errorf("%d routers: got %d, want %d", len(tc.routers), got, tc.want)
 			}
 		}
