Report pool loads by change, and refresh them apart from it

Cause: reports of unchanged loads expired at hubs that passed changes on often, so that the estimate fell and requests were held; any held request made reports frequent.

--- a/admission/grants.go
+++ b/admission/grants.go
@@ -80,7 +80,7 @@
 	if !ok {
 		return 0
 	}
-	return limit(place.Pool, o.backend, c.total(o.pool))
+	return limit(place.Pool, o.backend, c.total(o.pool), c.Policy.Margin)
 }
 
 // atWorkspaceLimit keeps a workspace to its engine's part of max_in_flight,
--- a/admission/hub.go
+++ b/admission/hub.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -42,7 +43,10 @@
 		return
 	}
 	t, now := c.topology[pool], time.Now()
-	load.passedOn, load.passedOnAt = int(c.total(pool)), now
+	c.noteTotal(load, int(c.total(pool)), now)
+	if all {
+		load.refreshedAt = now
+	}
 	for _, member := range t.members {
 		envelope := c.outbox.to(member)
 		envelope.Totals = append(envelope.Totals, &peerpb.PoolTotal{
@@ -51,13 +55,16 @@
 			Pressed:  c.pressed(pool, load, now),
 		})
 	}
-	if len(t.hubs) < 2 {
+	group := c.groupLoad(pool, load)
+	if len(t.hubs) < 2 || (!all && !c.worthReporting(group, load.forwarded, c.pressed(pool, load, now))) {
 		return
 	}
+	load.forwarded = group
 	message := &peerpb.PoolLoad{
 		Pool:    pool,
 		Engines: c.groupLoads(pool, load, now, all),
-		Pressed: c.holds(pool) || now.Sub(load.groupPressedAt) < c.Policy.ReportGap,
+		Pressed: c.holds(pool) || now.Sub(load.groupPressedAt) < c.Policy.ReportGap ||
+			now.Sub(load.fallingAt) < c.Policy.ReportGap,
 	}
 	if len(message.GetEngines()) == 0 {
 		return
@@ -70,6 +77,35 @@
 	}
 }
 
+// noteTotal keeps the pool's total as it is passed on, and sees whether it
+// falls fast: then reports are due as soon as when requests wait, as too high
+// an estimate breaks the limit.
+func (c *Coordinator) noteTotal(load *poolLoad, total int, now time.Time) {
+	since := now.Sub(load.passedOnAt).Seconds()
+	fall := float64(load.passedOn - total)
+	if fall >= max(minFall, chanceFall*math.Sqrt(float64(total))) && fall > c.Policy.FastFall*since*float64(load.passedOn) {
+		load.fallingAt = now
+	}
+	load.passedOn, load.passedOnAt = total, now
+}
+
+// minFall is the fall of a total that is not put down to chance.
+const (
+	minFall    = 3
+	chanceFall = 0.6
+)
+
+// groupLoad counts the slots of the group's engines.
+func (c *Coordinator) groupLoad(pool string, load *poolLoad) int {
+	sum := c.ownLoad(pool)
+	for engine, l := range load.engines {
+		if l.direct && c.owned[engine] == nil {
+			sum += l.inFlight
+		}
+	}
+	return sum
+}
+
 // groupLoads lists the loads of the group's engines that the other hubs were
 // not told, or all of them.
 func (c *Coordinator) groupLoads(pool string, load *poolLoad, now time.Time, all bool) []*peerpb.EngineLoad {
--- a/admission/local.go
+++ b/admission/local.go
@@ -72,7 +72,7 @@
 	if !l.Bounded {
 		return count < backend.EffectiveSlots()
 	}
-	return count < limit(pool, backend, float64(l.totals[pool.Name]))
+	return count < limit(pool, backend, float64(l.totals[pool.Name]), 0)
 }
 
 // Release gives the slot back.
--- a/admission/policy.go
+++ b/admission/policy.go
@@ -32,9 +32,21 @@
 	RefreshEvery time.Duration
 	// ReportExpiry is how long a report counts.
 	ReportExpiry time.Duration
-	// ReportChange is the change of load, as a share, that is reported
-	// before RefreshEvery.
-	ReportChange float64
+	// RiseChange and FallChange are the changes of load, as shares, that are
+	// reported before RefreshEvery.
+	RiseChange, FallChange float64
+	// HeldShare is the share of its slots that an owner holds requests for
+	// when the pool's load must be rising.
+	HeldShare float64
+	// Margin is the share by which the estimate of a pool's load is lowered
+	// for the limit, as reports lag behind.
+	Margin float64
+	// PressedChange is the same while requests wait for the limit to rise or
+	// the pool's load falls fast.
+	PressedChange float64
+	// FastFall is the share of its load that a pool loses in a second when
+	// it falls fast.
+	FastFall float64
 	// QueueLimit is the most requests held for one engine.
 	QueueLimit int
 	// EjectAfter is how many requests in a row have to speak against an
@@ -53,7 +65,7 @@
 // DefaultPolicy gives the measured figures.
 func DefaultPolicy() Policy {
 	return Policy{
-		HomeWait:       100 * time.Millisecond,
+		HomeWait:       300 * time.Millisecond,
 		OtherWait:      50 * time.Millisecond,
 		Tries:          3,
 		OwnerTimeout:   300 * time.Millisecond,
@@ -65,7 +77,12 @@
 		PressedGap:     25 * time.Millisecond,
 		RefreshEvery:   2 * time.Second,
 		ReportExpiry:   5 * time.Second,
-		ReportChange:   0.05,
+		RiseChange:     0.08,
+		FallChange:     0.03,
+		HeldShare:      0.1,
+		Margin:         0.02,
+		PressedChange:  0.02,
+		FastFall:       0.08,
 		QueueLimit:     256,
 		EjectAfter:     3,
 		EjectFor:       5 * time.Second,
--- a/admission/poolload.go
+++ b/admission/poolload.go
@@ -26,7 +26,14 @@
 	engines    map[uint64]*engineLoad
 	passedOn   int
 	passedOnAt time.Time
+	// refreshedAt is when the other hubs were told all, changed or not.
+	refreshedAt time.Time
 	passing    *time.Timer
+	// forwarded is the load of the group that the other hubs were told.
+	forwarded int
+
+	// fallingAt is when the total was last seen to fall fast.
+	fallingAt time.Time
 
 	// pressedAt is when others last said that requests wait for the limit
 	// to rise; groupPressedAt is the same of this hub's own group.
--- a/admission/totals.go
+++ b/admission/totals.go
@@ -10,13 +10,14 @@
 func (c *Coordinator) total(pool string) float64 {
 	load, own := c.poolLoad(pool), c.ownLoad(pool)
 	now := time.Now()
-	if c.isHub(pool) {
-		return float64(own + c.othersLoad(load, now))
-	}
-	if now.Sub(load.totalAt) > c.Policy.ReportExpiry {
-		return float64(own)
+	others := 0
+	switch {
+	case c.isHub(pool):
+		others = c.othersLoad(load, now)
+	case now.Sub(load.totalAt) <= c.Policy.ReportExpiry:
+		others = max(0, load.total-load.reported)
 	}
-	return float64(max(own, load.total-load.reported+own))
+	return float64(own + others)
 }
 
 func (c *Coordinator) isHub(pool string) bool {
@@ -24,11 +25,11 @@
 	return t != nil && t.hub == c.Self
 }
 
-// ownLoad counts the slots of the pool's engines that this router owns.
+// ownLoad counts the slots of the pool's usable engines that this router owns.
 func (c *Coordinator) ownLoad(pool string) int {
 	sum := 0
-	for _, o := range c.owned {
-		if o.pool == pool {
+	for engine, o := range c.owned {
+		if o.pool == pool && c.counts(engine) {
 			sum += len(o.leases)
 		}
 	}
@@ -43,38 +44,53 @@
 			delete(load.engines, engine)
 			continue
 		}
-		if c.owned[engine] == nil {
+		if c.owned[engine] == nil && c.counts(engine) {
 			sum += l.inFlight
 		}
 	}
 	return sum
 }
 
-// holds tells whether requests wait at engines of the pool that this router
-// owns.
+// counts tells whether an engine's load is part of the pool's mean: that of
+// engines without new work is not.
+func (c *Coordinator) counts(engine uint64) bool {
+	place, ok := c.view.Place(engine)
+	return ok && place.MayGetWork()
+}
+
+// holds tells whether requests wait, at engines of the pool that this router
+// owns, in such number that the pool's load must be rising: a few wait at any
+// time for a slot to be released.
 func (c *Coordinator) holds(pool string) bool {
+	held := 0
 	for _, o := range c.owned {
-		if o.pool == pool && o.queue.len() > 0 {
-			return true
+		if o.pool == pool {
+			held += o.queue.len()
 		}
 	}
-	return false
+	return float64(held) > 1+c.Policy.HeldShare*float64(c.ownLoad(pool))
 }
 
 // pressed tells whether requests wait for the pool's limit to rise, here or,
 // as was said lately, elsewhere.
 func (c *Coordinator) pressed(pool string, load *poolLoad, now time.Time) bool {
-	return now.Sub(load.pressedAt) < c.Policy.ReportGap ||
-		now.Sub(load.groupPressedAt) < c.Policy.ReportGap || c.holds(pool)
+	recent := c.Policy.ReportGap
+	return now.Sub(load.pressedAt) < recent || now.Sub(load.groupPressedAt) < recent ||
+		now.Sub(load.fallingAt) < recent || c.holds(pool)
 }
 
-// worthReporting tells whether a load differs enough from what was told.
+// worthReporting tells whether a load differs enough from what was told. A
+// fall counts sooner than a rise: too high an estimate breaks the limit, too
+// low a one only makes requests wait or move.
 func (c *Coordinator) worthReporting(now, before int, pressed bool) bool {
-	change := math.Abs(float64(now - before))
-	if pressed {
-		return change >= 1
+	share := c.Policy.RiseChange
+	switch {
+	case pressed:
+		share = c.Policy.PressedChange
+	case now < before:
+		share = c.Policy.FallChange
 	}
-	return change >= max(1, c.Policy.ReportChange*float64(before))
+	return math.Abs(float64(now-before)) >= max(1, share*float64(before))
 }
 
 func (c *Coordinator) gap(pressed bool) time.Duration {
@@ -90,7 +106,7 @@
 	load, now := c.poolLoad(pool), time.Now()
 	pressed := c.pressed(pool, load, now)
 	if c.isHub(pool) {
-		if load.passing == nil && c.worthReporting(int(c.total(pool)), load.passedOn, pressed) {
+		if load.passing == nil && c.worthPassing(pool, load, pressed) {
 			due := load.passedOnAt.Add(c.gap(pressed))
 			load.passing = time.AfterFunc(due.Sub(now), func() { c.locked(func() { c.passOn(pool, load, false) }) })
 		}
@@ -102,11 +118,20 @@
 	}
 }
 
+// worthPassing tells whether a hub has news for its group or the other hubs.
+func (c *Coordinator) worthPassing(pool string, load *poolLoad, pressed bool) bool {
+	t := c.topology[pool]
+	if len(t.members) > 0 && c.worthReporting(int(c.total(pool)), load.passedOn, pressed) {
+		return true
+	}
+	return len(t.hubs) > 1 && c.worthReporting(c.groupLoad(pool, load), load.forwarded, pressed)
+}
+
 // refresh reports without a change, so that reports do not expire.
 func (c *Coordinator) refresh(pool string, now time.Time) {
 	load := c.poolLoad(pool)
 	if c.isHub(pool) {
-		if now.Sub(load.passedOnAt) >= c.Policy.RefreshEvery {
+		if now.Sub(load.refreshedAt) >= c.Policy.RefreshEvery {
 			c.passOn(pool, load, true)
 		}
 		return
--- a/emulation/cases.go
+++ b/emulation/cases.go
@@ -19,16 +19,16 @@
 // length is how long cases without another need last.
 const length = time.Minute
 
-// today is the size of one of the first users: about 10 requests in flight at
-// each of 20 engines.
+// today is the size of one of the first users: about 20 requests a second and
+// 10 in flight at each of 20 engines.
 func today() Setup {
 	return Setup{
 		Routers:     8,
 		Engines:     20,
 		DataCentres: 4,
-		Chats:       2000,
+		Chats:       1300,
 		Think:       20 * time.Second,
-		Service:     5 * time.Second,
+		Service:     10 * time.Second,
 		Hot:         0.5,
 		CacheChats:  400,
 		Slots:       200,
@@ -43,7 +43,6 @@
 func large() Setup {
 	setup := today()
 	setup.Routers, setup.Engines, setup.DataCentres = 330, 93, 10
-	setup.Service = 10 * time.Second
 	setup.Chats, setup.CacheChats = 20_000, 1000
 	return setup
 }
@@ -76,6 +75,14 @@
 		{
 			Name:  "lag",
 			Setup: today(),
+			Run: func(w *World) {
+				w.Meter.SetReportLag(time.Second)
+				w.pause(length)
+			},
+		},
+		{
+			Name:  "late-totals",
+			Setup: today(),
 			Run: func(w *World) {
 				w.Network.SetFaults(Faults{
 					LoadDelay: time.Second,
--- a/emulation/meter.go
+++ b/emulation/meter.go
@@ -26,6 +26,7 @@
 	// reports are the loads as baselines see them: up to a second old.
 	reports    map[string]int
 	reportedAt time.Time
+	reportLag  time.Duration
 }
 
 const (
@@ -49,6 +50,17 @@
 	}
 }
 
+// reset forgets what was recorded, but not what is in flight.
+func (m *Meter) reset() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	fresh := newMeter(m.factor)
+	m.requests, m.refused, m.returning, m.reused = 0, 0, 0, 0
+	m.excess, m.skewGrant, m.skewSampled = 0, 0, 0
+	m.skews, m.holds = fresh.skews, fresh.holds
+	m.refusedByWorkspace, m.requestsBy = fresh.refusedByWorkspace, fresh.requestsBy
+}
+
 // setUsable says whether an engine may get work, as a matter of fact.
 func (m *Meter) setUsable(engine string, usable bool) {
 	m.mu.Lock()
@@ -68,6 +80,11 @@
 	m.total++
 	_ = m.holds.RecordValue(max(1, waited.Milliseconds()))
 	mean := m.mean()
+	if !m.usable[engine] {
+		// Nobody knows yet that it may not get work; it has no part in the
+		// mean.
+		return
+	}
 	load := float64(m.inFlight[engine])
 	m.excess = max(m.excess, load-m.factor*mean)
 	if mean >= enough {
@@ -75,8 +92,13 @@
 	}
 }
 
+// mean is that over the engines that may get work.
 func (m *Meter) mean() float64 {
-	return float64(m.total) / float64(max(1, len(m.usable)))
+	total := 0
+	for engine := range m.usable {
+		total += m.inFlight[engine]
+	}
+	return float64(total) / float64(max(1, len(m.usable)))
 }
 
 func (m *Meter) released(engine string) {
@@ -140,7 +162,21 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if now := time.Now(); now.Sub(m.reportedAt) >= every {
-		m.reports, m.reportedAt = maps.Clone(m.inFlight), now
+		taken := maps.Clone(m.inFlight)
+		m.reportedAt = now
+		time.AfterFunc(m.reportLag, func() {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.reports = taken
+		})
 	}
 	return m.reports[engine]
 }
+
+// SetReportLag makes the engines' own load reports late. Owners count slots
+// and do not use them.
+func (m *Meter) SetReportLag(lag time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reportLag = lag
+}
--- a/emulation/network.go
+++ b/emulation/network.go
@@ -22,6 +22,7 @@
 	faults   Faults
 	traffic  map[string]*Traffic
 	requests int
+	spy func(*peerpb.Envelope, int)
 }
 
 // NewNetwork makes a network without routers.
@@ -52,6 +53,15 @@
 	}
 }
 
+func (n *Network) reset() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.requests = 0
+	for _, t := range n.traffic {
+		*t = Traffic{}
+	}
+}
+
 // Traffic gives what each router has sent and received so far.
 func (n *Network) Traffic() map[string]Traffic {
 	n.mu.Lock()
@@ -97,6 +107,9 @@
 	}
 	n.requests += len(envelope.GetRequests())
 	size := proto.Size(envelope) + streamFraming + tcpHeaders
+	if n.spy != nil {
+		n.spy(envelope, size)
+	}
 	// The receiver may not see later changes to what the sender keeps.
 	arrive := func() { to.receive(l.from.Self.ID, envelope) }
 	times, delay := n.fate(envelope)
--- a/emulation/report.go
+++ b/emulation/report.go
@@ -29,7 +29,19 @@
 	Requests       int
 }
 
-// Report gives what was measured since the start.
+// WarmUp is how long a fleet runs before it is measured: until chats have
+// returned and the routers' start is over.
+const WarmUp = 30 * time.Second
+
+// WarmUp runs the fleet and then forgets what was measured.
+func (w *World) WarmUp() {
+	w.pause(WarmUp)
+	w.Meter.reset()
+	w.Network.reset()
+	w.started = time.Now()
+}
+
+// Report gives what was measured since the start, or the end of the warm-up.
 func (w *World) Report() Report {
 	m := w.Meter
 	elapsed := time.Since(w.started).Seconds()
