--- a/admission/grants.go
+++ b/admission/grants.go
@@ -19,12 +19,16 @@
 		router: from,
 		id:     request.GetId(),
 	}
+	granted := false
 	o := c.owned[request.GetEngine()]
+	if o != nil {
+		_, granted = o.leases[key]
+	}
 	switch {
 	case o == nil:
 		c.answer(key, peerpb.Decision_DECISION_NOT_OWNER, 0)
 		return
-	case o.leases[key] != nil:
+	case granted:
 		// The request came twice.
 		c.answer(key, peerpb.Decision_DECISION_GRANTED, o.engine)
 		return
--- a/admission/owned.go
+++ b/admission/owned.go
@@ -14,11 +14,9 @@
 	backend slipwick.Backend
 	pool    string
 
-	leases      map[leaseKey]*lease
+	leases      map[leaseKey]lease
 	byWorkspace map[string]int
 	queue       queue
-	// pumpArmed says that a timer will look at the queue.
-	pumpArmed bool
 
 	// windowEnd ends the takeover window; windowGranted counts the slots
 	// granted in it that are still held.
@@ -36,18 +34,19 @@
 		engine:      engine,
 		backend:     *place.Backend(),
 		pool:        place.Pool.Name,
-		leases:      make(map[leaseKey]*lease),
+		leases:      make(map[leaseKey]lease),
 		byWorkspace: make(map[string]int),
 	}
 }
 
 // add counts a lease; it is renewed if it is known.
 func (o *owned) add(key leaseKey, workspace string, expires time.Time, ours bool) {
-	if known := o.leases[key]; known != nil {
+	if known, ok := o.leases[key]; ok {
 		known.expires = expires
+		o.leases[key] = known
 		return
 	}
-	o.leases[key] = &lease{
+	o.leases[key] = lease{
 		workspace: workspace,
 		expires:   expires,
 		ours:      ours,
@@ -60,8 +59,8 @@
 
 // remove forgets a lease; false says that it was not known.
 func (o *owned) remove(key leaseKey) bool {
-	known := o.leases[key]
-	if known == nil {
+	known, ok := o.leases[key]
+	if !ok {
 		return false
 	}
 	delete(o.leases, key)
--- a/admission/policy.go
+++ b/admission/policy.go
@@ -84,7 +84,7 @@
 		FallChange:     0.03,
 		HeldShare:      0.1,
 		ReportLag:      400 * time.Millisecond,
-		Margin:         0.01,
+		Margin:         0.02,
 		PressedChange:  0.02,
 		FastFall:       0.08,
 		QueueLimit:     256,
--- a/admission/slot.go
+++ b/admission/slot.go
@@ -74,6 +74,7 @@
 			for key, l := range o.leases {
 				if key.router == router && l.expires.After(expires) {
 					l.expires = expires
+					o.leases[key] = l
 				}
 			}
 			for i := o.queue.len() - 1; i >= 0; i-- {
--- /dev/null
+++ b/cmd/internal/daemon/fleet.go
@@ -0,0 +1,109 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/admission"
+	"github.com/slipwick/slipwick/fleet"
+	"github.com/slipwick/slipwick/membership"
+
+	"github.com/slipwick/slipwick/cmd/internal/events"
+)
+
+const (
+	// boxesEvery is how often the platform's list of boxes is read.
+	boxesEvery = 5 * time.Second
+	// joinWith is how many routers are asked for all they know at the start.
+	joinWith      = 2
+	healthBacklog = 1024
+)
+
+// healthNews is what an owner found out about a backend server.
+type healthNews struct {
+	backend string
+	health  admission.Health
+}
+
+// onHealth is called by the coordinator, which must not be called back.
+func (r *Router) onHealth(backend string, health admission.Health) {
+	select {
+	case r.health <- healthNews{
+		backend: backend,
+		health:  health,
+	}:
+	default:
+		// Probing says it again.
+	}
+}
+
+// spreadHealth tells the other routers what owners find out.
+func (r *Router) spreadHealth(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case news := <-r.health:
+			r.logHealth(news)
+			r.node.SetBackend(news.backend, fleet.HealthState(news.health))
+		}
+	}
+}
+
+func (r *Router) logHealth(news healthNews) {
+	event := events.BackendRestored
+	switch news.health {
+	case admission.HealthLeaving:
+		event = events.BackendLeaving
+	case admission.HealthEjected:
+		event = events.BackendEjected
+	case admission.HealthGood:
+	}
+	event.On(&r.Log).Str("backend", news.backend).Send()
+}
+
+// onMembers takes what membership found out.
+func (r *Router) onMembers(change membership.Change) {
+	r.viewer.SetFleet(change.Routers, fleet.BackendStates(change.Backends))
+	for _, id := range change.Died {
+		events.RouterDied.On(&r.Log).Str("died", id).Send()
+		r.coordinator.RouterGone(id)
+	}
+}
+
+// followBoxes reads the platform's list of boxes now and then. At the start it
+// joins the fleet by asking a few of the routers on it.
+func (r *Router) followBoxes(ctx context.Context) {
+	joined := false
+	for ctx.Err() == nil {
+		boxes, err := r.platform.Boxes(ctx)
+		if err != nil && ctx.Err() == nil {
+			r.platformFailed(err)
+		}
+		r.node.Observe(boxes)
+		if !joined && err == nil {
+			joined = true
+			r.join(boxes)
+		}
+		// Routers that started together spread out.
+		wait := boxesEvery/2 + time.Duration(rand.Int64N(int64(boxesEvery)))
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (r *Router) join(boxes []slipwick.Box) {
+	asked := 0
+	for _, i := range rand.Perm(len(boxes)) {
+		box := boxes[i]
+		if box.Kind != slipwick.BoxRouter || box.ID == r.Settings.ID || asked == joinWith {
+			continue
+		}
+		asked++
+		r.node.Join(box.Address)
+	}
+}
--- a/cmd/internal/daemon/metrics.go
+++ b/cmd/internal/daemon/metrics.go
@@ -21,6 +21,37 @@
 	betweenTokensBuckets = []float64{.005, .01, .02, .03, .04, .06, .1, .2, .5, 1, 5}
 )
 
+// addFleetMetrics adds those that are read when asked for.
+func (r *Router) addFleetMetrics() {
+	for _, gauge := range []struct {
+		name, help string
+		read       func() float64
+	}{
+		{
+			name: "slipwick_control_bytes_total",
+			help: "Bytes sent and received for control.",
+			read: func() float64 { return float64(r.ControlBytes()) },
+		},
+		{
+			name: "slipwick_platform_calls_total",
+			help: "Calls made to the platform.",
+			read: func() float64 { return float64(r.platform.Calls()) },
+		},
+	} {
+		r.front.metrics.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: gauge.name,
+			Help: gauge.help,
+		}, gauge.read))
+	}
+	r.front.metrics.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "slipwick_members",
+		Help: "Routers that this router does not count as dead.",
+	}, func() float64 { return float64(len(r.node.Routers())) }))
+	r.front.metrics.Registry.MustRegister(&ownedCollector{
+		coordinator: r.coordinator,
+	})
+}
+
 // NewMetrics makes and registers the metrics.
 func NewMetrics() *Metrics {
 	m := &Metrics{
--- /dev/null
+++ b/cmd/internal/daemon/probe.go
@@ -0,0 +1,65 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/configuration"
+)
+
+const (
+	probeEvery   = time.Second
+	probeTimeout = 800 * time.Millisecond
+)
+
+// probeEngines reads the load report of each engine that this router owns.
+func (r *Router) probeEngines(ctx context.Context) {
+	ticker := time.NewTicker(probeEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			r.probeOwned(ctx)
+		}
+	}
+}
+
+func (r *Router) probeOwned(ctx context.Context) {
+	current := r.follower.Current()
+	if current == nil {
+		return
+	}
+	owned := make(map[string]bool)
+	for _, id := range r.coordinator.Owned() {
+		owned[id] = true
+	}
+	var probes sync.WaitGroup
+	for _, pool := range current.State.Pools {
+		for _, backend := range pool.Backends {
+			if owned[backend.ID] && pool.Kind == configuration.PoolEngine {
+				probes.Go(func() { r.probe(ctx, backend) })
+			}
+		}
+	}
+	probes.Wait()
+}
+
+// probe reads one engine's load report: the engine lives, leaves or is silent.
+func (r *Router) probe(ctx context.Context, backend slipwick.Backend) {
+	limited, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	report, err := r.front.dispatcher.Engine(backend).Load(limited)
+	switch {
+	case ctx.Err() != nil:
+	case err != nil:
+		r.coordinator.Observe(backend.ID, slipwick.EvidenceUnreachable)
+	case report.Leaving:
+		r.coordinator.Observe(backend.ID, slipwick.EvidenceLeaving)
+	default:
+		r.coordinator.Stays(backend.ID)
+	}
+}
--- a/cmd/internal/daemon/status.go
+++ b/cmd/internal/daemon/status.go
@@ -1,20 +1,23 @@
 package daemon
 
 import (
-	"net/http"
-
-	"github.com/labstack/echo/v4"
-
 	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/admission"
 )
 
 // Status is what one router tells operators of itself.
 type Status struct {
 	Router        string           `json:"router"`
 	DataCentre    string           `json:"data_centre"`
+	Region        string           `json:"region"`
 	Ready         bool             `json:"ready"`
 	Configuration slipwick.Version `json:"configuration_version"`
 	PlatformCalls int64            `json:"platform_calls"`
+	ControlBytes  int64            `json:"control_bytes"`
+	// Members are the routers that it does not count as dead.
+	Members []string `json:"members"`
+	// Owned are the backend servers whose slots it grants.
+	Owned []admission.Status `json:"owned"`
 }
 
 // StatusNow gives the router's status.
@@ -22,15 +25,17 @@
 	status := Status{
 		Router:        r.Settings.ID,
 		DataCentre:    r.Settings.DataCentre,
+		Region:        r.Settings.Region,
 		Ready:         r.ready.Load(),
 		PlatformCalls: r.platform.Calls(),
+		ControlBytes:  r.ControlBytes(),
+		Owned:         r.coordinator.Status(),
+	}
+	for _, member := range r.node.Routers() {
+		status.Members = append(status.Members, member.ID)
 	}
 	if current := r.follower.Current(); current != nil {
 		status.Configuration = current.Version
 	}
 	return status
 }
-
-func (r *Router) status(c echo.Context) error {
-	return c.JSON(http.StatusOK, r.StatusNow())
-}
--- a/cmd/internal/emulator/engine.go
+++ b/cmd/internal/emulator/engine.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 
@@ -16,6 +17,8 @@
 	id      string
 	address string
 	server  *http.Server
+	// out says that the engine is lost or leaving.
+	out atomic.Bool
 }
 
 func startEngine(id string, profile standin.EngineProfile) (*runningEngine, error) {
@@ -30,6 +33,7 @@
 
 // lose makes the engine vanish: its connections break and its port closes.
 func (e *runningEngine) lose() {
+	e.out.Store(true)
 	_ = e.server.Close()
 }
 
--- a/cmd/internal/events/catalogue.go
+++ b/cmd/internal/events/catalogue.go
@@ -59,6 +59,27 @@
 		Meaning: "The platform gave no usable answer. The router goes on with what it has and tries again.",
 		Remedy:  "Check the platform's address and health.",
 	}
+	BackendEjected = Event{
+		Number:  402,
+		Name:    "backend-ejected",
+		Level:   zerolog.WarnLevel,
+		Meaning: "A backend server failed several requests or probes in a row and gets no new work for a while.",
+		Remedy:  "Look at the backend server; it is tried again by itself.",
+	}
+	BackendRestored = Event{
+		Number:  403,
+		Name:    "backend-restored",
+		Level:   zerolog.InfoLevel,
+		Meaning: "A backend server that was ejected or leaving gets new work again, slowly at first.",
+		Remedy:  "None.",
+	}
+	RouterDied = Event{
+		Number:  501,
+		Name:    "router-died",
+		Level:   zerolog.WarnLevel,
+		Meaning: "Another router, in the field died, answers no probes; what it owned has new owners.",
+		Remedy:  "None if its box was replaced; else check the box and the network.",
+	}
 	BackendLeaving = Event{
 		Number:  401,
 		Name:    "backend-leaving",
@@ -79,6 +100,9 @@
 		ConfigurationInForce,
 		PlatformCallFailed,
 		BackendLeaving,
+		BackendEjected,
+		BackendRestored,
+		RouterDied,
 	}
 }
 
--- a/configuration/state.go
+++ b/configuration/state.go
@@ -7,6 +7,16 @@
 	Rules      []Rule      `json:"rules" validate:"dive"`
 }
 
+// Workspace gives the workspace of that name; ok is false if there is none.
+func (s *State) Workspace(name string) (workspace Workspace, ok bool) {
+	for i := range s.Workspaces {
+		if s.Workspaces[i].Name == name {
+			return s.Workspaces[i], true
+		}
+	}
+	return Workspace{}, false
+}
+
 // Pool gives the pool of that name; ok is false if there is none.
 func (s *State) Pool(name string) (pool Pool, ok bool) {
 	for i := range s.Pools {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -21,7 +22,9 @@
 	Engine func(slipwick.Backend) slipwick.Engine
 	// Service gives the plain service behind a backend server.
 	Service func(backend slipwick.Backend, repeatable bool) slipwick.Service
-	Limits  stream.Limits
+	// Hold bounds the wait for a slot.
+	Hold   time.Duration
+	Limits stream.Limits
 
 	budgets Budgets
 }
@@ -105,6 +108,8 @@
 }
 
 func (d *Dispatcher) acquire(ctx context.Context, pools []string, ask slipwick.Ask) (slipwick.Grant, error) {
+	ctx, cancel := context.WithTimeout(ctx, d.Hold)
+	defer cancel()
 	var grant slipwick.Grant
 	var err error
 	for _, pool := range pools {
--- a/emulation/callers.go
+++ b/emulation/callers.go
@@ -139,6 +139,7 @@
 	w.Meter.released(id)
 	admits.Release(grant, evidence)
 	if evidence.Bad() {
+		w.Meter.broke()
 		return id, errLost
 	}
 	return id, nil
@@ -160,7 +161,7 @@
 		time.Sleep(firstTokenLimit)
 		return slipwick.EvidenceTimeout
 	}
-	cached := e.Engine.serve(c.key)
+	cached := e.serve(c.key)
 	if !cached {
 		service += prefill
 	}
--- a/emulation/engine.go
+++ b/emulation/engine.go
@@ -30,10 +30,3 @@
 	e.cache.Add(chat, struct{}{})
 	return cached
 }
-
-// wipe empties the cache, as a restart does.
-func (e *Engine) wipe() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.cache.Purge()
-}
--- a/emulation/meter.go
+++ b/emulation/meter.go
@@ -17,6 +17,8 @@
 	usable   map[string]bool
 
 	requests, refused  int
+	broken             int
+	grants             map[string]int
 	returning, reused  int
 	excess, skewGrant  float64
 	skewSampled        float64
@@ -42,6 +44,7 @@
 	return &Meter{
 		factor:             factor,
 		inFlight:           make(map[string]int),
+		grants:             make(map[string]int),
 		usable:             make(map[string]bool),
 		skews:              hdrhistogram.New(1, maxSkewPercent, histogramDigits),
 		holds:              hdrhistogram.New(1, maxHoldMillis, histogramDigits),
@@ -77,6 +80,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.inFlight[engine]++
+	m.grants[engine]++
 	m.total++
 	_ = m.holds.RecordValue(max(1, waited.Milliseconds()))
 	mean := m.mean()
@@ -180,3 +184,23 @@
 	defer m.mu.Unlock()
 	m.reportLag = lag
 }
+
+// Grants is the number of slots granted at an engine since the start.
+func (m *Meter) Grants(engine string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.grants[engine]
+}
+
+// Broken is the number of requests that their engine took down with it.
+func (m *Meter) Broken() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.broken
+}
+
+func (m *Meter) broke() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.broken++
+}
--- a/emulation/router.go
+++ b/emulation/router.go
@@ -12,6 +12,7 @@
 	"github.com/slipwick/slipwick/membership"
 	"github.com/slipwick/slipwick/membership/memberpb"
 	"github.com/slipwick/slipwick/peer/peerpb"
+	"github.com/slipwick/slipwick/placement"
 )
 
 // Router is one emulated router: the real admission and membership.
@@ -24,6 +25,7 @@
 	cancel context.CancelFunc
 
 	mu      sync.Mutex
+	view    *placement.View
 	stopped bool
 	// paused holds what arrives while the router is paused.
 	paused  bool
@@ -45,7 +47,8 @@
 	}, policy)
 	r.Coordinator.Share = shares(snapshot)
 	r.Viewer = &fleet.Viewer{
-		OnView: r.Coordinator.SetView,
+		Self:   self,
+		OnView: r.SetView,
 	}
 	random := rand.New(rand.NewPCG(seed, membership.IDSeed(self.ID)))
 	r.Node = membership.NewNode(self, &wire{
@@ -84,6 +87,32 @@
 	}
 }
 
+// Owners lists the routers that this router thinks may own engines.
+func (r *Router) Owners() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var ids []string
+	for i := range r.view.Routers {
+		ids = append(ids, r.view.Routers[i].ID)
+	}
+	return ids
+}
+
+// Usable counts the engines of a pool that this router thinks may get work.
+func (r *Router) Usable(pool string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.view.Pools[pool].Usable)
+}
+
+// SetView puts a newer view in force.
+func (r *Router) SetView(view *placement.View) {
+	r.mu.Lock()
+	r.view = view
+	r.mu.Unlock()
+	r.Coordinator.SetView(view)
+}
+
 // Kill ends the router at once: nothing leaves or reaches it any more.
 func (r *Router) Kill() {
 	r.mu.Lock()
--- a/emulation/world.go
+++ b/emulation/world.go
@@ -29,6 +29,7 @@
 	boxes    []slipwick.Box
 	back     chan struct{}
 	done     chan struct{}
+	stop     sync.Once
 	parts    sync.WaitGroup
 }
 
@@ -145,7 +146,7 @@
 		baseline := w.Setup.Baseline(w.Meter)
 		r.Viewer.OnView = func(view *placement.View) {
 			baseline.SetView(view)
-			r.Coordinator.SetView(view)
+			r.SetView(view)
 		}
 		r.Viewer.SetConfiguration(snapshot)
 		admits = baseline
@@ -295,10 +296,15 @@
 	}
 }
 
+// StopChats ends the callers and waits for their last requests.
+func (w *World) StopChats() {
+	w.stop.Do(func() { close(w.done) })
+	w.parts.Wait()
+}
+
 // Close ends callers, then routers.
 func (w *World) Close() {
-	close(w.done)
-	w.parts.Wait()
+	w.StopChats()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, r := range w.routers {
--- a/fleet/viewer.go
+++ b/fleet/viewer.go
@@ -13,6 +13,9 @@
 // Viewer makes a new view at each change of what it is told. Set the exported
 // fields before the first call.
 type Viewer struct {
+	// Self is the router itself. It owns everything when it knows of no
+	// router that may.
+	Self slipwick.Router
 	// OnView is called with each new view, one call at a time.
 	OnView func(*placement.View)
 
@@ -56,7 +59,11 @@
 			Usable:        v.usable(pool.Backends),
 		})
 	}
-	v.OnView(placement.NewView(pools, v.routers))
+	routers := v.routers
+	if len(routers) == 0 {
+		routers = []slipwick.Router{v.Self}
+	}
+	v.OnView(placement.NewView(pools, routers))
 }
 
 // usable gives the indexes of the backend servers that may get new work. An
--- a/httpclient/client.go
+++ b/httpclient/client.go
@@ -52,11 +52,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &countedConn{
-			Conn:     connection,
-			sent:     sent,
-			received: received,
-		}, nil
+		return Counted(connection, sent, received), nil
 	}
 	return client
 }
--- a/httpclient/countedconn.go
+++ b/httpclient/countedconn.go
@@ -12,6 +12,15 @@
 	sent, received *atomic.Int64
 }
 
+// Counted gives a connection that counts its bytes.
+func Counted(connection net.Conn, sent, received *atomic.Int64) net.Conn {
+	return &countedConn{
+		Conn:     connection,
+		sent:     sent,
+		received: received,
+	}
+}
+
 // Read counts what it reads.
 func (c *countedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
--- a/membership/member.go
+++ b/membership/member.go
@@ -69,12 +69,12 @@
 // router as unknown, since it is forgotten sooner or later.
 func (m *member) digest() uint64 {
 	state := m.news.GetState()
-	switch {
-	case state == memberpb.State_STATE_SUSPECT:
-		state = memberpb.State_STATE_LIVE
-	case state == memberpb.State_STATE_DEAD:
+	if state == memberpb.State_STATE_DEAD {
 		return 0
 	}
+	if state == memberpb.State_STATE_SUSPECT {
+		state = memberpb.State_STATE_LIVE
+	}
 	var digest xxhash.Digest
 	digest.Reset()
 	_, _ = digest.WriteString(m.news.GetId())
--- a/membership/node.go
+++ b/membership/node.go
@@ -240,6 +240,16 @@
 	}
 }
 
+// Address gives where a router listens; empty if it is not known or dead.
+func (n *Node) Address(router string) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if m := n.members[router]; m != nil && !m.dead() {
+		return m.news.GetAddress()
+	}
+	return ""
+}
+
 // Routers gives the routers that are not dead.
 func (n *Node) Routers() []slipwick.Router {
 	n.mu.Lock()
--- /dev/null
+++ b/peer/counting.go
@@ -0,0 +1,27 @@
+package peer
+
+import (
+	"net"
+
+	"github.com/slipwick/slipwick/httpclient"
+)
+
+// countingListener counts the bytes of the connections that it accepts.
+type countingListener struct {
+	net.Listener
+
+	mesh *Mesh
+}
+
+// Accept accepts a connection.
+func (l *countingListener) Accept() (net.Conn, error) {
+	connection, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.mesh.count(connection), nil
+}
+
+func (m *Mesh) count(connection net.Conn) net.Conn {
+	return httpclient.Counted(connection, &m.Sent, &m.Received)
+}
--- /dev/null
+++ b/peer/errors.go
@@ -0,0 +1,5 @@
+package peer
+
+import "github.com/pkg/errors"
+
+var errUnknownRouter = errors.New("the router's address is not known; wait for membership to learn it")
