--- /dev/null
+++ b/chat/request_test.go
@@ -0,0 +1,84 @@
+package chat
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/slipwick/slipwick"
+)
+
+func TestIdentityStaysThroughTurns(t *testing.T) {
+	first := `{"model":"m","messages":[{"role":"system","content":"s"},{"role":"user","content":"a"}]}`
+	second := `{"model":"m","messages":[{"role":"system","content":"s"},{"role":"user","content":"a"},` +
+		`{"role":"assistant","content":"b"},{"role":"user","content":"c"}]}`
+	other := `{"model":"m","messages":[{"role":"system","content":"s"},{"role":"user","content":"z"}]}`
+	identity := func(body, header string) string {
+		request, err := Parse([]byte(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return request.Identity(header)
+	}
+	if got, want := identity(second, ""), identity(first, ""); got != want {
+		t.Errorf("got %s for the second turn, want %s", got, want)
+	}
+	if identity(other, "") == identity(first, "") {
+		t.Error("got the same identity for two chats")
+	}
+	if got := identity(first, "named"); got != "named" {
+		t.Errorf("got %s, want the header's name", got)
+	}
+}
+
+func TestCompletionJoinsChunks(t *testing.T) {
+	var got Completion
+	for _, chunk := range []string{
+		`{"id":"1","choices":[{"index":0,"delta":{"role":"assistant","content":"a"}}]}`,
+		`{"id":"1","choices":[{"index":1,"delta":{"content":"x"}},{"index":0,"delta":{"content":"b"}}]}`,
+		`{"id":"1","choices":[{"index":0,"delta":{"tool_calls":[{"index":0,"id":"t","function":{"name":"f"}}]}}]}`,
+		`{"id":"1","choices":[{"index":0,"delta":{"tool_calls":[{"index":0,"function":{"arguments":"{}"}}]}}]}`,
+		`{"id":"1","choices":[{"index":0,"delta":{},"finish_reason":"stop"}],"usage":{"total_tokens":3}}`,
+	} {
+		if err := got.Add([]byte(chunk)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	message := got.Choices[0].Message
+	if message.Content != "ab" || message.ToolCalls[0].Function.Arguments != "{}" || got.Choices[1].Message.Content != "x" {
+		t.Errorf("got %+v, want the chunks joined by choice and call", got)
+	}
+	if *got.Choices[0].FinishReason != "stop" || string(got.Usage) != `{"total_tokens":3}` {
+		t.Errorf("got %+v, want finish reason and usage", got)
+	}
+}
+
+// FuzzParse checks that any body is either refused as not run or can be passed
+// on in streamed form with its messages kept.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":"a"}]}`))
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":[{"type":"text"}]}],"stream":false}`))
+	f.Add([]byte(`[]`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		request, err := Parse(body)
+		if err != nil {
+			failure, ok := slipwick.AsError(err)
+			if !ok || failure.Outcome != slipwick.OutcomeNotRun {
+				t.Fatalf("got %v, want a refusal that says not-run", err)
+			}
+			return
+		}
+		streamed, err := Streamed(body)
+		if err != nil {
+			t.Fatalf("a body that was taken can't be streamed: %v", err)
+		}
+		again, err := Parse(streamed)
+		if err != nil || !again.Stream {
+			t.Fatalf("got %v, %v, want a streamed request", again, err)
+		}
+		before, _ := json.Marshal(request.Messages)
+		after, _ := json.Marshal(again.Messages)
+		if string(before) != string(after) {
+			t.Errorf("got messages %s, want %s", after, before)
+		}
+	})
+}
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -26,6 +26,8 @@
 	// Small and shared buffers: a router may have streams with hundreds of
 	// others.
 	bufferBytes = 2 << 10
+	// A fixed window needs no pings to find its size.
+	windowBytes = 256 << 10
 	queueLength = 1024
 	dialTimeout = 2 * time.Second
 	idleTimeout = 5 * time.Minute
@@ -76,6 +78,8 @@
 	options := []grpc.ServerOption{
 		grpc.ReadBufferSize(bufferBytes),
 		grpc.WriteBufferSize(bufferBytes),
+		grpc.StaticStreamWindowSize(windowBytes),
+		grpc.StaticConnWindowSize(windowBytes),
 	}
 	if m.Credentials != nil {
 		options = append(options, grpc.Creds(m.Credentials))
@@ -173,6 +177,8 @@
 		grpc.WithContextDialer(m.dial),
 		grpc.WithReadBufferSize(bufferBytes),
 		grpc.WithWriteBufferSize(bufferBytes),
+		grpc.WithStaticStreamWindowSize(windowBytes),
+		grpc.WithStaticConnWindowSize(windowBytes),
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
 	)
