Claim request keys before sending, durable in the platform

Cause: a request that may not be repeated could be sent again by its caller through another router and run twice.

Endings are typed for the resend. The drain test waited for more requests at the engines than a router that has just started grants; it now waits until all are in progress in the router.

--- a/chat/request_test.go
+++ b/chat/request_test.go
@@ -44,7 +44,8 @@
 		}
 	}
 	message := got.Choices[0].Message
-	if message.Content != "ab" || message.ToolCalls[0].Function.Arguments != "{}" || got.Choices[1].Message.Content != "x" {
+	arguments, second := message.ToolCalls[0].Function.Arguments, got.Choices[1].Message.Content
+	if message.Content != "ab" || arguments != "{}" || second != "x" {
 		t.Errorf("got %+v, want the chunks joined by choice and call", got)
 	}
 	if *got.Choices[0].FinishReason != "stop" || string(got.Usage) != `{"total_tokens":3}` {
--- a/cmd/internal/daemon/assemble.go
+++ b/cmd/internal/daemon/assemble.go
@@ -5,6 +5,7 @@
 
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/admission"
+	"github.com/slipwick/slipwick/claims"
 	"github.com/slipwick/slipwick/configuration"
 	"github.com/slipwick/slipwick/dispatch"
 	"github.com/slipwick/slipwick/engine"
@@ -12,6 +13,7 @@
 	"github.com/slipwick/slipwick/httpclient"
 	"github.com/slipwick/slipwick/membership"
 	"github.com/slipwick/slipwick/peer"
+	"github.com/slipwick/slipwick/peer/peerpb"
 	"github.com/slipwick/slipwick/platform"
 	"github.com/slipwick/slipwick/service"
 
@@ -35,6 +37,7 @@
 		log:        r.Log,
 		metrics:    NewMetrics(),
 		dispatcher: r.newDispatcher(),
+		claims:     r.claims,
 	}
 	r.addFleetMetrics()
 }
@@ -55,7 +58,11 @@
 	r.coordinator = admission.NewCoordinator(self.ID, r.mesh, admission.DefaultPolicy())
 	r.coordinator.Share = r.share
 	r.coordinator.OnHealth = r.onHealth
-	r.mesh.OnReceive = r.coordinator.Receive
+	r.claims = claims.New(self.ID, r.platform, r.mesh, claims.DefaultPolicy())
+	r.mesh.OnReceive = func(from string, envelope *peerpb.Envelope) {
+		r.coordinator.Receive(from, envelope)
+		r.claims.Receive(from, envelope)
+	}
 	r.viewer = &fleet.Viewer{
 		Self:   self,
 		OnView: r.coordinator.SetView,
--- a/cmd/internal/daemon/chathandler.go
+++ b/cmd/internal/daemon/chathandler.go
@@ -22,6 +22,10 @@
 	if err != nil {
 		return f.refuse(c, a, err)
 	}
+	key, err := f.claimKey(c.Request().Context(), a, c.Request().Header)
+	if err != nil {
+		return f.refuse(c, a, err)
+	}
 	var writer answerWriter
 	if parsed.Stream {
 		writer = newStreamWriter(c, f, a)
@@ -32,6 +36,7 @@
 	}
 	call := a.call(placement.ChatKey(a.workspace.Name, request.Chat))
 	err = f.dispatcher.Chat(c.Request().Context(), call, request, writer.event)
+	key.ended(err)
 	f.ended(a, err)
 	if err != nil {
 		return writer.fail(asFailure(err), a.repeatable)
--- a/cmd/internal/daemon/failure.go
+++ b/cmd/internal/daemon/failure.go
@@ -29,7 +29,9 @@
 
 var statuses = map[slipwick.Kind]int{
 	slipwick.KindInvalidRequest:     http.StatusBadRequest,
-	slipwick.KindKeyUnsupported:     http.StatusBadRequest,
+	slipwick.KindKeyUsed:            http.StatusConflict,
+	slipwick.KindKeyExpired:         http.StatusConflict,
+	slipwick.KindUnavailable:        http.StatusServiceUnavailable,
 	slipwick.KindBodyTooLarge:       http.StatusRequestEntityTooLarge,
 	slipwick.KindUnauthorized:       http.StatusUnauthorized,
 	slipwick.KindUnknownModel:       http.StatusNotFound,
--- a/cmd/internal/daemon/fleet.go
+++ b/cmd/internal/daemon/fleet.go
@@ -67,6 +67,7 @@
 // onMembers takes what membership found out.
 func (r *Router) onMembers(change membership.Change) {
 	r.viewer.SetFleet(change.Routers, fleet.BackendStates(change.Backends))
+	r.claims.SetRouters(change.Routers)
 	for _, id := range change.Died {
 		events.RouterDied.On(&r.Log).Str("died", id).Send()
 		r.coordinator.RouterGone(id)
--- a/cmd/internal/daemon/front.go
+++ b/cmd/internal/daemon/front.go
@@ -14,6 +14,7 @@
 
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/burn"
+	"github.com/slipwick/slipwick/claims"
 	"github.com/slipwick/slipwick/configuration"
 	"github.com/slipwick/slipwick/dispatch"
 
@@ -32,6 +33,7 @@
 	log        zerolog.Logger
 	metrics    *Metrics
 	dispatcher *dispatch.Dispatcher
+	claims     *claims.Claims
 	burn       burn.Recorder
 	routes     atomic.Pointer[routes]
 	closed     atomic.Bool
@@ -120,14 +122,6 @@
 			Outcome: slipwick.OutcomeNotRun,
 		}
 	}
-	if header.Get(keyHeader) != "" && !a.repeatable {
-		return &slipwick.Error{
-			Kind:    slipwick.KindKeyUnsupported,
-			Message: "request keys are not supported by this release",
-			Remedy:  "leave " + keyHeader + " out; the request is then sent at most once per call",
-			Outcome: slipwick.OutcomeNotRun,
-		}
-	}
 	return nil
 }
 
--- a/cmd/internal/daemon/metrics.go
+++ b/cmd/internal/daemon/metrics.go
@@ -32,6 +32,21 @@
 			help: "Bytes sent and received for control.",
 			read: func() float64 { return float64(r.ControlBytes()) },
 		},
+		{
+			name: "slipwick_claims_total",
+			help: "Request keys claimed by this router.",
+			read: func() float64 { return float64(r.claims.Stats.Claims.Load()) },
+		},
+		{
+			name: "slipwick_claim_writes_total",
+			help: "Writes to the platform for claims.",
+			read: func() float64 { return float64(r.claims.Stats.Writes.Load()) },
+		},
+		{
+			name: "slipwick_claim_write_bytes_total",
+			help: "Bytes of values written to the platform for claims.",
+			read: func() float64 { return float64(r.claims.Stats.Bytes.Load()) },
+		},
 		{
 			name: "slipwick_platform_calls_total",
 			help: "Calls made to the platform.",
--- a/cmd/internal/daemon/router.go
+++ b/cmd/internal/daemon/router.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/slipwick/slipwick/admission"
+	"github.com/slipwick/slipwick/claims"
 	"github.com/slipwick/slipwick/configuration"
 	"github.com/slipwick/slipwick/fleet"
 	"github.com/slipwick/slipwick/membership"
@@ -35,6 +36,7 @@
 	coordinator *admission.Coordinator
 	node        *membership.Node
 	mesh        *peer.Mesh
+	claims      *claims.Claims
 	udp         *membership.UDP
 	health      chan healthNews
 
@@ -85,7 +87,8 @@
 	var parts sync.WaitGroup
 	failed := make(chan error, 4)
 	for _, part := range []func(context.Context){
-		r.follower.Run, r.coordinator.Run, r.node.Run, r.followBoxes, r.probeEngines, r.spreadHealth,
+		r.follower.Run, r.coordinator.Run, r.node.Run, r.claims.Run, r.followBoxes, r.probeEngines,
+		r.spreadHealth,
 	} {
 		parts.Go(func() { part(background) })
 	}
--- a/cmd/internal/daemon/router_test.go
+++ b/cmd/internal/daemon/router_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/rs/zerolog"
 
 	"github.com/slipwick/slipwick"
@@ -29,19 +30,24 @@
 	router  *Router
 	engines []*standin.Engine
 	service *standin.Service
-	stop    context.CancelFunc
+
+	platform *standin.Platform
+	stop     context.CancelFunc
 }
 
 func newFixture(t *testing.T, engines int) *fixture {
 	t.Helper()
 	f := &fixture{
-		service: &standin.Service{},
+		service:  &standin.Service{},
+		platform: standin.NewPlatform(),
 	}
-	store := httptest.NewServer(standin.NewPlatform())
+	store := httptest.NewServer(f.platform)
 	t.Cleanup(store.Close)
 	var backends []slipwick.Backend
 	for i := range engines {
-		e := standin.NewEngine(standin.EngineProfile{})
+		e := standin.NewEngine(standin.EngineProfile{
+			TokenEvery: 20 * time.Millisecond,
+		})
 		f.engines = append(f.engines, e)
 		backends = append(backends, backend(t, string(rune('a'+i)), e))
 	}
@@ -360,7 +366,11 @@
 			outcomes <- response.Trailer.Get(slipwick.OutcomeHeader)
 		}()
 	}
-	for f.engines[0].Running()+f.engines[1].Running() < count/2 {
+	deadline := time.Now().Add(10 * time.Second)
+	for testutil.ToFloat64(f.router.front.metrics.InFlight) < count {
+		if time.Now().After(deadline) {
+			t.Fatal("the requests did not get in progress")
+		}
 		time.Sleep(time.Millisecond)
 	}
 	f.stop()
--- a/cmd/internal/daemon/servicehandler.go
+++ b/cmd/internal/daemon/servicehandler.go
@@ -25,6 +25,10 @@
 	if err != nil {
 		return f.refuse(c, a, err)
 	}
+	key, err := f.claimKey(c.Request().Context(), a, c.Request().Header)
+	if err != nil {
+		return f.refuse(c, a, err)
+	}
 	ctx, cancel := context.WithTimeout(c.Request().Context(), f.limits.Service.Or(defaultService))
 	defer cancel()
 	// Calls without a chat are spread by their own ID.
@@ -33,6 +37,7 @@
 		identity = a.id
 	}
 	response, err := f.dispatcher.Call(ctx, a.call(placement.ChatKey(a.workspace.Name, identity)), request)
+	key.ended(err)
 	if err != nil {
 		return f.refuse(c, a, err)
 	}
--- a/cmd/internal/daemon/status.go
+++ b/cmd/internal/daemon/status.go
@@ -18,6 +18,8 @@
 	Members []string `json:"members"`
 	// Owned are the backend servers whose slots it grants.
 	Owned []admission.Status `json:"owned"`
+	// Journals are those of request keys that it holds.
+	Journals []int `json:"journals"`
 }
 
 // StatusNow gives the router's status.
@@ -30,6 +32,7 @@
 		PlatformCalls: r.platform.Calls(),
 		ControlBytes:  r.ControlBytes(),
 		Owned:         r.coordinator.Status(),
+		Journals:      r.claims.Held(),
 	}
 	for _, member := range r.node.Routers() {
 		status.Members = append(status.Members, member.ID)
--- a/kind.go
+++ b/kind.go
@@ -34,8 +34,10 @@
 	KindTimeout Kind = "timeout"
 	// KindCancelled is a caller that went away.
 	KindCancelled Kind = "cancelled"
-	// KindKeyUnsupported is a request key that can't be honoured here.
-	KindKeyUnsupported Kind = "key_unsupported"
+	// KindKeyUsed is a request key that was claimed before.
+	KindKeyUsed Kind = "key_used"
+	// KindKeyExpired is a request key beyond the window of claims.
+	KindKeyExpired Kind = "key_expired"
 	// KindNotFound is an object that does not exist.
 	KindNotFound Kind = "not_found"
 	// KindConflict is a conditional write that another writer won.
--- a/placement/owner.go
+++ b/placement/owner.go
@@ -55,3 +55,15 @@
 		return tierElsewhere
 	}
 }
+
+// Choose gives the index of the rendezvous choice among the routers for a key,
+// wherever they are; -1 when there are none.
+func Choose(key uint64, routers []slipwick.Router) int {
+	best, bestScore := -1, uint64(0)
+	for i := range routers {
+		if score := pair(IDHash(routers[i].ID), key); best < 0 || score > bestScore {
+			best, bestScore = i, score
+		}
+	}
+	return best
+}
