--- a/cmd/internal/daemon/fleet.go
+++ b/cmd/internal/daemon/fleet.go
@@ -14,8 +14,11 @@
 )
 
 const (
-	// boxesEvery is how often the platform's list of boxes is read.
+	// boxesEvery is how often, at most, a router reads the platform's list of
+	// boxes; boxesShare is how often one of the fleet does. What one reads
+	// all learn, so that the platform's calls do not grow with the fleet.
 	boxesEvery = 5 * time.Second
+	boxesShare = 500 * time.Millisecond
 	// joinWith is how many routers are asked for all they know at the start.
 	joinWith      = 2
 	healthBacklog = 1024
@@ -89,7 +92,8 @@
 			r.join(boxes)
 		}
 		// Routers that started together spread out.
-		wait := boxesEvery/2 + time.Duration(rand.Int64N(int64(boxesEvery)))
+		every := max(boxesEvery, time.Duration(len(r.node.Routers()))*boxesShare)
+		wait := every/2 + time.Duration(rand.Int64N(int64(every)))
 		select {
 		case <-ctx.Done():
 		case <-time.After(wait):
--- /dev/null
+++ b/cmd/slipwickd/failure_test.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/engine"
+	"github.com/slipwick/slipwick/standin"
+)
+
+// stream is one caller's stream and how it ended.
+type stream struct {
+	question string
+	router   int
+	outcome  slipwick.Outcome
+	whole    bool
+}
+
+// TestKillAndDrain kills one of three routers and drains another during 200
+// streams that may not be repeated.
+func TestKillAndDrain(t *testing.T) {
+	const count, killed, drained = 200, 0, 1
+	profile := standin.EngineProfile{
+		Tokens:     10,
+		TokenEvery: 20 * time.Millisecond,
+	}
+	engines := []*standin.Engine{standin.NewEngine(profile), standin.NewEngine(profile), standin.NewEngine(profile)}
+	stand, url := startPlatform(t, engines...)
+	binary := buildBinary(t)
+	var addresses []string
+	var stops []func(syscall.Signal)
+	for i := range 3 {
+		address, process := startBinary(t, binary, stand, fmt.Sprintf("r%d", i), url)
+		addresses = append(addresses, address)
+		stops = append(stops, func(signal syscall.Signal) {
+			if err := process.Process.Signal(signal); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	// The routers' first window as owners.
+	time.Sleep(4 * time.Second)
+	streams := make([]stream, count)
+	var parts sync.WaitGroup
+	for i := range streams {
+		s := &streams[i]
+		s.question = fmt.Sprintf("question %d", i)
+		s.router = i % len(addresses)
+		parts.Go(func() { s.run(t.Context(), addresses[s.router]) })
+		time.Sleep(8 * time.Millisecond)
+		switch i {
+		case count / 2:
+			stops[killed](syscall.SIGKILL)
+		case count / 2 * 5 / 4:
+			stops[drained](syscall.SIGTERM)
+		}
+	}
+	parts.Wait()
+	stops[2](syscall.SIGTERM)
+	check(t, streams, engines, killed)
+}
+
+// check compares what callers saw with the engines' record.
+func check(t *testing.T, streams []stream, engines []*standin.Engine, killed int) {
+	t.Helper()
+	completed := make(map[int]int)
+	for _, s := range streams {
+		runs := 0
+		for _, e := range engines {
+			runs += e.Runs()[standin.Digest(fmt.Sprintf("%q", s.question))]
+		}
+		if runs > 1 {
+			t.Errorf("%s ran %d times, want at most once", s.question, runs)
+		}
+		if s.outcome == slipwick.OutcomeNotRun && runs > 0 {
+			t.Errorf("%s was told not-run and ran", s.question)
+		}
+		if s.outcome == slipwick.OutcomeCompleted && !s.whole {
+			t.Errorf("%s was told completed and is not whole", s.question)
+		}
+		if s.outcome == slipwick.OutcomeCompleted {
+			completed[s.router]++
+		}
+		cut := s.outcome != slipwick.OutcomeCompleted && s.outcome != slipwick.OutcomeNotRun
+		if cut && s.router != killed {
+			t.Errorf("%s through router %d: got outcome %q, want completed or not-run", s.question, s.router, s.outcome)
+		}
+	}
+	t.Logf("completed by router: %v", completed)
+	if completed[0] == 0 || completed[1] == 0 || completed[2] == 0 {
+		t.Errorf("got %v completed, want some through each router", completed)
+	}
+}
+
+// run sends the request once. Without a connection it was not run.
+func (s *stream) run(ctx context.Context, address string) {
+	body := fmt.Sprintf(`{"model":"m","stream":true,"messages":[{"role":"user","content":%q}]}`, s.question)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+engine.CompletionsPath,
+		io.MultiReader(strings.NewReader(body)))
+	if err != nil {
+		return
+	}
+	request.ContentLength = int64(len(body))
+	request.Header.Set("Authorization", "Bearer secret")
+	request.Header.Set("Slipwick-Repeatable", "false")
+	// A connection of its own: none is closing when the request is sent.
+	request.Close = true
+	client := &http.Client{
+		Transport: &http.Transport{
+			DisableKeepAlives: true,
+		},
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		if strings.Contains(err.Error(), "connection refused") {
+			s.outcome = slipwick.OutcomeNotRun
+		}
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(response.Body)
+	s.whole = err == nil && strings.Contains(string(answer), "data: "+engine.EndMarker)
+	s.outcome = slipwick.Outcome(response.Trailer.Get(slipwick.OutcomeHeader))
+	if response.StatusCode != http.StatusOK {
+		s.outcome = slipwick.Outcome(response.Header.Get(slipwick.OutcomeHeader))
+	}
+}
--- a/cmd/slipwickd/slipwickd_test.go
+++ b/cmd/slipwickd/slipwickd_test.go
@@ -26,17 +26,18 @@
 
 const settings = `{
 	// A router of the end-to-end test.
-	"id": "r1", "data_centre": "dc",
+	"id": "%s", "data_centre": "dc",
 	"listen": {"callers": "%s", "operators": "%s", "peers": "%s"},
 	"platform": {"url": "%s"},
-	"limits": {"announce": "10ms"},
+	"limits": {"announce": "100ms"},
+	"log": {"level": "error"},
 }`
 
 // TestOpenAIClientStreams streams a chat through the real binary with the
 // OpenAI Go client, then stops the binary.
 func TestOpenAIClientStreams(t *testing.T) {
-	platformURL := startPlatform(t)
-	address, process := startBinary(t, platformURL)
+	_, platformURL := startPlatform(t, standin.NewEngine(standin.EngineProfile{}))
+	address, process := startBinary(t, buildBinary(t), nil, "r1", platformURL)
 	client := openai.NewClient(option.WithBaseURL("http://"+address+"/v1/"), option.WithAPIKey("secret"))
 	stream := client.Chat.Completions.NewStreaming(t.Context(), openai.ChatCompletionNewParams{
 		Model:    "m",
@@ -63,12 +64,22 @@
 	}
 }
 
-func startPlatform(t *testing.T) string {
+// startPlatform starts the platform with a configuration of one pool.
+func startPlatform(t *testing.T, engines ...*standin.Engine) (stand *standin.Platform, url string) {
 	t.Helper()
-	server := httptest.NewServer(standin.NewPlatform())
+	stand = standin.NewPlatform()
+	server := httptest.NewServer(stand)
 	t.Cleanup(server.Close)
-	engine := httptest.NewServer(standin.NewEngine(standin.EngineProfile{}))
-	t.Cleanup(engine.Close)
+	var backends []slipwick.Backend
+	for i, e := range engines {
+		engine := httptest.NewServer(e)
+		t.Cleanup(engine.Close)
+		backends = append(backends, slipwick.Backend{
+			ID:         fmt.Sprintf("e%d", i),
+			Address:    engine.Listener.Addr().String(),
+			DataCentre: "dc",
+		})
+	}
 	keeper := &configuration.Keeper{
 		Store: &platform.Client{
 			BaseURL: server.URL,
@@ -84,15 +95,9 @@
 		},
 		Pools: []configuration.Pool{
 			{
-				Name: "p",
-				Kind: configuration.PoolEngine,
-				Backends: []slipwick.Backend{
-					{
-						ID:         "e1",
-						Address:    engine.Listener.Addr().String(),
-						DataCentre: "dc",
-					},
-				},
+				Name:     "p",
+				Kind:     configuration.PoolEngine,
+				Backends: backends,
 			},
 		},
 		Rules: []configuration.Rule{
@@ -106,20 +111,37 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return server.URL
+	return stand, server.URL
 }
 
-// startBinary builds and starts slipwickd and waits until it is ready.
-func startBinary(t *testing.T, platformURL string) (callers string, process *exec.Cmd) {
+// buildBinary builds slipwickd.
+func buildBinary(t *testing.T) string {
 	t.Helper()
-	folder := t.TempDir()
-	binary := filepath.Join(folder, "slipwickd")
+	binary := filepath.Join(t.TempDir(), "slipwickd")
 	if out, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
-	callers, operators := freeAddress(t), freeAddress(t)
-	file := filepath.Join(folder, "router.jsonc")
-	text := fmt.Sprintf(settings, callers, operators, freeAddress(t), platformURL)
+	return binary
+}
+
+// startBinary starts slipwickd, puts it on the platform's list, if one is
+// given, and waits until it is ready.
+func startBinary(
+	t *testing.T, binary string, stand *standin.Platform, id, platformURL string,
+) (callers string, process *exec.Cmd) {
+	t.Helper()
+	callers, operators, peers := freeAddress(t), freeAddress(t), freeAddress(t)
+	file := filepath.Join(t.TempDir(), "router.jsonc")
+	text := fmt.Sprintf(settings, id, callers, operators, peers, platformURL)
+	if stand != nil {
+		stand.SetBox(slipwick.Box{
+			ID:         id,
+			Kind:       slipwick.BoxRouter,
+			Address:    peers,
+			DataCentre: "dc",
+			State:      slipwick.BoxLive,
+		})
+	}
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
