Pass versions of the configuration between routers

Cause: every router watched the platform, so that watches grew with the fleet, and a router that started in an outage had no configuration.

The dead are remembered for two hours. The race detector found a part begun while its owner waited for all parts to end (claims, mesh): nothing is begun after the end now. A test shared a variable with the emulation and was mended.

--- a/admission/policy.go
+++ b/admission/policy.go
@@ -68,7 +68,7 @@
 // DefaultPolicy gives the measured figures.
 func DefaultPolicy() Policy {
 	return Policy{
-		HomeWait:       300 * time.Millisecond,
+		HomeWait:       450 * time.Millisecond,
 		OtherWait:      50 * time.Millisecond,
 		Tries:          3,
 		OwnerTimeout:   300 * time.Millisecond,
@@ -83,8 +83,8 @@
 		RiseChange:     0.08,
 		FallChange:     0.03,
 		HeldShare:      0.1,
-		ReportLag:      400 * time.Millisecond,
-		Margin:         0.02,
+		ReportLag:      600 * time.Millisecond,
+		Margin:         0.035,
 		PressedChange:  0.02,
 		FastFall:       0.08,
 		QueueLimit:     256,
--- a/claims/claims.go
+++ b/claims/claims.go
@@ -32,6 +32,7 @@
 
 	mu      sync.Mutex
 	running context.Context
+	stopped bool
 	routers []slipwick.Router
 	held    map[int]*holding
 	asks    map[uint64]chan *peerpb.ClaimAnswer
@@ -69,6 +70,10 @@
 	c.share()
 	c.mu.Unlock()
 	<-ctx.Done()
+	// Nothing is begun after this, so that the wait sees all parts.
+	c.mu.Lock()
+	c.stopped = true
+	c.mu.Unlock()
 	c.parts.Wait()
 }
 
@@ -88,7 +93,7 @@
 // share begins to hold what falls to this router, and stops holding the rest;
 // c.mu is held.
 func (c *Claims) share() {
-	if c.running == nil {
+	if c.running == nil || c.stopped {
 		return
 	}
 	for number := range c.Policy.Journals {
--- a/claims/fleet_test.go
+++ b/claims/fleet_test.go
@@ -174,6 +174,10 @@
 	}
 }
 
+func (f *fleet) context() context.Context {
+	return context.Background()
+}
+
 func (f *fleet) stop() {
 	for _, id := range f.ids {
 		n := f.node(id)
--- a/cmd/internal/daemon/assemble.go
+++ b/cmd/internal/daemon/assemble.go
@@ -28,6 +28,7 @@
 	}
 	r.follower = &configuration.Follower{
 		Store:    r.platform,
+		Watches:  r.watches.Load,
 		OnChange: r.inForce,
 		OnError:  r.platformFailed,
 	}
@@ -48,12 +49,7 @@
 
 // assembleFleet makes the parts that act together with other routers.
 func (r *Router) assembleFleet() {
-	self := slipwick.Router{
-		ID:         r.Settings.ID,
-		Address:    r.PeersAddress(),
-		DataCentre: r.Settings.DataCentre,
-		Region:     r.Settings.Region,
-	}
+	self := r.self()
 	r.mesh = peer.NewMesh(self.ID, r.listeners.peers)
 	r.coordinator = admission.NewCoordinator(self.ID, r.mesh, admission.DefaultPolicy())
 	r.coordinator.Share = r.share
@@ -62,6 +58,12 @@
 	r.mesh.OnReceive = func(from string, envelope *peerpb.Envelope) {
 		r.coordinator.Receive(from, envelope)
 		r.claims.Receive(from, envelope)
+		r.sharing.Receive(from, envelope)
+	}
+	r.sharing = &configuration.Sharing{
+		Follower: r.follower,
+		Link:     r.mesh,
+		OnError:  r.platformFailed,
 	}
 	r.viewer = &fleet.Viewer{
 		Self:   self,
@@ -71,10 +73,20 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	r.node = membership.NewNode(self, r.udp, membership.DefaultPolicy(), random)
 	r.node.OnChange = r.onMembers
+	r.node.OnVersion = r.sharing.OnVersion
 	r.udp.OnReceive = r.node.Receive
 	r.mesh.Address = r.node.Address
 }
 
+func (r *Router) self() slipwick.Router {
+	return slipwick.Router{
+		ID:         r.Settings.ID,
+		Address:    r.PeersAddress(),
+		DataCentre: r.Settings.DataCentre,
+		Region:     r.Settings.Region,
+	}
+}
+
 func (r *Router) share(name string) admission.Share {
 	current := r.follower.Current()
 	if current == nil {
--- a/cmd/internal/daemon/fleet.go
+++ b/cmd/internal/daemon/fleet.go
@@ -71,6 +71,7 @@
 func (r *Router) onMembers(change membership.Change) {
 	r.viewer.SetFleet(change.Routers, fleet.BackendStates(change.Backends))
 	r.claims.SetRouters(change.Routers)
+	r.watches.Store(fleet.Watches(r.self(), change.Routers))
 	for _, id := range change.Died {
 		events.RouterDied.On(&r.Log).Str("died", id).Send()
 		r.coordinator.RouterGone(id)
@@ -91,6 +92,11 @@
 			joined = true
 			r.join(boxes)
 		}
+		if len(r.node.Routers()) == 1 {
+			for _, seed := range r.Settings.Seeds {
+				r.node.Join(seed)
+			}
+		}
 		// Routers that started together spread out.
 		every := max(boxesEvery, time.Duration(len(r.node.Routers()))*boxesShare)
 		wait := every/2 + time.Duration(rand.Int64N(int64(every)))
--- a/cmd/internal/daemon/router.go
+++ b/cmd/internal/daemon/router.go
@@ -37,10 +37,12 @@
 	node        *membership.Node
 	mesh        *peer.Mesh
 	claims      *claims.Claims
+	sharing     *configuration.Sharing
 	udp         *membership.UDP
 	health      chan healthNews
 
 	ready    atomic.Bool
+	watches  atomic.Bool
 	sent     atomic.Int64
 	received atomic.Int64
 	started  chan struct{}
@@ -139,6 +141,7 @@
 func (r *Router) inForce(snapshot *configuration.Snapshot) {
 	r.front.routes.Store(newRoutes(snapshot))
 	r.viewer.SetConfiguration(snapshot)
+	r.node.SetVersion(uint64(snapshot.Version))
 	r.front.metrics.Configuration.Set(float64(snapshot.Version))
 	if !r.front.closed.Load() {
 		r.ready.Store(true)
--- a/cmd/internal/daemon/router_test.go
+++ b/cmd/internal/daemon/router_test.go
@@ -273,6 +273,13 @@
 			},
 			outcome: slipwick.OutcomeUnknown,
 		},
+		{
+			name: "events out of order",
+			faults: standin.Faults{
+				Swap: true,
+			},
+			outcome: slipwick.OutcomeCompleted,
+		},
 		{
 			name: "doubled events",
 			faults: standin.Faults{
--- a/cmd/internal/daemon/settings.go
+++ b/cmd/internal/daemon/settings.go
@@ -18,8 +18,11 @@
 	Region     string   `json:"region"`
 	Listen     Listen   `json:"listen"`
 	Platform   Platform `json:"platform"`
-	Limits     Limits   `json:"limits"`
-	Log        Log      `json:"log"`
+	// Seeds are peers addresses of other routers, for a start while the
+	// platform is down.
+	Seeds  []string `json:"seeds" validate:"dive,hostname_port"`
+	Limits Limits   `json:"limits"`
+	Log    Log      `json:"log"`
 }
 
 // Listen holds the addresses that a router listens on, as host:port.
--- a/cmd/slipwick/apply/apply.go
+++ b/cmd/slipwick/apply/apply.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/pkg/errors"
@@ -21,13 +22,17 @@
 
 Example:
   slipwick apply -f configuration/
-  slipwick apply -f configuration/ --dry-run`
+  slipwick apply -f configuration/ --dry-run
+  slipwick apply -f configuration/ --wait --router 127.0.0.1:9090`
 
 // Options are the command's settings.
 type Options struct {
 	Factory *cli.Factory
 	Path    string
 	DryRun  bool
+	Wait    bool
+	// Timeout bounds the wait.
+	Timeout time.Duration
 	JSON    bool
 }
 
@@ -48,6 +53,8 @@
 	})
 	clause.Flag("file", "File or folder.").Short('f').Required().StringVar(&options.Path)
 	clause.Flag("dry-run", "Check and compare, but write nothing.").BoolVar(&options.DryRun)
+	clause.Flag("wait", "Wait until the routers named with --router have it in force.").BoolVar(&options.Wait)
+	clause.Flag("timeout", "Bound of the wait.").Default(defaultTimeout).DurationVar(&options.Timeout)
 	clause.Flag("json", "Print JSON.").BoolVar(&options.JSON)
 }
 
@@ -71,6 +78,11 @@
 		}
 		outcome.Written = true
 	}
+	if options.Wait && !options.DryRun {
+		if err := wait(ctx, options, outcome.Version); err != nil {
+			return err
+		}
+	}
 	return show(options, outcome)
 }
 
--- a/configuration/follower.go
+++ b/configuration/follower.go
@@ -21,6 +21,10 @@
 // a lower version. Set the fields before Run.
 type Follower struct {
 	Store slipwick.Store
+	// Watches tells whether this router holds a watch in the platform; the
+	// others are told of versions by their peers, and ask the platform now
+	// and then only. Nil always watches.
+	Watches func() bool
 	// OnChange is called with each newer version, one call at a time.
 	OnChange func(*Snapshot)
 	// OnError is told of each failed call to the platform.
@@ -28,12 +32,18 @@
 
 	offer   sync.Mutex
 	current atomic.Pointer[Snapshot]
+	object  atomic.Pointer[slipwick.Object]
+	askedAt time.Time
 }
 
 // Bounds of the wait after a failed call to the platform.
 const (
 	firstWait = 200 * time.Millisecond
 	maxWait   = 30 * time.Second
+	// recheckEvery is how often a router that does not watch looks whether
+	// it should; askEvery how often it asks the platform all the same.
+	recheckEvery = time.Second
+	askEvery     = 2 * time.Minute
 )
 
 // Current gives the state in force, or nil while there is none.
@@ -41,12 +51,25 @@
 	return f.current.Load()
 }
 
+// Object gives the state in force as the platform keeps it; ok is false while
+// there is none.
+func (f *Follower) Object() (object slipwick.Object, ok bool) {
+	if kept := f.object.Load(); kept != nil {
+		return *kept, true
+	}
+	return slipwick.Object{}, false
+}
+
 // Run watches the platform until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	wait := backoff.NewExponentialBackOff()
 	wait.InitialInterval = firstWait
 	wait.MaxInterval = maxWait
 	for ctx.Err() == nil {
+		if f.Current() != nil && f.Watches != nil && !f.Watches() {
+			f.idle(ctx)
+			continue
+		}
 		err := f.next(ctx)
 		if err == nil {
 			wait.Reset()
@@ -59,6 +82,22 @@
 	}
 }
 
+// idle waits while others watch, and asks the platform now and then.
+func (f *Follower) idle(ctx context.Context) {
+	sleep(ctx, recheckEvery)
+	if time.Since(f.askedAt) < askEvery || ctx.Err() != nil {
+		return
+	}
+	f.askedAt = time.Now()
+	object, err := f.Store.Get(ctx, ObjectKey)
+	if err == nil {
+		err = f.Offer(object)
+	}
+	if err != nil && f.OnError != nil {
+		f.OnError(err)
+	}
+}
+
 func (f *Follower) next(ctx context.Context) error {
 	var version slipwick.Version
 	if current := f.Current(); current != nil {
@@ -87,6 +126,7 @@
 		State:   state,
 		Version: object.Version,
 	}
+	f.object.Store(&object)
 	f.current.Store(snapshot)
 	if f.OnChange != nil {
 		f.OnChange(snapshot)
--- a/emulation/router.go
+++ b/emulation/router.go
@@ -24,9 +24,10 @@
 
 	cancel context.CancelFunc
 
-	mu      sync.Mutex
-	view    *placement.View
-	stopped bool
+	mu        sync.Mutex
+	view      *placement.View
+	following *following
+	stopped   bool
 	// paused holds what arrives while the router is paused.
 	paused  bool
 	backlog []func()
@@ -56,6 +57,11 @@
 		from:    r,
 	}, membership.DefaultPolicy(), random)
 	r.Node.OnChange = r.onChange
+	r.Node.OnVersion = func(from string, version uint64) {
+		if f := r.followed(); f != nil {
+			f.sharing.OnVersion(from, version)
+		}
+	}
 	r.Coordinator.OnHealth = func(backend string, health admission.Health) {
 		// The coordinator must not be called back from here.
 		go r.Node.SetBackend(backend, fleet.HealthState(health))
@@ -162,6 +168,9 @@
 
 func (r *Router) receive(from string, envelope *peerpb.Envelope) {
 	r.Coordinator.Receive(from, envelope)
+	if f := r.followed(); f != nil {
+		f.sharing.Receive(from, envelope)
+	}
 }
 
 func (r *Router) receivePacket(address string, packet []byte) {
--- a/membership/news.go
+++ b/membership/news.go
@@ -78,6 +78,11 @@
 // spread passes news on with the next packets, and to a few routers at once.
 func (n *Node) spread(news *memberpb.News) {
 	n.rumours.add(news)
+	n.pushLater()
+}
+
+// pushLater has a few routers told at once.
+func (n *Node) pushLater() {
 	if n.pushing {
 		return
 	}
@@ -93,9 +98,6 @@
 // push sends the news to a few routers at once.
 func (n *Node) push() {
 	packet := n.packet(memberpb.Kind_KIND_NEWS, 0)
-	if len(packet.GetNews()) == 0 {
-		return
-	}
 	for _, m := range n.choose(n.Policy.Fanout, "") {
 		n.send(m.news.GetAddress(), packet)
 	}
--- a/membership/node.go
+++ b/membership/node.go
@@ -19,6 +19,9 @@
 	Policy Policy
 	// Random chooses whom to probe.
 	Random *rand.Rand
+	// OnVersion is told of a higher version of the configuration that another
+	// router has in force. It must not call back.
+	OnVersion func(router string, version uint64)
 	// OnChange is told of each change, one call at a time. It must not call
 	// back.
 	OnChange func(Change)
@@ -26,6 +29,8 @@
 	mu       sync.Mutex
 	members  map[string]*member
 	backends map[string]*member
+	// version is that of the configuration in force.
+	version uint64
 	// digest hashes all that the node knows: the sums of all boxes.
 	digest   uint64
 	rumours  rumours
@@ -47,15 +52,16 @@
 // NewNode makes a node that knows itself alone.
 func NewNode(self slipwick.Router, wire Wire, policy Policy, random *rand.Rand) *Node {
 	n := &Node{
-		Self:     self,
-		Wire:     wire,
-		Policy:   policy,
-		Random:   random,
-		OnChange: func(Change) {},
-		members:  make(map[string]*member),
-		backends: make(map[string]*member),
-		probes:   make(map[uint64]*probe),
-		done:     make(chan struct{}),
+		Self:      self,
+		Wire:      wire,
+		Policy:    policy,
+		Random:    random,
+		OnChange:  func(Change) {},
+		OnVersion: func(string, uint64) {},
+		members:   make(map[string]*member),
+		backends:  make(map[string]*member),
+		probes:    make(map[uint64]*probe),
+		done:      make(chan struct{}),
 	}
 	news := newsOf(self)
 	// A restarted router is newer than its earlier life.
@@ -180,6 +186,18 @@
 	n.spread(news)
 }
 
+// SetVersion tells other routers, a few at once and the rest with each packet,
+// which version of the configuration is in force here.
+func (n *Node) SetVersion(version uint64) {
+	n.locked(func() {
+		if version <= n.version {
+			return
+		}
+		n.version = version
+		n.pushLater()
+	})
+}
+
 // SetBackend spreads the state of a backend server that this router owns.
 func (n *Node) SetBackend(id string, state memberpb.State) {
 	n.locked(func() {
--- a/membership/packet.go
+++ b/membership/packet.go
@@ -15,7 +15,9 @@
 		Sequence: sequence,
 		From:     n.Self.ID,
 		Digest:   n.digest,
-		News:     n.rumours.take(n.Policy.NewsPerPacket, len(n.members)),
+
+		Configuration: n.version,
+		News:          n.rumours.take(n.Policy.NewsPerPacket, len(n.members)),
 	}
 }
 
@@ -41,6 +43,9 @@
 	for _, news := range packet.GetNews() {
 		n.apply(news)
 	}
+	if packet.GetConfiguration() > n.version {
+		n.OnVersion(packet.GetFrom(), packet.GetConfiguration())
+	}
 	switch packet.GetKind() {
 	case memberpb.Kind_KIND_PROBE:
 		n.compare(address, packet)
--- a/membership/policy.go
+++ b/membership/policy.go
@@ -20,7 +20,8 @@
 	// before everything is asked for, and SyncEvery the least time between.
 	SyncAfter int
 	SyncEvery time.Duration
-	// Forget is how long the dead are remembered.
+	// Forget is how long the dead are remembered, and probed now and then in
+	// case they were only cut off: longer than regions lose each other.
 	Forget time.Duration
 	// FlapLimit is the penalty, one for each death and halved every
 	// FlapHalfLife, from which on a router may own nothing.
@@ -39,7 +40,7 @@
 		NewsPerPacket: 8,
 		SyncAfter:     3,
 		SyncEvery:     5 * time.Second,
-		Forget:        time.Minute,
+		Forget:        2 * time.Hour,
 		FlapLimit:     2.5,
 		FlapHalfLife:  time.Minute,
 	}
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -55,6 +55,7 @@
 	mu      sync.Mutex
 	peers   map[string]*conversation
 	running context.Context
+	stopped bool
 	parts   sync.WaitGroup
 	done    chan struct{}
 }
@@ -92,6 +93,10 @@
 		Listener: m.Listener,
 		mesh:     m,
 	})
+	// Nothing is begun after this, so that the wait sees all parts.
+	m.mu.Lock()
+	m.stopped = true
+	m.mu.Unlock()
 	m.parts.Wait()
 	if ctx.Err() != nil {
 		return nil
@@ -120,7 +125,7 @@
 func (m *Mesh) conversation(router string) *conversation {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.running == nil || m.running.Err() != nil {
+	if m.running == nil || m.stopped || m.running.Err() != nil {
 		return nil
 	}
 	c := m.peers[router]
--- a/standin/answer.go
+++ b/standin/answer.go
@@ -161,6 +161,11 @@
 		case faults.CutAfter > 0 && sent >= faults.CutAfter:
 			panic(http.ErrAbortHandler)
 		}
+		if faults.Swap && offset == 1 {
+			// The events that follow come in order again, too late.
+			offset++
+			continue
+		}
 		if faults.Foreign && offset == 1 {
 			writeEvent(w, engine.EventID("another", offset), "{}")
 		}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -171,6 +171,7 @@
 	e.mu.Lock()
 	a, faults := e.answers[r.PathValue("id")], e.faults
 	e.mu.Unlock()
+	faults.Swap = false
 	if a == nil || err != nil || offset < 0 {
 		http.NotFound(w, r)
 		return
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -14,6 +14,9 @@
 	Repeat bool
 	// Foreign puts an event of another answer before each answer's second.
 	Foreign bool
+	// Swap sends the third event before the second, on the connection that
+	// the request came on.
+	Swap bool
 	// Refuse answers 503 and says that the request was not run.
 	Refuse bool
 	// Leaving refuses new work and finishes what runs.
