Draw a node's first wait under its lock

Cause: the race detector, on TestFailures and others: Node.Run drew from Random outside the lock while a push drew inside it.

Change: the draw is under the lock.

Measured: emulation, membership, claims and peer green with the race detector, 75 s; the commit before was red in emulation with it.

--- a/membership/node.go
+++ b/membership/node.go
@@ -83,12 +83,14 @@
 // Run probes until ctx ends.
 func (n *Node) Run(ctx context.Context) {
 	defer close(n.done)
+	var wait time.Duration
 	n.locked(func() {
 		n.changed = true
 		n.spread(n.self().news)
+		// Routers that start together do not probe together.
+		wait = time.Duration(n.Random.Int64N(int64(n.Policy.Period)))
 	})
-	// Routers that start together do not probe together.
-	first := time.NewTimer(time.Duration(n.Random.Int64N(int64(n.Policy.Period))))
+	first := time.NewTimer(wait)
 	defer first.Stop()
 	select {
 	case <-ctx.Done():
