Secure routers' streams and packets with the fleet's keys

Cause: anyone who reached the peers' port could ask for slots or spread news.

Change: mutual TLS between routers and TLS towards callers, from files that are read anew when they change; membership's packets signed with a shared secret.

The secret itself is read at the start alone.

--- a/cmd/internal/daemon/router.go
+++ b/cmd/internal/daemon/router.go
@@ -85,6 +85,9 @@
 		return err
 	}
 	r.assemble()
+	if err := r.secure(); err != nil {
+		return err
+	}
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var parts sync.WaitGroup
 	failed := make(chan error, 4)
--- a/cmd/internal/daemon/router_test.go
+++ b/cmd/internal/daemon/router_test.go
@@ -110,7 +110,7 @@
 
 func (f *fixture) start(t *testing.T, platformURL string) {
 	t.Helper()
-	f.router = NewRouter(&Settings{
+	f.startWith(t, &Settings{
 		ID:         "r1",
 		DataCentre: "dc",
 		Listen: Listen{
@@ -126,15 +126,22 @@
 			FirstToken: jsonfile.Duration(2 * time.Second),
 			Announce:   jsonfile.Duration(50 * time.Millisecond),
 		},
-	}, zerolog.Nop())
+	})
+}
+
+// startWith starts a router and waits until it is ready.
+func (f *fixture) startWith(t *testing.T, settings *Settings) {
+	t.Helper()
+	router := NewRouter(settings, zerolog.Nop())
+	f.router = router
 	ctx, cancel := context.WithCancel(context.Background())
 	f.stop = cancel
-	go func() { _ = f.router.Run(ctx) }()
+	go func() { _ = router.Run(ctx) }()
 	t.Cleanup(func() {
 		cancel()
-		<-f.router.Done()
+		<-router.Done()
 	})
-	<-f.router.Started()
+	<-router.Started()
 	deadline := time.Now().Add(10 * time.Second)
 	for !f.router.StatusNow().Ready {
 		if time.Now().After(deadline) {
--- a/cmd/internal/daemon/settings.go
+++ b/cmd/internal/daemon/settings.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/slipwick/slipwick/jsonfile"
+	"github.com/slipwick/slipwick/keyfiles"
 	"github.com/slipwick/slipwick/stream"
 )
 
@@ -21,6 +22,7 @@
 	// Seeds are peers addresses of other routers, for a start while the
 	// platform is down.
 	Seeds  []string `json:"seeds" validate:"dive,hostname_port"`
+	TLS    TLS      `json:"tls"`
 	Limits Limits   `json:"limits"`
 	Log    Log      `json:"log"`
 }
@@ -37,6 +39,15 @@
 	URL string `json:"url" validate:"required,url"`
 }
 
+// TLS names the files that secure connections. What is left out stays plain.
+type TLS struct {
+	Callers *keyfiles.Files `json:"callers"`
+	Peers   *keyfiles.Files `json:"peers"`
+	// Secret is a file whose content, the same at all routers, signs the
+	// packets of membership.
+	Secret string `json:"secret"`
+}
+
 // Limits bound what one request may take. Zero fields take the defaults.
 type Limits struct {
 	BodyBytes int64 `json:"body_bytes" validate:"min=0"`
@@ -85,7 +96,12 @@
 		return nil, err
 	}
 	settings := &Settings{}
-	if mistakes := document.Decode(settings); len(mistakes) > 0 {
+	mistakes := document.Decode(settings)
+	if peers := settings.TLS.Peers; len(mistakes) == 0 && peers != nil && peers.Authorities == "" {
+		mistakes = append(mistakes, document.Mistake("/tls/peers/authorities", "missing or empty",
+			"name the PEM file of the authority that signs the fleet's certificates"))
+	}
+	if len(mistakes) > 0 {
 		return nil, mistakes
 	}
 	return settings, nil
--- a/membership/udp.go
+++ b/membership/udp.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/hmac"
+	"crypto/sha256"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -21,6 +23,9 @@
 // UDP carries packets over UDP. Set the exported fields before Run.
 type UDP struct {
 	Conn *net.UDPConn
+	// Secret signs packets; those signed with another are dropped. Without
+	// it packets are taken from anyone.
+	Secret []byte
 	// OnReceive takes packets, with the address that answers go to.
 	OnReceive func(address string, packet []byte)
 
@@ -44,6 +49,7 @@
 	if err != nil {
 		return
 	}
+	packet = u.sign(packet)
 	if _, err := u.Conn.WriteToUDPAddrPort(packet, to); err == nil {
 		u.Sent.Add(int64(len(packet) + headerBytes))
 	}
@@ -65,8 +71,41 @@
 		}
 		u.Received.Add(int64(n + headerBytes))
 		address := netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
-		u.OnReceive(address.String(), buffer[:n])
+		if packet, ok := u.verify(buffer[:n]); ok {
+			u.OnReceive(address.String(), packet)
+		}
+	}
+}
+
+// signatureBytes is how much of a signature is sent.
+const signatureBytes = 16
+
+func (u *UDP) signature(packet []byte) []byte {
+	sum := hmac.New(sha256.New, u.Secret)
+	_, _ = sum.Write(packet)
+	return sum.Sum(nil)[:signatureBytes]
+}
+
+// sign appends the packet's signature.
+func (u *UDP) sign(packet []byte) []byte {
+	if len(u.Secret) == 0 {
+		return packet
+	}
+	signed := make([]byte, 0, len(packet)+signatureBytes)
+	signed = append(signed, packet...)
+	return append(signed, u.signature(packet)...)
+}
+
+// verify checks and removes a packet's signature.
+func (u *UDP) verify(signed []byte) (packet []byte, ok bool) {
+	if len(u.Secret) == 0 {
+		return signed, true
+	}
+	if len(signed) < signatureBytes {
+		return nil, false
 	}
+	packet = signed[:len(signed)-signatureBytes]
+	return packet, hmac.Equal(signed[len(packet):], u.signature(packet))
 }
 
 // Done is closed when Run has ended.
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -46,8 +46,9 @@
 	Address func(router string) string
 	// OnReceive takes the envelopes that arrive.
 	OnReceive func(from string, envelope *peerpb.Envelope)
-	// Credentials secure the streams both ways; nil leaves them plain.
-	Credentials credentials.TransportCredentials
+	// Accepting and Connecting secure the streams that this router accepts
+	// and opens; nil leaves them plain.
+	Accepting, Connecting credentials.TransportCredentials
 
 	// Sent and Received count bytes above TCP.
 	Sent, Received atomic.Int64
@@ -82,8 +83,8 @@
 		grpc.StaticStreamWindowSize(windowBytes),
 		grpc.StaticConnWindowSize(windowBytes),
 	}
-	if m.Credentials != nil {
-		options = append(options, grpc.Creds(m.Credentials))
+	if m.Accepting != nil {
+		options = append(options, grpc.Creds(m.Accepting))
 	}
 	server := grpc.NewServer(options...)
 	peerpb.RegisterPeerServer(server, m)
@@ -173,7 +174,7 @@
 
 // connect makes a connection to another router.
 func (m *Mesh) connect(address string) (*grpc.ClientConn, error) {
-	secured := m.Credentials
+	secured := m.Connecting
 	if secured == nil {
 		secured = insecure.NewCredentials()
 	}
