--- /dev/null
+++ b/claims/schedule_test.go
@@ -0,0 +1,222 @@
+package claims
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/slipwick/slipwick"
+)
+
+// schedule is one random run.
+type schedule struct {
+	seed                   uint64
+	routers, keys, resends int
+	pauses, kills, views   int
+	outage, slow           bool
+	lostAnswers, lateWrite float64
+	lose, double           float64
+	// plant puts a fault in.
+	plant func(f *fleet)
+	// misreport has a router say not-run after it sent the request.
+	misreport bool
+}
+
+func drawSchedule(t *rapid.T) schedule {
+	share := func(name string) float64 { return float64(rapid.IntRange(0, 3).Draw(t, name)) / 10 }
+	return schedule{
+		seed:        rapid.Uint64().Draw(t, "seed"),
+		routers:     rapid.IntRange(2, 4).Draw(t, "routers"),
+		keys:        rapid.IntRange(1, 6).Draw(t, "keys"),
+		resends:     rapid.IntRange(1, 4).Draw(t, "resends"),
+		pauses:      rapid.IntRange(0, 2).Draw(t, "pauses"),
+		kills:       rapid.IntRange(0, 1).Draw(t, "kills"),
+		views:       rapid.IntRange(0, 4).Draw(t, "views"),
+		outage:      rapid.Bool().Draw(t, "outage"),
+		slow:        rapid.Bool().Draw(t, "slow"),
+		lostAnswers: share("lost answers"),
+		lateWrite:   share("late writes"),
+		lose:        share("lost messages"),
+		double:      share("doubled messages"),
+	}
+}
+
+// run runs the schedule on virtual time and gives what it broke.
+func (s schedule) run(t *testing.T) (violations []string, told map[slipwick.Outcome]int) {
+	synctest.Test(t, func(*testing.T) {
+		f := newFleet(s.seed, s.routers, testPolicy())
+		h := &history{
+			ran:     make(map[int]int),
+			runs:    make(map[string]int),
+			started: time.Now(),
+		}
+		f.store.set(func(store *fakeStore) {
+			store.loseAnswer, store.late = s.lostAnswers, s.lateWrite
+			if s.slow {
+				store.slow = 300 * time.Millisecond
+			}
+		})
+		f.mu.Lock()
+		f.lose, f.double, f.delay = s.lose, s.double, 20*time.Millisecond
+		f.mu.Unlock()
+		if s.plant != nil {
+			s.plant(f)
+		}
+		random := rand.New(rand.NewPCG(s.seed, 11))
+		var parts sync.WaitGroup
+		s.disturb(f, random, &parts)
+		s.call(f, h, random, &parts)
+		parts.Wait()
+		f.stop()
+		// Late writes and messages come to nothing before the end.
+		time.Sleep(time.Minute)
+		violations, told = h.violations(), h.told()
+	})
+	return violations, told
+}
+
+const scheduleLength = 8 * time.Second
+
+func anyTime(random *rand.Rand) time.Duration {
+	return time.Duration(random.Int64N(int64(scheduleLength)))
+}
+
+// disturb has routers paused, killed and at odds on who they are, and the
+// platform down.
+func (s schedule) disturb(f *fleet, random *rand.Rand, parts *sync.WaitGroup) {
+	later := func(do func()) {
+		after := anyTime(random)
+		parts.Go(func() {
+			time.Sleep(after)
+			do()
+		})
+	}
+	for range s.pauses {
+		id, length := f.ids[random.IntN(len(f.ids))], anyTime(random)
+		later(func() { f.node(id).pauseFor(length) })
+	}
+	for range s.views {
+		id, without := f.ids[random.IntN(len(f.ids))], f.ids[random.IntN(len(f.ids))]
+		later(func() { f.node(id).claims.SetRouters(routersOf(others(f.ids, without))) })
+	}
+	for i := range s.kills {
+		id := f.ids[i]
+		later(func() {
+			f.node(id).kill()
+			for _, other := range others(f.ids, id) {
+				f.node(other).claims.SetRouters(routersOf(others(f.ids, id)))
+			}
+		})
+	}
+	if s.outage {
+		later(func() {
+			f.store.set(func(store *fakeStore) { store.outage = true })
+			time.Sleep(2 * time.Second)
+			f.store.set(func(store *fakeStore) { store.outage = false })
+		})
+	}
+}
+
+func others(ids []string, without string) []string {
+	var kept []string
+	for _, id := range ids {
+		if id != without {
+			kept = append(kept, id)
+		}
+	}
+	return kept
+}
+
+// call has callers send each key several times, through any router, some at
+// the same time.
+func (s schedule) call(f *fleet, h *history, random *rand.Rand, parts *sync.WaitGroup) {
+	id := 0
+	for range s.keys {
+		after := anyTime(random)
+		seed := random.Uint64()
+		first := id
+		id += s.resends * 2
+		parts.Go(func() {
+			time.Sleep(after)
+			own := rand.New(rand.NewPCG(seed, 1))
+			key := newKey(own)
+			for i := range s.resends {
+				doubled := own.IntN(3) == 0
+				a := attempt{
+					key: key,
+					id:  first + 2*i,
+				}
+				b := a
+				b.id++
+				routers := own.Perm(len(f.ids))
+				fates := [2]float64{own.Float64(), own.Float64()}
+				var pair sync.WaitGroup
+				pair.Go(func() { s.send(f, h, a, f.ids[routers[0]], fates[0]) })
+				if doubled {
+					pair.Go(func() { s.send(f, h, b, f.ids[routers[1]], fates[1]) })
+				}
+				pair.Wait()
+				time.Sleep(time.Duration(own.Int64N(int64(2 * time.Second))))
+			}
+		})
+	}
+}
+
+// send is a router's part in one attempt: claim, run, tell.
+func (s schedule) send(f *fleet, h *history, a attempt, router string, fate float64) {
+	n := f.node(router)
+	if n.isKilled() {
+		return
+	}
+	began := time.Now()
+	key, err := n.claims.Policy.ParseKey("w", a.key, time.Now())
+	var claim Claim
+	if err == nil {
+		claim, err = n.claims.Claim(context.Background(), key)
+	}
+	if err != nil {
+		failure, _ := slipwick.AsError(err)
+		h.add(a, began, ending{
+			outcome: failure.Outcome,
+			earlier: failure.Kind == slipwick.KindKeyUsed,
+		})
+		return
+	}
+	n.awake()
+	outcome := s.dispatch(h, a, fate)
+	if !n.isKilled() {
+		n.claims.End(claim, outcome)
+	}
+	h.add(a, began, ending{
+		outcome: outcome,
+	})
+}
+
+// dispatch sends the request to a backend server that may refuse it, fail, or
+// lose the connection before or after it runs.
+func (s schedule) dispatch(h *history, a attempt, fate float64) slipwick.Outcome {
+	time.Sleep(20 * time.Millisecond)
+	switch {
+	case fate < 0.2:
+		return slipwick.OutcomeNotRun
+	case fate < 0.3:
+		return slipwick.OutcomeUnknown
+	case fate < 0.4:
+		h.run(a)
+		if s.misreport {
+			return slipwick.OutcomeNotRun
+		}
+		return slipwick.OutcomeUnknown
+	case fate < 0.5:
+		h.run(a)
+		return slipwick.OutcomeFailed
+	default:
+		h.run(a)
+		return slipwick.OutcomeCompleted
+	}
+}
--- a/cmd/internal/daemon/router_test.go
+++ b/cmd/internal/daemon/router_test.go
@@ -2,179 +2,19 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
-	"io"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus/testutil"
-	"github.com/rs/zerolog"
 
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/chat"
-	"github.com/slipwick/slipwick/configuration"
-	"github.com/slipwick/slipwick/httpclient"
-	"github.com/slipwick/slipwick/jsonfile"
-	"github.com/slipwick/slipwick/platform"
 	"github.com/slipwick/slipwick/standin"
 )
 
-const testKey = "secret"
-
-// fixture is one router before stand-ins.
-type fixture struct {
-	router  *Router
-	engines []*standin.Engine
-	service *standin.Service
-
-	platform *standin.Platform
-	stop     context.CancelFunc
-}
-
-func newFixture(t *testing.T, engines int) *fixture {
-	t.Helper()
-	f := &fixture{
-		service:  &standin.Service{},
-		platform: standin.NewPlatform(),
-	}
-	store := httptest.NewServer(f.platform)
-	t.Cleanup(store.Close)
-	var backends []slipwick.Backend
-	for i := range engines {
-		e := standin.NewEngine(standin.EngineProfile{
-			TokenEvery: 20 * time.Millisecond,
-		})
-		f.engines = append(f.engines, e)
-		backends = append(backends, backend(t, string(rune('a'+i)), e))
-	}
-	state := &configuration.State{
-		Workspaces: []configuration.Workspace{
-			{
-				Name:      "w",
-				KeyHashes: []string{configuration.HashKey(testKey)},
-			},
-		},
-		Pools: []configuration.Pool{
-			{
-				Name:     "engines",
-				Kind:     configuration.PoolEngine,
-				Backends: backends,
-			},
-			{
-				Name:          "records",
-				Kind:          configuration.PoolService,
-				NotRepeatable: true,
-				Backends:      []slipwick.Backend{backend(t, "records-1", f.service)},
-			},
-		},
-		Rules: []configuration.Rule{
-			{
-				Workspace: "w",
-				Model:     "m",
-				Pool:      "engines",
-			},
-			{
-				Workspace: "w",
-				Model:     "records",
-				Pool:      "records",
-			},
-		},
-	}
-	keeper := &configuration.Keeper{
-		Store: &platform.Client{
-			BaseURL: store.URL,
-			HTTP:    httpclient.New(),
-		},
-	}
-	if _, err := keeper.Apply(t.Context(), state, 0); err != nil {
-		t.Fatal(err)
-	}
-	f.start(t, store.URL)
-	return f
-}
-
-func backend(t *testing.T, id string, handler http.Handler) slipwick.Backend {
-	t.Helper()
-	server := httptest.NewServer(handler)
-	t.Cleanup(server.Close)
-	return slipwick.Backend{
-		ID:         id,
-		Address:    server.Listener.Addr().String(),
-		DataCentre: "dc",
-	}
-}
-
-func (f *fixture) start(t *testing.T, platformURL string) {
-	t.Helper()
-	f.startWith(t, &Settings{
-		ID:         "r1",
-		DataCentre: "dc",
-		Listen: Listen{
-			Callers:   "127.0.0.1:0",
-			Operators: "127.0.0.1:0",
-			Peers:     "127.0.0.1:0",
-		},
-		Platform: Platform{
-			URL: platformURL,
-		},
-		Limits: Limits{
-			BodyBytes:  4096,
-			FirstToken: jsonfile.Duration(2 * time.Second),
-			Announce:   jsonfile.Duration(50 * time.Millisecond),
-		},
-	})
-}
-
-// startWith starts a router and waits until it is ready.
-func (f *fixture) startWith(t *testing.T, settings *Settings) {
-	t.Helper()
-	router := NewRouter(settings, zerolog.Nop())
-	f.router = router
-	ctx, cancel := context.WithCancel(context.Background())
-	f.stop = cancel
-	go func() { _ = router.Run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		<-router.Done()
-	})
-	<-router.Started()
-	deadline := time.Now().Add(10 * time.Second)
-	for !f.router.StatusNow().Ready {
-		if time.Now().After(deadline) {
-			t.Fatal("the router did not get ready")
-		}
-		time.Sleep(time.Millisecond)
-	}
-}
-
-// post sends a request; header holds names and values in turn.
-func (f *fixture) post(t *testing.T, path, body string, header ...string) (*http.Response, string) {
-	t.Helper()
-	url := "http://" + f.router.CallersAddress() + path
-	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, strings.NewReader(body))
-	if err != nil {
-		t.Fatal(err)
-	}
-	request.Header.Set("Authorization", "Bearer "+testKey)
-	for i := 0; i < len(header); i += 2 {
-		request.Header.Set(header[i], header[i+1])
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	answer, err := io.ReadAll(response.Body)
-	if err != nil {
-		t.Logf("body cut: %v", err)
-	}
-	return response, string(answer)
-}
-
 const (
 	chatPath  = "/v1/chat/completions"
 	wholeChat = `{"model":"m","messages":[{"role":"user","content":"hello"}]}`
