--- a/configuration/follower.go
+++ b/configuration/follower.go
@@ -1,7 +1,9 @@
 package configuration
 
 import (
+	"cmp"
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,7 +35,8 @@
 	offer   sync.Mutex
 	current atomic.Pointer[Snapshot]
 	object  atomic.Pointer[slipwick.Object]
-	askedAt time.Time
+	// askAt is when a router that does not watch asks the platform next.
+	askAt time.Time
 }
 
 // Bounds of the wait after a failed call to the platform.
@@ -85,10 +88,12 @@
 // idle waits while others watch, and asks the platform now and then.
 func (f *Follower) idle(ctx context.Context) {
 	sleep(ctx, recheckEvery)
-	if time.Since(f.askedAt) < askEvery || ctx.Err() != nil {
+	now := time.Now()
+	if f.askAt.IsZero() || now.Before(f.askAt) || ctx.Err() != nil {
+		f.askAt = cmp.Or(f.askAt, nextAsk(now))
 		return
 	}
-	f.askedAt = time.Now()
+	f.askAt = nextAsk(now)
 	object, err := f.Store.Get(ctx, ObjectKey)
 	if err == nil {
 		err = f.Offer(object)
@@ -98,6 +103,11 @@
 	}
 }
 
+// nextAsk spreads the routers' asks, also of those that started together.
+func nextAsk(now time.Time) time.Time {
+	return now.Add(askEvery/2 + rand.N(askEvery))
+}
+
 func (f *Follower) next(ctx context.Context) error {
 	var version slipwick.Version
 	if current := f.Current(); current != nil {
