Take nothing over before a starting router knows who else lives

Cause: found by reading: a router that starts thinks itself alone for a moment, and took engines and all journals for its own, fencing off their holders at every restart.

Change: a router is ready, and holds journals, only when it has read the list or heard of others and had half a second to hear what they know.

Measured: daemon and end-to-end tests green with the race detector.

--- a/cmd/internal/daemon/fleet.go
+++ b/cmd/internal/daemon/fleet.go
@@ -21,6 +21,8 @@
 	boxesShare = 500 * time.Millisecond
 	// joinWith is how many routers are asked for all they know at the start.
 	joinWith      = 2
+	retryJoin     = time.Second
+	settleTime    = 500 * time.Millisecond
 	healthBacklog = 1024
 )
 
@@ -70,7 +72,10 @@
 // onMembers takes what membership found out.
 func (r *Router) onMembers(change membership.Change) {
 	r.viewer.SetFleet(change.Routers, fleet.BackendStates(change.Backends))
-	r.claims.SetRouters(change.Routers)
+	r.eligible.Store(&change.Routers)
+	if r.joined.Load() {
+		r.claims.SetRouters(change.Routers)
+	}
 	r.watches.Store(fleet.Watches(r.self(), change.Routers))
 	for _, id := range change.Died {
 		events.RouterDied.On(&r.Log).Str("died", id).Send()
@@ -81,15 +86,15 @@
 // followBoxes reads the platform's list of boxes now and then. At the start it
 // joins the fleet by asking a few of the routers on it.
 func (r *Router) followBoxes(ctx context.Context) {
-	joined := false
+	asked := false
 	for ctx.Err() == nil {
 		boxes, err := r.platform.Boxes(ctx)
 		if err != nil && ctx.Err() == nil {
 			r.platformFailed(err)
 		}
 		r.node.Observe(boxes)
-		if !joined && err == nil {
-			joined = true
+		if !asked && err == nil {
+			asked = true
 			r.join(boxes)
 		}
 		if len(r.node.Routers()) == 1 {
@@ -97,8 +102,12 @@
 				r.node.Join(seed)
 			}
 		}
+		r.settle(ctx, asked)
 		// Routers that started together spread out.
 		every := max(boxesEvery, time.Duration(len(r.node.Routers()))*boxesShare)
+		if !r.joined.Load() {
+			every = retryJoin
+		}
 		wait := every/2 + time.Duration(rand.Int64N(int64(every)))
 		select {
 		case <-ctx.Done():
@@ -107,6 +116,27 @@
 	}
 }
 
+// settle counts the router as joined once it read the list, or heard of others
+// through seeds, and had the time to hear what they know. Before, it would take
+// engines and journals for its own that others hold.
+func (r *Router) settle(ctx context.Context, listed bool) {
+	if r.joined.Load() {
+		return
+	}
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(settleTime):
+	}
+	if !listed && len(r.node.Routers()) == 1 {
+		return
+	}
+	r.joined.Store(true)
+	if eligible := r.eligible.Load(); eligible != nil {
+		r.claims.SetRouters(*eligible)
+	}
+}
+
 func (r *Router) join(boxes []slipwick.Box) {
 	asked := 0
 	for _, i := range rand.Perm(len(boxes)) {
--- a/cmd/internal/daemon/handlers.go
+++ b/cmd/internal/daemon/handlers.go
@@ -31,8 +31,8 @@
 }
 
 func (r *Router) readiness(c echo.Context) error {
-	if !r.ready.Load() {
-		return c.String(http.StatusServiceUnavailable, "not ready: no configuration yet, or stopping\n")
+	if !r.isReady() {
+		return c.String(http.StatusServiceUnavailable, "not ready: no configuration yet, not joined yet, or stopping\n")
 	}
 	return c.String(http.StatusOK, "ready\n")
 }
--- a/cmd/internal/daemon/router.go
+++ b/cmd/internal/daemon/router.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/admission"
 	"github.com/slipwick/slipwick/claims"
 	"github.com/slipwick/slipwick/configuration"
@@ -40,8 +41,12 @@
 	sharing     *configuration.Sharing
 	udp         *membership.UDP
 	health      chan healthNews
+	eligible    atomic.Pointer[[]slipwick.Router]
 
-	ready    atomic.Bool
+	// joined says that the router had the time to learn who else lives;
+	// draining that it was asked to stop.
+	joined   atomic.Bool
+	draining atomic.Bool
 	watches  atomic.Bool
 	sent     atomic.Int64
 	received atomic.Int64
@@ -130,7 +135,7 @@
 // then finishes what is in progress within the time limit.
 func (r *Router) drain(callers *http.Server) {
 	events.DrainStarted.On(&r.Log).Send()
-	r.ready.Store(false)
+	r.draining.Store(true)
 	r.node.Leave()
 	time.Sleep(r.Settings.Limits.Announce.Or(defaultAnnounce))
 	r.front.closed.Store(true)
@@ -146,12 +151,14 @@
 	r.viewer.SetConfiguration(snapshot)
 	r.node.SetVersion(uint64(snapshot.Version))
 	r.front.metrics.Configuration.Set(float64(snapshot.Version))
-	if !r.front.closed.Load() {
-		r.ready.Store(true)
-	}
 	events.ConfigurationInForce.On(&r.Log).Uint64("version", uint64(snapshot.Version)).Send()
 }
 
+// isReady tells whether the balancer may send requests here.
+func (r *Router) isReady() bool {
+	return r.follower.Current() != nil && r.joined.Load() && !r.draining.Load()
+}
+
 // CallersAddress is where callers reach the router, once it has started.
 func (r *Router) CallersAddress() string {
 	return r.listeners.callers.Addr().String()
--- a/cmd/internal/daemon/status.go
+++ b/cmd/internal/daemon/status.go
@@ -28,7 +28,7 @@
 		Router:        r.Settings.ID,
 		DataCentre:    r.Settings.DataCentre,
 		Region:        r.Settings.Region,
-		Ready:         r.ready.Load(),
+		Ready:         r.isReady(),
 		PlatformCalls: r.platform.Calls(),
 		ControlBytes:  r.ControlBytes(),
 		Owned:         r.coordinator.Status(),
--- a/cmd/internal/emulator/world.go
+++ b/cmd/internal/emulator/world.go
@@ -161,6 +161,11 @@
 }
 
 func (w *world) startRouter(ctx context.Context, i int) {
+	var seeds []string
+	if i > 0 {
+		<-w.routers[0].Started()
+		seeds = append(seeds, w.routers[0].PeersAddress())
+	}
 	router := daemon.NewRouter(&daemon.Settings{
 		ID:         fmt.Sprintf("router-%02d", i),
 		DataCentre: dataCentre(i),
@@ -172,6 +177,7 @@
 		Platform: daemon.Platform{
 			URL: w.platformURL,
 		},
+		Seeds: seeds,
 		Limits: daemon.Limits{
 			Announce: jsonfile.Duration(announce),
 		},
