Hand over only what an owner knows whole

Cause: found by reading: a router that had just taken an engine over, and lost it again, ended the next owner's window by its handover, though it did not know all slots.

Change: within its own window it hands nothing over; holders renew their slots at the next owner.

Measured: failure and random-schedule tests green, with the same bounds.

--- a/admission/viewchange.go
+++ b/admission/viewchange.go
@@ -40,7 +40,9 @@
 			continue
 		}
 		delete(c.owned, engine)
-		if owner != "" {
+		// Within its own window this router does not know all slots, and
+		// must not end the next owner's; holders renew there.
+		if owner != "" && !time.Now().Before(o.windowEnd) {
 			c.handOver(o, owner)
 		}
 		c.clearQueue(o, peerpb.Decision_DECISION_NOT_OWNER)
