Share the send-once test's counts by atomics

Cause: the race detector in a fresh clone: the test and its server shared plain variables.

Change: atomics.

--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 
 	"github.com/slipwick/slipwick"
@@ -14,16 +15,17 @@
 // connection used before and with a request key: the cases in which net/http
 // sends again by itself when it can.
 func TestStreamSendsOnce(t *testing.T) {
-	received, drop := 0, false
+	var received atomic.Int64
+	var drop atomic.Bool
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if _, err := io.ReadAll(r.Body); err != nil {
 			t.Error(err)
 		}
-		received++
+		received.Add(1)
 		if got := r.Header.Get(KeyHeader); got != "the-key" {
 			t.Errorf("got key %q, want the-key", got)
 		}
-		if drop {
+		if drop.Load() {
 			panic(http.ErrAbortHandler)
 		}
 		w.WriteHeader(http.StatusTeapot)
@@ -44,14 +46,14 @@
 	if err := send(); !slipwick.IsKind(err, slipwick.KindBackendError) {
 		t.Fatalf("got %v, want the engine's own error", err)
 	}
-	drop = true
+	drop.Store(true)
 	err := send()
 	failure, ok := slipwick.AsError(err)
 	if !ok || failure.Outcome != slipwick.OutcomeUnknown {
 		t.Errorf("got %v, want an error with outcome unknown", err)
 	}
-	if received != 2 {
-		t.Errorf("got %d requests received, want 2", received)
+	if got := received.Load(); got != 2 {
+		t.Errorf("got %d requests received, want 2", got)
 	}
 }
 
