--- /dev/null
+++ b/admission/coordinator_test.go
@@ -0,0 +1,111 @@
+package admission
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/peer/peerpb"
+	"github.com/slipwick/slipwick/placement"
+)
+
+// nowhere loses all envelopes.
+type nowhere struct{}
+
+func (nowhere) Send(string, *peerpb.Envelope) {}
+
+// alone makes a coordinator that owns a pool of two engines.
+func alone(t *testing.T) *Coordinator {
+	t.Helper()
+	c := NewCoordinator("self", nowhere{}, DefaultPolicy())
+	pool := poolOfSize(2, 1.25, func(int) uint32 { return 1 })
+	c.SetView(placement.NewView([]placement.Pool{*pool}, []slipwick.Router{
+		{
+			ID: "self",
+		},
+	}))
+	return c
+}
+
+// TestWorkspaceLimit has a workspace ask for more than its max_in_flight: it
+// gets that, with the load factor as leeway, and is told why not more.
+func TestWorkspaceLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := alone(t)
+		c.Share = func(string) Share {
+			return Share{
+				MaxInFlight: 4,
+			}
+		}
+		var mu sync.Mutex
+		var parts sync.WaitGroup
+		granted, limited := 0, 0
+		for i := range 20 {
+			parts.Go(func() {
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				_, err := c.Acquire(ctx, slipwick.Ask{
+					Pool:      "p",
+					Workspace: "w",
+					Chat:      uint64(i),
+				})
+				mu.Lock()
+				defer mu.Unlock()
+				switch {
+				case err == nil:
+					granted++
+				case slipwick.IsKind(err, slipwick.KindWorkspaceLimit), slipwick.IsKind(err, slipwick.KindOverloaded):
+					limited++
+				default:
+					t.Errorf("got %v, want a refusal for load", err)
+				}
+			})
+		}
+		parts.Wait()
+		// 4 slots, times 1.25, over 2 engines, rounded up at each.
+		if granted < 4 || granted > 6 || granted+limited != 20 {
+			t.Errorf("got %d granted and %d refused, want 4 to 6 granted", granted, limited)
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
+// TestUnreachableOwner checks that a router whose owners are silent helps itself
+// to one slot an engine and refuses more, as not run.
+func TestUnreachableOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := NewCoordinator("self", nowhere{}, DefaultPolicy())
+		pool := poolOfSize(2, 1.25, func(int) uint32 { return 1 })
+		c.SetView(placement.NewView([]placement.Pool{*pool}, []slipwick.Router{
+			{
+				ID: "silent",
+			},
+		}))
+		ask := slipwick.Ask{
+			Pool: "p",
+		}
+		var grants []slipwick.Grant
+		for range 2 {
+			grant, err := c.Acquire(t.Context(), ask)
+			if err != nil {
+				t.Fatal(err)
+			}
+			grants = append(grants, grant)
+		}
+		if grants[0].Backend.ID == grants[1].Backend.ID {
+			t.Errorf("got %s twice, want one slot an engine", grants[0].Backend.ID)
+		}
+		_, err := c.Acquire(t.Context(), ask)
+		failure, ok := slipwick.AsError(err)
+		if !ok || failure.Outcome != slipwick.OutcomeNotRun || failure.RetryAfter == 0 {
+			t.Errorf("got %v, want a refusal as not run that says when to come back", err)
+		}
+		c.Release(grants[0], slipwick.EvidenceGood)
+		if _, err := c.Acquire(t.Context(), ask); err != nil {
+			t.Errorf("got %v after a release, want a slot", err)
+		}
+	})
+}
