--- a/emulation/schedule_test.go
+++ b/emulation/schedule_test.go
@@ -1,33 +1,18 @@
 package emulation
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/slipwick/slipwick/internal/fixedseed"
 )
 
-// TestMain fixes the random schedules unless the command line chooses others.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := make(map[string]bool)
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{
-		"rapid.seed":       "1",
-		"rapid.checks":     "60",
-		"rapid.nofailfile": "true",
-	} {
-		if given[name] {
-			continue
-		}
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
+	const schedules = 60
+	fixedseed.Main(m, schedules)
 }
 
 // disturbance is one thing that befalls a fleet, and how long it lasts.
--- a/stream/answer_test.go
+++ b/stream/answer_test.go
@@ -83,14 +83,16 @@
 			return slipwick.StreamEvent{}, broken("cut")
 		case 1:
 			event.Offset, event.End = max(0, s.offset-1), false
+			event.Data = []byte(fmt.Sprintf("%s-%d", s.request, event.Offset))
 			return event, nil
 		case 2:
 			event.Request, event.Data = "another", []byte("another's")
 			return event, nil
 		case 3:
+			// A hole; what carries an offset is that offset's event.
 			s.offset++
-			event.Offset++
-			event.End = false
+			event.Offset, event.End = s.offset, s.offset == f.length
+			event.Data = []byte(fmt.Sprintf("%s-%d", s.request, s.offset))
 		default:
 			select {
 			case <-ctx.Done():
