--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# All commands run on a fresh machine with Go and make alone.
+
+GOLANGCI_VERSION := v2.15.0
+BUF_VERSION := v1.75.0
+PROTOC_GEN_GO_VERSION := v1.36.12
+PROTOC_GEN_GO_GRPC_VERSION := v1.6.2
+
+export GOBIN := $(CURDIR)/bin
+PACKAGES := ./... ./cmd/...
+
+.PHONY: test lint fix build generate
+
+# Runs the tests of all modules.
+test:
+	go test -race $(PACKAGES)
+
+build:
+	go build -o bin/ ./cmd/slipwick ./cmd/slipwickd
+
+# Checks format and style of all modules.
+lint: bin/golangci-lint-$(GOLANGCI_VERSION)
+	$< run $(PACKAGES)
+	$< fmt --diff
+
+fix: bin/golangci-lint-$(GOLANGCI_VERSION)
+	$< fmt
+	$< run --fix $(PACKAGES)
+
+bin/golangci-lint-$(GOLANGCI_VERSION):
+	GOWORK=off go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+	mv bin/golangci-lint $@
--- /dev/null
+++ b/burn/recorder_test.go
@@ -0,0 +1,63 @@
+package burn
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+func TestReportSlides(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var r Recorder
+		r.Record("w", Counts{
+			Total: 10,
+			Bad:   1,
+		})
+		time.Sleep(10 * time.Minute)
+		r.Record("w", Counts{
+			Total: 30,
+		})
+		for i, want := range []uint64{30, 40, 40, 40} {
+			if got := r.Report()["w"][i].Total; got != want {
+				t.Errorf("window %s: got %d, want %d", Windows[i], got, want)
+			}
+		}
+		time.Sleep(7 * time.Hour)
+		if got := r.Report()["w"][3].Total; got != 0 {
+			t.Errorf("after 7 hours: got %d, want 0", got)
+		}
+	})
+}
+
+func TestAvailability(t *testing.T) {
+	for _, tc := range []struct {
+		counts    Counts
+		objective float64
+		want      float64
+	}{
+		{
+			counts: Counts{
+				Total: 1000,
+				Bad:   1,
+			},
+			objective: 0.99,
+			want:      0.1,
+		},
+		{
+			counts: Counts{
+				Total: 100,
+				Bad:   10,
+			},
+			objective: 0.99,
+			want:      10,
+		},
+	} {
+		got := Availability(tc.counts, tc.objective)
+		if got == nil || *got < tc.want*0.999 || *got > tc.want*1.001 {
+			t.Errorf("%+v at %v: got %v, want %v", tc.counts, tc.objective, got, tc.want)
+		}
+	}
+	if got := Availability(Counts{}, 0.99); got != nil {
+		t.Errorf("without requests: got %v, want nil", *got)
+	}
+}
--- /dev/null
+++ b/cmd/internal/daemon/doc.go
@@ -0,0 +1,2 @@
+// Package daemon assembles a router process from its parts.
+package daemon
--- /dev/null
+++ b/cmd/internal/daemon/failure.go
@@ -0,0 +1,93 @@
+package daemon
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/slipwick/slipwick"
+)
+
+// failureBody is the JSON body of an error answer, in the OpenAI form with
+// remedy and outcome added.
+type failureBody struct {
+	Error failureDetail `json:"error"`
+}
+
+type failureDetail struct {
+	Message string           `json:"message"`
+	Type    slipwick.Kind    `json:"type"`
+	Code    slipwick.Kind    `json:"code"`
+	Remedy  string           `json:"remedy"`
+	Outcome slipwick.Outcome `json:"outcome"`
+}
+
+// statusClientGone is the usual status for a caller that went away.
+const statusClientGone = 499
+
+var statuses = map[slipwick.Kind]int{
+	slipwick.KindInvalidRequest:     http.StatusBadRequest,
+	slipwick.KindKeyUnsupported:     http.StatusBadRequest,
+	slipwick.KindBodyTooLarge:       http.StatusRequestEntityTooLarge,
+	slipwick.KindUnauthorized:       http.StatusUnauthorized,
+	slipwick.KindUnknownModel:       http.StatusNotFound,
+	slipwick.KindUnknownService:     http.StatusNotFound,
+	slipwick.KindNotFound:           http.StatusNotFound,
+	slipwick.KindWorkspaceLimit:     http.StatusTooManyRequests,
+	slipwick.KindOverloaded:         http.StatusServiceUnavailable,
+	slipwick.KindNotReady:           http.StatusServiceUnavailable,
+	slipwick.KindNoBackend:          http.StatusServiceUnavailable,
+	slipwick.KindBackendUnreachable: http.StatusBadGateway,
+	slipwick.KindBackendError:       http.StatusBadGateway,
+	slipwick.KindStreamBroken:       http.StatusBadGateway,
+	slipwick.KindTimeout:            http.StatusGatewayTimeout,
+	slipwick.KindCancelled:          statusClientGone,
+}
+
+// asFailure gives the typed form of any error; one without a type is a fault
+// of the router, after which nothing is known of the request.
+func asFailure(err error) *slipwick.Error {
+	if failure, ok := slipwick.AsError(err); ok {
+		return failure
+	}
+	return &slipwick.Error{
+		Kind:    slipwick.KindBackendUnreachable,
+		Message: err.Error(),
+		Remedy:  "send the request again if it may be repeated",
+		Outcome: slipwick.OutcomeUnknown,
+	}
+}
+
+func detailOf(failure *slipwick.Error) failureBody {
+	return failureBody{
+		Error: failureDetail{
+			Message: failure.Message,
+			Type:    failure.Kind,
+			Code:    failure.Kind,
+			Remedy:  failure.Remedy,
+			Outcome: failure.Outcome,
+		},
+	}
+}
+
+// writeFailure answers a request of which nothing was sent to the caller yet.
+// Client libraries that send again by themselves are told not to, unless the
+// request was not run or may be repeated.
+func writeFailure(c echo.Context, failure *slipwick.Error, repeatable bool) error {
+	header := c.Response().Header()
+	header.Set(slipwick.OutcomeHeader, string(failure.Outcome))
+	header.Del("Trailer")
+	if failure.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(failure.RetryAfter.Seconds()))))
+	}
+	if failure.Outcome != slipwick.OutcomeNotRun && !repeatable {
+		header.Set("X-Should-Retry", "false")
+	}
+	status, known := statuses[failure.Kind]
+	if !known {
+		status = http.StatusInternalServerError
+	}
+	return c.JSON(status, detailOf(failure))
+}
--- /dev/null
+++ b/cmd/internal/daemon/metrics.go
@@ -0,0 +1,54 @@
+package daemon
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+)
+
+// Metrics are a router's Prometheus metrics; docs/METRICS.md lists them.
+type Metrics struct {
+	Registry *prometheus.Registry
+
+	Requests      *prometheus.CounterVec
+	FirstToken    *prometheus.HistogramVec
+	BetweenTokens *prometheus.HistogramVec
+	InFlight      prometheus.Gauge
+	Configuration prometheus.Gauge
+}
+
+var (
+	firstTokenBuckets    = []float64{.05, .1, .2, .3, .4, .5, .65, .8, 1, 1.5, 2, 3, 5, 10}
+	betweenTokensBuckets = []float64{.005, .01, .02, .03, .04, .06, .1, .2, .5, 1, 5}
+)
+
+// NewMetrics makes and registers the metrics.
+func NewMetrics() *Metrics {
+	m := &Metrics{
+		Registry: prometheus.NewRegistry(),
+		Requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "slipwick_requests_total",
+			Help: "Requests ended, by workspace, pool and outcome.",
+		}, []string{"workspace", "pool", "outcome"}),
+		FirstToken: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "slipwick_first_token_seconds",
+			Help:    "Time from a chat request's arrival to its first token.",
+			Buckets: firstTokenBuckets,
+		}, []string{"workspace"}),
+		BetweenTokens: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "slipwick_between_tokens_seconds",
+			Help:    "Time between two events of an answer.",
+			Buckets: betweenTokensBuckets,
+		}, []string{"workspace"}),
+		InFlight: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "slipwick_requests_in_flight",
+			Help: "Requests that this router has in progress.",
+		}),
+		Configuration: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "slipwick_configuration_version",
+			Help: "Version of the configuration in force.",
+		}),
+	}
+	m.Registry.MustRegister(m.Requests, m.FirstToken, m.BetweenTokens, m.InFlight, m.Configuration,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return m
+}
--- /dev/null
+++ b/cmd/internal/daemon/routes.go
@@ -0,0 +1,66 @@
+package daemon
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/configuration"
+)
+
+// routes answers whose request it is and where it goes, for one version of
+// the configuration.
+type routes struct {
+	version    slipwick.Version
+	state      *configuration.State
+	workspaces map[string]*configuration.Workspace
+}
+
+func newRoutes(snapshot *configuration.Snapshot) *routes {
+	r := &routes{
+		version:    snapshot.Version,
+		state:      &snapshot.State,
+		workspaces: make(map[string]*configuration.Workspace),
+	}
+	for i := range snapshot.State.Workspaces {
+		workspace := &snapshot.State.Workspaces[i]
+		for _, hash := range workspace.KeyHashes {
+			r.workspaces[strings.ToLower(hash)] = workspace
+		}
+	}
+	return r
+}
+
+// workspace finds whose key the request carries.
+func (r *routes) workspace(header http.Header) (*configuration.Workspace, error) {
+	key, found := strings.CutPrefix(header.Get("Authorization"), "Bearer ")
+	if workspace := r.workspaces[configuration.HashKey(key)]; found && workspace != nil {
+		return workspace, nil
+	}
+	return nil, &slipwick.Error{
+		Kind:    slipwick.KindUnauthorized,
+		Message: "no workspace has this API key",
+		Remedy:  "send Authorization: Bearer KEY with a key of a workspace",
+		Outcome: slipwick.OutcomeNotRun,
+	}
+}
+
+// pools gives where a workspace's requests for a model or service go, best
+// first, among pools of the kind.
+func (r *routes) pools(workspace, model string, kind configuration.PoolKind) []configuration.Pool {
+	for _, rule := range r.state.Rules {
+		if !rule.Matches(workspace, model) {
+			continue
+		}
+		var pools []configuration.Pool
+		for _, name := range []string{rule.Pool, rule.Fallback} {
+			if pool, ok := r.state.Pool(name); ok && pool.Kind == kind {
+				pools = append(pools, pool)
+			}
+		}
+		if len(pools) > 0 {
+			return pools
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/internal/daemon/settings.go
@@ -0,0 +1,104 @@
+package daemon
+
+import (
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/slipwick/slipwick/jsonfile"
+	"github.com/slipwick/slipwick/stream"
+)
+
+// Settings are what one router process is started with.
+type Settings struct {
+	// ID is unique in the fleet.
+	ID         string   `json:"id" validate:"required,max=100"`
+	DataCentre string   `json:"data_centre" validate:"required"`
+	Region     string   `json:"region"`
+	Listen     Listen   `json:"listen"`
+	Platform   Platform `json:"platform"`
+	Limits     Limits   `json:"limits"`
+	Log        Log      `json:"log"`
+}
+
+// Listen holds the addresses that a router listens on, as host:port.
+type Listen struct {
+	Callers   string `json:"callers" validate:"required,hostname_port"`
+	Operators string `json:"operators" validate:"required,hostname_port"`
+	Peers     string `json:"peers" validate:"required,hostname_port"`
+}
+
+// Platform says where the platform's service is.
+type Platform struct {
+	URL string `json:"url" validate:"required,url"`
+}
+
+// Limits bound what one request may take. Zero fields take the defaults.
+type Limits struct {
+	BodyBytes int64 `json:"body_bytes" validate:"min=0"`
+	// Hold bounds the wait for a slot.
+	Hold          jsonfile.Duration `json:"hold" validate:"min=0"`
+	FirstToken    jsonfile.Duration `json:"first_token" validate:"min=0"`
+	BetweenTokens jsonfile.Duration `json:"between_tokens" validate:"min=0"`
+	// Service bounds a call to a plain service.
+	Service jsonfile.Duration `json:"service" validate:"min=0"`
+	// Write bounds one write to a slow caller.
+	Write jsonfile.Duration `json:"write" validate:"min=0"`
+	// Announce is how long a draining router still takes requests, so that
+	// the balancer sees that it is no longer ready.
+	Announce jsonfile.Duration `json:"announce" validate:"min=0"`
+	// Drain bounds the wait for requests in progress.
+	Drain jsonfile.Duration `json:"drain" validate:"min=0"`
+}
+
+// Log says how much is logged.
+type Log struct {
+	Level string `json:"level" validate:"omitempty,oneof=debug info warn error"`
+}
+
+// Defaults of Limits.
+const (
+	defaultBodyBytes     = 1 << 20
+	defaultHold          = 10 * time.Second
+	defaultFirstToken    = 10 * time.Second
+	defaultBetweenTokens = 5 * time.Second
+	defaultService       = 30 * time.Second
+	defaultWrite         = 10 * time.Second
+	defaultAnnounce      = 2 * time.Second
+	defaultDrain         = 5 * time.Minute
+	resumes              = 3
+)
+
+// ReadSettings reads a settings file. The error is jsonfile.Mistakes when the
+// file could be read but not accepted.
+func ReadSettings(path string) (*Settings, error) {
+	source, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read settings")
+	}
+	document, err := jsonfile.Parse(path, source)
+	if err != nil {
+		return nil, err
+	}
+	settings := &Settings{}
+	if mistakes := document.Decode(settings); len(mistakes) > 0 {
+		return nil, mistakes
+	}
+	return settings, nil
+}
+
+func (l *Limits) bodyBytes() int64 {
+	if l.BodyBytes == 0 {
+		return defaultBodyBytes
+	}
+	return l.BodyBytes
+}
+
+func (l *Limits) stream() stream.Limits {
+	return stream.Limits{
+		FirstToken:    l.FirstToken.Or(defaultFirstToken),
+		BetweenTokens: l.BetweenTokens.Or(defaultBetweenTokens),
+		Resumes:       resumes,
+	}
+}
--- /dev/null
+++ b/cmd/internal/events/catalogue.go
@@ -0,0 +1,95 @@
+package events
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/rs/zerolog"
+)
+
+// The events. Numbers 1xx are the process, 2xx requests, 3xx the platform and
+// the configuration, 4xx backend servers, 5xx other routers.
+var (
+	RouterStarted = Event{
+		Number:  101,
+		Name:    "router-started",
+		Level:   zerolog.InfoLevel,
+		Meaning: "The router listens.",
+		Remedy:  "None.",
+	}
+	DrainStarted = Event{
+		Number:  102,
+		Name:    "drain-started",
+		Level:   zerolog.InfoLevel,
+		Meaning: "The router was asked to stop: it is no longer ready, and requests in progress go on.",
+		Remedy:  "None; wait for drain-finished.",
+	}
+	DrainFinished = Event{
+		Number:  103,
+		Name:    "drain-finished",
+		Level:   zerolog.InfoLevel,
+		Meaning: "The router has stopped; the field cut counts requests that it cut off.",
+		Remedy:  "If cut is above 0, raise limits.drain.",
+	}
+	RequestEnded = Event{
+		Number:  201,
+		Name:    "request-ended",
+		Level:   zerolog.DebugLevel,
+		Meaning: "A request ended; the field outcome says how.",
+		Remedy:  "None.",
+	}
+	RequestBroken = Event{
+		Number:  202,
+		Name:    "request-broken",
+		Level:   zerolog.WarnLevel,
+		Meaning: "A request ended as failed or unknown.",
+		Remedy:  "Look at the backend server that the field backend names.",
+	}
+	ConfigurationInForce = Event{
+		Number:  301,
+		Name:    "configuration-in-force",
+		Level:   zerolog.InfoLevel,
+		Meaning: "A newer version of the configuration is in force.",
+		Remedy:  "None.",
+	}
+	PlatformCallFailed = Event{
+		Number:  302,
+		Name:    "platform-call-failed",
+		Level:   zerolog.WarnLevel,
+		Meaning: "The platform gave no usable answer. The router goes on with what it has and tries again.",
+		Remedy:  "Check the platform's address and health.",
+	}
+	BackendLeaving = Event{
+		Number:  401,
+		Name:    "backend-leaving",
+		Level:   zerolog.InfoLevel,
+		Meaning: "A backend server leaves and gets no new work.",
+		Remedy:  "None if it was planned.",
+	}
+)
+
+// All lists the events by number.
+func All() []Event {
+	return []Event{
+		RouterStarted,
+		DrainStarted,
+		DrainFinished,
+		RequestEnded,
+		RequestBroken,
+		ConfigurationInForce,
+		PlatformCallFailed,
+		BackendLeaving,
+	}
+}
+
+// Markdown writes the catalogue as docs/EVENTS.md has it.
+func Markdown() string {
+	var page strings.Builder
+	page.WriteString("# Log events\n\nEvery log line of `slipwickd` carries `event` and `name`. " +
+		"`go test ./internal/events -update`, run in `cmd`, writes this page.\n\n" +
+		"| event | name | level | meaning | remedy |\n|---|---|---|---|---|\n")
+	for _, e := range All() {
+		fmt.Fprintf(&page, "| %d | %s | %s | %s | %s |\n", e.Number, e.Name, e.Level, e.Meaning, e.Remedy)
+	}
+	return page.String()
+}
--- /dev/null
+++ b/cmd/slipwick/completion/completion.go
@@ -0,0 +1,46 @@
+// Package completion is the command slipwick completion.
+package completion
+
+import (
+	"context"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/slipwick/slipwick/cmd/internal/cli"
+)
+
+const help = `Print a shell's completion script.
+
+Example:
+  source <(slipwick completion bash)`
+
+var templates = map[string]string{
+	"bash": kingpin.BashCompletionTemplate,
+	"zsh":  kingpin.ZshCompletionTemplate,
+}
+
+// Options are the command's settings.
+type Options struct {
+	App   *kingpin.Application
+	Shell string
+}
+
+// Register adds the command.
+func Register(app *kingpin.Application, _ *cli.Factory, choose cli.Choose) {
+	options := &Options{
+		App: app,
+	}
+	clause := cli.Add(app.Command("completion", help), choose, func(context.Context) error {
+		return run(options)
+	})
+	clause.Arg("shell", "bash or zsh.").Required().EnumVar(&options.Shell, "bash", "zsh")
+}
+
+func run(options *Options) error {
+	parsed, err := options.App.ParseContext(nil)
+	if err != nil {
+		return err
+	}
+	const indent = 2
+	return options.App.UsageForContextWithTemplate(parsed, indent, templates[options.Shell])
+}
--- /dev/null
+++ b/cmd/slipwick/diff/diff.go
@@ -0,0 +1,66 @@
+// Package diff is the command slipwick diff.
+package diff
+
+import (
+	"context"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/slipwick/slipwick/configuration"
+
+	"github.com/slipwick/slipwick/cmd/internal/cli"
+)
+
+const help = `Show how files differ from the configuration in force.
+
+The exit code is 5 when they differ.
+
+Example:
+  slipwick diff -f configuration/`
+
+// Options are the command's settings.
+type Options struct {
+	Factory *cli.Factory
+	Path    string
+	JSON    bool
+}
+
+// Register adds the command.
+func Register(app *kingpin.Application, factory *cli.Factory, choose cli.Choose) {
+	options := &Options{
+		Factory: factory,
+	}
+	clause := cli.Add(app.Command("diff", help), choose, func(ctx context.Context) error {
+		return run(ctx, options)
+	})
+	clause.Flag("file", "File or folder.").Short('f').Required().StringVar(&options.Path)
+	clause.Flag("json", "Print JSON.").BoolVar(&options.JSON)
+}
+
+func run(ctx context.Context, options *Options) error {
+	state, err := configuration.ReadPath(options.Path)
+	if err != nil {
+		return err
+	}
+	current, _, err := options.Factory.Keeper().Current(ctx)
+	if err != nil {
+		return err
+	}
+	changes := configuration.Diff(&current, &state)
+	if changes == nil {
+		changes = []configuration.Change{}
+	}
+	table := cli.Table{
+		Header: []string{"CHANGE", "ENTRY", "BEFORE", "AFTER"},
+	}
+	for _, change := range changes {
+		table.Rows = append(table.Rows, []string{string(change.Kind), change.Entry, change.Before, change.After})
+	}
+	if err := options.Factory.Streams.Print(options.JSON, changes, table); err != nil {
+		return err
+	}
+	if len(changes) > 0 {
+		return cli.ErrDiffers
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/slipwick/main.go
@@ -0,0 +1,13 @@
+// Command slipwick is the operators' command line.
+package main
+
+import (
+	"os"
+
+	"github.com/slipwick/slipwick/cmd/internal/cli"
+	"github.com/slipwick/slipwick/cmd/slipwick/root"
+)
+
+func main() {
+	os.Exit(root.Main(cli.System(), os.Args[1:]))
+}
--- /dev/null
+++ b/cmd/slipwick/root/root_test.go
@@ -0,0 +1,161 @@
+package root
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/slipwick/slipwick/standin"
+
+	"github.com/slipwick/slipwick/cmd/internal/cli"
+)
+
+const file = `{
+	// one pool
+	"pools": [{"name": "p", "kind": "engine", "backends": [
+		{"id": "e1", "address": "127.0.0.1:1", "data_centre": "a"}]}],
+	"rules": [{"workspace": "*", "model": "m", "pool": "p"}],
+}`
+
+// command runs one command line and gives its exit code and output.
+func command(t *testing.T, terminal bool, args ...string) (code int, out, errors string) {
+	t.Helper()
+	var stdout, stderr bytes.Buffer
+	code = Main(cli.Streams{
+		Out:      &stdout,
+		Err:      &stderr,
+		Terminal: terminal,
+	}, args)
+	return code, stdout.String(), stderr.String()
+}
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "state.jsonc")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestApplyDiffGet(t *testing.T) {
+	server := httptest.NewServer(standin.NewPlatform())
+	defer server.Close()
+	path := write(t, file)
+	at := []string{"--platform", server.URL}
+	steps := []struct {
+		name     string
+		args     []string
+		terminal bool
+		code     int
+		want     string
+	}{
+		{
+			name: "diff before",
+			args: []string{"diff", "-f", path},
+			code: cli.ExitDiffers,
+			want: `"added"`,
+		},
+		{
+			name:     "dry run",
+			args:     []string{"apply", "--dry-run", "-f", path},
+			terminal: true,
+			want:     "not written",
+		},
+		{
+			name:     "apply",
+			args:     []string{"apply", "-f", path},
+			terminal: true,
+			want:     "applied as version 1",
+		},
+		{
+			name: "diff after",
+			args: []string{"diff", "-f", path},
+			want: "[]",
+		},
+		{
+			name: "get",
+			args: []string{"get", "config"},
+			want: `"e1"`,
+		},
+	}
+	for _, step := range steps {
+		code, out, errors := command(t, step.terminal, append(at, step.args...)...)
+		if code != step.code || !strings.Contains(out, step.want) {
+			t.Errorf("%s: got %d %q %q, want %d with %q", step.name, code, out, errors, step.code, step.want)
+		}
+	}
+}
+
+func TestExitCodes(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		args []string
+		code int
+		want string
+	}{
+		{
+			name: "unknown command",
+			args: []string{"nothing"},
+			code: cli.ExitUsage,
+			want: "--help",
+		},
+		{
+			name: "mistakes",
+			args: []string{"apply", "-f", write(t, `{"pools": [{"name": "p", "kind": "other", "backends": []}]}`)},
+			code: cli.ExitUsage,
+			want: "/pools/0/kind",
+		},
+		{
+			name: "dangling names",
+			args: []string{"apply", "-f", write(t, strings.ReplaceAll(file, `"pool": "p"`, `"pool": "q"`))},
+			code: cli.ExitUsage,
+			want: ":5: /rules/0/pool: q is not declared",
+		},
+		{
+			name: "no platform",
+			args: []string{"--platform", "http://127.0.0.1:1", "get", "config"},
+			code: cli.ExitUnavailable,
+			want: "check its address",
+		},
+		{
+			name: "no router",
+			args: []string{"status"},
+			code: cli.ExitUsage,
+			want: "--router",
+		},
+	} {
+		code, _, errors := command(t, false, tc.args...)
+		if code != tc.code || !strings.Contains(errors, tc.want) {
+			t.Errorf("%s: got %d %q, want %d with %q", tc.name, code, errors, tc.code, tc.want)
+		}
+	}
+}
+
+func TestVersionAndCompletion(t *testing.T) {
+	code, out, _ := command(t, false, "version", "--json")
+	var got map[string]string
+	if err := json.Unmarshal([]byte(out), &got); err != nil || code != 0 || got["go"] == "" {
+		t.Errorf("got %d %q, want JSON with the Go version", code, out)
+	}
+	for _, shell := range []string{"bash", "zsh"} {
+		if code, out, _ := command(t, false, "completion", shell); code != 0 || !strings.Contains(out, "slipwick") {
+			t.Errorf("%s: got %d %q, want a script", shell, code, out)
+		}
+	}
+}
+
+func TestDemo(t *testing.T) {
+	code, out, errors := command(t, false, "demo", "--for", "4s", "--chats", "40", "--engines", "4", "--json")
+	var got map[string]float64
+	if err := json.Unmarshal([]byte(out), &got); err != nil {
+		t.Fatalf("%v: %q", err, out)
+	}
+	if code != 0 || got["completed"] == 0 || got["duplicates"] != 0 || got["mismatched"] != 0 {
+		t.Errorf("got %d %v %q, want completed and nothing doubled or mismatched", code, got, errors)
+	}
+}
--- /dev/null
+++ b/cmd/slipwick/status/status.go
@@ -0,0 +1,56 @@
+// Package status is the command slipwick status.
+package status
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/slipwick/slipwick/cmd/internal/cli"
+	"github.com/slipwick/slipwick/cmd/internal/daemon"
+)
+
+const help = `Show the routers' state.
+
+Example:
+  slipwick status --router 127.0.0.1:9090 --router 127.0.0.1:9091`
+
+// Options are the command's settings.
+type Options struct {
+	Factory *cli.Factory
+	JSON    bool
+}
+
+// Register adds the command.
+func Register(app *kingpin.Application, factory *cli.Factory, choose cli.Choose) {
+	options := &Options{
+		Factory: factory,
+	}
+	clause := cli.Add(app.Command("status", help), choose, func(ctx context.Context) error {
+		return run(ctx, options)
+	})
+	clause.Flag("json", "Print JSON.").BoolVar(&options.JSON)
+}
+
+func run(ctx context.Context, options *Options) error {
+	addresses, err := options.Factory.RouterAddresses()
+	if err != nil {
+		return err
+	}
+	statuses := make([]daemon.Status, len(addresses))
+	table := cli.Table{
+		Header: []string{"ROUTER", "DATA CENTRE", "READY", "CONFIGURATION"},
+	}
+	for i, address := range addresses {
+		status := &statuses[i]
+		if err := options.Factory.ReadRouter(ctx, address, "/v1/status", status); err != nil {
+			return err
+		}
+		table.Rows = append(table.Rows, []string{
+			status.Router, status.DataCentre, strconv.FormatBool(status.Ready),
+			strconv.FormatUint(uint64(status.Configuration), 10),
+		})
+	}
+	return options.Factory.Streams.Print(options.JSON, statuses, table)
+}
--- /dev/null
+++ b/cmd/slipwickd/serve/serve.go
@@ -0,0 +1,81 @@
+// Package serve is the command line of the router.
+package serve
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/slipwick/slipwick/jsonfile"
+
+	"github.com/slipwick/slipwick/cmd/internal/cli"
+	"github.com/slipwick/slipwick/cmd/internal/daemon"
+)
+
+const help = `The slipwick router.
+
+Example:
+  slipwickd --config /etc/slipwick/router.jsonc
+
+Exit codes: 0 stopped as asked, 1 failed, 2 the settings have mistakes.`
+
+// Options are what the command line gives.
+type Options struct {
+	Streams cli.Streams
+	Config  string
+	Check   bool
+}
+
+// Main runs the router and gives the exit code.
+func Main(streams cli.Streams, args []string) int {
+	options := &Options{
+		Streams: streams,
+	}
+	app := kingpin.New("slipwickd", help)
+	app.UsageWriter(streams.Out).ErrorWriter(streams.Err)
+	app.Flag("config", "Settings file, in JSON with comments.").Required().StringVar(&options.Config)
+	app.Flag("check", "Check the settings file and exit.").BoolVar(&options.Check)
+	app.HelpFlag.Short('h')
+	if _, err := app.Parse(args); err != nil {
+		return streams.Fail("slipwickd", cli.Usage(err, "run slipwickd --help"))
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := run(ctx, options); err != nil {
+		return streams.Fail("slipwickd", err)
+	}
+	return cli.ExitOK
+}
+
+func run(ctx context.Context, options *Options) error {
+	settings, err := daemon.ReadSettings(options.Config)
+	if err != nil {
+		return refused(err)
+	}
+	if options.Check {
+		_, err := fmt.Fprintln(options.Streams.Out, options.Config+" is in order")
+		return err
+	}
+	level := zerolog.InfoLevel
+	if settings.Log.Level != "" {
+		if level, err = zerolog.ParseLevel(settings.Log.Level); err != nil {
+			return refused(err)
+		}
+	}
+	log := zerolog.New(options.Streams.Err).Level(level).With().Timestamp().Logger()
+	return daemon.NewRouter(settings, log).Run(ctx)
+}
+
+func refused(err error) error {
+	var mistakes jsonfile.Mistakes
+	if errors.As(err, &mistakes) {
+		return mistakes
+	}
+	return cli.Usage(err, "name a readable settings file with --config")
+}
--- /dev/null
+++ b/configuration/follower.go
@@ -0,0 +1,104 @@
+package configuration
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/slipwick/slipwick"
+)
+
+// Snapshot is one version of the state, as a router has it in force.
+type Snapshot struct {
+	State   State
+	Version slipwick.Version
+}
+
+// Follower keeps a router's state in force up to date. It never steps back to
+// a lower version. Set the fields before Run.
+type Follower struct {
+	Store slipwick.Store
+	// OnChange is called with each newer version, one call at a time.
+	OnChange func(*Snapshot)
+	// OnError is told of each failed call to the platform.
+	OnError func(error)
+
+	offer   sync.Mutex
+	current atomic.Pointer[Snapshot]
+}
+
+// Bounds of the wait after a failed call to the platform.
+const (
+	firstWait = 200 * time.Millisecond
+	maxWait   = 30 * time.Second
+)
+
+// Current gives the state in force, or nil while there is none.
+func (f *Follower) Current() *Snapshot {
+	return f.current.Load()
+}
+
+// Run watches the platform until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	wait := backoff.NewExponentialBackOff()
+	wait.InitialInterval = firstWait
+	wait.MaxInterval = maxWait
+	for ctx.Err() == nil {
+		err := f.next(ctx)
+		if err == nil {
+			wait.Reset()
+			continue
+		}
+		if ctx.Err() == nil && f.OnError != nil {
+			f.OnError(err)
+		}
+		sleep(ctx, wait.NextBackOff())
+	}
+}
+
+func (f *Follower) next(ctx context.Context) error {
+	var version slipwick.Version
+	if current := f.Current(); current != nil {
+		version = current.Version
+	}
+	object, err := f.Store.Watch(ctx, ObjectKey, version)
+	if err != nil {
+		return err
+	}
+	return f.Offer(object)
+}
+
+// Offer takes a version from the platform or another router; an older one or
+// the one in force is ignored.
+func (f *Follower) Offer(object slipwick.Object) error {
+	f.offer.Lock()
+	defer f.offer.Unlock()
+	if current := f.Current(); current != nil && object.Version <= current.Version {
+		return nil
+	}
+	state, err := Decode(object.Value)
+	if err != nil {
+		return err
+	}
+	snapshot := &Snapshot{
+		State:   state,
+		Version: object.Version,
+	}
+	f.current.Store(snapshot)
+	if f.OnChange != nil {
+		f.OnChange(snapshot)
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/configuration/keeper.go
@@ -0,0 +1,110 @@
+package configuration
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"github.com/slipwick/slipwick"
+)
+
+// ObjectKey is the platform object that holds the state in force.
+const ObjectKey = "slipwick/configuration"
+
+// Keeper reads and replaces the state in the platform. Set Store before use.
+type Keeper struct {
+	Store slipwick.Store
+}
+
+// Current reads the state in force and its version; version 0 with an empty
+// state when none was ever applied.
+func (k *Keeper) Current(ctx context.Context) (State, slipwick.Version, error) {
+	object, err := k.Store.Get(ctx, ObjectKey)
+	if slipwick.IsKind(err, slipwick.KindNotFound) {
+		return State{}, 0, nil
+	}
+	if err != nil {
+		return State{}, 0, errors.Wrap(err, "read configuration")
+	}
+	state, err := Decode(object.Value)
+	return state, object.Version, err
+}
+
+// Apply replaces the state that has the version by the new one, wholly or not
+// at all. An *slipwick.Error of KindConflict says that another writer won. A
+// lost answer is resolved by reading back.
+func (k *Keeper) Apply(ctx context.Context, state *State, version slipwick.Version) (slipwick.Version, error) {
+	value, err := Encode(state)
+	if err != nil {
+		return 0, err
+	}
+	var written slipwick.Version
+	if version == 0 {
+		written, err = k.Store.Create(ctx, ObjectKey, value)
+	} else {
+		written, err = k.Store.Update(ctx, ObjectKey, value, version)
+	}
+	if slipwick.IsKind(err, slipwick.KindUnavailable) {
+		return k.readBack(ctx, value, version, err)
+	}
+	if err != nil {
+		return 0, errors.Wrap(err, "apply configuration")
+	}
+	return written, nil
+}
+
+// readBack finds out whether a write without an answer took effect.
+func (k *Keeper) readBack(
+	ctx context.Context, value []byte, version slipwick.Version, cause error,
+) (slipwick.Version, error) {
+	object, err := k.Store.Get(ctx, ObjectKey)
+	switch {
+	case err == nil && object.Version > version && bytes.Equal(object.Value, value):
+		return object.Version, nil
+	case err == nil && object.Version > version:
+		return 0, &slipwick.Error{
+			Kind:    slipwick.KindConflict,
+			Message: "another configuration was applied meanwhile",
+			Remedy:  "compare with diff and apply again",
+			Cause:   cause,
+		}
+	case err == nil || slipwick.IsKind(err, slipwick.KindNotFound):
+		return 0, errors.Wrap(cause, "the configuration was not applied")
+	default:
+		return 0, &slipwick.Error{
+			Kind:    slipwick.KindUnavailable,
+			Message: "the platform gave no answer; the configuration may have been applied",
+			Remedy:  "run diff when the platform answers again",
+			Cause:   cause,
+		}
+	}
+}
+
+// Encode writes the state as the platform keeps it, and checks its size.
+func Encode(state *State) ([]byte, error) {
+	value, err := json.Marshal(state)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode configuration")
+	}
+	if len(value) > slipwick.MaxObjectBytes {
+		return nil, &slipwick.Error{
+			Kind:    slipwick.KindInvalidConfiguration,
+			Message: fmt.Sprintf("the configuration has %d bytes, of at most %d", len(value), slipwick.MaxObjectBytes),
+			Remedy:  "remove entries that are no longer used",
+		}
+	}
+	return value, nil
+}
+
+// Decode reads what Encode wrote. Fields that a newer release added are left
+// out, so that routers of both releases can run side by side.
+func Decode(value []byte) (State, error) {
+	var state State
+	if err := json.Unmarshal(value, &state); err != nil {
+		return State{}, errors.Wrap(err, "decode configuration")
+	}
+	return state, nil
+}
--- /dev/null
+++ b/configuration/pool.go
@@ -0,0 +1,36 @@
+package configuration
+
+import "github.com/slipwick/slipwick"
+
+// PoolKind tells engines from plain services.
+type PoolKind string
+
+// The kinds of pool.
+const (
+	PoolEngine  PoolKind = "engine"
+	PoolService PoolKind = "service"
+)
+
+// Pool is a set of like backend servers.
+type Pool struct {
+	Name string   `json:"name" validate:"required,max=100"`
+	Kind PoolKind `json:"kind" validate:"oneof=engine service"`
+	// MaxLoadFactor bounds an engine's load as a multiple of the pool's
+	// mean; 0 stands for DefaultMaxLoadFactor.
+	MaxLoadFactor float64 `json:"max_load_factor" validate:"omitempty,gte=1,lte=10"`
+	// NotRepeatable says that its calls may not be sent twice unless a
+	// request says otherwise.
+	NotRepeatable bool               `json:"not_repeatable"`
+	Backends      []slipwick.Backend `json:"backends" validate:"min=1,unique=ID,dive"`
+}
+
+// DefaultMaxLoadFactor is the limit's default multiple of the mean load.
+const DefaultMaxLoadFactor = 1.25
+
+// EffectiveMaxLoadFactor is MaxLoadFactor with its default applied.
+func (p Pool) EffectiveMaxLoadFactor() float64 {
+	if p.MaxLoadFactor == 0 {
+		return DefaultMaxLoadFactor
+	}
+	return p.MaxLoadFactor
+}
--- /dev/null
+++ b/configuration/rule.go
@@ -0,0 +1,20 @@
+package configuration
+
+// Any matches every workspace or model in a rule.
+const Any = "*"
+
+// Rule sends a workspace's requests for a model or a service to a pool. The
+// first rule that matches holds.
+type Rule struct {
+	Workspace string `json:"workspace" validate:"required"`
+	// Model is the model of a chat, or the name of a plain service.
+	Model string `json:"model" validate:"required"`
+	Pool  string `json:"pool" validate:"required"`
+	// Fallback is tried when Pool has no usable backend server.
+	Fallback string `json:"fallback"`
+}
+
+// Matches tells whether the rule holds for the workspace and model.
+func (r Rule) Matches(workspace, model string) bool {
+	return (r.Workspace == Any || r.Workspace == workspace) && (r.Model == Any || r.Model == model)
+}
--- /dev/null
+++ b/dispatch/dispatcher.go
@@ -0,0 +1,185 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+
+	"github.com/pkg/errors"
+
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/engine"
+	"github.com/slipwick/slipwick/stream"
+)
+
+// maxAttempts bounds how many backend servers one request may try.
+const maxAttempts = 3
+
+// Dispatcher carries requests. Set the exported fields before use.
+type Dispatcher struct {
+	Admission slipwick.Admission
+	// Engine gives the engine behind a backend server.
+	Engine func(slipwick.Backend) slipwick.Engine
+	// Service gives the plain service behind a backend server.
+	Service func(backend slipwick.Backend, repeatable bool) slipwick.Service
+	Limits  stream.Limits
+
+	budgets Budgets
+}
+
+// attempt runs a request at one backend server. It tells whether the caller
+// has seen a part of the answer, after which nothing is tried elsewhere.
+type attempt func(ctx context.Context, backend slipwick.Backend) (seen bool, err error)
+
+// Chat runs a chat turn and passes each event of its answer to sink, the end
+// marker included. A nil error means completed; else the *Error has the
+// Outcome.
+func (d *Dispatcher) Chat(
+	ctx context.Context, call Call, request slipwick.ChatRequest, sink func(slipwick.StreamEvent) error,
+) error {
+	return d.run(ctx, call, func(ctx context.Context, backend slipwick.Backend) (bool, error) {
+		answer := &stream.Answer{
+			Engine:  d.Engine(backend),
+			Request: request,
+			Limits:  d.Limits,
+		}
+		if err := answer.Start(ctx); err != nil {
+			return false, err
+		}
+		defer answer.Close()
+		return relay(ctx, answer, sink)
+	})
+}
+
+func relay(ctx context.Context, answer *stream.Answer, sink func(slipwick.StreamEvent) error) (bool, error) {
+	for {
+		event, err := answer.Next(ctx)
+		if errors.Is(err, io.EOF) {
+			return true, nil
+		}
+		if err != nil {
+			return answer.Started(), err
+		}
+		if err := sink(event); err != nil {
+			return true, gone(err)
+		}
+	}
+}
+
+// Call runs a call to a plain service.
+func (d *Dispatcher) Call(
+	ctx context.Context, call Call, request slipwick.ServiceRequest,
+) (slipwick.ServiceResponse, error) {
+	var response slipwick.ServiceResponse
+	err := d.run(ctx, call, func(ctx context.Context, backend slipwick.Backend) (bool, error) {
+		var err error
+		response, err = d.Service(backend, call.Repeatable).Call(ctx, request)
+		return false, err
+	})
+	return response, err
+}
+
+// run makes attempts until one ends the request.
+func (d *Dispatcher) run(ctx context.Context, call Call, try attempt) error {
+	budget := d.budgets.Of(call.Pools[0])
+	budget.Request()
+	ask := call.Ask
+	for attempts := 1; ; attempts++ {
+		grant, err := d.acquire(ctx, call.Pools, ask)
+		if err != nil {
+			return err
+		}
+		seen, err := try(ctx, grant.Backend)
+		if ctx.Err() != nil && err != nil {
+			d.Admission.Release(grant, slipwick.EvidenceNone)
+			return gone(err)
+		}
+		d.Admission.Release(grant, evidenceOf(err))
+		if err == nil {
+			return nil
+		}
+		if seen || !mayRetry(err, call.Repeatable) || attempts == maxAttempts || !budget.Retry() {
+			return final(err)
+		}
+		ask.Avoid = append(ask.Avoid, grant.Backend.ID)
+	}
+}
+
+func (d *Dispatcher) acquire(ctx context.Context, pools []string, ask slipwick.Ask) (slipwick.Grant, error) {
+	var grant slipwick.Grant
+	var err error
+	for _, pool := range pools {
+		ask.Pool = pool
+		grant, err = d.Admission.Acquire(ctx, ask)
+		if !slipwick.IsKind(err, slipwick.KindNoBackend) {
+			break
+		}
+	}
+	return grant, err
+}
+
+// mayRetry tells whether another backend server may get the request.
+func mayRetry(err error, repeatable bool) bool {
+	failure, ok := slipwick.AsError(err)
+	if !ok {
+		return false
+	}
+	switch failure.Outcome {
+	case slipwick.OutcomeNotRun:
+		return true
+	case slipwick.OutcomeUnknown:
+		return repeatable
+	default:
+		return false
+	}
+}
+
+func evidenceOf(err error) slipwick.Evidence {
+	failure, ok := slipwick.AsError(err)
+	switch {
+	case err == nil:
+		return slipwick.EvidenceGood
+	case errors.Is(err, engine.ErrLeaving):
+		return slipwick.EvidenceLeaving
+	case !ok:
+		return slipwick.EvidenceNone
+	}
+	switch failure.Kind {
+	case slipwick.KindTimeout:
+		return slipwick.EvidenceTimeout
+	case slipwick.KindBackendUnreachable:
+		return slipwick.EvidenceUnreachable
+	case slipwick.KindBackendError, slipwick.KindStreamBroken:
+		return slipwick.EvidenceError
+	default:
+		return slipwick.EvidenceNone
+	}
+}
+
+// final makes sure that the ending has a typed outcome.
+func final(err error) error {
+	if _, ok := slipwick.AsError(err); ok {
+		return err
+	}
+	return &slipwick.Error{
+		Kind:    slipwick.KindBackendUnreachable,
+		Message: "the request ended without an answer",
+		Remedy:  "send the request again if it may be repeated",
+		Outcome: slipwick.OutcomeUnknown,
+		Cause:   err,
+	}
+}
+
+// gone is the ending of a request whose caller went away or whose time is up.
+func gone(cause error) error {
+	outcome := slipwick.OutcomeUnknown
+	if failure, ok := slipwick.AsError(cause); ok && failure.Outcome == slipwick.OutcomeNotRun {
+		outcome = slipwick.OutcomeNotRun
+	}
+	return &slipwick.Error{
+		Kind:    slipwick.KindCancelled,
+		Message: "the caller went away before the answer was whole",
+		Remedy:  "send the request again if it may be repeated",
+		Outcome: outcome,
+		Cause:   cause,
+	}
+}
--- /dev/null
+++ b/evidence.go
@@ -0,0 +1,26 @@
+package slipwick
+
+// Evidence is what one request showed of its backend server's health.
+type Evidence int
+
+// The kinds of evidence.
+const (
+	// EvidenceNone says nothing of the backend server, as when the caller
+	// went away.
+	EvidenceNone Evidence = iota
+	// EvidenceGood is a whole answer.
+	EvidenceGood
+	// EvidenceError is an error answer or a broken stream.
+	EvidenceError
+	// EvidenceTimeout is a time limit passed: a hang.
+	EvidenceTimeout
+	// EvidenceUnreachable is a refused connection.
+	EvidenceUnreachable
+	// EvidenceLeaving is a backend server that says it takes no new work.
+	EvidenceLeaving
+)
+
+// Bad tells whether the evidence speaks against the backend server.
+func (e Evidence) Bad() bool {
+	return e == EvidenceError || e == EvidenceTimeout || e == EvidenceUnreachable
+}
--- /dev/null
+++ b/httpclient/countedconn.go
@@ -0,0 +1,27 @@
+package httpclient
+
+import (
+	"net"
+	"sync/atomic"
+)
+
+// countedConn counts a connection's bytes.
+type countedConn struct {
+	net.Conn
+
+	sent, received *atomic.Int64
+}
+
+// Read counts what it reads.
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.received.Add(int64(n))
+	return n, err
+}
+
+// Write counts what it writes.
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.sent.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/jsonfile/document.go
@@ -0,0 +1,97 @@
+package jsonfile
+
+import (
+	"bytes"
+	"encoding/json"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// rootPath is shown for the whole document, whose JSON pointer is empty.
+const rootPath = "/"
+
+// Document is one parsed file.
+type Document struct {
+	// File names the document in mistakes.
+	File string
+
+	source []byte
+	root   hujson.Value
+}
+
+// syntaxLine finds the line in hujson's message on malformed input.
+var syntaxLine = regexp.MustCompile(`line (\d+)`)
+
+// Parse reads the source. The error, if any, is Mistakes.
+func Parse(file string, source []byte) (*Document, error) {
+	root, err := hujson.Parse(source)
+	if err == nil {
+		return &Document{
+			File:   file,
+			source: source,
+			root:   root,
+		}, nil
+	}
+	line := 0
+	if found := syntaxLine.FindStringSubmatch(err.Error()); found != nil {
+		line, _ = strconv.Atoi(found[1])
+	}
+	return nil, Mistakes{
+		{
+			File:    file,
+			Line:    line,
+			Path:    rootPath,
+			Message: "not JSON with comments: " + err.Error(),
+			Remedy:  "mend the syntax at that place",
+		},
+	}
+}
+
+// Decode fills target, a pointer to a struct, and gives every mistake: unknown
+// fields, wrong types, and values that the validate tags refuse.
+func (d *Document) Decode(target any) Mistakes {
+	mistakes := d.checkShape(target)
+	if len(mistakes) > 0 {
+		return mistakes
+	}
+	standard := d.root.Clone()
+	standard.Standardize()
+	if err := json.Unmarshal(standard.Pack(), target); err != nil {
+		return Mistakes{d.Mistake("", err.Error(), "mend the value")}
+	}
+	return d.checkValues(target)
+}
+
+// Mistake makes a mistake at the JSON pointer, with its line looked up.
+func (d *Document) Mistake(pointer, message, remedy string) Mistake {
+	path := pointer
+	if path == "" {
+		path = rootPath
+	}
+	return Mistake{
+		File:    d.File,
+		Line:    d.Line(pointer),
+		Path:    path,
+		Message: message,
+		Remedy:  remedy,
+	}
+}
+
+// Line gives the line of the value at the JSON pointer, or of the closest
+// enclosing one that exists.
+func (d *Document) Line(pointer string) int {
+	for {
+		if found := d.root.Find(pointer); found != nil {
+			offset := min(found.StartOffset, len(d.source))
+			return 1 + bytes.Count(d.source[:offset], []byte("\n"))
+		}
+		cut := strings.LastIndexByte(pointer, '/')
+		if cut < 0 {
+			return 0
+		}
+		pointer = pointer[:cut]
+	}
+}
--- /dev/null
+++ b/jsonfile/document_test.go
@@ -0,0 +1,89 @@
+package jsonfile
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+type entry struct {
+	Name string   `json:"name" validate:"required"`
+	Wait Duration `json:"wait"`
+}
+
+type file struct {
+	Size    int     `json:"size" validate:"min=1"`
+	Entries []entry `json:"entries" validate:"unique=Name,dive"`
+}
+
+func TestDecodeReadsComments(t *testing.T) {
+	document, err := Parse("f.jsonc", []byte(`{
+		// the size
+		"size": 3,
+		"entries": [{"name": "a", "wait": "2s"},],
+	}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got file
+	if mistakes := document.Decode(&got); len(mistakes) > 0 {
+		t.Fatal(mistakes)
+	}
+	if got.Size != 3 || got.Entries[0].Wait.Or(0) != 2*time.Second {
+		t.Errorf("got %+v, want size 3 and a wait of 2s", got)
+	}
+}
+
+func TestDecodeListsEveryMistake(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		source string
+		want   []string
+	}{
+		{
+			name:   "shape",
+			source: "{\n\"sizes\": 3,\n\"entries\": [{\"name\": 4}, 7,\n{\"wait\": \"soon\", \"x\": 1}]}",
+			want:   []string{"2 /sizes", "3 /entries/0/name", "3 /entries/1", "4 /entries/2/wait", "4 /entries/2/x"},
+		},
+		{
+			name:   "values",
+			source: "{\n\"size\": 0,\n\"entries\": [\n{\"name\": \"\"}]}",
+			want:   []string{"2 /size", "4 /entries/0/name"},
+		},
+		{
+			name:   "twice",
+			source: "{\"size\": 1,\n\"size\": 2}",
+			want:   []string{"1 /size"},
+		},
+		{
+			name:   "unique",
+			source: "{\"size\": 1,\n\"entries\": [{\"name\": \"a\"}, {\"name\": \"a\"}]}",
+			want:   []string{"2 /entries"},
+		},
+	} {
+		document, err := Parse("f", []byte(tc.source))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got []string
+		for _, m := range document.Decode(&file{}) {
+			got = append(got, string(rune('0'+m.Line))+" "+m.Path)
+			if m.Remedy == "" {
+				t.Errorf("%s: %s has no remedy", tc.name, m.Path)
+			}
+		}
+		if !slices.Equal(got, tc.want) {
+			t.Errorf("%s: got %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
+
+func TestParseGivesTheLineOfBrokenSyntax(t *testing.T) {
+	_, err := Parse("f", []byte("{\n\"size\": }"))
+	var mistakes Mistakes
+	if !errors.As(err, &mistakes) || len(mistakes) != 1 || mistakes[0].Line != 2 {
+		t.Errorf("got %v, want one mistake on line 2", err)
+	}
+}
--- /dev/null
+++ b/service/doc.go
@@ -0,0 +1,2 @@
+// Package service calls plain backend servers over HTTP.
+package service
--- /dev/null
+++ b/sse/doc.go
@@ -0,0 +1,2 @@
+// Package sse reads and writes server-sent events within bounds.
+package sse
--- /dev/null
+++ b/sse/reader.go
@@ -0,0 +1,72 @@
+package sse
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+// ErrTooLong is an event above MaxEventBytes.
+var ErrTooLong = errors.New("server-sent event is too long; have the server send smaller events")
+
+// MaxEventBytes bounds one event.
+const MaxEventBytes = 256 << 10
+
+const firstBuffer = 4 << 10
+
+// Reader reads events from a response body.
+type Reader struct {
+	scanner *bufio.Scanner
+}
+
+// NewReader reads from r.
+func NewReader(r io.Reader) *Reader {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(make([]byte, firstBuffer), MaxEventBytes)
+	return &Reader{
+		scanner: scanner,
+	}
+}
+
+// Next gives the next event with data. It returns io.EOF at the end of input;
+// an event that the input cuts off is dropped, as the standard has it.
+func (r *Reader) Next() (Event, error) {
+	var event Event
+	var lines [][]byte
+	size := 0
+	for r.scanner.Scan() {
+		line := r.scanner.Bytes()
+		if len(line) == 0 {
+			if lines == nil {
+				event = Event{}
+				continue
+			}
+			event.Data = bytes.Join(lines, []byte("\n"))
+			return event, nil
+		}
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		value = bytes.TrimPrefix(value, []byte(" "))
+		switch string(name) {
+		case "id":
+			event.ID = string(value)
+		case "event":
+			event.Type = string(value)
+		case "data":
+			lines = append(lines, bytes.Clone(value))
+			size += len(value)
+		}
+		if size > MaxEventBytes {
+			return Event{}, ErrTooLong
+		}
+	}
+	err := r.scanner.Err()
+	if errors.Is(err, bufio.ErrTooLong) {
+		return Event{}, ErrTooLong
+	}
+	if err != nil {
+		return Event{}, errors.Wrap(err, "read event")
+	}
+	return Event{}, io.EOF
+}
--- /dev/null
+++ b/standin/faults.go
@@ -0,0 +1,21 @@
+package standin
+
+import "time"
+
+// Faults are what can be switched on at an engine.
+type Faults struct {
+	// Hang accepts requests and never answers them.
+	Hang bool
+	// CutAfter breaks each connection after that many events; 0 never does.
+	CutAfter int
+	// Late delays the start of each answer.
+	Late time.Duration
+	// Repeat sends every event twice.
+	Repeat bool
+	// Foreign puts an event of another answer before each answer's second.
+	Foreign bool
+	// Refuse answers 503 and says that the request was not run.
+	Refuse bool
+	// Leaving refuses new work and finishes what runs.
+	Leaving bool
+}
--- /dev/null
+++ b/standin/platform.go
@@ -0,0 +1,275 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/slipwick/slipwick"
+)
+
+// Rates that the platform grants to all its callers together.
+const (
+	DefaultWriteRate = 100
+	DefaultReadRate  = 2000
+)
+
+// Platform is a stand-in for the platform's object API and list of boxes. Set
+// the exported fields before NewPlatform's handler serves.
+type Platform struct {
+	// Lag is how late the list of boxes shows a change.
+	Lag time.Duration
+
+	writes, reads *rate.Limiter
+
+	mu        sync.Mutex
+	objects   map[string]slipwick.Object
+	last      slipwick.Version
+	changed   chan struct{}
+	boxes     map[string]slipwick.Box
+	outage    bool
+	loseNext  int
+	callCount map[string]int
+}
+
+// NewPlatform makes an empty platform.
+func NewPlatform() *Platform {
+	return &Platform{
+		writes:    rate.NewLimiter(DefaultWriteRate, DefaultWriteRate),
+		reads:     rate.NewLimiter(DefaultReadRate, DefaultReadRate),
+		objects:   make(map[string]slipwick.Object),
+		changed:   make(chan struct{}),
+		boxes:     make(map[string]slipwick.Box),
+		callCount: make(map[string]int),
+	}
+}
+
+// SetOutage makes every call fail until it is switched off.
+func (p *Platform) SetOutage(outage bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.outage = outage
+}
+
+// LoseAnswers drops the connection after each of the next n writes that took
+// effect.
+func (p *Platform) LoseAnswers(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.loseNext = n
+}
+
+// Calls gives the number of calls so far by kind: get, put, watch, list, boxes.
+func (p *Platform) Calls() map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	calls := make(map[string]int, len(p.callCount))
+	for kind, count := range p.callCount {
+		calls[kind] = count
+	}
+	return calls
+}
+
+// SetBox puts a box on the list, as late as Lag says.
+func (p *Platform) SetBox(box slipwick.Box) {
+	p.later(func() { p.boxes[box.ID] = box })
+}
+
+// RemoveBox takes a box off the list, as late as Lag says.
+func (p *Platform) RemoveBox(id string) {
+	p.later(func() { delete(p.boxes, id) })
+}
+
+func (p *Platform) later(change func()) {
+	locked := func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		change()
+	}
+	if p.Lag == 0 {
+		locked()
+		return
+	}
+	time.AfterFunc(p.Lag, locked)
+}
+
+// ServeHTTP serves the platform's protocol.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	kind := callKind(r)
+	if !p.admit(w, kind) {
+		return
+	}
+	key := strings.TrimPrefix(r.URL.Path, "/v1/objects/")
+	switch kind {
+	case "boxes":
+		p.listBoxes(w)
+	case "list":
+		p.listObjects(w, r.URL.Query().Get("prefix"))
+	case "put":
+		p.put(w, r, key)
+	case "watch":
+		p.watch(w, r, key)
+	default:
+		p.get(w, key)
+	}
+}
+
+func callKind(r *http.Request) string {
+	switch {
+	case r.URL.Path == "/v1/boxes":
+		return "boxes"
+	case r.Method == http.MethodPut:
+		return "put"
+	case r.URL.Query().Has("prefix"):
+		return "list"
+	case r.URL.Query().Get("watch") == "true":
+		return "watch"
+	default:
+		return "get"
+	}
+}
+
+// admit counts the call and refuses it in an outage or beyond the rates.
+func (p *Platform) admit(w http.ResponseWriter, kind string) bool {
+	p.mu.Lock()
+	p.callCount[kind]++
+	outage := p.outage
+	p.mu.Unlock()
+	limiter := p.reads
+	if kind == "put" {
+		limiter = p.writes
+	}
+	switch {
+	case outage:
+		http.Error(w, "outage", http.StatusServiceUnavailable)
+	case !limiter.Allow():
+		http.Error(w, "rate exceeded", http.StatusTooManyRequests)
+	default:
+		return true
+	}
+	return false
+}
+
+func (p *Platform) get(w http.ResponseWriter, key string) {
+	p.mu.Lock()
+	object, found := p.objects[key]
+	p.mu.Unlock()
+	if !found {
+		http.NotFound(w, nil)
+		return
+	}
+	writeObject(w, object)
+}
+
+func writeObject(w http.ResponseWriter, object slipwick.Object) {
+	w.Header().Set("ETag", etag(object.Version))
+	_, _ = w.Write(object.Value)
+}
+
+func etag(version slipwick.Version) string {
+	return `"` + strconv.FormatUint(uint64(version), 10) + `"`
+}
+
+func (p *Platform) watch(w http.ResponseWriter, r *http.Request, key string) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	timeout, err := time.ParseDuration(r.URL.Query().Get("timeout"))
+	if err != nil {
+		http.Error(w, "timeout is no duration", http.StatusBadRequest)
+		return
+	}
+	expired := time.After(timeout)
+	for {
+		p.mu.Lock()
+		object, changed := p.objects[key], p.changed
+		p.mu.Unlock()
+		if uint64(object.Version) > after {
+			writeObject(w, object)
+			return
+		}
+		select {
+		case <-changed:
+		case <-expired:
+			w.WriteHeader(http.StatusNotModified)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (p *Platform) put(w http.ResponseWriter, r *http.Request, key string) {
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, slipwick.MaxObjectBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	p.mu.Lock()
+	version, conflict := p.putLocked(r.Header, key, value)
+	lose := !conflict && p.loseNext > 0
+	if lose {
+		p.loseNext--
+	}
+	p.mu.Unlock()
+	switch {
+	case conflict:
+		http.Error(w, "version does not match", http.StatusPreconditionFailed)
+	case lose:
+		panic(http.ErrAbortHandler)
+	default:
+		w.Header().Set("ETag", etag(version))
+	}
+}
+
+// putLocked writes if the condition in the header holds; p.mu is held.
+func (p *Platform) putLocked(header http.Header, key string, value []byte) (version slipwick.Version, conflict bool) {
+	object, exists := p.objects[key]
+	switch {
+	case header.Get("If-None-Match") == "*":
+		conflict = exists
+	case header.Get("If-Match") != "":
+		conflict = !exists || header.Get("If-Match") != etag(object.Version)
+	}
+	if conflict {
+		return 0, true
+	}
+	p.last++
+	p.objects[key] = slipwick.Object{
+		Key:     key,
+		Value:   value,
+		Version: p.last,
+	}
+	close(p.changed)
+	p.changed = make(chan struct{})
+	return p.last, false
+}
+
+func (p *Platform) listObjects(w http.ResponseWriter, prefix string) {
+	p.mu.Lock()
+	objects := []slipwick.Object{}
+	for key, object := range p.objects {
+		if strings.HasPrefix(key, prefix) {
+			objects = append(objects, object)
+		}
+	}
+	p.mu.Unlock()
+	slices.SortFunc(objects, func(a, b slipwick.Object) int { return strings.Compare(a.Key, b.Key) })
+	_ = json.NewEncoder(w).Encode(objects)
+}
+
+func (p *Platform) listBoxes(w http.ResponseWriter) {
+	p.mu.Lock()
+	boxes := []slipwick.Box{}
+	for _, box := range p.boxes {
+		boxes = append(boxes, box)
+	}
+	p.mu.Unlock()
+	slices.SortFunc(boxes, func(a, b slipwick.Box) int { return strings.Compare(a.ID, b.ID) })
+	_ = json.NewEncoder(w).Encode(boxes)
+}
