--- a/cmd/slipwick/apply/apply.go
+++ b/cmd/slipwick/apply/apply.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
-	"github.com/pkg/errors"
 
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/configuration"
@@ -23,6 +22,7 @@
 Example:
   slipwick apply -f configuration/
   slipwick apply -f configuration/ --dry-run
+  slipwick apply -f configuration/ --if-version 7
   slipwick apply -f configuration/ --wait --router 127.0.0.1:9090`
 
 // Options are the command's settings.
@@ -30,7 +30,9 @@
 	Factory *cli.Factory
 	Path    string
 	DryRun  bool
-	Wait    bool
+	// IfVersion is the version that has to be in force; 0 takes any.
+	IfVersion uint64
+	Wait      bool
 	// Timeout bounds the wait.
 	Timeout time.Duration
 	JSON    bool
@@ -53,6 +55,8 @@
 	})
 	clause.Flag("file", "File or folder.").Short('f').Required().StringVar(&options.Path)
 	clause.Flag("dry-run", "Check and compare, but write nothing.").BoolVar(&options.DryRun)
+	clause.Flag("if-version", "Apply only if this version, from get config, is still in force.").
+		Uint64Var(&options.IfVersion)
 	clause.Flag("wait", "Wait until the routers named with --router have it in force.").BoolVar(&options.Wait)
 	clause.Flag("timeout", "Bound of the wait.").Default(defaultTimeout).DurationVar(&options.Timeout)
 	clause.Flag("json", "Print JSON.").BoolVar(&options.JSON)
@@ -73,7 +77,7 @@
 		Changes: configuration.Diff(&current, &state),
 	}
 	if !options.DryRun && len(outcome.Changes) > 0 {
-		if outcome.Version, err = keeper.Apply(ctx, &state, version); err != nil {
+		if outcome.Version, err = write(ctx, options, keeper, &state, version); err != nil {
 			return explain(ctx, keeper, &state, err)
 		}
 		outcome.Written = true
@@ -86,6 +90,21 @@
 	return show(options, outcome)
 }
 
+// write replaces the version in force, if it is the one that was asked for.
+func write(
+	ctx context.Context, options *Options, keeper *configuration.Keeper,
+	state *configuration.State, version slipwick.Version,
+) (slipwick.Version, error) {
+	if options.IfVersion > 0 && slipwick.Version(options.IfVersion) != version {
+		return 0, &slipwick.Error{
+			Kind:    slipwick.KindConflict,
+			Message: fmt.Sprintf("version %d is no longer in force", options.IfVersion),
+			Remedy:  "read the one in force with slipwick get config",
+		}
+	}
+	return keeper.Apply(ctx, state, version)
+}
+
 // explain adds to a conflict what the winner changed.
 func explain(ctx context.Context, keeper *configuration.Keeper, state *configuration.State, err error) error {
 	if !slipwick.IsKind(err, slipwick.KindConflict) {
@@ -103,7 +122,6 @@
 		Kind:    slipwick.KindConflict,
 		Message: text,
 		Remedy:  "join both in your files, then apply again",
-		Cause:   errors.Cause(err),
 	}
 }
 
--- a/cmd/slipwick/root/root_test.go
+++ b/cmd/slipwick/root/root_test.go
@@ -91,6 +91,32 @@
 	}
 }
 
+// TestApplyConflict has two operators start from the same version: the second
+// is told what the first changed.
+func TestApplyConflict(t *testing.T) {
+	server := httptest.NewServer(standin.NewPlatform())
+	defer server.Close()
+	apply := func(text string, args ...string) (int, string) {
+		line := append([]string{"--platform", server.URL, "apply", "-f", write(t, text)}, args...)
+		code, _, errors := command(t, false, line...)
+		return code, errors
+	}
+	if code, errors := apply(file); code != cli.ExitOK {
+		t.Fatalf("got %d %q, want the first state applied", code, errors)
+	}
+	if code, errors := apply(strings.ReplaceAll(file, `"e1"`, `"e2"`), "--if-version", "1"); code != cli.ExitOK {
+		t.Errorf("got %d %q for the first operator, want 0", code, errors)
+	}
+	code, errors := apply(strings.ReplaceAll(file, `"e1"`, `"e3"`), "--if-version", "1")
+	for _, want := range []string{
+		"version 2 was applied meanwhile", "added pool/p/backend/e3", "removed pool/p/backend/e2", "apply again",
+	} {
+		if code != cli.ExitConflict || !strings.Contains(errors, want) {
+			t.Errorf("got %d %q for the second operator, want %d with %q", code, errors, cli.ExitConflict, want)
+		}
+	}
+}
+
 func TestExitCodes(t *testing.T) {
 	for _, tc := range []struct {
 		name string
