--- a/cmd/internal/cli/factory.go
+++ b/cmd/internal/cli/factory.go
@@ -12,7 +12,7 @@
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/configuration"
 	"github.com/slipwick/slipwick/httpclient"
-	"github.com/slipwick/slipwick/platform"
+	"github.com/slipwick/slipwick/objectapi"
 )
 
 const routerTimeout = 5 * time.Second
@@ -41,7 +41,7 @@
 
 // Store gives access to the platform.
 func (f *Factory) Store() slipwick.Store {
-	return &platform.Client{
+	return &objectapi.Client{
 		BaseURL: f.Platform,
 		HTTP:    httpclient.New(),
 	}
--- a/cmd/internal/daemon/assemble.go
+++ b/cmd/internal/daemon/assemble.go
@@ -14,7 +14,7 @@
 	"github.com/slipwick/slipwick/membership"
 	"github.com/slipwick/slipwick/peer"
 	"github.com/slipwick/slipwick/peer/peerpb"
-	"github.com/slipwick/slipwick/platform"
+	"github.com/slipwick/slipwick/objectapi"
 	"github.com/slipwick/slipwick/service"
 
 	"github.com/slipwick/slipwick/cmd/internal/events"
@@ -22,7 +22,7 @@
 
 // assemble makes the parts and joins them.
 func (r *Router) assemble() {
-	r.platform = &platform.Client{
+	r.platform = &objectapi.Client{
 		BaseURL: r.Settings.Platform.URL,
 		HTTP:    httpclient.NewCounted(&r.sent, &r.received),
 	}
--- a/cmd/internal/daemon/fixture_test.go
+++ b/cmd/internal/daemon/fixture_test.go
@@ -15,7 +15,7 @@
 	"github.com/slipwick/slipwick/configuration"
 	"github.com/slipwick/slipwick/httpclient"
 	"github.com/slipwick/slipwick/jsonfile"
-	"github.com/slipwick/slipwick/platform"
+	"github.com/slipwick/slipwick/objectapi"
 	"github.com/slipwick/slipwick/standin"
 )
 
@@ -81,7 +81,7 @@
 		},
 	}
 	keeper := &configuration.Keeper{
-		Store: &platform.Client{
+		Store: &objectapi.Client{
 			BaseURL: store.URL,
 			HTTP:    httpclient.New(),
 		},
--- a/cmd/internal/daemon/router.go
+++ b/cmd/internal/daemon/router.go
@@ -18,7 +18,7 @@
 	"github.com/slipwick/slipwick/fleet"
 	"github.com/slipwick/slipwick/membership"
 	"github.com/slipwick/slipwick/peer"
-	"github.com/slipwick/slipwick/platform"
+	"github.com/slipwick/slipwick/objectapi"
 
 	"github.com/slipwick/slipwick/cmd/internal/events"
 )
@@ -31,7 +31,7 @@
 	listeners listeners
 
 	front       *front
-	platform    *platform.Client
+	platform    *objectapi.Client
 	follower    *configuration.Follower
 	viewer      *fleet.Viewer
 	coordinator *admission.Coordinator
--- a/cmd/internal/emulator/world.go
+++ b/cmd/internal/emulator/world.go
@@ -14,7 +14,7 @@
 	"github.com/slipwick/slipwick/configuration"
 	"github.com/slipwick/slipwick/httpclient"
 	"github.com/slipwick/slipwick/jsonfile"
-	"github.com/slipwick/slipwick/platform"
+	"github.com/slipwick/slipwick/objectapi"
 	"github.com/slipwick/slipwick/standin"
 
 	"github.com/slipwick/slipwick/cmd/internal/daemon"
@@ -132,7 +132,7 @@
 		})
 	}
 	keeper := &configuration.Keeper{
-		Store: &platform.Client{
+		Store: &objectapi.Client{
 			BaseURL: w.platformURL,
 			HTTP:    w.client,
 		},
--- a/cmd/slipwickd/slipwickd_test.go
+++ b/cmd/slipwickd/slipwickd_test.go
@@ -20,7 +20,7 @@
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/configuration"
 	"github.com/slipwick/slipwick/httpclient"
-	"github.com/slipwick/slipwick/platform"
+	"github.com/slipwick/slipwick/objectapi"
 	"github.com/slipwick/slipwick/standin"
 )
 
@@ -81,7 +81,7 @@
 		})
 	}
 	keeper := &configuration.Keeper{
-		Store: &platform.Client{
+		Store: &objectapi.Client{
 			BaseURL: server.URL,
 			HTTP:    httpclient.New(),
 		},
--- a/platform/client.go
+++ b/objectapi/client.go
@@ -1,4 +1,4 @@
-package platform
+package objectapi
 
 import (
 	"context"
