--- /dev/null
+++ b/balance/lease.go
@@ -0,0 +1,19 @@
+package balance
+
+import "github.com/slipwick/slipwick"
+
+// Lease is a request's place at a backend server. It has to be released.
+type Lease struct {
+	Backend slipwick.Backend
+	// FetchFrom is the address of another engine that probably has the
+	// prompt cached; empty if there is none or the engine itself has it.
+	FetchFrom string
+
+	server *server
+}
+
+// Load is what a backend server says of itself.
+type Load struct {
+	Running int
+	Waiting int
+}
--- a/cmd/internal/daemon/assemble.go
+++ b/cmd/internal/daemon/assemble.go
@@ -12,9 +12,9 @@
 	"github.com/slipwick/slipwick/fleet"
 	"github.com/slipwick/slipwick/httpclient"
 	"github.com/slipwick/slipwick/membership"
+	"github.com/slipwick/slipwick/objectapi"
 	"github.com/slipwick/slipwick/peer"
 	"github.com/slipwick/slipwick/peer/peerpb"
-	"github.com/slipwick/slipwick/objectapi"
 	"github.com/slipwick/slipwick/service"
 
 	"github.com/slipwick/slipwick/cmd/internal/events"
--- a/cmd/internal/daemon/router.go
+++ b/cmd/internal/daemon/router.go
@@ -17,8 +17,8 @@
 	"github.com/slipwick/slipwick/configuration"
 	"github.com/slipwick/slipwick/fleet"
 	"github.com/slipwick/slipwick/membership"
-	"github.com/slipwick/slipwick/peer"
 	"github.com/slipwick/slipwick/objectapi"
+	"github.com/slipwick/slipwick/peer"
 
 	"github.com/slipwick/slipwick/cmd/internal/events"
 )
--- a/cmd/internal/events/catalogue.go
+++ b/cmd/internal/events/catalogue.go
@@ -31,6 +31,13 @@
 		Meaning: "The router has stopped; the field cut counts requests that it cut off.",
 		Remedy:  "If cut is above 0, raise limits.drain.",
 	}
+	SettingsReloaded = Event{
+		Number:  104,
+		Name:    "settings-reloaded",
+		Level:   zerolog.InfoLevel,
+		Meaning: "The process was told that its settings changed.",
+		Remedy:  "Restart the process for what it listens on.",
+	}
 	RequestEnded = Event{
 		Number:  201,
 		Name:    "request-ended",
@@ -45,6 +52,27 @@
 		Meaning: "A request ended as failed or unknown.",
 		Remedy:  "Look at the backend server that the field backend names.",
 	}
+	RequestRefused = Event{
+		Number:  203,
+		Name:    "request-refused",
+		Level:   zerolog.InfoLevel,
+		Meaning: "A gateway turned a request away before it chose a backend server; the field reason says why.",
+		Remedy:  "Compare host, path and key with the configuration in force.",
+	}
+	AttemptFailed = Event{
+		Number:  204,
+		Name:    "attempt-failed",
+		Level:   zerolog.InfoLevel,
+		Meaning: "A backend server did not bring the answer: not-run, failed, broken, or the caller left.",
+		Remedy:  "Follow the request by its ID; look at the backend server if many of its attempts fail.",
+	}
+	RequestUnserved = Event{
+		Number:  205,
+		Name:    "request-unserved",
+		Level:   zerolog.WarnLevel,
+		Meaning: "A request ended without a whole answer; the field reason says why it was not sent again.",
+		Remedy:  "Read its attempt-failed lines, by the same request ID.",
+	}
 	ConfigurationInForce = Event{
 		Number:  301,
 		Name:    "configuration-in-force",
@@ -95,8 +123,12 @@
 		RouterStarted,
 		DrainStarted,
 		DrainFinished,
+		SettingsReloaded,
 		RequestEnded,
 		RequestBroken,
+		RequestRefused,
+		AttemptFailed,
+		RequestUnserved,
 		ConfigurationInForce,
 		PlatformCallFailed,
 		BackendLeaving,
--- /dev/null
+++ b/cmd/internal/gatewayd/gateway.go
@@ -0,0 +1,234 @@
+package gatewayd
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/balance"
+	"github.com/slipwick/slipwick/directory"
+	"github.com/slipwick/slipwick/gateway"
+	"github.com/slipwick/slipwick/membership"
+	"github.com/slipwick/slipwick/retry"
+	"github.com/slipwick/slipwick/routing"
+	"github.com/slipwick/slipwick/upstream"
+
+	"github.com/slipwick/slipwick/cmd/internal/events"
+)
+
+const (
+	// announceTime is how long a stopping router still takes requests: the
+	// balancer sends new connections until it has asked twice in vain, once
+	// a second.
+	announceTime = 2600 * time.Millisecond
+	// refuseTime is how long it then refuses, so that connections that were
+	// on their way get an answer.
+	refuseTime = 500 * time.Millisecond
+	// graceMargin is what is left of the grace period at the end.
+	graceMargin = 300 * time.Millisecond
+	// headerWait bounds the time of a request's header.
+	headerWait = 10 * time.Second
+	// memoryShare of the bound is what the runtime aims to stay below.
+	memoryShare = 0.7
+)
+
+// Process is one gateway process. Set the exported fields before Run.
+type Process struct {
+	Settings *Settings
+	Feeds    Feeds
+	Log      zerolog.Logger
+	// Reload is called when the settings may have changed.
+	Reload <-chan struct{}
+
+	gateway  *gateway.Gateway
+	balancer *balance.Balancer
+	backends *directory.Backends
+	client   *upstream.Client
+	node     *membership.Node
+	udp      *membership.UDP
+	metrics  *metrics
+	observer *observer
+
+	listed   atomic.Bool
+	draining atomic.Bool
+	done     chan struct{}
+}
+
+// New makes a process that Run starts.
+func New(settings *Settings, feeds Feeds, log zerolog.Logger) *Process {
+	return &Process{
+		Settings: settings,
+		Feeds:    feeds,
+		Log:      log,
+		done:     make(chan struct{}),
+	}
+}
+
+// Done is closed when the process has stopped.
+func (p *Process) Done() <-chan struct{} {
+	return p.done
+}
+
+// assemble makes the parts and joins them.
+func (p *Process) assemble(packets *net.UDPConn) {
+	s := p.Settings
+	p.metrics = newMetrics()
+	p.observer = &observer{
+		log:     p.Log,
+		metrics: p.metrics,
+	}
+	p.balancer = balance.New(s.DataCentre)
+	p.client = &upstream.Client{}
+	p.backends = directory.NewBackends(p.onBackends)
+	p.udp = membership.NewUDP(packets)
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	p.node = membership.NewNode(slipwick.Router{
+		ID:         s.ID,
+		Address:    s.Listen.Peers,
+		DataCentre: s.DataCentre,
+		Region:     s.Region,
+	}, p.udp, membership.DefaultPolicy(), random)
+	p.udp.OnReceive = p.node.Receive
+	p.gateway = &gateway.Gateway{
+		Headers:  s.Headers,
+		Balancer: p.balancer,
+		Client:   p.client,
+		Observer: p.observer,
+		Budget: &retry.Budget{
+			Ratio:   s.Retries.Ratio,
+			Extra:   s.Retries.Extra,
+			Window:  s.Retries.Window,
+			Routers: func() int { return len(p.node.Routers()) },
+		},
+	}
+	p.metrics.add(p)
+}
+
+// Run serves until ctx ends, then drains.
+func (p *Process) Run(ctx context.Context) error {
+	defer close(p.done)
+	if p.Settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(p.Settings.MemoryBytes)))
+	}
+	open, err := listen(&p.Settings.Listen)
+	if err != nil {
+		return err
+	}
+	p.assemble(open.packets)
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var parts sync.WaitGroup
+	failed := make(chan error, 5)
+	for _, part := range []func(context.Context){
+		p.followTables, p.followBackends, p.node.Run, p.join, p.watchSettings,
+	} {
+		parts.Go(func() { part(background) })
+	}
+	parts.Go(func() { failed <- p.udp.Run(background) })
+	callers := newServer(p.gateway)
+	callers.ConnState = onState
+	servers := []*http.Server{callers, newServer(p.readiness())}
+	listeners := []net.Listener{
+		&idleListener{
+			Listener: open.callers,
+			limit:    p.idleLimit,
+		},
+		open.ready,
+	}
+	if open.metrics != nil {
+		servers, listeners = append(servers, newServer(p.metrics.handler())), append(listeners, open.metrics)
+	}
+	for i, server := range servers {
+		parts.Go(func() { failed <- server.Serve(listeners[i]) })
+	}
+	events.RouterStarted.On(&p.Log).Str("callers", open.callers.Addr().String()).Send()
+	select {
+	case <-ctx.Done():
+		p.drain(callers)
+		err = nil
+	case err = <-failed:
+		err = errors.Wrap(err, "serve")
+	}
+	for _, server := range servers {
+		_ = server.Close()
+	}
+	p.node.Stop()
+	stop()
+	p.client.Close()
+	parts.Wait()
+	return err
+}
+
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerWait,
+	}
+}
+
+// drain stops being ready, serves until the balancer has seen it, refuses what
+// still comes, and ends when nothing is in progress or the grace period is
+// over.
+func (p *Process) drain(callers *http.Server) {
+	started := time.Now()
+	events.DrainStarted.On(&p.Log).Int64("in_flight", p.gateway.InFlight()).Send()
+	p.draining.Store(true)
+	p.gateway.Leave()
+	p.node.Leave()
+	callers.SetKeepAlivesEnabled(false)
+	time.Sleep(announceTime)
+	p.gateway.Close()
+	end := started.Add(p.Settings.Grace - graceMargin)
+	for closed := time.Now(); time.Now().Before(end); time.Sleep(drainCheck) {
+		if p.gateway.InFlight() == 0 && time.Since(closed) > refuseTime {
+			break
+		}
+	}
+	cut := p.gateway.InFlight()
+	events.DrainFinished.On(&p.Log).Int64("cut", cut).Bool("in_time", cut == 0).Send()
+}
+
+// drainCheck is how often a draining router looks whether it is done.
+const drainCheck = 50 * time.Millisecond
+
+// isReady tells whether the balancer may send connections here.
+func (p *Process) isReady() bool {
+	return p.gateway.Table() != nil && p.listed.Load() && !p.draining.Load()
+}
+
+func (p *Process) readiness() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(p.Settings.Listen.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !p.isReady() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// idleLimit is how long callers' connections may rest.
+func (p *Process) idleLimit() time.Duration {
+	if table := p.gateway.Table(); table != nil {
+		return table.Limits.Idle
+	}
+	return 0
+}
+
+// tableIn gives the newest table of the entries.
+func tableIn(entries []slipwick.FeedEntry[*routing.Table]) *routing.Table {
+	var newest *routing.Table
+	for _, e := range entries {
+		if e.Value != nil && (newest == nil || e.Value.Version > newest.Version) {
+			newest = e.Value
+		}
+	}
+	return newest
+}
--- /dev/null
+++ b/cmd/internal/gatewayd/metrics.go
@@ -0,0 +1,85 @@
+package gatewayd
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// metrics are a gateway's Prometheus metrics; docs/METRICS.md lists them.
+type metrics struct {
+	registry *prometheus.Registry
+
+	requests *prometheus.CounterVec
+	attempts *prometheus.CounterVec
+	duration *prometheus.HistogramVec
+	version  prometheus.Gauge
+}
+
+var durationBuckets = []float64{.02, .05, .1, .2, .3, .4, .6, 1, 2, 4, 8}
+
+func newMetrics() *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "slipwick_gateway_requests_total",
+			Help: "Requests ended, by result and reason.",
+		}, []string{"result", "reason"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "slipwick_gateway_attempts_total",
+			Help: "Sends to backend servers that brought no answer, by result.",
+		}, []string{"result"}),
+		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "slipwick_gateway_request_seconds",
+			Help:    "Time from a request's arrival to its end.",
+			Buckets: durationBuckets,
+		}, []string{"kind"}),
+		version: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "slipwick_configuration_version",
+			Help: "Version of the configuration in force.",
+		}),
+	}
+	m.registry.MustRegister(m.requests, m.attempts, m.duration, m.version)
+	return m
+}
+
+// add adds the figures that are read when asked for.
+func (m *metrics) add(p *Process) {
+	for _, figure := range []struct {
+		name, help string
+		read       func() float64
+	}{
+		{
+			name: "slipwick_requests_in_flight",
+			help: "Requests that this router has in progress.",
+			read: func() float64 { return float64(p.gateway.InFlight()) },
+		},
+		{
+			name: "slipwick_members",
+			help: "Routers that this router does not count as dead.",
+			read: func() float64 { return float64(len(p.node.Routers())) },
+		},
+		{
+			name: "slipwick_backend_connections_opened",
+			help: "Connections opened to backend servers.",
+			read: func() float64 { return float64(p.client.Opened.Load()) },
+		},
+		{
+			name: "slipwick_stray_answers",
+			help: "Answers to other requests that were skipped.",
+			read: func() float64 { return float64(p.client.Strays.Load()) },
+		},
+	} {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: figure.name,
+			Help: figure.help,
+		}, figure.read))
+	}
+}
+
+func (m *metrics) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{}))
+	return mux
+}
--- /dev/null
+++ b/cmd/internal/gatewayd/observer.go
@@ -0,0 +1,47 @@
+package gatewayd
+
+import (
+	"net/http"
+
+	"github.com/rs/zerolog"
+
+	"github.com/slipwick/slipwick/gateway"
+
+	"github.com/slipwick/slipwick/cmd/internal/events"
+)
+
+var _ gateway.Observer = (*observer)(nil)
+
+// observer logs and counts what happens to requests.
+type observer struct {
+	log     zerolog.Logger
+	metrics *metrics
+}
+
+// Refused notes a request that was turned away at once.
+func (o *observer) Refused(request *http.Request, refusal *gateway.Refusal) {
+	o.metrics.requests.WithLabelValues("refused", refusal.Reason).Inc()
+	events.RequestRefused.On(&o.log).Str("host", request.Host).Str("path", request.URL.Path).
+		Int("status", refusal.Status).Str("reason", refusal.Reason).Send()
+}
+
+// Attempted notes a send that did not bring the answer.
+func (o *observer) Attempted(attempt *gateway.Attempt) {
+	o.metrics.attempts.WithLabelValues(attempt.Result).Inc()
+	events.AttemptFailed.On(&o.log).Str("request", attempt.Request).Str("route", attempt.Route).
+		Str("backend", attempt.Backend).Str("address", attempt.Address).Str("result", attempt.Result).
+		Int("status", attempt.Status).Dur("took_ms", attempt.Took).AnErr("cause", attempt.Err).Send()
+}
+
+// Ended notes how a request ended; whole answers are only counted.
+func (o *observer) Ended(ending *gateway.Ending) {
+	o.metrics.requests.WithLabelValues(ending.Result, ending.Reason).Inc()
+	o.metrics.duration.WithLabelValues(string(ending.Route.Kind)).Observe(ending.Took.Seconds())
+	if ending.Result == "delivered" {
+		return
+	}
+	events.RequestUnserved.On(&o.log).Str("request", ending.Request).Str("route", ending.Route.Name).
+		Str("pool", ending.Pool).Uint64("version", ending.Version).Str("result", ending.Result).
+		Str("reason", ending.Reason).Int("status", ending.Status).Int("sends", ending.Sends).
+		Int("events", ending.Events).Dur("took_ms", ending.Took).Send()
+}
--- /dev/null
+++ b/cmd/internal/gatewayd/settings.go
@@ -0,0 +1,52 @@
+package gatewayd
+
+import (
+	"time"
+
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/balance"
+	"github.com/slipwick/slipwick/gateway"
+	"github.com/slipwick/slipwick/routing"
+)
+
+// Settings are what a gateway process is started with.
+type Settings struct {
+	// ID is unique in the fleet.
+	ID         string
+	DataCentre string
+	Region     string
+	Listen     Listen
+	// Seeds are peers' addresses of other routers.
+	Seeds   []string
+	Headers gateway.Headers
+	Retries Retries
+	// Grace is how long the process may take from SIGTERM to its end.
+	Grace time.Duration
+	// MemoryBytes bounds the process' memory; 0 sets no bound.
+	MemoryBytes int64
+}
+
+// Listen holds addresses as host:port.
+type Listen struct {
+	Callers string
+	// Ready is where the balancer asks, at ReadyPath.
+	Ready     string
+	ReadyPath string
+	// Peers is where other routers are heard, over UDP.
+	Peers string
+	// Metrics is left out when empty.
+	Metrics string
+}
+
+// Retries bounds the requests sent again by the whole fleet.
+type Retries struct {
+	Ratio  float64
+	Extra  float64
+	Window time.Duration
+}
+
+// Feeds is where the process learns its state from.
+type Feeds struct {
+	Tables   slipwick.Feed[*routing.Table]
+	Backends slipwick.Feed[balance.Listed]
+}
--- a/cmd/slipwickd/serve/serve.go
+++ b/cmd/slipwickd/serve/serve.go
@@ -34,6 +34,9 @@
 
 // Main runs the router and gives the exit code.
 func Main(streams cli.Streams, args []string) int {
+	if len(args) > 0 && args[0] == "gateway" {
+		return gatewayMain(streams, args[1:])
+	}
 	options := &Options{
 		Streams: streams,
 	}
--- /dev/null
+++ b/directory/backends.go
@@ -0,0 +1,137 @@
+package directory
+
+import (
+	"sync"
+	"time"
+
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/balance"
+)
+
+const (
+	// awayAfter is how long the store has to be silent at a failed call to
+	// count as away: entries lapse after some missed heartbeats, and the
+	// store may have been away for the servers longer than for this router.
+	awayAfter = 1500 * time.Millisecond
+	// returnTime is how long servers have after the store's return to enter
+	// themselves again.
+	returnTime = 1900 * time.Millisecond
+)
+
+// Backends keeps the list of backend servers. Set the exported fields before
+// the first call.
+type Backends struct {
+	// OnChange takes each new list, one call at a time.
+	OnChange func([]balance.Listed)
+
+	mu       sync.Mutex
+	entries  map[string]balance.Listed
+	lapsed   map[string]balance.Listed
+	answered time.Time
+	// away says that the store gave no answer for awayAfter.
+	away bool
+	// grace is until when entries that vanish count as lapsed.
+	grace time.Time
+	timer *time.Timer
+}
+
+// NewBackends makes an empty list.
+func NewBackends(onChange func([]balance.Listed)) *Backends {
+	return &Backends{
+		OnChange: onChange,
+		entries:  make(map[string]balance.Listed),
+		lapsed:   make(map[string]balance.Listed),
+	}
+}
+
+// Answered notes that the store answered: it is back if it was away.
+func (b *Backends) Answered() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.answered = time.Now()
+	if b.away {
+		b.away = false
+		b.returnedLocked(b.answered)
+	}
+}
+
+// Failed notes that a call to the store failed.
+func (b *Backends) Failed() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.away = b.away || time.Since(b.answered) > awayAfter
+}
+
+func (b *Backends) returnedLocked(now time.Time) {
+	b.grace = now.Add(returnTime)
+	if b.timer != nil {
+		b.timer.Stop()
+	}
+	b.timer = time.AfterFunc(returnTime, b.dropLapsed)
+}
+
+// dropLapsed removes what did not come back in time.
+func (b *Backends) dropLapsed() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.lapsed) == 0 {
+		return
+	}
+	clear(b.lapsed)
+	b.publishLocked()
+}
+
+// Replace takes a whole list.
+func (b *Backends) Replace(entries []slipwick.FeedEntry[balance.Listed]) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	before := b.entries
+	b.entries = make(map[string]balance.Listed, len(entries))
+	for _, e := range entries {
+		b.entries[e.Name] = e.Value
+		delete(b.lapsed, e.Name)
+	}
+	for name, listed := range before {
+		if _, ok := b.entries[name]; !ok {
+			b.vanishedLocked(name, listed)
+		}
+	}
+	b.publishLocked()
+}
+
+// Change takes changes.
+func (b *Backends) Change(entries []slipwick.FeedEntry[balance.Listed]) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, e := range entries {
+		listed, known := b.entries[e.Name]
+		switch {
+		case !e.Gone:
+			b.entries[e.Name] = e.Value
+			delete(b.lapsed, e.Name)
+		case known:
+			delete(b.entries, e.Name)
+			b.vanishedLocked(e.Name, listed)
+		}
+	}
+	b.publishLocked()
+}
+
+// vanishedLocked keeps an entry that vanished while the store was away, unless
+// its server was leaving anyway.
+func (b *Backends) vanishedLocked(name string, listed balance.Listed) {
+	if time.Now().Before(b.grace) && !listed.Leaving {
+		b.lapsed[name] = listed
+	}
+}
+
+func (b *Backends) publishLocked() {
+	list := make([]balance.Listed, 0, len(b.entries)+len(b.lapsed))
+	for _, listed := range b.entries {
+		list = append(list, listed)
+	}
+	for _, listed := range b.lapsed {
+		list = append(list, listed)
+	}
+	b.OnChange(list)
+}
--- /dev/null
+++ b/directory/backends_test.go
@@ -0,0 +1,85 @@
+package directory
+
+import (
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/balance"
+)
+
+type listLog struct{ ids []string }
+
+func (l *listLog) take(list []balance.Listed) {
+	l.ids = nil
+	for i := range list {
+		l.ids = append(l.ids, list[i].ID)
+	}
+	slices.Sort(l.ids)
+}
+
+func entry(id string, gone bool) slipwick.FeedEntry[balance.Listed] {
+	return slipwick.FeedEntry[balance.Listed]{
+		Name: id,
+		Gone: gone,
+		Value: balance.Listed{
+			Backend: slipwick.Backend{
+				ID: id,
+			},
+		},
+	}
+}
+
+func (l *listLog) expect(t *testing.T, when string, want ...string) {
+	t.Helper()
+	if !slices.Equal(l.ids, want) {
+		t.Errorf("%s: got %v, want %v", when, l.ids, want)
+	}
+}
+
+func TestBackendsDropWhatIsGoneAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log listLog
+		b := NewBackends(log.take)
+		b.Answered()
+		b.Replace([]slipwick.FeedEntry[balance.Listed]{entry("a", false), entry("b", false)})
+		b.Change([]slipwick.FeedEntry[balance.Listed]{entry("b", true)})
+		log.expect(t, "after the removal", "a")
+	})
+}
+
+// TestBackendsKeepWhatLapsedDuringAnOutage has two entries lapse while the
+// store is away; one of their servers comes back, the other does not.
+func TestBackendsKeepWhatLapsedDuringAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log listLog
+		b := NewBackends(log.take)
+		b.Answered()
+		b.Replace([]slipwick.FeedEntry[balance.Listed]{entry("a", false), entry("b", false), entry("c", false)})
+		time.Sleep(5 * time.Second)
+		b.Failed()
+		b.Answered()
+		b.Replace([]slipwick.FeedEntry[balance.Listed]{entry("a", false)})
+		log.expect(t, "on return", "a", "b", "c")
+		time.Sleep(time.Second)
+		b.Change([]slipwick.FeedEntry[balance.Listed]{entry("b", false)})
+		time.Sleep(time.Second)
+		log.expect(t, "two seconds after the return", "a", "b")
+	})
+}
+
+func TestBackendsTakeAShortFailureForNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log listLog
+		b := NewBackends(log.take)
+		b.Answered()
+		b.Replace([]slipwick.FeedEntry[balance.Listed]{entry("a", false), entry("b", false)})
+		time.Sleep(time.Second)
+		b.Failed()
+		b.Answered()
+		b.Change([]slipwick.FeedEntry[balance.Listed]{entry("b", true)})
+		log.expect(t, "after the removal", "a")
+	})
+}
--- /dev/null
+++ b/gateway/refusal.go
@@ -0,0 +1,135 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Refusal is an answer of the router's own.
+type Refusal struct {
+	Status int
+	// Reason is stable and short; logs and metrics carry it.
+	Reason  string
+	Message string
+	// RetryAfter tells the caller when to come back; negative says nothing.
+	RetryAfter time.Duration
+}
+
+// When callers are to come back.
+const (
+	// retryElsewhere is for what another router can serve now.
+	retryElsewhere = 20 * time.Millisecond
+	// retrySoon is for what changes within a moment.
+	retrySoon = 150 * time.Millisecond
+	noRetry   = time.Duration(-1)
+)
+
+func refuseStopping() *Refusal {
+	return &Refusal{
+		Status:     http.StatusServiceUnavailable,
+		Reason:     "stopping",
+		Message:    "this router stops; the request was not run, send it to another",
+		RetryAfter: retryElsewhere,
+	}
+}
+
+func refuseNotReady() *Refusal {
+	return &Refusal{
+		Status:     http.StatusServiceUnavailable,
+		Reason:     "not-ready",
+		Message:    "this router has no configuration yet; the request was not run, send it again",
+		RetryAfter: retryElsewhere,
+	}
+}
+
+func refuseNoRoute(version uint64) *Refusal {
+	return &Refusal{
+		Status:     http.StatusNotFound,
+		Reason:     "no-route",
+		Message:    fmt.Sprintf("no route for this host and path in version %d of the configuration", version),
+		RetryAfter: noRetry,
+	}
+}
+
+func refuseNoKey(version uint64) *Refusal {
+	return &Refusal{
+		Status:     http.StatusUnauthorized,
+		Reason:     "no-key",
+		Message:    fmt.Sprintf("no workspace holds this key in version %d of the configuration", version),
+		RetryAfter: noRetry,
+	}
+}
+
+func refuseHeader(limit int64) *Refusal {
+	return &Refusal{
+		Status:     http.StatusRequestHeaderFieldsTooLarge,
+		Reason:     "header-too-large",
+		Message:    fmt.Sprintf("the header is larger than %d bytes; send less", limit),
+		RetryAfter: noRetry,
+	}
+}
+
+func refuseBody(limit int64) *Refusal {
+	return &Refusal{
+		Status:     http.StatusRequestEntityTooLarge,
+		Reason:     "body-too-large",
+		Message:    fmt.Sprintf("the body is larger than %d bytes; send less", limit),
+		RetryAfter: noRetry,
+	}
+}
+
+func refuseUnreadBody(err error, limit int64) *Refusal {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return refuseBody(limit)
+	}
+	return &Refusal{
+		Status:     http.StatusRequestTimeout,
+		Reason:     "body-unread",
+		Message:    "the body broke off; the request was not run, send it again whole",
+		RetryAfter: noRetry,
+	}
+}
+
+func refuseNotRun(reason string, after time.Duration) *Refusal {
+	return &Refusal{
+		Status:     http.StatusServiceUnavailable,
+		Reason:     reason,
+		Message:    "no backend server could take the request; it was not run, send it again",
+		RetryAfter: after,
+	}
+}
+
+func refuseUnknown(reason string) *Refusal {
+	return &Refusal{
+		Status:     http.StatusBadGateway,
+		Reason:     reason,
+		Message:    "the exchange with the backend server failed; the request may have run",
+		RetryAfter: noRetry,
+	}
+}
+
+func refuseTimeout() *Refusal {
+	return &Refusal{
+		Status:     http.StatusGatewayTimeout,
+		Reason:     "timeout",
+		Message:    "no answer within the time limit; the request may have run",
+		RetryAfter: noRetry,
+	}
+}
+
+func (r *Refusal) write(w http.ResponseWriter) {
+	header := w.Header()
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	if r.RetryAfter >= 0 {
+		header.Set("Retry-After", strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', -1, 64))
+	}
+	body := r.Message + "\n"
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(r.Status)
+	// A caller that has left needs no answer.
+	_, _ = w.Write([]byte(body))
+}
--- /dev/null
+++ b/gateway/result.go
@@ -0,0 +1,38 @@
+package gateway
+
+// result is how one send ended.
+type result int
+
+const (
+	// resultDelivered is an answer that the caller has whole.
+	resultDelivered result = iota
+	// resultNotRun is a send that the backend server did not run.
+	resultNotRun
+	// resultFailed is a whole answer that tells of a failure.
+	resultFailed
+	// resultBroken is an exchange that broke; the request may have run.
+	resultBroken
+	// resultCut is an answer that broke after a part was passed on, and that
+	// cannot go on.
+	resultCut
+	// resultLeft is a caller that has left.
+	resultLeft
+)
+
+// String gives the name that logs and metrics carry.
+func (r result) String() string {
+	switch r {
+	case resultDelivered:
+		return "delivered"
+	case resultNotRun:
+		return "not-run"
+	case resultFailed:
+		return "failed"
+	case resultBroken:
+		return "broken"
+	case resultCut:
+		return "cut"
+	default:
+		return "left"
+	}
+}
--- /dev/null
+++ b/gateway/serve.go
@@ -0,0 +1,162 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/balance"
+)
+
+const (
+	// extraSends is how often a request may be sent beyond the runs it is
+	// allowed, after sends that were certainly not run.
+	extraSends = 2
+	// leastTime is the time that has to be left for another send.
+	leastTime = 30 * time.Millisecond
+)
+
+// serve sends the request until it has an answer or may not be sent again.
+func (c *call) serve() {
+	c.gateway.Budget.Requested(c.pool)
+	var last result
+	reason := ""
+	for {
+		lease, err := c.gateway.Balancer.Acquire(&c.ask)
+		if err != nil {
+			reason = "no-backend"
+			break
+		}
+		last = c.send(lease)
+		if last == resultDelivered || last == resultLeft || last == resultCut {
+			c.end(last, "", 0)
+			return
+		}
+		if reason = c.whyNoMore(last); reason != "" {
+			break
+		}
+		if !c.gateway.Budget.Take(c.pool) {
+			reason = "retry-budget"
+			break
+		}
+	}
+	c.giveUp(reason)
+}
+
+// whyNoMore tells why a request is not sent again; empty if it is.
+func (c *call) whyNoMore(last result) string {
+	switch {
+	case c.request.Context().Err() != nil:
+		return "left"
+	case time.Until(c.deadline) < leastTime:
+		return "timeout"
+	case last != resultNotRun && !c.route.MayRepeat():
+		return "may-not-repeat"
+	case c.runs >= c.route.MaxAttempts && last != resultNotRun:
+		return "attempts"
+	case c.sends >= c.route.MaxAttempts+extraSends:
+		return "sends"
+	}
+	return ""
+}
+
+// giveUp gives the final answer to a request that has none.
+func (c *call) giveUp(reason string) {
+	switch {
+	case c.request.Context().Err() != nil:
+		c.end(resultLeft, reason, 0)
+	case c.stream.begun:
+		c.end(resultCut, reason, 0)
+	case c.failure != nil:
+		if err := c.failure.write(c.writer); err != nil {
+			c.end(resultLeft, reason, 0)
+			return
+		}
+		c.end(resultFailed, reason, c.failure.status)
+	case c.runs == 0:
+		c.refuse(refuseNotRun(reason, retrySoon))
+	case time.Now().After(c.deadline):
+		c.refuse(refuseTimeout())
+	default:
+		c.refuse(refuseUnknown(reason))
+	}
+}
+
+func (c *call) refuse(refusal *Refusal) {
+	refusal.write(c.writer)
+	c.ended("refused", refusal.Reason, refusal.Status)
+}
+
+// end notes the ending. An answer that was cut ends with its connection, so
+// that it does not look whole.
+func (c *call) end(last result, reason string, status int) {
+	c.ended(last.String(), reason, status)
+	if last == resultCut {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (c *call) ended(outcome, reason string, status int) {
+	c.gateway.Observer.Ended(&Ending{
+		Request: c.id,
+		Route:   c.route,
+		Pool:    c.pool,
+		Version: c.table.Version,
+		Result:  outcome,
+		Reason:  reason,
+		Status:  status,
+		Sends:   c.sends,
+		Events:  c.stream.events,
+		Took:    time.Since(c.arrived),
+	})
+}
+
+// send sends the request to one backend server and passes the answer on.
+func (c *call) send(lease *balance.Lease) result {
+	started := time.Now()
+	c.sends++
+	c.ask.Avoid = append(c.ask.Avoid, lease.Backend.ID)
+	answer, err := c.gateway.Client.Do(c.ctx, lease.Backend.ID, lease.Backend.Address, c.upstreamRequest(lease))
+	attempt := &Attempt{
+		Request: c.id,
+		Route:   c.route.Name,
+		Backend: lease.Backend.ID,
+		Address: lease.Backend.Address,
+		Err:     err,
+	}
+	var last result
+	var evidence slipwick.Evidence
+	if err != nil {
+		last, evidence = c.judgeError(err)
+	} else {
+		attempt.Status = answer.Status
+		last, evidence, attempt.Err = c.judgeAnswer(lease, answer)
+		answer.Close()
+	}
+	c.gateway.Balancer.Release(lease, evidence)
+	if last != resultDelivered {
+		attempt.Result, attempt.Took = last.String(), time.Since(started)
+		c.gateway.Observer.Attempted(attempt)
+	}
+	return last
+}
+
+// judgeError tells what an exchange without an answer means.
+func (c *call) judgeError(err error) (result, slipwick.Evidence) {
+	if c.request.Context().Err() != nil {
+		return resultLeft, slipwick.EvidenceNone
+	}
+	typed, ok := slipwick.AsError(err)
+	if ok && typed.Outcome == slipwick.OutcomeNotRun {
+		if c.ctx.Err() != nil {
+			return resultNotRun, slipwick.EvidenceNone
+		}
+		return resultNotRun, slipwick.EvidenceUnreachable
+	}
+	c.runs++
+	if c.ctx.Err() == context.DeadlineExceeded {
+		return resultBroken, slipwick.EvidenceNone
+	}
+	return resultBroken, slipwick.EvidenceError
+}
--- a/kind.go
+++ b/kind.go
@@ -45,6 +45,9 @@
 	// KindUnavailable is a platform call that got no usable answer. The
 	// write that it made may have taken effect.
 	KindUnavailable Kind = "unavailable"
+	// KindHistoryLost is a watch from a version that the store has forgotten
+	// the changes since.
+	KindHistoryLost Kind = "history_lost"
 	// KindInvalidConfiguration is a file or setting with mistakes.
 	KindInvalidConfiguration Kind = "invalid_configuration"
 )
--- a/placement/hash.go
+++ b/placement/hash.go
@@ -37,3 +37,9 @@
 	h ^= h >> 33
 	return h
 }
+
+// Score is the rendezvous score of a box, by its IDHash, for a key: of several
+// boxes the one with the highest score is the choice.
+func Score(key, box uint64) uint64 {
+	return pair(key, box)
+}
--- /dev/null
+++ b/retry/doc.go
@@ -0,0 +1,3 @@
+// Package retry bounds how often routers send requests again, as a share of
+// the requests that callers make.
+package retry
--- /dev/null
+++ b/routing/limits.go
@@ -0,0 +1,13 @@
+package routing
+
+import "time"
+
+// Limits bound what callers may send. Zero fields set no bound.
+type Limits struct {
+	HeaderBytes int64
+	BodyBytes   int64
+	// HeaderWait bounds the time that a request's header takes.
+	HeaderWait time.Duration
+	// Idle is how long a connection may rest between requests.
+	Idle time.Duration
+}
--- /dev/null
+++ b/upstream/client.go
@@ -0,0 +1,190 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// The figures of connections.
+const (
+	// defaultDialTimeout bounds the time in which a connection comes up: some
+	// round trips within a region, below one resent packet (1 s).
+	defaultDialTimeout = 400 * time.Millisecond
+	// defaultSilence is how long sent bytes and probes may go unacknowledged
+	// before the path counts as cut.
+	defaultSilence = 2 * time.Second
+	// probeEvery is the pause between probes of a connection that waits.
+	probeEvery = time.Second
+	bufferSize = 4 << 10
+	// maxResting bounds the connections kept for one backend server.
+	maxResting = 16
+)
+
+// Client holds the connections to backend servers. It is safe for concurrent
+// use. Set the exported fields before the first call.
+type Client struct {
+	// DialTimeout and Silence take their defaults when zero.
+	DialTimeout time.Duration
+	Silence     time.Duration
+
+	// Opened counts connections, Strays answers that belonged to an earlier
+	// request.
+	Opened atomic.Int64
+	Strays atomic.Int64
+
+	mu      sync.Mutex
+	resting map[string][]*connection
+}
+
+// Do sends the request to a backend server and reads the head of its answer.
+// The key names the backend server's connections. The end of ctx interrupts
+// the exchange, also while the answer is read. Errors are *slipwick.Error;
+// OutcomeNotRun says that nothing was sent.
+func (c *Client) Do(ctx context.Context, key, address string, request *Request) (*Answer, error) {
+	conn, err := c.take(ctx, key, address, request.MaxRest)
+	if err != nil {
+		return nil, err
+	}
+	stop := conn.interruptible(ctx)
+	written := conn.write(request)
+	response, err := conn.read(request, &c.Strays)
+	if err != nil {
+		stop()
+		_ = conn.Close()
+		return nil, broken(ctx, address, err)
+	}
+	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	return &Answer{
+		Status:  response.StatusCode,
+		Header:  response.Header,
+		Length:  response.ContentLength,
+		ctx:     ctx,
+		client:  c,
+		key:     key,
+		address: address,
+		conn:    conn,
+		written: written,
+		body:    response.Body,
+		stop:    stop,
+		keep:    framed && !response.Close,
+	}, nil
+}
+
+// take gives a resting connection that is alive, or a new one.
+func (c *Client) take(ctx context.Context, key, address string, maxRest time.Duration) (*connection, error) {
+	now := time.Now()
+	for {
+		conn := c.pop(key)
+		if conn == nil {
+			return c.dial(ctx, address)
+		}
+		fresh := maxRest == 0 || now.Sub(conn.restingSince) <= maxRest
+		if fresh && now.Before(conn.usableUntil) && conn.isAlive() {
+			conn.exchanges++
+			return conn, nil
+		}
+		_ = conn.Close()
+	}
+}
+
+// pop takes the connection that rested the shortest.
+func (c *Client) pop(key string) *connection {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	resting := c.resting[key]
+	if len(resting) == 0 {
+		return nil
+	}
+	conn := resting[len(resting)-1]
+	c.resting[key] = resting[:len(resting)-1]
+	return conn
+}
+
+func (c *Client) dial(ctx context.Context, address string) (*connection, error) {
+	dialer := net.Dialer{
+		Timeout: orDefault(c.DialTimeout, defaultDialTimeout),
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     probeEvery,
+			Interval: probeEvery,
+			Count:    2,
+		},
+		Control: c.control,
+	}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, unreachable(address, err)
+	}
+	c.Opened.Add(1)
+	return &connection{
+		Conn:   conn,
+		reader: bufio.NewReaderSize(conn, bufferSize),
+	}, nil
+}
+
+// control has the kernel give up a connection whose path is cut.
+func (c *Client) control(_, _ string, raw syscall.RawConn) error {
+	silence := int(orDefault(c.Silence, defaultSilence).Milliseconds())
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, silence)
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// rest keeps a connection for later exchanges.
+func (c *Client) rest(key string, conn *connection, forTime time.Duration) {
+	now := time.Now()
+	conn.restingSince, conn.usableUntil = now, now.Add(forTime)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.resting == nil {
+		c.resting = make(map[string][]*connection)
+	}
+	resting := c.resting[key]
+	// The longest at rest stands first.
+	for len(resting) > 0 && (len(resting) >= maxResting || now.After(resting[0].usableUntil)) {
+		_ = resting[0].Close()
+		resting = resting[1:]
+	}
+	c.resting[key] = append(resting, conn)
+}
+
+// Forget closes the resting connections of a backend server that is gone.
+func (c *Client) Forget(key string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.resting[key] {
+		_ = conn.Close()
+	}
+	delete(c.resting, key)
+}
+
+// Close closes all resting connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, resting := range c.resting {
+		for _, conn := range resting {
+			_ = conn.Close()
+		}
+	}
+	c.resting = nil
+}
+
+func orDefault(given, standard time.Duration) time.Duration {
+	if given == 0 {
+		return standard
+	}
+	return given
+}
