--- a/balance/ask.go
+++ b/balance/ask.go
@@ -3,9 +3,9 @@
 // Ask says what a request needs.
 type Ask struct {
 	Pool string
-	// Prompt is the key of the longest part of the request's prompt that
-	// other requests share; 0 without one.
-	Prompt uint64
+	// Prompt has the keys of the parts of the request's prompt that other
+	// requests share, in order; empty without a prompt.
+	Prompt []uint64
 	// Avoid lists the IDs of backend servers that the request has tried.
 	Avoid []string
 }
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -50,13 +50,17 @@
 func (b *Balancer) SetBackends(list []Listed) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := time.Now()
+	since := time.Now()
+	if len(b.servers) == 0 {
+		// Those of the first list were there before this router.
+		since = time.Time{}
+	}
 	servers := make(map[string]*server, len(list))
 	pools := make(map[string][]*server)
 	for _, listed := range list {
 		s := b.servers[listed.ID]
 		if s == nil {
-			s = newServer(listed, now)
+			s = newServer(listed, since)
 		}
 		s.Listed = listed
 		servers[listed.ID] = s
@@ -77,7 +81,7 @@
 		return nil, noBackend(ask.Pool)
 	}
 	var lease *Lease
-	if ask.Prompt != 0 {
+	if len(ask.Prompt) > 0 {
 		lease = b.byPromptLocked(ask.Prompt, pool, usable, now)
 	} else {
 		lease = leaseOf(b.leastLoaded(usable, now))
@@ -149,7 +153,8 @@
 
 // byPromptLocked takes the engines in the order of the prompt's rendezvous
 // ranks, which all routers agree on, and of these the first below the bound.
-func (b *Balancer) byPromptLocked(prompt uint64, pool, usable []*server, now time.Time) *Lease {
+func (b *Balancer) byPromptLocked(parts []uint64, pool, usable []*server, now time.Time) *Lease {
+	prompt := parts[len(parts)-1]
 	each, mean := loads(usable, now)
 	bound := b.LoadFactor*mean + loadSlack
 	best, bestScore := -1, uint64(0)
@@ -169,22 +174,21 @@
 		best = least
 	}
 	lease := leaseOf(usable[best])
-	lease.FetchFrom = b.holderLocked(prompt, pool, usable[best], now)
-	b.homes.set(prompt, usable[best].ID)
+	if holder := b.holderLocked(parts, pool, usable[best], now); holder != nil {
+		lease.FetchFrom = holder.Address
+	}
+	b.homes.ran(parts, usable[best])
 	return lease
 }
 
-// holderLocked gives the address of the engine that most probably has the
-// prompt cached, if it is not the chosen one: where this router sent the prompt
-// last, else the best ranked of those that were listed before the chosen one.
-func (b *Balancer) holderLocked(prompt uint64, pool []*server, chosen *server, now time.Time) string {
-	if last, ok := b.homes.get(prompt); ok {
-		if last == chosen.ID {
-			return ""
-		}
-		if s := b.servers[last]; s != nil && !s.isOut(now) {
-			return s.Address
-		}
+// holderLocked gives the engine that most probably has the prompt cached, or
+// its first parts, if it is not the chosen one: where this router sent the
+// parts, else the best ranked of those that were listed before the chosen one.
+func (b *Balancer) holderLocked(parts []uint64, pool []*server, chosen *server, now time.Time) *server {
+	usable := func(s *server) bool { return b.servers[s.ID] == s && !s.isOut(now) }
+	prompt := parts[len(parts)-1]
+	if holder, known := b.homes.holder(parts[len(parts)-1:], chosen, usable); known {
+		return holder
 	}
 	var home *server
 	for _, s := range pool {
@@ -198,10 +202,11 @@
 			home = s
 		}
 	}
-	if home == nil || home == chosen {
-		return ""
+	if home != nil && home != chosen {
+		return home
 	}
-	return home.Address
+	holder, _ := b.homes.holder(parts[:len(parts)-1], chosen, usable)
+	return holder
 }
 
 // settledAfter is how long an engine has to be listed for its prompts to count
--- a/balance/homes.go
+++ b/balance/homes.go
@@ -1,28 +1,62 @@
 package balance
 
-import lru "github.com/hashicorp/golang-lru/v2/simplelru"
+import (
+	"slices"
 
-// homesKept bounds the prompts whose latest engine a router remembers; an
-// entry takes about 100 bytes.
-const homesKept = 1 << 15
+	lru "github.com/hashicorp/golang-lru/v2/simplelru"
+)
 
-// homes remembers at which engine each prompt ran last.
+const (
+	// homesKept bounds the parts of prompts whose engines a router remembers;
+	// an entry takes about 200 bytes.
+	homesKept = 1 << 14
+	// holdersKept is how many engines are remembered for a part.
+	holdersKept = 4
+)
+
+// homes remembers which engines ran each part of a prompt, the latest first.
 type homes struct {
-	last *lru.LRU[uint64, string]
+	holders *lru.LRU[uint64, []*server]
 }
 
 func newHomes() *homes {
 	// The size is positive, the only thing that NewLRU refuses.
-	last, _ := lru.NewLRU[uint64, string](homesKept, nil)
+	holders, _ := lru.NewLRU[uint64, []*server](homesKept, nil)
 	return &homes{
-		last: last,
+		holders: holders,
 	}
 }
 
-func (h *homes) set(prompt uint64, id string) {
-	h.last.Add(prompt, id)
+// ran notes that an engine read the parts.
+func (h *homes) ran(parts []uint64, s *server) {
+	for _, part := range parts {
+		known, _ := h.holders.Get(part)
+		if len(known) > 0 && known[0] == s {
+			continue
+		}
+		latest := append(make([]*server, 0, holdersKept), s)
+		for _, other := range known {
+			if other != s && len(latest) < holdersKept {
+				latest = append(latest, other)
+			}
+		}
+		h.holders.Add(part, latest)
+	}
 }
 
-func (h *homes) get(prompt uint64) (id string, ok bool) {
-	return h.last.Get(prompt)
+// holder finds the engine that has the most of a prompt's parts beyond what the
+// chosen one has; known is false if none of the parts is known to be anywhere.
+func (h *homes) holder(parts []uint64, chosen *server, usable func(*server) bool) (s *server, known bool) {
+	for _, part := range slices.Backward(parts) {
+		holders, _ := h.holders.Get(part)
+		if slices.Contains(holders, chosen) {
+			return nil, true
+		}
+		for _, holder := range holders {
+			if usable(holder) {
+				return holder, true
+			}
+		}
+	}
+	return nil, false
 }
--- a/balance/server.go
+++ b/balance/server.go
@@ -25,7 +25,7 @@
 type server struct {
 	Listed
 	hash uint64
-	// since is when it was first listed.
+	// since is when it was first listed; zero if it was when the router began.
 	since time.Time
 	// inFlight counts the leases of this router.
 	inFlight int
@@ -42,11 +42,11 @@
 	outUntil time.Time
 }
 
-func newServer(listed Listed, now time.Time) *server {
+func newServer(listed Listed, since time.Time) *server {
 	return &server{
 		Listed: listed,
 		hash:   placement.IDHash(listed.ID),
-		since:  now,
+		since:  since,
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -139,7 +139,7 @@
 	}
 	c.ask.Pool = c.pool
 	if route.Affinity {
-		c.ask.Prompt = promptKey(r.Header.Get(g.Headers.Prompt))
+		c.ask.Prompt = sharedParts(r.Header.Get(g.Headers.Prompt))
 	}
 	c.stream.lastID = r.Header.Get(lastEventID)
 	return c, nil
--- a/gateway/prompt.go
+++ b/gateway/prompt.go
@@ -6,15 +6,18 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// promptKey gives the key of the longest part of a prompt that other requests
-// share: the last part is the request's own, unless it is the only one. 0
-// stands for no prompt.
-func promptKey(prompt string) uint64 {
+// sharedParts gives the keys of the parts of a prompt that other requests
+// share: all but the last, which is the request's own unless it is the only
+// one.
+func sharedParts(prompt string) []uint64 {
 	if prompt == "" {
-		return 0
+		return nil
 	}
 	parts := strings.Split(prompt, ",")
-	shared := parts[max(len(parts)-2, 0)]
-	id, _, _ := strings.Cut(strings.TrimSpace(shared), ":")
-	return max(xxhash.Sum64String(id), 1)
+	keys := make([]uint64, 0, len(parts))
+	for _, part := range parts[:max(len(parts)-1, 1)] {
+		id, _, _ := strings.Cut(strings.TrimSpace(part), ":")
+		keys = append(keys, xxhash.Sum64String(id))
+	}
+	return keys
 }
