--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -33,6 +33,13 @@
 	servers map[string]*server
 	pools   map[string][]*server
 	homes   *homes
+	// hashes finds backend servers by the hash of their ID.
+	hashes map[uint64]*server
+	// peers are the other routers that live, heard what they told last, and
+	// reads what is to be told them.
+	peers []string
+	heard map[string]heard
+	reads []Read
 }
 
 // New makes a balancer without backend servers.
@@ -43,6 +50,7 @@
 		servers:    make(map[string]*server),
 		pools:      make(map[string][]*server),
 		homes:      newHomes(),
+		heard:      make(map[string]heard),
 	}
 }
 
@@ -57,6 +65,7 @@
 	}
 	servers := make(map[string]*server, len(list))
 	pools := make(map[string][]*server)
+	hashes := make(map[uint64]*server, len(list))
 	for _, listed := range list {
 		s := b.servers[listed.ID]
 		if s == nil {
@@ -64,9 +73,10 @@
 		}
 		s.Listed = listed
 		servers[listed.ID] = s
+		hashes[s.hash] = s
 		pools[listed.Pool] = append(pools[listed.Pool], s)
 	}
-	b.servers, b.pools = servers, pools
+	b.servers, b.pools, b.hashes = servers, pools, hashes
 }
 
 // Acquire chooses a backend server and counts the request there. The error is
@@ -84,7 +94,7 @@
 	if len(ask.Prompt) > 0 {
 		lease = b.byPromptLocked(ask.Prompt, pool, usable, now)
 	} else {
-		lease = leaseOf(b.leastLoaded(usable, now))
+		lease = leaseOf(b.leastLoadedLocked(usable, now))
 	}
 	lease.server.inFlight++
 	return lease, nil
@@ -126,9 +136,29 @@
 	return usable
 }
 
-// loads gives the load of each backend server: this router's requests and
-// those of others, as reported, or the mean of reports where none is fresh.
-func loads(servers []*server, now time.Time) (each []float64, mean float64) {
+// loadsLocked gives the load of each backend server: this router's requests and
+// those of the others, as they told, else as the backend server reported, else
+// the mean of what others report.
+func (b *Balancer) loadsLocked(servers []*server, now time.Time) (each []float64, mean float64) {
+	told, complete := b.othersToldLocked(now)
+	usual := usualReport(servers, now)
+	each = make([]float64, len(servers))
+	for i, s := range servers {
+		others := usual
+		if complete {
+			others = float64(told[s.hash])
+		} else if reported, ok := s.others(now); ok {
+			others = float64(reported)
+		}
+		each[i] = float64(s.inFlight) + others
+		mean += each[i] / float64(len(servers))
+	}
+	return each, mean
+}
+
+// usualReport is the mean of what backend servers reported lately of other
+// routers' requests.
+func usualReport(servers []*server, now time.Time) float64 {
 	known, sum := 0, 0
 	for _, s := range servers {
 		if others, ok := s.others(now); ok {
@@ -136,26 +166,17 @@
 			sum += others
 		}
 	}
-	usual := 0.0
-	if known > 0 {
-		usual = float64(sum) / float64(known)
+	if known == 0 {
+		return 0
 	}
-	each = make([]float64, len(servers))
-	for i, s := range servers {
-		each[i] = float64(s.inFlight) + usual
-		if others, ok := s.others(now); ok {
-			each[i] = float64(s.inFlight + others)
-		}
-		mean += each[i] / float64(len(servers))
-	}
-	return each, mean
+	return float64(sum) / float64(known)
 }
 
 // byPromptLocked takes the engines in the order of the prompt's rendezvous
 // ranks, which all routers agree on, and of these the first below the bound.
 func (b *Balancer) byPromptLocked(parts []uint64, pool, usable []*server, now time.Time) *Lease {
 	prompt := parts[len(parts)-1]
-	each, mean := loads(usable, now)
+	each, mean := b.loadsLocked(usable, now)
 	bound := b.LoadFactor*mean + loadSlack
 	best, bestScore := -1, uint64(0)
 	least := 0
@@ -177,10 +198,22 @@
 	if holder := b.holderLocked(parts, pool, usable[best], now); holder != nil {
 		lease.FetchFrom = holder.Address
 	}
-	b.homes.ran(parts, usable[best])
+	b.ranLocked(parts, usable[best])
 	return lease
 }
 
+// ranLocked notes, and later tells the other routers, where parts are kept.
+func (b *Balancer) ranLocked(parts []uint64, s *server) {
+	for _, part := range parts {
+		if b.homes.ran(part, s) && len(b.reads) < maxReads {
+			b.reads = append(b.reads, Read{
+				Part:   part,
+				Server: s.hash,
+			})
+		}
+	}
+}
+
 // holderLocked gives the engine that most probably has the prompt cached, or
 // its first parts, if it is not the chosen one: where this router sent the
 // parts, else the best ranked of those that were listed before the chosen one.
@@ -213,9 +246,9 @@
 // as cached there.
 const settledAfter = 20 * time.Second
 
-// leastLoaded gives the least loaded, near ones before far ones.
-func (b *Balancer) leastLoaded(usable []*server, now time.Time) *server {
-	each, _ := loads(usable, now)
+// leastLoadedLocked gives the least loaded, near ones before far ones.
+func (b *Balancer) leastLoadedLocked(usable []*server, now time.Time) *server {
+	each, _ := b.loadsLocked(usable, now)
 	best, bestCost := 0, math.Inf(1)
 	for i, s := range usable {
 		cost := each[i]
--- a/balance/homes.go
+++ b/balance/homes.go
@@ -27,21 +27,38 @@
 	}
 }
 
-// ran notes that an engine read the parts.
-func (h *homes) ran(parts []uint64, s *server) {
-	for _, part := range parts {
-		known, _ := h.holders.Get(part)
-		if len(known) > 0 && known[0] == s {
-			continue
-		}
-		latest := append(make([]*server, 0, holdersKept), s)
-		for _, other := range known {
-			if other != s && len(latest) < holdersKept {
-				latest = append(latest, other)
-			}
+// ran notes that an engine read a part; isNew says that it was not known to.
+func (h *homes) ran(part uint64, s *server) (isNew bool) {
+	known, _ := h.holders.Get(part)
+	if len(known) > 0 && known[0] == s {
+		return false
+	}
+	latest := append(make([]*server, 0, holdersKept), s)
+	for _, other := range known {
+		if other != s && len(latest) < holdersKept {
+			latest = append(latest, other)
 		}
-		h.holders.Add(part, latest)
 	}
+	h.holders.Add(part, latest)
+	return !slices.Contains(known, s)
+}
+
+// heard notes that an engine read a part for another router.
+func (h *homes) heard(part uint64, s *server) {
+	known, _ := h.holders.Get(part)
+	if slices.Contains(known, s) {
+		return
+	}
+	if len(known) == holdersKept {
+		known = known[:holdersKept-1]
+	}
+	h.holders.Add(part, append(slices.Clone(known), s))
+}
+
+// has tells whether an engine is known to have a part.
+func (h *homes) has(part uint64, s *server) bool {
+	known, _ := h.holders.Peek(part)
+	return slices.Contains(known, s)
 }
 
 // holder finds the engine that has the most of a prompt's parts beyond what the
--- /dev/null
+++ b/balance/told.go
@@ -0,0 +1,111 @@
+package balance
+
+import "time"
+
+// Told is what one router tells the others: the backend servers it uses, by the
+// hash of their ID, and what engines read for it.
+type Told struct {
+	InFlight []InFlight
+	Reads    []Read
+}
+
+// InFlight counts a router's requests at a backend server.
+type InFlight struct {
+	Server uint64
+	Count  int
+}
+
+// Read says that an engine read, and so keeps, a part of a prompt.
+type Read struct {
+	Part   uint64
+	Server uint64
+}
+
+const (
+	// toldLife is how long counts of another router are believed.
+	toldLife = time.Second
+	// maxReads bounds what waits to be told; more is forgotten.
+	maxReads = 512
+)
+
+// heard is the latest that another router told.
+type heard struct {
+	at       time.Time
+	sequence uint64
+	counts   map[uint64]int
+}
+
+// Tell gives what there is to tell the other routers. Reads are told once.
+func (b *Balancer) Tell() Told {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	told := Told{
+		Reads: b.reads,
+	}
+	b.reads = nil
+	for _, s := range b.servers {
+		if s.inFlight > 0 {
+			told.InFlight = append(told.InFlight, InFlight{
+				Server: s.hash,
+				Count:  s.inFlight,
+			})
+		}
+	}
+	return told
+}
+
+// Hear takes what another router told; counts that were overtaken are dropped.
+func (b *Balancer) Hear(router string, sequence uint64, told *Told) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h := heard{
+		at:       time.Now(),
+		sequence: sequence,
+		counts:   make(map[uint64]int, len(told.InFlight)),
+	}
+	for _, in := range told.InFlight {
+		h.counts[in.Server] = in.Count
+	}
+	if sequence > b.heard[router].sequence {
+		b.heard[router] = h
+	}
+	for _, read := range told.Reads {
+		if s := b.hashes[read.Server]; s != nil {
+			b.homes.heard(read.Part, s)
+		}
+	}
+}
+
+// SetPeers takes the IDs of the other routers that live. Only when all of them
+// have told their counts do these stand for the fleet's.
+func (b *Balancer) SetPeers(ids []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.peers = ids
+	live := make(map[string]heard, len(ids))
+	for _, id := range ids {
+		if h, ok := b.heard[id]; ok {
+			live[id] = h
+		}
+	}
+	b.heard = live
+}
+
+// othersToldLocked sums what the other routers have at each backend server; ok
+// is false unless all of them told it lately.
+func (b *Balancer) othersToldLocked(now time.Time) (sums map[uint64]int, ok bool) {
+	if len(b.peers) == 0 {
+		return nil, false
+	}
+	sums = make(map[uint64]int, len(b.servers))
+	for _, id := range b.peers {
+		h, known := b.heard[id]
+		if !known || now.Sub(h.at) > toldLife {
+			return nil, false
+		}
+		for server, count := range h.counts {
+			sums[server] += count
+		}
+	}
+	return sums, true
+}
--- a/cmd/internal/gatewayd/gateway.go
+++ b/cmd/internal/gatewayd/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/balance"
 	"github.com/slipwick/slipwick/directory"
+	"github.com/slipwick/slipwick/exchange"
 	"github.com/slipwick/slipwick/gateway"
 	"github.com/slipwick/slipwick/membership"
 	"github.com/slipwick/slipwick/retry"
@@ -55,6 +56,8 @@
 	client   *upstream.Client
 	node     *membership.Node
 	udp      *membership.UDP
+	teller   *exchange.Teller
+	tellings *membership.UDP
 	metrics  *metrics
 	observer *observer
 
@@ -79,7 +82,7 @@
 }
 
 // assemble makes the parts and joins them.
-func (p *Process) assemble(packets *net.UDPConn) {
+func (p *Process) assemble(open *listeners) {
 	s := p.Settings
 	p.metrics = newMetrics()
 	p.observer = &observer{
@@ -89,7 +92,7 @@
 	p.balancer = balance.New(s.DataCentre)
 	p.client = &upstream.Client{}
 	p.backends = directory.NewBackends(p.onBackends)
-	p.udp = membership.NewUDP(packets)
+	p.udp = membership.NewUDP(open.packets)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	p.node = membership.NewNode(slipwick.Router{
 		ID:         s.ID,
@@ -98,6 +101,13 @@
 		Region:     s.Region,
 	}, p.udp, membership.DefaultPolicy(), random)
 	p.udp.OnReceive = p.node.Receive
+	p.tellings = membership.NewUDP(open.tellings)
+	p.teller = exchange.NewTeller(s.ID)
+	p.teller.Balancer = p.balancer
+	p.teller.Wire = p.tellings
+	p.teller.Routers = p.node.Routers
+	p.teller.Address = tellingsAddress
+	p.tellings.OnReceive = p.teller.Receive
 	p.gateway = &gateway.Gateway{
 		Headers:  s.Headers,
 		Balancer: p.balancer,
@@ -123,16 +133,17 @@
 	if err != nil {
 		return err
 	}
-	p.assemble(open.packets)
+	p.assemble(open)
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var parts sync.WaitGroup
-	failed := make(chan error, 5)
+	failed := make(chan error, 6)
 	for _, part := range []func(context.Context){
-		p.followTables, p.followBackends, p.node.Run, p.join, p.watchSettings,
+		p.followTables, p.followBackends, p.node.Run, p.join, p.teller.Run, p.watchSettings,
 	} {
 		parts.Go(func() { part(background) })
 	}
 	parts.Go(func() { failed <- p.udp.Run(background) })
+	parts.Go(func() { failed <- p.tellings.Run(background) })
 	callers := newServer(p.gateway)
 	callers.ConnState = onState
 	servers := []*http.Server{callers, newServer(p.readiness())}
--- a/cmd/internal/gatewayd/listeners.go
+++ b/cmd/internal/gatewayd/listeners.go
@@ -2,15 +2,19 @@
 
 import (
 	"net"
+	"net/netip"
 
 	"github.com/pkg/errors"
+
+	"github.com/slipwick/slipwick"
 )
 
 // listeners are a process' open addresses.
 type listeners struct {
 	callers, ready, metrics net.Listener
 
-	packets *net.UDPConn
+	// packets are those of membership, tellings those of the exchange.
+	packets, tellings *net.UDPConn
 }
 
 func listen(addresses *Listen) (*listeners, error) {
@@ -32,12 +36,33 @@
 		}
 		*open.listener = listener
 	}
-	address, err := net.ResolveUDPAddr("udp4", addresses.Peers)
+	var err error
+	if l.packets, err = listenPackets(addresses.Peers); err != nil {
+		return nil, err
+	}
+	l.tellings, err = listenPackets(nextPort(addresses.Peers))
+	return l, err
+}
+
+func listenPackets(text string) (*net.UDPConn, error) {
+	address, err := net.ResolveUDPAddr("udp4", text)
 	if err != nil {
 		return nil, errors.Wrap(err, "the peers' address is no host:port of IPv4")
 	}
-	if l.packets, err = net.ListenUDP("udp4", address); err != nil {
-		return nil, errors.Wrap(err, "listen for peers; choose a free address")
+	connection, err := net.ListenUDP("udp4", address)
+	return connection, errors.Wrap(err, "listen for peers; choose a free address")
+}
+
+// tellingsAddress is where a router hears the exchange: the port after that of
+// membership.
+func tellingsAddress(router slipwick.Router) string {
+	return nextPort(router.Address)
+}
+
+func nextPort(address string) string {
+	at, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return ""
 	}
-	return l, nil
+	return netip.AddrPortFrom(at.Addr(), at.Port()+1).String()
 }
