--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -172,14 +172,15 @@
 	return float64(sum) / float64(known)
 }
 
-// byPromptLocked takes the engines in the order of the prompt's rendezvous
-// ranks, which all routers agree on, and of these the first below the bound.
+// byPromptLocked takes an engine that has the prompt cached and is not loaded
+// above the bound; without one, the first below the bound in the order of the
+// prompt's rendezvous ranks, which all routers agree on.
 func (b *Balancer) byPromptLocked(parts []uint64, pool, usable []*server, now time.Time) *Lease {
 	prompt := parts[len(parts)-1]
 	each, mean := b.loadsLocked(usable, now)
 	bound := b.LoadFactor*mean + loadSlack
-	best, bestScore := -1, uint64(0)
-	least := 0
+	best, least := candidate{}, 0
+	home := firstRanked(prompt, usable)
 	for i, s := range usable {
 		if each[i] < each[least] {
 			least = i
@@ -187,21 +188,53 @@
 		if each[i] >= bound {
 			continue
 		}
-		if score := placement.Score(prompt, s.hash); best < 0 || score > bestScore {
-			best, bestScore = i, score
+		c := candidate{
+			server: s,
+			has:    s == home || b.homes.has(prompt, s),
+			score:  placement.Score(prompt, s.hash),
+		}
+		if c.betterThan(&best) {
+			best = c
 		}
 	}
-	if best < 0 {
-		best = least
+	chosen := best.server
+	if chosen == nil {
+		chosen = usable[least]
 	}
-	lease := leaseOf(usable[best])
-	if holder := b.holderLocked(parts, pool, usable[best], now); holder != nil {
+	lease := leaseOf(chosen)
+	if holder := b.holderLocked(parts, pool, chosen, now); holder != nil {
 		lease.FetchFrom = holder.Address
 	}
-	b.ranLocked(parts, usable[best])
+	b.ranLocked(parts, chosen)
 	return lease
 }
 
+// firstRanked is the prompt's home: the one of the highest score.
+func firstRanked(prompt uint64, servers []*server) *server {
+	var home *server
+	for _, s := range servers {
+		if home == nil || placement.Score(prompt, s.hash) > placement.Score(prompt, home.hash) {
+			home = s
+		}
+	}
+	return home
+}
+
+// candidate is an engine that a prompt could go to.
+type candidate struct {
+	server *server
+	// has says that it is known to have the prompt cached.
+	has   bool
+	score uint64
+}
+
+func (c *candidate) betterThan(other *candidate) bool {
+	if other.server == nil || c.has != other.has {
+		return other.server == nil || c.has
+	}
+	return c.score > other.score
+}
+
 // ranLocked notes, and later tells the other routers, where parts are kept.
 func (b *Balancer) ranLocked(parts []uint64, s *server) {
 	for _, part := range parts {
--- a/balance/homes.go
+++ b/balance/homes.go
@@ -77,3 +77,20 @@
 	}
 	return nil, false
 }
+
+// all gives every part and the engines that keep it.
+func (h *homes) all(usable func(*server) bool) []Read {
+	var reads []Read
+	for _, part := range h.holders.Keys() {
+		holders, _ := h.holders.Peek(part)
+		for _, s := range holders {
+			if usable(s) {
+				reads = append(reads, Read{
+					Part:   part,
+					Server: s.hash,
+				})
+			}
+		}
+	}
+	return reads
+}
--- a/cmd/internal/events/catalogue.go
+++ b/cmd/internal/events/catalogue.go
@@ -31,6 +31,13 @@
 		Meaning: "The router has stopped; the field cut counts requests that it cut off.",
 		Remedy:  "If cut is above 0, raise limits.drain.",
 	}
+	HomesAsked = Event{
+		Number:  105,
+		Name:    "homes-asked",
+		Level:   zerolog.InfoLevel,
+		Meaning: "A starting router has asked another which engines keep which prompts; known counts the parts it knows.",
+		Remedy:  "None. Where no other router knows, it goes on to ask engines.",
+	}
 	SettingsReloaded = Event{
 		Number:  104,
 		Name:    "settings-reloaded",
@@ -101,6 +108,13 @@
 		Meaning: "A backend server that was ejected or leaving gets new work again, slowly at first.",
 		Remedy:  "None.",
 	}
+	CacheListFailed = Event{
+		Number:  404,
+		Name:    "cache-list-failed",
+		Level:   zerolog.WarnLevel,
+		Meaning: "An engine did not tell a starting router which prompts it has cached; they may be read again elsewhere.",
+		Remedy:  "None; look at the engine if it goes on.",
+	}
 	RouterDied = Event{
 		Number:  501,
 		Name:    "router-died",
@@ -124,6 +138,7 @@
 		DrainStarted,
 		DrainFinished,
 		SettingsReloaded,
+		HomesAsked,
 		RequestEnded,
 		RequestBroken,
 		RequestRefused,
@@ -134,6 +149,7 @@
 		BackendLeaving,
 		BackendEjected,
 		BackendRestored,
+		CacheListFailed,
 		RouterDied,
 	}
 }
--- a/cmd/internal/gatewayd/gateway.go
+++ b/cmd/internal/gatewayd/gateway.go
@@ -138,7 +138,7 @@
 	var parts sync.WaitGroup
 	failed := make(chan error, 6)
 	for _, part := range []func(context.Context){
-		p.followTables, p.followBackends, p.node.Run, p.join, p.teller.Run, p.watchSettings,
+		p.followTables, p.followBackends, p.node.Run, p.join, p.teller.Run, p.recoverHomes, p.watchSettings,
 	} {
 		parts.Go(func() { part(background) })
 	}
--- a/cmd/internal/gatewayd/settings.go
+++ b/cmd/internal/gatewayd/settings.go
@@ -20,6 +20,9 @@
 	Seeds   []string
 	Headers gateway.Headers
 	Retries Retries
+	// FirstStart says that the whole fleet starts for the first time, so that
+	// engines have nothing cached for it.
+	FirstStart bool
 	// Grace is how long the process may take from SIGTERM to its end.
 	Grace time.Duration
 	// MemoryBytes bounds the process' memory; 0 sets no bound.
@@ -49,4 +52,6 @@
 type Feeds struct {
 	Tables   slipwick.Feed[*routing.Table]
 	Backends slipwick.Feed[balance.Listed]
+	// Caches may be nil.
+	Caches slipwick.CacheLister
 }
--- a/cmd/slipwickd/serve/gateway.go
+++ b/cmd/slipwickd/serve/gateway.go
@@ -82,11 +82,15 @@
 			Extra:  s.Bounds.RetryBudgetExtra,
 			Window: s.RetryWindow(),
 		},
+		FirstStart:  s.Bootstrap,
 		Grace:       s.Grace(),
 		MemoryBytes: s.Limits.MemoryMB << 20,
 	}, gatewayd.Feeds{
 		Tables:   platform.Configurations(store),
 		Backends: platform.Replicas(store, s.Region),
+		Caches: &platform.Caches{
+			HTTP: httpclient.New(),
+		},
 	}, log)
 }
 
--- a/exchange/teller.go
+++ b/exchange/teller.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -20,7 +22,9 @@
 	pausePerRouter = 16 * time.Millisecond
 	// maxCounts and maxReads bound a datagram to what fits one packet.
 	maxCounts = 60
-	maxReads  = 30
+	maxReads  = 80
+	// sequenceBits leave room for the datagrams of a millisecond.
+	sequenceBits = 16
 )
 
 // Wire carries datagrams between routers.
@@ -39,18 +43,24 @@
 	// Address gives where a router hears what is told.
 	Address func(slipwick.Router) string
 
-	sequence uint64
+	// Knows is set once this router knows which engines keep which parts;
+	// OthersKnow once another router said so of itself.
+	Knows      atomic.Bool
+	OthersKnow atomic.Bool
+
+	sequence atomic.Uint64
 	done     chan struct{}
 }
 
 // NewTeller makes a teller; its exported fields are to be set.
 func NewTeller(self string) *Teller {
-	return &Teller{
+	t := &Teller{
 		Self: self,
-		// Of a restarted router all is newer than of its earlier life.
-		sequence: uint64(time.Now().UnixMilli()) << 16,
-		done:     make(chan struct{}),
+		done: make(chan struct{}),
 	}
+	// What a restarted router tells is newer than what it told before.
+	t.sequence.Store(uint64(time.Now().UnixMilli()) << sequenceBits)
+	return t
 }
 
 // Done is closed when Run has ended.
@@ -95,46 +105,95 @@
 // in as many as they take.
 func (t *Teller) packets() [][]byte {
 	told := t.Balancer.Tell()
+	first := &told
 	var packets [][]byte
-	for first := true; first || len(told.Reads) > 0; first = false {
-		t.sequence++
-		message := &exchangepb.Told{
-			From:     t.Self,
-			Sequence: t.sequence,
-		}
-		place := make(map[uint64]uint32)
-		at := func(server uint64) uint32 {
-			index, ok := place[server]
-			if !ok {
-				index = uint32(len(message.GetServers()))
-				place[server] = index
-				message.Servers = append(message.Servers, server)
-			}
-			return index
-		}
-		for _, in := range told.InFlight[:min(len(told.InFlight), maxCounts)] {
-			at(in.Server)
-			message.InFlight = append(message.InFlight, uint32(in.Count))
-		}
-		count := min(len(told.Reads), maxReads)
-		for _, read := range told.Reads[:count] {
-			message.Parts = append(message.Parts, read.Part)
-			message.Readers = append(message.Readers, at(read.Server))
+	for first != nil || len(told.Reads) > 0 {
+		packets = append(packets, t.encode(&told))
+		told.InFlight, first = nil, nil
+	}
+	return packets
+}
+
+// encode makes a datagram of the counts and as many reads as fit, which it
+// removes.
+func (t *Teller) encode(told *balance.Told) []byte {
+	message := t.message()
+	place := make(map[uint64]uint32)
+	at := func(server uint64) uint32 {
+		index, ok := place[server]
+		if !ok {
+			index = uint32(len(message.GetServers()))
+			place[server] = index
+			message.Servers = append(message.Servers, server)
 		}
-		told.Reads = told.Reads[count:]
-		if packet, err := proto.Marshal(message); err == nil {
-			packets = append(packets, packet)
+		return index
+	}
+	for _, in := range told.InFlight[:min(len(told.InFlight), maxCounts)] {
+		at(in.Server)
+		message.InFlight = append(message.InFlight, uint32(in.Count))
+	}
+	count := min(len(told.Reads), maxReads)
+	for _, read := range told.Reads[:count] {
+		message.Parts = append(message.Parts, read.Part)
+		message.Readers = append(message.Readers, at(read.Server))
+	}
+	told.Reads = told.Reads[count:]
+	return marshal(message)
+}
+
+func (t *Teller) message() *exchangepb.Told {
+	return &exchangepb.Told{
+		From:     t.Self,
+		Sequence: t.sequence.Add(1),
+		Knows:    t.Knows.Load(),
+	}
+}
+
+// marshal encodes a message; the generated types encode always.
+func marshal(message *exchangepb.Told) []byte {
+	packet, _ := proto.Marshal(message)
+	return packet
+}
+
+// Ask asks one of the other routers for all it knows of parts and engines, as
+// a router that starts knows nothing; false if there is no other.
+func (t *Teller) Ask() bool {
+	routers := t.Routers()
+	for _, i := range rand.Perm(len(routers)) {
+		if routers[i].ID == t.Self {
+			continue
 		}
+		message := t.message()
+		message.Asks = true
+		t.Wire.Send(t.Address(routers[i]), marshal(message))
+		return true
+	}
+	return false
+}
+
+// answer tells all that this router knows of parts and engines.
+func (t *Teller) answer(address string) {
+	told := balance.Told{
+		Reads: t.Balancer.AllReads(),
+	}
+	for len(told.Reads) > 0 {
+		t.Wire.Send(address, t.encode(&told))
 	}
-	return packets
 }
 
 // Receive takes a datagram of another router. What can't be read is dropped.
-func (t *Teller) Receive(_ string, packet []byte) {
+func (t *Teller) Receive(address string, packet []byte) {
 	message := &exchangepb.Told{}
 	if proto.Unmarshal(packet, message) != nil || message.GetFrom() == t.Self {
 		return
 	}
+	if message.GetAsks() {
+		t.answer(address)
+		return
+	}
+	if message.GetKnows() {
+		t.OthersKnow.Store(true)
+	}
 	told := &balance.Told{}
 	servers := message.GetServers()
 	for i, count := range message.GetInFlight() {
--- a/gateway/prompt.go
+++ b/gateway/prompt.go
@@ -17,7 +17,12 @@
 	keys := make([]uint64, 0, len(parts))
 	for _, part := range parts[:max(len(parts)-1, 1)] {
 		id, _, _ := strings.Cut(strings.TrimSpace(part), ":")
-		keys = append(keys, xxhash.Sum64String(id))
+		keys = append(keys, PartKey(id))
 	}
 	return keys
 }
+
+// PartKey gives the key of a part of a prompt by its ID.
+func PartKey(id string) uint64 {
+	return xxhash.Sum64String(id)
+}
