Have few routers follow the store and the others follow these

A router that cannot use one way takes the other, so that one which the store turns away learns from its peers.

--- a/cmd/internal/gatewayd/follow.go
+++ b/cmd/internal/gatewayd/follow.go
@@ -12,25 +12,43 @@
 	"github.com/slipwick/slipwick/cmd/internal/events"
 )
 
+// The names that routers know their feeds by.
+const (
+	feedTables   = "tables"
+	feedBackends = "backends"
+)
+
+// shared gives a feed as the fleet shares it.
+func (p *Process) shared(name string, store slipwick.Feed) slipwick.Feed {
+	return &directory.Shared{
+		Name:  name,
+		Store: store,
+		Peers: p.peers,
+	}
+}
+
 // followTables puts each newer version of the configuration in force.
 func (p *Process) followTables(ctx context.Context) {
-	follower := directory.NewFollower(p.Feeds.Tables)
-	take := func(entries []slipwick.FeedEntry[*routing.Table]) {
-		table := tableIn(entries)
-		if table == nil || !p.gateway.SetTable(table) {
-			return
+	follower := directory.NewFollower[*routing.Table](p.shared(feedTables, p.Feeds.Tables), p.mirrors[feedTables])
+	follower.Decode = p.Feeds.DecodeTable
+	follower.OnError = p.storeFailed
+	follower.OnChange = func(changes []directory.Change[*routing.Table]) {
+		for _, c := range changes {
+			if c.Value == nil || !p.gateway.SetTable(c.Value) {
+				continue
+			}
+			p.metrics.version.Set(float64(c.Value.Version))
+			events.ConfigurationInForce.On(&p.Log).Uint64("version", c.Value.Version).Send()
 		}
-		p.metrics.version.Set(float64(table.Version))
-		events.ConfigurationInForce.On(&p.Log).Uint64("version", table.Version).Send()
 	}
-	follower.OnList, follower.OnChange, follower.OnError = take, take, p.storeFailed
 	follower.Run(ctx)
 }
 
 // followBackends keeps the list of backend servers.
 func (p *Process) followBackends(ctx context.Context) {
-	follower := directory.NewFollower(p.Feeds.Backends)
-	follower.OnList, follower.OnChange = p.backends.Replace, p.backends.Change
+	follower := directory.NewFollower[balance.Listed](p.shared(feedBackends, p.Feeds.Backends), p.mirrors[feedBackends])
+	follower.Decode = p.Feeds.DecodeBackend
+	follower.OnChange = p.backends.Change
 	follower.OnAnswer = p.backends.Answered
 	follower.OnError = func(err error) {
 		p.backends.Failed()
--- a/cmd/internal/gatewayd/gateway.go
+++ b/cmd/internal/gatewayd/gateway.go
@@ -18,9 +18,9 @@
 	"github.com/slipwick/slipwick/directory"
 	"github.com/slipwick/slipwick/exchange"
 	"github.com/slipwick/slipwick/gateway"
+	"github.com/slipwick/slipwick/httpclient"
 	"github.com/slipwick/slipwick/membership"
 	"github.com/slipwick/slipwick/retry"
-	"github.com/slipwick/slipwick/routing"
 	"github.com/slipwick/slipwick/upstream"
 
 	"github.com/slipwick/slipwick/cmd/internal/events"
@@ -57,6 +57,8 @@
 	node     *membership.Node
 	udp      *membership.UDP
 	teller   *exchange.Teller
+	peers    *peers
+	mirrors  map[string]*directory.Mirror
 	tellings *membership.UDP
 	metrics  *metrics
 	observer *observer
@@ -94,13 +96,23 @@
 	p.backends = directory.NewBackends(p.onBackends)
 	p.udp = membership.NewUDP(open.packets)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	p.node = membership.NewNode(slipwick.Router{
+	self := slipwick.Router{
 		ID:         s.ID,
 		Address:    s.Listen.Peers,
 		DataCentre: s.DataCentre,
 		Region:     s.Region,
-	}, p.udp, membership.DefaultPolicy(), random)
+	}
+	p.node = membership.NewNode(self, p.udp, membership.DefaultPolicy(), random)
 	p.udp.OnReceive = p.node.Receive
+	p.peers = &peers{
+		self: self,
+		node: p.node,
+		http: httpclient.New(),
+	}
+	p.mirrors = map[string]*directory.Mirror{
+		feedTables:   directory.NewMirror(),
+		feedBackends: directory.NewMirror(),
+	}
 	p.tellings = membership.NewUDP(open.tellings)
 	p.teller = exchange.NewTeller(s.ID)
 	p.teller.Balancer = p.balancer
@@ -136,7 +148,7 @@
 	p.assemble(open)
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var parts sync.WaitGroup
-	failed := make(chan error, 6)
+	failed := make(chan error, 7)
 	for _, part := range []func(context.Context){
 		p.followTables, p.followBackends, p.node.Run, p.join, p.teller.Run, p.recoverHomes, p.watchSettings,
 	} {
@@ -146,13 +158,17 @@
 	parts.Go(func() { failed <- p.tellings.Run(background) })
 	callers := newServer(p.gateway)
 	callers.ConnState = onState
-	servers := []*http.Server{callers, newServer(p.readiness())}
+	relays := newServer(&directory.RelayServer{
+		Mirrors: p.mirrors,
+	})
+	servers := []*http.Server{callers, newServer(p.readiness()), relays}
 	listeners := []net.Listener{
 		&idleListener{
 			Listener: open.callers,
 			limit:    p.idleLimit,
 		},
 		open.ready,
+		open.peers,
 	}
 	if open.metrics != nil {
 		servers, listeners = append(servers, newServer(p.metrics.handler())), append(listeners, open.metrics)
@@ -232,14 +248,3 @@
 	}
 	return 0
 }
-
-// tableIn gives the newest table of the entries.
-func tableIn(entries []slipwick.FeedEntry[*routing.Table]) *routing.Table {
-	var newest *routing.Table
-	for _, e := range entries {
-		if e.Value != nil && (newest == nil || e.Value.Version > newest.Version) {
-			newest = e.Value
-		}
-	}
-	return newest
-}
--- a/cmd/internal/gatewayd/listeners.go
+++ b/cmd/internal/gatewayd/listeners.go
@@ -11,7 +11,7 @@
 
 // listeners are a process' open addresses.
 type listeners struct {
-	callers, ready, metrics net.Listener
+	callers, ready, peers, metrics net.Listener
 
 	// packets are those of membership, tellings those of the exchange.
 	packets, tellings *net.UDPConn
@@ -25,6 +25,7 @@
 	}{
 		{addresses.Callers, &l.callers},
 		{addresses.Ready, &l.ready},
+		{addresses.Peers, &l.peers},
 		{addresses.Metrics, &l.metrics},
 	} {
 		if open.address == "" {
--- a/cmd/internal/gatewayd/settings.go
+++ b/cmd/internal/gatewayd/settings.go
@@ -35,7 +35,8 @@
 	// Ready is where the balancer asks, at ReadyPath.
 	Ready     string
 	ReadyPath string
-	// Peers is where other routers are heard, over UDP.
+	// Peers is where other routers are heard, over UDP here and at the next
+	// port, and over TCP here.
 	Peers string
 	// Metrics is left out when empty.
 	Metrics string
@@ -50,8 +51,11 @@
 
 // Feeds is where the process learns its state from.
 type Feeds struct {
-	Tables   slipwick.Feed[*routing.Table]
-	Backends slipwick.Feed[balance.Listed]
+	Tables   slipwick.Feed
+	Backends slipwick.Feed
+	// DecodeTable gives nil for objects that are no table.
+	DecodeTable   func(name string, value []byte) (*routing.Table, error)
+	DecodeBackend func(name string, value []byte) (balance.Listed, error)
 	// Caches may be nil.
 	Caches slipwick.CacheLister
 }
--- a/cmd/slipwickd/serve/gateway.go
+++ b/cmd/slipwickd/serve/gateway.go
@@ -86,8 +86,10 @@
 		Grace:       s.Grace(),
 		MemoryBytes: s.Limits.MemoryMB << 20,
 	}, gatewayd.Feeds{
-		Tables:   platform.Configurations(store),
-		Backends: platform.Replicas(store, s.Region),
+		Tables:        platform.Configurations(store),
+		Backends:      platform.Replicas(store),
+		DecodeTable:   platform.DecodeConfiguration,
+		DecodeBackend: platform.DecodeReplica,
 		Caches: &platform.Caches{
 			HTTP: httpclient.New(),
 		},
--- a/directory/backends.go
+++ b/directory/backends.go
@@ -4,7 +4,6 @@
 	"sync"
 	"time"
 
-	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/balance"
 )
 
@@ -81,37 +80,19 @@
 	b.publishLocked()
 }
 
-// Replace takes a whole list.
-func (b *Backends) Replace(entries []slipwick.FeedEntry[balance.Listed]) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	before := b.entries
-	b.entries = make(map[string]balance.Listed, len(entries))
-	for _, e := range entries {
-		b.entries[e.Name] = e.Value
-		delete(b.lapsed, e.Name)
-	}
-	for name, listed := range before {
-		if _, ok := b.entries[name]; !ok {
-			b.vanishedLocked(name, listed)
-		}
-	}
-	b.publishLocked()
-}
-
 // Change takes changes.
-func (b *Backends) Change(entries []slipwick.FeedEntry[balance.Listed]) {
+func (b *Backends) Change(changes []Change[balance.Listed]) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, e := range entries {
-		listed, known := b.entries[e.Name]
+	for _, c := range changes {
+		listed, known := b.entries[c.Name]
 		switch {
-		case !e.Gone:
-			b.entries[e.Name] = e.Value
-			delete(b.lapsed, e.Name)
+		case !c.Gone:
+			b.entries[c.Name] = c.Value
+			delete(b.lapsed, c.Name)
 		case known:
-			delete(b.entries, e.Name)
-			b.vanishedLocked(e.Name, listed)
+			delete(b.entries, c.Name)
+			b.vanishedLocked(c.Name, listed)
 		}
 	}
 	b.publishLocked()
--- a/directory/backends_test.go
+++ b/directory/backends_test.go
@@ -20,8 +20,8 @@
 	slices.Sort(l.ids)
 }
 
-func entry(id string, gone bool) slipwick.FeedEntry[balance.Listed] {
-	return slipwick.FeedEntry[balance.Listed]{
+func entry(id string, gone bool) Change[balance.Listed] {
+	return Change[balance.Listed]{
 		Name: id,
 		Gone: gone,
 		Value: balance.Listed{
@@ -44,8 +44,8 @@
 		var log listLog
 		b := NewBackends(log.take)
 		b.Answered()
-		b.Replace([]slipwick.FeedEntry[balance.Listed]{entry("a", false), entry("b", false)})
-		b.Change([]slipwick.FeedEntry[balance.Listed]{entry("b", true)})
+		b.Change([]Change[balance.Listed]{entry("a", false), entry("b", false)})
+		b.Change([]Change[balance.Listed]{entry("b", true)})
 		log.expect(t, "after the removal", "a")
 	})
 }
@@ -57,14 +57,14 @@
 		var log listLog
 		b := NewBackends(log.take)
 		b.Answered()
-		b.Replace([]slipwick.FeedEntry[balance.Listed]{entry("a", false), entry("b", false), entry("c", false)})
+		b.Change([]Change[balance.Listed]{entry("a", false), entry("b", false), entry("c", false)})
 		time.Sleep(5 * time.Second)
 		b.Failed()
 		b.Answered()
-		b.Replace([]slipwick.FeedEntry[balance.Listed]{entry("a", false)})
+		b.Change([]Change[balance.Listed]{entry("b", true), entry("c", true)})
 		log.expect(t, "on return", "a", "b", "c")
 		time.Sleep(time.Second)
-		b.Change([]slipwick.FeedEntry[balance.Listed]{entry("b", false)})
+		b.Change([]Change[balance.Listed]{entry("b", false)})
 		time.Sleep(time.Second)
 		log.expect(t, "two seconds after the return", "a", "b")
 	})
@@ -75,11 +75,11 @@
 		var log listLog
 		b := NewBackends(log.take)
 		b.Answered()
-		b.Replace([]slipwick.FeedEntry[balance.Listed]{entry("a", false), entry("b", false)})
+		b.Change([]Change[balance.Listed]{entry("a", false), entry("b", false)})
 		time.Sleep(time.Second)
 		b.Failed()
 		b.Answered()
-		b.Change([]slipwick.FeedEntry[balance.Listed]{entry("b", true)})
+		b.Change([]Change[balance.Listed]{entry("b", true)})
 		log.expect(t, "after the removal", "a")
 	})
 }
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -5,15 +5,17 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/slipwick/slipwick"
 )
 
 const (
-	// defaultWait is how long a watch waits: an answer that got lost is
-	// noticed soon enough to be in time after an outage.
-	defaultWait = 3 * time.Second
-	// answerMargin is how long after its wait a watch may still be answered.
-	answerMargin = 700 * time.Millisecond
+	// storeWait is how long a watch of the store waits, and answerMargin how
+	// long after that it may be answered: a store that has fallen silent is
+	// noticed in time for routers that follow this one.
+	storeWait    = 1200 * time.Millisecond
+	answerMargin = 400 * time.Millisecond
 	// listTimeout bounds one list.
 	listTimeout = 2 * time.Second
 	// firstPause and lastPause bound the pause after a failed call; it
@@ -22,29 +24,38 @@
 	lastPause  = 800 * time.Millisecond
 )
 
-// Follower follows one feed. Set the exported fields before Run.
+// Change is one decoded object that changed.
+type Change[T any] struct {
+	Name string
+	// Gone says that the object was removed; Value is then empty.
+	Gone  bool
+	Value T
+}
+
+// Follower follows one feed, decodes what changes and keeps a copy for other
+// routers. Set the exported fields before Run.
 type Follower[T any] struct {
-	Feed slipwick.Feed[T]
-	// Wait takes its default when zero.
-	Wait time.Duration
-	// OnList takes a whole list, OnChange changes since; one call at a time.
-	OnList   func([]slipwick.FeedEntry[T])
-	OnChange func([]slipwick.FeedEntry[T])
-	// OnError is told of failed calls.
+	Feed   slipwick.Feed
+	Mirror *Mirror
+	// Decode reads one object.
+	Decode func(name string, value []byte) (T, error)
+	// OnChange takes the changes of each answer, with none when the first
+	// list is empty; one call at a time.
+	OnChange func([]Change[T])
+	// OnError is told of failed calls and of what cannot be decoded.
 	OnError func(error)
-	// OnAnswer is told of each answer of the store.
+	// OnAnswer is told of each usable answer, before its changes.
 	OnAnswer func()
 
 	done chan struct{}
 }
 
 // NewFollower makes a follower of the feed.
-func NewFollower[T any](feed slipwick.Feed[T]) *Follower[T] {
+func NewFollower[T any](feed slipwick.Feed, mirror *Mirror) *Follower[T] {
 	return &Follower[T]{
 		Feed:     feed,
-		Wait:     defaultWait,
-		OnList:   func([]slipwick.FeedEntry[T]) {},
-		OnChange: func([]slipwick.FeedEntry[T]) {},
+		Mirror:   mirror,
+		OnChange: func([]Change[T]) {},
 		OnError:  func(error) {},
 		OnAnswer: func() {},
 		done:     make(chan struct{}),
@@ -68,7 +79,8 @@
 		}
 		if err != nil {
 			f.OnError(err)
-			if slipwick.IsKind(err, slipwick.KindHistoryLost) {
+			f.Mirror.Fail()
+			if slipwick.IsKind(err, slipwick.KindHistoryLost) && listed {
 				listed = false
 				continue
 			}
@@ -78,24 +90,39 @@
 		}
 		pause = firstPause
 		f.OnAnswer()
-		if !listed {
-			f.OnList(batch.Entries)
-		} else if len(batch.Entries) > 0 {
-			f.OnChange(batch.Entries)
+		changes := f.decode(f.Mirror.Apply(&batch))
+		if len(changes) > 0 || !listed {
+			f.OnChange(changes)
 		}
 		revision, listed = batch.Revision, true
 	}
 }
 
-func (f *Follower[T]) call(ctx context.Context, listed bool, revision uint64) (slipwick.FeedBatch[T], error) {
+func (f *Follower[T]) call(ctx context.Context, listed bool, revision uint64) (slipwick.FeedBatch, error) {
 	if !listed {
-		ctx, cancel := context.WithTimeout(ctx, listTimeout)
-		defer cancel()
 		return f.Feed.List(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.Wait+answerMargin)
-	defer cancel()
-	return f.Feed.Watch(ctx, revision, f.Wait)
+	return f.Feed.Watch(ctx, revision, storeWait)
+}
+
+func (f *Follower[T]) decode(entries []slipwick.FeedEntry) []Change[T] {
+	changes := make([]Change[T], 0, len(entries))
+	for _, e := range entries {
+		change := Change[T]{
+			Name: e.Name,
+			Gone: e.Gone,
+		}
+		if !e.Gone {
+			value, err := f.Decode(e.Name, e.Value)
+			if err != nil {
+				f.OnError(errors.Wrapf(err, "object %s stays out of use until it is mended", e.Name))
+				continue
+			}
+			change.Value = value
+		}
+		changes = append(changes, change)
+	}
+	return changes
 }
 
 // rest waits for about the pause, so that routers do not call all at once.
--- /dev/null
+++ b/directory/mirror.go
@@ -0,0 +1,231 @@
+package directory
+
+import (
+	"bytes"
+	"context"
+	"sync"
+	"time"
+
+	"github.com/slipwick/slipwick"
+)
+
+// keptRemovals bounds the removed entries that are remembered for routers that
+// follow this one.
+const keptRemovals = 1024
+
+// Mirror is a copy of a feed's objects, and a feed itself for other routers.
+type Mirror struct {
+	mu      sync.Mutex
+	entries map[string]*mirrored
+	removed []removal
+	// revision is the store's that the copy stands for; forgotten is the
+	// revision up to which removals are not remembered.
+	revision  uint64
+	forgotten uint64
+	// confirmed is when the store was known to be in this state; failing says
+	// that the latest call did not confirm it.
+	confirmed time.Time
+	failing   bool
+	// changed is closed at the next change of all that is above.
+	changed chan struct{}
+}
+
+// mirrored is one object and the revision that brought it.
+type mirrored struct {
+	value    []byte
+	revision uint64
+}
+
+// removal is an object that was removed.
+type removal struct {
+	name     string
+	revision uint64
+}
+
+var _ slipwick.Feed = (*Mirror)(nil)
+
+// NewMirror makes an empty copy, which is not current.
+func NewMirror() *Mirror {
+	return &Mirror{
+		entries: make(map[string]*mirrored),
+		failing: true,
+		changed: make(chan struct{}),
+	}
+}
+
+// Apply takes a batch and gives the entries that differ from the copy.
+func (m *Mirror) Apply(batch *slipwick.FeedBatch) []slipwick.FeedEntry {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var differing []slipwick.FeedEntry
+	if batch.Whole {
+		differing = m.missingLocked(batch)
+	}
+	for _, e := range batch.Entries {
+		if m.applyLocked(e, batch.Revision) {
+			differing = append(differing, e)
+		}
+	}
+	if m.revision == 0 {
+		m.forgotten = batch.Revision
+	}
+	m.revision = max(m.revision, batch.Revision)
+	m.confirmed = time.Now().Add(-batch.Age)
+	if len(differing) > 0 || m.failing {
+		m.failing = false
+		m.wakeLocked()
+	}
+	return differing
+}
+
+// missingLocked gives the removals of what a whole batch lacks.
+func (m *Mirror) missingLocked(batch *slipwick.FeedBatch) []slipwick.FeedEntry {
+	present := make(map[string]bool, len(batch.Entries))
+	for _, e := range batch.Entries {
+		present[e.Name] = true
+	}
+	var gone []slipwick.FeedEntry
+	for name := range m.entries {
+		if !present[name] {
+			e := slipwick.FeedEntry{
+				Name: name,
+				Gone: true,
+			}
+			gone = append(gone, e)
+		}
+	}
+	for _, e := range gone {
+		m.applyLocked(e, batch.Revision)
+	}
+	return gone
+}
+
+func (m *Mirror) applyLocked(e slipwick.FeedEntry, revision uint64) (differs bool) {
+	known := m.entries[e.Name]
+	if e.Gone {
+		if known == nil {
+			return false
+		}
+		delete(m.entries, e.Name)
+		m.removed = append(m.removed, removal{
+			name:     e.Name,
+			revision: revision,
+		})
+		if len(m.removed) > keptRemovals {
+			m.forgotten = max(m.forgotten, m.removed[0].revision)
+			m.removed = m.removed[1:]
+		}
+		return true
+	}
+	if known != nil && bytes.Equal(known.value, e.Value) {
+		return false
+	}
+	m.entries[e.Name] = &mirrored{
+		value:    e.Value,
+		revision: revision,
+	}
+	return true
+}
+
+// Fail notes that the copy could not be confirmed.
+func (m *Mirror) Fail() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.failing {
+		m.failing = true
+		m.wakeLocked()
+	}
+}
+
+func (m *Mirror) wakeLocked() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// List gives the whole copy.
+func (m *Mirror) List(context.Context) (slipwick.FeedBatch, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.failing {
+		return slipwick.FeedBatch{}, notCurrent()
+	}
+	batch := m.batchLocked(true)
+	for name, e := range m.entries {
+		batch.Entries = append(batch.Entries, slipwick.FeedEntry{
+			Name:  name,
+			Value: e.value,
+		})
+	}
+	return batch, nil
+}
+
+func (m *Mirror) batchLocked(whole bool) slipwick.FeedBatch {
+	return slipwick.FeedBatch{
+		Whole:    whole,
+		Revision: m.revision,
+		Age:      time.Since(m.confirmed),
+	}
+}
+
+// Watch waits for changes after the revision, and ends at once when the copy
+// is no longer confirmed.
+func (m *Mirror) Watch(ctx context.Context, after uint64, wait time.Duration) (slipwick.FeedBatch, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for ended := false; ; {
+		batch, changed, err := m.since(after)
+		if err != nil || ended || len(batch.Entries) > 0 {
+			return batch, err
+		}
+		select {
+		case <-ctx.Done():
+			return batch, ctx.Err()
+		case <-timer.C:
+			ended = true
+		case <-changed:
+		}
+	}
+}
+
+// since gives the changes after the revision, and a channel that is closed at
+// the next one.
+func (m *Mirror) since(after uint64) (slipwick.FeedBatch, <-chan struct{}, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case m.failing:
+		return slipwick.FeedBatch{}, nil, notCurrent()
+	case after < m.forgotten:
+		return slipwick.FeedBatch{}, nil, &slipwick.Error{
+			Kind:    slipwick.KindHistoryLost,
+			Message: "this router does not remember the changes since the revision",
+			Remedy:  "list again",
+		}
+	}
+	batch := m.batchLocked(false)
+	for name, e := range m.entries {
+		if e.revision > after {
+			batch.Entries = append(batch.Entries, slipwick.FeedEntry{
+				Name:  name,
+				Value: e.value,
+			})
+		}
+	}
+	for _, r := range m.removed {
+		if _, back := m.entries[r.name]; r.revision > after && !back {
+			batch.Entries = append(batch.Entries, slipwick.FeedEntry{
+				Name: r.name,
+				Gone: true,
+			})
+		}
+	}
+	return batch, m.changed, nil
+}
+
+func notCurrent() error {
+	return &slipwick.Error{
+		Kind:    slipwick.KindUnavailable,
+		Message: "this router's copy is not current",
+		Remedy:  "ask another router, or the store",
+	}
+}
--- /dev/null
+++ b/directory/shared.go
@@ -0,0 +1,130 @@
+package directory
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/slipwick/slipwick"
+)
+
+const (
+	// relayWait is how long a watch through another router waits, and
+	// relayMargin how long after that it may be answered: together with a call
+	// to the store they stay below the time in which changes are in force.
+	relayWait   = time.Second
+	relayMargin = 300 * time.Millisecond
+	// relayAge is how old another router's knowledge may be: the wait of its
+	// own watch and what it takes to notice that the store is silent.
+	relayAge = storeWait + answerMargin + 300*time.Millisecond
+	// relayOuting is how long a router that failed is not asked again.
+	relayOuting = 3 * time.Second
+)
+
+// Peers gives the routers to follow, in the order in which to ask them.
+type Peers interface {
+	// Watches tells whether this router is one of those that follow the store
+	// itself.
+	Watches() bool
+	// Relays gives the IDs of routers to follow instead of the store.
+	Relays() []string
+	// Relay gives another router's copy of the feed.
+	Relay(id, feed string) slipwick.Feed
+}
+
+// Shared follows the store at a few routers of the fleet, and at the others
+// the copies of these: calls to the store do not grow with the fleet. A router
+// that cannot use one way takes the other. Set the exported fields before use.
+type Shared struct {
+	Name  string
+	Store slipwick.Feed
+	Peers Peers
+
+	mu     sync.Mutex
+	failed map[string]time.Time
+	turn   int
+}
+
+var _ slipwick.Feed = (*Shared)(nil)
+
+// List lists from the store, else from another router.
+func (s *Shared) List(ctx context.Context) (slipwick.FeedBatch, error) {
+	storeCtx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	batch, err := s.Store.List(storeCtx)
+	if err == nil || ctx.Err() != nil {
+		return batch, err
+	}
+	if relay := s.choose(); relay != "" {
+		if batch, ok := s.relayed(ctx, relay, listTimeout, func(ctx context.Context, f slipwick.Feed) (slipwick.FeedBatch, error) {
+			return f.List(ctx)
+		}); ok {
+			return batch, nil
+		}
+	}
+	return batch, err
+}
+
+// Watch waits for changes at another router or the store.
+func (s *Shared) Watch(ctx context.Context, after uint64, wait time.Duration) (slipwick.FeedBatch, error) {
+	var err error
+	if s.Peers.Watches() {
+		var batch slipwick.FeedBatch
+		if batch, err = s.watchStore(ctx, after, wait); err == nil {
+			return batch, nil
+		}
+	}
+	if relay := s.choose(); relay != "" && ctx.Err() == nil && !slipwick.IsKind(err, slipwick.KindHistoryLost) {
+		batch, ok := s.relayed(ctx, relay, relayWait+relayMargin,
+			func(ctx context.Context, f slipwick.Feed) (slipwick.FeedBatch, error) {
+				return f.Watch(ctx, after, relayWait)
+			})
+		if ok {
+			return batch, nil
+		}
+	}
+	if err != nil {
+		return slipwick.FeedBatch{}, err
+	}
+	return s.watchStore(ctx, after, wait)
+}
+
+func (s *Shared) watchStore(ctx context.Context, after uint64, wait time.Duration) (slipwick.FeedBatch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+answerMargin)
+	defer cancel()
+	return s.Store.Watch(ctx, after, wait)
+}
+
+// relayed calls another router's copy; ok is false unless it is current.
+func (s *Shared) relayed(ctx context.Context, id string, limit time.Duration,
+	call func(context.Context, slipwick.Feed) (slipwick.FeedBatch, error),
+) (batch slipwick.FeedBatch, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	batch, err := call(ctx, s.Peers.Relay(id, s.Name))
+	if err == nil && batch.Age <= relayAge {
+		return batch, true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failed == nil {
+		s.failed = make(map[string]time.Time)
+	}
+	s.failed[id] = time.Now()
+	return slipwick.FeedBatch{}, false
+}
+
+// choose gives the next router to follow, by turns; empty if there is none.
+func (s *Shared) choose() string {
+	relays := s.Peers.Relays()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for range relays {
+		s.turn++
+		id := relays[s.turn%len(relays)]
+		if failed, ok := s.failed[id]; !ok || time.Since(failed) > relayOuting {
+			return id
+		}
+	}
+	return ""
+}
--- a/feed.go
+++ b/feed.go
@@ -5,28 +5,33 @@
 	"time"
 )
 
-// FeedEntry is one object of a Feed, decoded.
-type FeedEntry[T any] struct {
-	Name string
-	// Gone says that the object was removed; Value is then its last state.
-	Gone  bool
-	Value T
+// FeedEntry is one object of a Feed.
+type FeedEntry struct {
+	Name string `json:"name"`
+	// Gone says that the object was removed; it has no value then.
+	Gone bool `json:"gone,omitempty"`
+	// Value is encoded as its store has it.
+	Value []byte `json:"value,omitempty"`
 }
 
 // FeedBatch is what one read of a Feed gave.
-type FeedBatch[T any] struct {
-	Entries []FeedEntry[T]
+type FeedBatch struct {
+	Entries []FeedEntry `json:"entries"`
+	// Whole says that the entries are all there are, and not changes.
+	Whole bool `json:"whole,omitempty"`
 	// Revision is the store's at the time; the next watch goes on from it.
-	Revision uint64
+	Revision uint64 `json:"revision"`
+	// Age is how long ago the store is known to have been in this state.
+	Age time.Duration `json:"age,omitempty"`
 }
 
 // Feed is a kind of object in a store that remembers recent changes. Errors
-// are *Error: KindHistoryLost when the store has forgotten the changes since
-// the revision, KindUnavailable when there was no usable answer.
-type Feed[T any] interface {
+// are *Error: KindHistoryLost when the changes since the revision are
+// forgotten, KindUnavailable when there was no usable answer.
+type Feed interface {
 	// List gives all objects.
-	List(ctx context.Context) (FeedBatch[T], error)
+	List(ctx context.Context) (FeedBatch, error)
 	// Watch waits for changes after the revision; none may have come when
 	// the wait ends.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (FeedBatch[T], error)
+	Watch(ctx context.Context, after uint64, wait time.Duration) (FeedBatch, error)
 }
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 
+	"github.com/pkg/errors"
 	"github.com/slipwick/slipwick/upstream"
 )
 
@@ -30,10 +31,10 @@
 		body.Grow(int(min(answer.Length, maxHeldBytes)) + bytes.MinRead)
 	}
 	_, err = io.CopyN(&body, answer, maxHeldBytes)
-	switch err {
-	case io.EOF:
+	switch {
+	case errors.Is(err, io.EOF):
 		err = nil
-	case nil:
+	case err == nil:
 		tooLong = true
 	}
 	return &wholeAnswer{
