--- /dev/null
+++ b/balance/balancer_test.go
@@ -0,0 +1,255 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/placement"
+)
+
+func listed(pool string, n int) []Listed {
+	list := make([]Listed, 0, n)
+	for i := range n {
+		list = append(list, Listed{
+			Backend: slipwick.Backend{
+				ID:         fmt.Sprintf("%s-%d", pool, i),
+				Address:    fmt.Sprintf("10.0.0.%d:80", i),
+				DataCentre: fmt.Sprintf("dc-%d", i%2),
+			},
+			Pool: pool,
+		})
+	}
+	return list
+}
+
+func newTestBalancer(n int) *Balancer {
+	b := New("dc-0")
+	b.SetBackends(listed("p", n))
+	return b
+}
+
+func acquire(t *testing.T, b *Balancer, ask *Ask) *Lease {
+	t.Helper()
+	lease, err := b.Acquire(ask)
+	if err != nil {
+		t.Fatalf("acquire %+v: %v", ask, err)
+	}
+	return lease
+}
+
+func prompt(key uint64) *Ask {
+	return &Ask{
+		Pool:   "p",
+		Prompt: []uint64{key},
+	}
+}
+
+// home is the backend server that all routers rank first for a key.
+func home(key uint64, n int) string {
+	best, score := "", uint64(0)
+	for _, l := range listed("p", n) {
+		if s := placement.Score(key, placement.IDHash(l.ID)); best == "" || s > score {
+			best, score = l.ID, s
+		}
+	}
+	return best
+}
+
+func TestPromptsStayAtHome(t *testing.T) {
+	b := newTestBalancer(9)
+	for key := range uint64(50) {
+		for range 3 {
+			lease := acquire(t, b, prompt(key))
+			if got, want := lease.Backend.ID, home(key, 9); got != want {
+				t.Errorf("key %d: got %s, want %s", key, got, want)
+			}
+			if lease.FetchFrom != "" {
+				t.Errorf("key %d at home: got fetch from %s, want none", key, lease.FetchFrom)
+			}
+			b.Release(lease, slipwick.EvidenceGood)
+		}
+	}
+}
+
+// TestHotPromptSpillsBelowTheBound sends one prompt alone, without an end.
+func TestHotPromptSpillsBelowTheBound(t *testing.T) {
+	b := newTestBalancer(6)
+	counts := make(map[string]int)
+	fetched := 0
+	for range 60 {
+		lease := acquire(t, b, prompt(7))
+		counts[lease.Backend.ID]++
+		if lease.FetchFrom != "" {
+			fetched++
+		}
+	}
+	for id, got := range counts {
+		if limit := int(defaultLoadFactor*10) + loadSlack + 1; got > limit {
+			t.Errorf("%s: got %d of 60 requests at 6 engines, want at most %d", id, got, limit)
+		}
+	}
+	if len(counts) < 2 || fetched != len(counts)-1 {
+		t.Errorf("got %d engines and %d fetches, want a fetch by each engine but the first", len(counts), fetched)
+	}
+}
+
+func TestSpillPrefersEnginesThatHaveThePrompt(t *testing.T) {
+	b := newTestBalancer(6)
+	var keeper Listed
+	for _, l := range listed("p", 6) {
+		if l.ID != home(7, 6) {
+			keeper = l
+		}
+	}
+	b.Hear("other", 1, &Told{
+		Reads: []Read{
+			{
+				Part:   7,
+				Server: placement.IDHash(keeper.ID),
+			},
+		},
+	})
+	for range 4 {
+		if lease := acquire(t, b, prompt(7)); lease.Backend.ID != home(7, 6) {
+			if lease.Backend.ID != keeper.ID || lease.FetchFrom != "" {
+				t.Errorf("got %s, fetching from %q; want %s, which has the prompt", lease.Backend.ID, lease.FetchFrom, keeper.ID)
+			}
+			return
+		}
+	}
+	t.Error("got no spill with four requests at one engine of six")
+}
+
+func TestNewEngineFetchesFromTheHomeBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBalancer(5)
+		time.Sleep(time.Minute)
+		b.SetBackends(listed("p", 6))
+		for key := range uint64(200) {
+			if home(key, 6) != "p-5" {
+				continue
+			}
+			lease := acquire(t, b, prompt(key))
+			b.Release(lease, slipwick.EvidenceGood)
+			before := home(key, 5)
+			want := fmt.Sprintf("10.0.0.%s:80", before[len("p-"):])
+			if lease.Backend.ID != "p-5" || lease.FetchFrom != want {
+				t.Errorf("key %d: got %s fetching from %q, want p-5 from %q", key, lease.Backend.ID, lease.FetchFrom, want)
+			}
+		}
+	})
+}
+
+func TestLeavingAndTriedBackendsGetNothing(t *testing.T) {
+	b := New("dc-0")
+	list := listed("p", 3)
+	list[0].Leaving = true
+	b.SetBackends(list)
+	ask := &Ask{
+		Pool:  "p",
+		Avoid: []string{"p-1"},
+	}
+	for range 5 {
+		if got := acquire(t, b, ask).Backend.ID; got != "p-2" {
+			t.Errorf("got %s, want p-2", got)
+		}
+	}
+	ask.Avoid = []string{"p-1", "p-2"}
+	_, err := b.Acquire(ask)
+	if typed, ok := slipwick.AsError(err); !ok || typed.Outcome != slipwick.OutcomeNotRun {
+		t.Errorf("no backend server left: got %v, want an error with outcome not-run", err)
+	}
+}
+
+func TestPlainServicesGetTheLeastLoadedNearFirst(t *testing.T) {
+	b := newTestBalancer(4)
+	ask := &Ask{
+		Pool: "p",
+	}
+	counts := make(map[string]int)
+	for range 8 {
+		counts[acquire(t, b, ask).Backend.ID]++
+	}
+	if near, far := counts["p-0"]+counts["p-2"], counts["p-1"]+counts["p-3"]; near <= far || far == 0 {
+		t.Errorf("got %d near and %d far of 8, want more near, and some far", near, far)
+	}
+}
+
+func TestUnreachableBackendIsLeftOutForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBalancer(3)
+		id := home(7, 3)
+		b.Release(acquire(t, b, prompt(7)), slipwick.EvidenceUnreachable)
+		lease := acquire(t, b, prompt(7))
+		if lease.Backend.ID == id {
+			t.Errorf("got %s right after it was unreachable", id)
+		}
+		b.Release(lease, slipwick.EvidenceGood)
+		time.Sleep(shortOuting)
+		if got := acquire(t, b, prompt(7)).Backend.ID; got != id {
+			t.Errorf("after %v: got %s, want %s again", shortOuting, got, id)
+		}
+	})
+}
+
+func TestFailingBackendIsLeftOutUnlessAllFail(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBalancer(2)
+		ask := &Ask{
+			Pool: "p",
+		}
+		for range 20 {
+			lease := acquire(t, b, ask)
+			evidence := slipwick.EvidenceGood
+			if lease.Backend.ID == "p-0" {
+				evidence = slipwick.EvidenceError
+			}
+			b.Release(lease, evidence)
+		}
+		for range 5 {
+			if got := acquire(t, b, ask).Backend.ID; got != "p-1" {
+				t.Errorf("got %s, want p-1", got)
+			}
+		}
+	})
+}
+
+func TestLoadToldByAllPeersGoesBeforeReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBalancer(2)
+		lease := acquire(t, b, prompt(7))
+		b.Reported(lease, Load{
+			Running: 50,
+		})
+		b.SetPeers([]string{"r2"})
+		b.Hear("r2", 5, &Told{
+			InFlight: []InFlight{
+				{
+					Server: placement.IDHash(lease.Backend.ID),
+					Count:  1,
+				},
+			},
+		})
+		b.Hear("r2", 4, &Told{})
+		load := func() float64 {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			each, _ := b.loadsLocked([]*server{lease.server}, time.Now())
+			return each[0]
+		}
+		if got := load(); got != 2 {
+			t.Errorf("told by all peers: got load %v, want 2", got)
+		}
+		time.Sleep(toldLife + time.Millisecond)
+		if got := load(); got != 50 {
+			t.Errorf("told too long ago: got load %v, want the reported 50", got)
+		}
+		time.Sleep(reportLife)
+		if got := load(); got != 1 {
+			t.Errorf("nothing fresh: got load %v, want the router's own 1", got)
+		}
+	})
+}
--- a/directory/shared.go
+++ b/directory/shared.go
@@ -56,9 +56,8 @@
 		return batch, err
 	}
 	if relay := s.choose(); relay != "" {
-		if batch, ok := s.relayed(ctx, relay, listTimeout, func(ctx context.Context, f slipwick.Feed) (slipwick.FeedBatch, error) {
-			return f.List(ctx)
-		}); ok {
+		list := func(ctx context.Context, f slipwick.Feed) (slipwick.FeedBatch, error) { return f.List(ctx) }
+		if batch, ok := s.relayed(ctx, relay, listTimeout, list); ok {
 			return batch, nil
 		}
 	}
--- /dev/null
+++ b/gateway/fixture_test.go
@@ -0,0 +1,281 @@
+package gateway
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/balance"
+	"github.com/slipwick/slipwick/retry"
+	"github.com/slipwick/slipwick/routing"
+	"github.com/slipwick/slipwick/upstream"
+)
+
+// backend is a backend server that counts the requests it ran.
+type backend struct {
+	id     string
+	server *httptest.Server
+	runs   atomic.Int64
+	last   atomic.Pointer[http.Request]
+	body   atomic.Pointer[string]
+}
+
+// newBackend makes a backend server; each request runs handle.
+func newBackend(t *testing.T, id string, handle func(*backend, http.ResponseWriter, *http.Request)) *backend {
+	b := &backend{
+		id: id,
+	}
+	b.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		text := string(body)
+		b.body.Store(&text)
+		b.last.Store(r)
+		w.Header().Set("Slipwick-Request", r.Header.Get("Slipwick-Request"))
+		handle(b, w, r)
+	}))
+	t.Cleanup(b.server.Close)
+	return b
+}
+
+// answers is a handler that runs the request and answers.
+func answers(status int, body string) func(*backend, http.ResponseWriter, *http.Request) {
+	return func(b *backend, w http.ResponseWriter, _ *http.Request) {
+		b.runs.Add(1)
+		w.Header().Set("Slipwick-Stamp", b.id)
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+// refuses is a handler that does not run the request.
+func refuses(_ *backend, w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Slipwick-Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// breaks is a handler that runs the request and breaks the connection after
+// it has written the part.
+func breaks(part string) func(*backend, http.ResponseWriter, *http.Request) {
+	return func(b *backend, w http.ResponseWriter, _ *http.Request) {
+		b.runs.Add(1)
+		w.Header().Set("Slipwick-Stamp", b.id)
+		if part != "" {
+			_, _ = io.WriteString(w, part)
+			_ = http.NewResponseController(w).Flush()
+		}
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// observed keeps the endings.
+type observed struct {
+	mu       sync.Mutex
+	endings  []Ending
+	refusals []Refusal
+	attempts []Attempt
+}
+
+func (o *observed) Refused(_ *http.Request, refusal *Refusal) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.refusals = append(o.refusals, *refusal)
+}
+
+func (o *observed) Attempted(attempt *Attempt) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.attempts = append(o.attempts, *attempt)
+}
+
+func (o *observed) Ended(ending *Ending) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.endings = append(o.endings, *ending)
+}
+
+// fixture is a gateway before the backend servers, which serve all routes in
+// the order of their load.
+type fixture struct {
+	gateway  *Gateway
+	server   *httptest.Server
+	observed *observed
+}
+
+var testRoutes = []routing.Route{
+	{
+		Name:        "repeatable",
+		Prefix:      "/repeatable/",
+		Kind:        routing.KindRepeatable,
+		MaxAttempts: 2,
+	},
+	{
+		Name:        "single",
+		Prefix:      "/single/",
+		Kind:        routing.KindSingle,
+		MaxAttempts: 1,
+	},
+	{
+		Name:        "short",
+		Prefix:      "/short/",
+		Kind:        routing.KindRepeatable,
+		MaxAttempts: 2,
+		Timeout:     150 * time.Millisecond,
+	},
+	{
+		Name:        "stream",
+		Prefix:      "/stream/",
+		Kind:        routing.KindStream,
+		MaxAttempts: 1,
+	},
+	{
+		Name:        "resumable",
+		Prefix:      "/resumable/",
+		Kind:        routing.KindStream,
+		Resumable:   true,
+		MaxAttempts: 2,
+	},
+	{
+		Name:        "open",
+		Prefix:      "/open/",
+		Kind:        routing.KindRepeatable,
+		Anonymous:   true,
+		MaxAttempts: 1,
+	},
+}
+
+func testTable(version uint64) *routing.Table {
+	routes := make([]routing.Route, 0, len(testRoutes))
+	for _, r := range testRoutes {
+		r.Host = "a.example"
+		r.Targets = []routing.Target{
+			{
+				Pool:   "p",
+				Weight: 1,
+			},
+		}
+		if r.Timeout == 0 {
+			r.Timeout = 5 * time.Second
+		}
+		routes = append(routes, r)
+	}
+	return routing.NewTable(version, routing.Limits{
+		HeaderBytes: 2 << 10,
+		BodyBytes:   1 << 10,
+	}, nil, routes, []routing.Workspace{
+		{
+			Name: "w",
+			Keys: []string{"good"},
+		},
+	})
+}
+
+func newFixture(t *testing.T, backends ...*backend) *fixture {
+	t.Helper()
+	balancer := balance.New("near")
+	var list []balance.Listed
+	for i, b := range backends {
+		centre := "near"
+		if i > 0 {
+			// The first one is tried first.
+			centre = "far"
+		}
+		list = append(list, balance.Listed{
+			Backend: slipwick.Backend{
+				ID:         b.id,
+				Address:    b.server.Listener.Addr().String(),
+				DataCentre: centre,
+			},
+			Pool: "p",
+		})
+	}
+	balancer.SetBackends(list)
+	f := &fixture{
+		observed: &observed{},
+	}
+	f.gateway = &Gateway{
+		Headers:  OwnHeaders(),
+		Balancer: balancer,
+		Client:   &upstream.Client{},
+		Observer: f.observed,
+		Budget: &retry.Budget{
+			Ratio:   0.2,
+			Extra:   100,
+			Window:  10 * time.Second,
+			Routers: func() int { return 1 },
+		},
+	}
+	f.gateway.SetTable(testTable(1))
+	f.server = httptest.NewServer(f.gateway)
+	t.Cleanup(f.server.Close)
+	t.Cleanup(f.gateway.Client.Close)
+	return f
+}
+
+// request makes a caller's request with a good key.
+func (f *fixture) request(t *testing.T, path, body string) *http.Request {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, f.server.URL+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "a.example"
+	r.Header.Set("Authorization", "Bearer good")
+	r.Header.Set("Slipwick-Request", "q1")
+	return r
+}
+
+// reply is a whole answer.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	// closes says that the router asked for another connection.
+	closes bool
+	// broken is why the body could not be read to its end.
+	broken error
+}
+
+func send(t *testing.T, r *http.Request) reply {
+	t.Helper()
+	client := &http.Client{
+		Transport: &http.Transport{
+			DisableCompression: true,
+		},
+	}
+	response, err := client.Do(r)
+	if err != nil {
+		t.Fatalf("%s: %v", r.URL.Path, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return reply{
+		status: response.StatusCode,
+		header: response.Header,
+		body:   string(body),
+		closes: response.Close,
+		broken: err,
+	}
+}
+
+func (f *fixture) post(t *testing.T, path string) reply {
+	t.Helper()
+	return send(t, f.request(t, path, "question"))
+}
+
+// closedAddress is an address that refuses connections.
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,316 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestRefusalsBeforeABackendIsChosen(t *testing.T) {
+	b := newBackend(t, "b1", answers(http.StatusOK, "answer"))
+	f := newFixture(t, b)
+	for _, tc := range []struct {
+		name   string
+		change func(*http.Request)
+		path   string
+		body   string
+		want   int
+	}{
+		{
+			name: "unknown path",
+			path: "/none/x",
+			want: http.StatusNotFound,
+		},
+		{
+			name:   "unknown host",
+			path:   "/single/x",
+			change: func(r *http.Request) { r.Host = "b.example" },
+			want:   http.StatusNotFound,
+		},
+		{
+			name:   "unknown key",
+			path:   "/single/x",
+			change: func(r *http.Request) { r.Header.Set("Authorization", "Bearer bad") },
+			want:   http.StatusUnauthorized,
+		},
+		{
+			name:   "no key",
+			path:   "/single/x",
+			change: func(r *http.Request) { r.Header.Del("Authorization") },
+			want:   http.StatusUnauthorized,
+		},
+		{
+			name: "body with length",
+			path: "/single/x",
+			body: strings.Repeat("x", 1<<10+1),
+			want: http.StatusRequestEntityTooLarge,
+		},
+		{
+			name:   "body in chunks",
+			path:   "/single/x",
+			body:   strings.Repeat("x", 1<<10+1),
+			change: func(r *http.Request) { r.ContentLength = -1 },
+			want:   http.StatusRequestEntityTooLarge,
+		},
+		{
+			name:   "header",
+			path:   "/single/x",
+			change: func(r *http.Request) { r.Header.Set("X-Long", strings.Repeat("x", 2<<10)) },
+			want:   http.StatusRequestHeaderFieldsTooLarge,
+		},
+	} {
+		r := f.request(t, tc.path, tc.body)
+		if tc.change != nil {
+			tc.change(r)
+		}
+		if got := send(t, r).status; got != tc.want {
+			t.Errorf("%s: got %d, want %d", tc.name, got, tc.want)
+		}
+	}
+	if got := b.runs.Load(); got != 0 {
+		t.Errorf("got %d runs, want 0", got)
+	}
+	r := f.request(t, "/open/x", "")
+	r.Header.Del("Authorization")
+	if got := send(t, r).status; got != http.StatusOK {
+		t.Errorf("anonymous route without key: got %d, want 200", got)
+	}
+}
+
+func TestWithoutConfigurationNothingIsRefusedForGood(t *testing.T) {
+	f := newFixture(t)
+	f.gateway.table.Store(nil)
+	got := f.post(t, "/none/x")
+	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+		t.Errorf("got %d, Retry-After %q; want 503 and when to come back", got.status, got.header.Get("Retry-After"))
+	}
+}
+
+func TestOlderTablesStayOut(t *testing.T) {
+	f := newFixture(t)
+	if !f.gateway.SetTable(testTable(5)) {
+		t.Error("version 5 after 1: got refused")
+	}
+	for _, version := range []uint64{5, 4, 1} {
+		if f.gateway.SetTable(testTable(version)) {
+			t.Errorf("version %d after 5: got taken", version)
+		}
+	}
+	if got := f.gateway.Table().Version; got != 5 {
+		t.Errorf("got version %d, want 5", got)
+	}
+}
+
+func TestRequestsArriveUnchangedButForWhatRoutersSet(t *testing.T) {
+	b := newBackend(t, "b1", answers(http.StatusTeapot, "answer"))
+	f := newFixture(t, b)
+	r := f.request(t, "/single/a%2Fb//c?d=%20e&f", "question")
+	r.Header.Set("X-Custom", "kept")
+	r.Header.Set("Slipwick-Workspace", "forged")
+	r.Header.Set("Slipwick-Fetch-From", "forged")
+	r.Header.Set("Slipwick-Deadline-Ms", "1500")
+	r.Header.Set("Connection", "X-Hop")
+	r.Header.Set("X-Hop", "dropped")
+	got := send(t, r)
+	if got.status != http.StatusTeapot || got.body != "answer" || got.header.Get("Slipwick-Stamp") != "b1" {
+		t.Errorf("got %d %q stamped %q, want the backend server's own answer", got.status, got.body, got.header.Get("Slipwick-Stamp"))
+	}
+	seen := b.last.Load()
+	if got, want := seen.RequestURI, "/single/a%2Fb//c?d=%20e&f"; got != want {
+		t.Errorf("got target %q, want %q", got, want)
+	}
+	if got := *b.body.Load(); got != "question" {
+		t.Errorf("got body %q, want %q", got, "question")
+	}
+	for name, want := range map[string]string{
+		"X-Custom":            "kept",
+		"X-Hop":               "",
+		"Authorization":       "",
+		"Slipwick-Workspace":  "w",
+		"Slipwick-Instance":   "b1",
+		"Slipwick-Fetch-From": "",
+		"Slipwick-Request":    "q1",
+	} {
+		if got := seen.Header.Get(name); got != want {
+			t.Errorf("header %s: got %q, want %q", name, got, want)
+		}
+	}
+	left, err := strconv.Atoi(seen.Header.Get("Slipwick-Deadline-Ms"))
+	if err != nil || left > 1500 || left < 1000 {
+		t.Errorf("got deadline %q, want what is left of 1500 ms", seen.Header.Get("Slipwick-Deadline-Ms"))
+	}
+}
+
+func TestSingleRequestsAreSentAgainOnlyIfNotRun(t *testing.T) {
+	for name, tc := range map[string]struct {
+		first      func(*backend, http.ResponseWriter, *http.Request)
+		wantStatus int
+		wantSecond int64
+	}{
+		"refused": {
+			first:      refuses,
+			wantStatus: http.StatusOK,
+			wantSecond: 1,
+		},
+		"misdirected": {
+			first: func(_ *backend, w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(http.StatusMisdirectedRequest)
+			},
+			wantStatus: http.StatusOK,
+			wantSecond: 1,
+		},
+		"broken": {
+			first:      breaks(""),
+			wantStatus: http.StatusBadGateway,
+		},
+		"broken in the body": {
+			first:      breaks("half"),
+			wantStatus: http.StatusBadGateway,
+		},
+		"failed": {
+			first:      answers(http.StatusInternalServerError, "failure"),
+			wantStatus: http.StatusInternalServerError,
+		},
+		"unavailable without word that it did not run": {
+			first:      answers(http.StatusServiceUnavailable, "failure"),
+			wantStatus: http.StatusBadGateway,
+		},
+	} {
+		second := newBackend(t, "b2", answers(http.StatusOK, "answer"))
+		f := newFixture(t, newBackend(t, "b1", tc.first), second)
+		if got := f.post(t, "/single/x").status; got != tc.wantStatus {
+			t.Errorf("%s: got status %d, want %d", name, got, tc.wantStatus)
+		}
+		if got := second.runs.Load(); got != tc.wantSecond {
+			t.Errorf("%s: got %d runs at the second backend server, want %d", name, got, tc.wantSecond)
+		}
+	}
+}
+
+func TestUnreachableBackendIsPassedOver(t *testing.T) {
+	first := newBackend(t, "b1", answers(http.StatusOK, "wrong"))
+	first.server.Close()
+	f := newFixture(t, first, newBackend(t, "b2", answers(http.StatusOK, "answer")))
+	if got := f.post(t, "/single/x"); got.status != http.StatusOK || got.body != "answer" {
+		t.Errorf("got %d %q, want the second backend server's answer", got.status, got.body)
+	}
+}
+
+func TestRepeatableRequestsAreSentAgainAfterAnyFailure(t *testing.T) {
+	for name, first := range map[string]func(*backend, http.ResponseWriter, *http.Request){
+		"broken":  breaks("half"),
+		"failed":  answers(http.StatusInternalServerError, "failure"),
+		"refused": refuses,
+		"without stamp": func(_ *backend, w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "spoilt")
+		},
+		"encoded": func(b *backend, w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Slipwick-Stamp", b.id)
+			w.Header().Set("Content-Encoding", "gzip")
+			_, _ = io.WriteString(w, "spoilt")
+		},
+	} {
+		f := newFixture(t, newBackend(t, "b1", first), newBackend(t, "b2", answers(http.StatusOK, "answer")))
+		if got := f.post(t, "/repeatable/x"); got.status != http.StatusOK || got.body != "answer" {
+			t.Errorf("%s: got %d %q, want the second backend server's answer", name, got.status, got.body)
+		}
+	}
+}
+
+func TestAttemptsAreBounded(t *testing.T) {
+	var backends []*backend
+	for _, id := range []string{"b1", "b2", "b3", "b4"} {
+		backends = append(backends, newBackend(t, id, answers(http.StatusInternalServerError, "failure")))
+	}
+	f := newFixture(t, backends...)
+	got := f.post(t, "/repeatable/x")
+	if got.status != http.StatusInternalServerError || got.header.Get("Slipwick-Stamp") == "" {
+		t.Errorf("got %d, want the backend server's own 500", got.status)
+	}
+	runs := int64(0)
+	for _, b := range backends {
+		runs += b.runs.Load()
+	}
+	if runs != 2 {
+		t.Errorf("got %d runs, want max_attempts 2", runs)
+	}
+}
+
+func TestRefusedEverywhereTellsWhenToComeBack(t *testing.T) {
+	f := newFixture(t, newBackend(t, "b1", refuses), newBackend(t, "b2", refuses))
+	started := time.Now()
+	got := f.post(t, "/single/x")
+	after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	if got.status != http.StatusServiceUnavailable || err != nil || after <= 0 {
+		t.Errorf("got %d, Retry-After %q; want 503 and a time", got.status, got.header.Get("Retry-After"))
+	}
+	if took := time.Since(started); took > time.Second {
+		t.Errorf("got the refusal after %v, want it at once", took)
+	}
+}
+
+func TestTimeoutGetsItsAnswerAtOnce(t *testing.T) {
+	release := make(chan struct{})
+	b := newBackend(t, "b1", func(*backend, http.ResponseWriter, *http.Request) { <-release })
+	defer close(release)
+	f := newFixture(t, b)
+	started := time.Now()
+	got := f.post(t, "/short/x")
+	if took := time.Since(started); got.status != http.StatusGatewayTimeout || took > 600*time.Millisecond {
+		t.Errorf("got %d after %v, want 504 after 150 ms", got.status, took)
+	}
+}
+
+func TestRetryBudgetEndsRepeats(t *testing.T) {
+	second := newBackend(t, "b2", answers(http.StatusOK, "answer"))
+	f := newFixture(t, newBackend(t, "b1", refuses), second)
+	f.gateway.Budget.Extra = 0
+	if got := f.post(t, "/repeatable/x").status; got != http.StatusServiceUnavailable {
+		t.Errorf("got %d, want 503", got)
+	}
+	if got := second.runs.Load(); got != 0 {
+		t.Errorf("got %d runs without budget, want 0", got)
+	}
+}
+
+func TestCallerThatLeavesEndsTheExchange(t *testing.T) {
+	gone := make(chan struct{})
+	b := newBackend(t, "b1", func(_ *backend, _ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(gone)
+	})
+	f := newFixture(t, b)
+	client := &http.Client{
+		Timeout: 100 * time.Millisecond,
+	}
+	response, err := client.Do(f.request(t, "/single/x", "question"))
+	if err == nil {
+		_ = response.Body.Close()
+		t.Fatal("got an answer, want a timeout")
+	}
+	select {
+	case <-gone:
+	case <-time.After(500 * time.Millisecond):
+		t.Error("the backend server still works half a second after the caller left")
+	}
+}
+
+func TestLeavingAndClosedRouters(t *testing.T) {
+	b := newBackend(t, "b1", answers(http.StatusOK, "answer"))
+	f := newFixture(t, b)
+	f.gateway.Leave()
+	got := f.post(t, "/single/x")
+	if got.status != http.StatusOK || !got.closes {
+		t.Errorf("leaving: got %d, closing %v; want 200 and a connection that closes", got.status, got.closes)
+	}
+	f.gateway.Close()
+	if got := f.post(t, "/single/x"); got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+		t.Errorf("closed: got %d, want 503 and when to come back", got.status)
+	}
+	if got := b.runs.Load(); got != 1 {
+		t.Errorf("got %d runs, want 1", got)
+	}
+}
