Leave resting connections open when a router drains

Ruled out: the end of the process, 3 s later. Answers tell callers to take other connections, as before.

--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -10,16 +10,16 @@
 	"github.com/slipwick/slipwick/placement"
 )
 
-func listed(pool string, n int) []Listed {
+func listed(n int) []Listed {
 	list := make([]Listed, 0, n)
 	for i := range n {
 		list = append(list, Listed{
 			Backend: slipwick.Backend{
-				ID:         fmt.Sprintf("%s-%d", pool, i),
+				ID:         fmt.Sprintf("p-%d", i),
 				Address:    fmt.Sprintf("10.0.0.%d:80", i),
 				DataCentre: fmt.Sprintf("dc-%d", i%2),
 			},
-			Pool: pool,
+			Pool: "p",
 		})
 	}
 	return list
@@ -27,7 +27,7 @@
 
 func newTestBalancer(n int) *Balancer {
 	b := New("dc-0")
-	b.SetBackends(listed("p", n))
+	b.SetBackends(listed(n))
 	return b
 }
 
@@ -50,7 +50,7 @@
 // home is the backend server that all routers rank first for a key.
 func home(key uint64, n int) string {
 	best, score := "", uint64(0)
-	for _, l := range listed("p", n) {
+	for _, l := range listed(n) {
 		if s := placement.Score(key, placement.IDHash(l.ID)); best == "" || s > score {
 			best, score = l.ID, s
 		}
@@ -99,7 +99,7 @@
 func TestSpillPrefersEnginesThatHaveThePrompt(t *testing.T) {
 	b := newTestBalancer(6)
 	var keeper Listed
-	for _, l := range listed("p", 6) {
+	for _, l := range listed(6) {
 		if l.ID != home(7, 6) {
 			keeper = l
 		}
@@ -127,7 +127,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestBalancer(5)
 		time.Sleep(time.Minute)
-		b.SetBackends(listed("p", 6))
+		b.SetBackends(listed(6))
 		for key := range uint64(200) {
 			if home(key, 6) != "p-5" {
 				continue
@@ -145,7 +145,7 @@
 
 func TestLeavingAndTriedBackendsGetNothing(t *testing.T) {
 	b := New("dc-0")
-	list := listed("p", 3)
+	list := listed(3)
 	list[0].Leaving = true
 	b.SetBackends(list)
 	ask := &Ask{
--- a/cmd/internal/gatewayd/gateway.go
+++ b/cmd/internal/gatewayd/gateway.go
@@ -63,6 +63,9 @@
 	metrics  *metrics
 	observer *observer
 
+	// connections counts those of callers.
+	connections atomic.Int64
+
 	listed   atomic.Bool
 	draining atomic.Bool
 	done     chan struct{}
@@ -166,6 +169,7 @@
 		&idleListener{
 			Listener: open.callers,
 			limit:    p.idleLimit,
+			accepted: &p.connections,
 		},
 		open.ready,
 		open.peers,
@@ -179,7 +183,7 @@
 	events.RouterStarted.On(&p.Log).Str("callers", open.callers.Addr().String()).Send()
 	select {
 	case <-ctx.Done():
-		p.drain(callers)
+		p.drain()
 		err = nil
 	case err = <-failed:
 		err = errors.Wrap(err, "serve")
@@ -203,14 +207,14 @@
 
 // drain stops being ready, serves until the balancer has seen it, refuses what
 // still comes, and ends when nothing is in progress or the grace period is
-// over.
-func (p *Process) drain(callers *http.Server) {
+// over. Connections that rest stay open until then: closing one cuts off the
+// request that is on its way; answers tell callers to take others.
+func (p *Process) drain() {
 	started := time.Now()
 	events.DrainStarted.On(&p.Log).Int64("in_flight", p.gateway.InFlight()).Send()
 	p.draining.Store(true)
 	p.gateway.Leave()
 	p.node.Leave()
-	callers.SetKeepAlivesEnabled(false)
 	time.Sleep(announceTime)
 	p.gateway.Close()
 	end := started.Add(p.Settings.Grace - graceMargin)
--- a/cmd/internal/gatewayd/idle.go
+++ b/cmd/internal/gatewayd/idle.go
@@ -13,6 +13,8 @@
 	net.Listener
 	// limit gives the limit now; 0 sets none.
 	limit func() time.Duration
+	// accepted counts connections.
+	accepted *atomic.Int64
 }
 
 // Accept gives the next connection.
@@ -21,6 +23,7 @@
 	if err != nil {
 		return nil, err
 	}
+	l.accepted.Add(1)
 	return &idleConn{
 		Conn:  conn,
 		limit: l.limit,
--- a/cmd/internal/gatewayd/metrics.go
+++ b/cmd/internal/gatewayd/metrics.go
@@ -55,6 +55,11 @@
 			help: "Requests that this router has in progress.",
 			read: func() float64 { return float64(p.gateway.InFlight()) },
 		},
+		{
+			name: "slipwick_caller_connections_accepted",
+			help: "Connections accepted from callers.",
+			read: func() float64 { return float64(p.connections.Load()) },
+		},
 		{
 			name: "slipwick_members",
 			help: "Routers that this router does not count as dead.",
--- a/directory/backends_test.go
+++ b/directory/backends_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,9 +11,14 @@
 	"github.com/slipwick/slipwick/balance"
 )
 
-type listLog struct{ ids []string }
+type listLog struct {
+	mu  sync.Mutex
+	ids []string
+}
 
 func (l *listLog) take(list []balance.Listed) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.ids = nil
 	for i := range list {
 		l.ids = append(l.ids, list[i].ID)
@@ -34,6 +40,8 @@
 
 func (l *listLog) expect(t *testing.T, when string, want ...string) {
 	t.Helper()
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if !slices.Equal(l.ids, want) {
 		t.Errorf("%s: got %v, want %v", when, l.ids, want)
 	}
--- /dev/null
+++ b/directory/fakefeed_test.go
@@ -0,0 +1,73 @@
+package directory
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/slipwick/slipwick"
+)
+
+// fakeFeed is a store, or a router's copy, that can fail or hang.
+type fakeFeed struct {
+	*Mirror
+
+	mu    sync.Mutex
+	err   error
+	hangs bool
+	calls int
+	// age is added to that of the copy.
+	age time.Duration
+}
+
+func newFakeFeed(first *slipwick.FeedBatch) *fakeFeed {
+	f := &fakeFeed{
+		Mirror: NewMirror(),
+	}
+	f.Apply(first)
+	return f
+}
+
+func (f *fakeFeed) answer(ctx context.Context, call func() (slipwick.FeedBatch, error)) (slipwick.FeedBatch, error) {
+	f.mu.Lock()
+	f.calls++
+	hangs, failure := f.hangs, f.err
+	f.mu.Unlock()
+	if hangs {
+		<-ctx.Done()
+		return slipwick.FeedBatch{}, ctx.Err()
+	}
+	if failure != nil {
+		return slipwick.FeedBatch{}, failure
+	}
+	b, err := call()
+	b.Age += f.age
+	return b, err
+}
+
+// fail has all further calls fail; nil ends that.
+func (f *fakeFeed) fail(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.err = err
+}
+
+func (f *fakeFeed) List(ctx context.Context) (slipwick.FeedBatch, error) {
+	return f.answer(ctx, func() (slipwick.FeedBatch, error) { return f.Mirror.List(ctx) })
+}
+
+func (f *fakeFeed) Watch(ctx context.Context, after uint64, wait time.Duration) (slipwick.FeedBatch, error) {
+	return f.answer(ctx, func() (slipwick.FeedBatch, error) { return f.Mirror.Watch(ctx, after, wait) })
+}
+
+// fakePeers are routers whose copies are fakes.
+type fakePeers struct {
+	watches bool
+	relays  map[string]*fakeFeed
+	order   []string
+}
+
+func (p *fakePeers) Watches() bool    { return p.watches }
+func (p *fakePeers) Relays() []string { return p.order }
+
+func (p *fakePeers) Relay(id, _ string) slipwick.Feed { return p.relays[id] }
--- /dev/null
+++ b/directory/follower_test.go
@@ -0,0 +1,109 @@
+package directory
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/slipwick/slipwick"
+)
+
+// follow runs a follower of the feed and gives the names and values it has.
+func follow(t *testing.T, feed slipwick.Feed) (state func() []string, stop func()) {
+	t.Helper()
+	var mu sync.Mutex
+	have := make(map[string]string)
+	follower := NewFollower[string](feed, NewMirror())
+	follower.Decode = func(_ string, value []byte) (string, error) {
+		if string(value) == "bad" {
+			return "", errors.New("cannot be read")
+		}
+		return string(value), nil
+	}
+	follower.OnChange = func(changes []Change[string]) {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, c := range changes {
+			if c.Gone {
+				delete(have, c.Name)
+			} else {
+				have[c.Name] = c.Value
+			}
+		}
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	go follower.Run(ctx)
+	return func() []string {
+			synctest.Wait()
+			mu.Lock()
+			defer mu.Unlock()
+			var list []string
+			for name, value := range have {
+				list = append(list, name+value)
+			}
+			slices.Sort(list)
+			return list
+		}, func() {
+			cancel()
+			<-follower.Done()
+		}
+}
+
+func TestFollowerKeepsWhatItKnowsThroughAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeFeed(batch(1, true, "a1", "b1"))
+		state, stop := follow(t, store)
+		defer stop()
+		if got, want := state(), []string{"a1", "b1"}; !slices.Equal(got, want) {
+			t.Errorf("first: got %v, want %v", got, want)
+		}
+		store.fail(errors.New("down"))
+		time.Sleep(2 * storeWait)
+		store.Apply(batch(2, false, "b", "c1"))
+		time.Sleep(10 * time.Second)
+		store.fail(nil)
+		if got, want := state(), []string{"a1", "b1"}; !slices.Equal(got, want) {
+			t.Errorf("outage: got %v, want %v", got, want)
+		}
+		time.Sleep(2 * lastPause)
+		if got, want := state(), []string{"a1", "c1"}; !slices.Equal(got, want) {
+			t.Errorf("after it: got %v, want %v", got, want)
+		}
+	})
+}
+
+func TestFollowerListsAgainWhenHistoryIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeFeed(batch(1, true, "a1", "b1"))
+		state, stop := follow(t, store)
+		defer stop()
+		state()
+		store.fail(&slipwick.Error{
+			Kind: slipwick.KindHistoryLost,
+		})
+		time.Sleep(2 * storeWait)
+		store.Apply(batch(9, true, "b2"))
+		store.fail(nil)
+		time.Sleep(2 * storeWait)
+		if got, want := state(), []string{"b2"}; !slices.Equal(got, want) {
+			t.Errorf("got %v, want %v", got, want)
+		}
+	})
+}
+
+func TestFollowerKeepsTheLastReadableValue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeFeed(batch(1, true, "a1"))
+		state, stop := follow(t, store)
+		defer stop()
+		state()
+		store.Apply(batch(2, false, "abad"))
+		if got, want := state(), []string{"a1"}; !slices.Equal(got, want) {
+			t.Errorf("got %v, want %v", got, want)
+		}
+	})
+}
--- /dev/null
+++ b/directory/mirror_test.go
@@ -0,0 +1,120 @@
+package directory
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/slipwick/slipwick"
+)
+
+func batch(revision uint64, whole bool, entries ...string) *slipwick.FeedBatch {
+	b := &slipwick.FeedBatch{
+		Whole:    whole,
+		Revision: revision,
+	}
+	for _, text := range entries {
+		b.Entries = append(b.Entries, slipwick.FeedEntry{
+			Name:  text[:1],
+			Gone:  len(text) == 1,
+			Value: []byte(text[1:]),
+		})
+	}
+	return b
+}
+
+// names gives the entries as text, removed ones with a minus.
+func names(entries []slipwick.FeedEntry) []string {
+	var list []string
+	for _, e := range entries {
+		if e.Gone {
+			list = append(list, "-"+e.Name)
+		} else {
+			list = append(list, e.Name+string(e.Value))
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+func expectNames(t *testing.T, when string, got []slipwick.FeedEntry, want ...string) {
+	t.Helper()
+	if list := names(got); !slices.Equal(list, want) {
+		t.Errorf("%s: got %v, want %v", when, list, want)
+	}
+}
+
+func TestMirrorGivesWhatDiffers(t *testing.T) {
+	m := NewMirror()
+	expectNames(t, "first list", m.Apply(batch(1, true, "a1", "b1")), "a1", "b1")
+	expectNames(t, "changes", m.Apply(batch(2, false, "a1", "b2", "c")), "b2")
+	expectNames(t, "list after a gap", m.Apply(batch(9, true, "b2", "d1")), "-a", "d1")
+}
+
+func TestMirrorAnswersFromAnyRevision(t *testing.T) {
+	m := NewMirror()
+	m.Apply(batch(5, true, "a1", "b1"))
+	m.Apply(batch(7, false, "a2"))
+	m.Apply(batch(8, false, "b"))
+	for after, want := range map[uint64][]string{
+		5: {"-b", "a2"},
+		6: {"-b", "a2"},
+		7: {"-b"},
+		8: nil,
+	} {
+		got, _, err := m.since(after)
+		if err != nil {
+			t.Fatalf("after %d: %v", after, err)
+		}
+		expectNames(t, fmt.Sprintf("after %d", after), got.Entries, want...)
+		if got.Revision != 8 {
+			t.Errorf("after %d: got revision %d, want 8", after, got.Revision)
+		}
+	}
+	if _, _, err := m.since(4); !slipwick.IsKind(err, slipwick.KindHistoryLost) {
+		t.Errorf("after 4, before the copy began: got %v, want history lost", err)
+	}
+}
+
+func TestMirrorWatchEndsByChangeByTimeAndByDoubt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := NewMirror()
+		if _, err := m.Watch(t.Context(), 0, time.Second); !slipwick.IsKind(err, slipwick.KindUnavailable) {
+			t.Errorf("before the first list: got %v, want unavailable", err)
+		}
+		m.Apply(batch(1, true, "a1"))
+		started := time.Now()
+		got, err := m.Watch(t.Context(), 1, time.Second)
+		if err != nil || len(got.Entries) > 0 || time.Since(started) != time.Second || got.Age != time.Second {
+			t.Errorf("quiet: got %+v, %v after %v; want nothing, known a second ago", got, err, time.Since(started))
+		}
+		time.AfterFunc(100*time.Millisecond, func() { m.Apply(batch(2, false, "a2")) })
+		got, err = m.Watch(t.Context(), 1, time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		expectNames(t, "change", got.Entries, "a2")
+		time.AfterFunc(100*time.Millisecond, m.Fail)
+		started = time.Now()
+		if _, err = m.Watch(t.Context(), 2, time.Second); err == nil || time.Since(started) != 100*time.Millisecond {
+			t.Errorf("doubt: got %v after %v, want an error at once", err, time.Since(started))
+		}
+	})
+}
+
+func TestMirrorForgetsOldRemovalsAloud(t *testing.T) {
+	m := NewMirror()
+	m.Apply(batch(1, true))
+	for i := range uint64(keptRemovals + 1) {
+		m.Apply(batch(2+2*i, false, "a1"))
+		m.Apply(batch(3+2*i, false, "a"))
+	}
+	if _, _, err := m.since(1); !slipwick.IsKind(err, slipwick.KindHistoryLost) {
+		t.Errorf("got %v, want history lost", err)
+	}
+	if _, _, err := m.since(3); err != nil {
+		t.Errorf("after the first removal, all later ones being remembered: got %v", err)
+	}
+}
--- /dev/null
+++ b/directory/relay_test.go
@@ -0,0 +1,49 @@
+package directory
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/slipwick/slipwick"
+)
+
+func TestRelayCarriesTheCopyOverHTTP(t *testing.T) {
+	mirror := NewMirror()
+	server := httptest.NewServer(&RelayServer{
+		Mirrors: map[string]*Mirror{
+			"f": mirror,
+		},
+	})
+	defer server.Close()
+	relay := &Relay{
+		Address: strings.TrimPrefix(server.URL, "http://"),
+		Name:    "f",
+		HTTP:    http.DefaultClient,
+	}
+	if _, err := relay.List(t.Context()); !slipwick.IsKind(err, slipwick.KindUnavailable) {
+		t.Errorf("copy that is not current: got %v, want unavailable", err)
+	}
+	mirror.Apply(batch(3, true, "a1", "b1"))
+	got, err := relay.List(t.Context())
+	if err != nil || !got.Whole || got.Revision != 3 {
+		t.Errorf("got %+v, %v; want the whole copy at revision 3", got, err)
+	}
+	expectNames(t, "list", got.Entries, "a1", "b1")
+	time.AfterFunc(20*time.Millisecond, func() { mirror.Apply(batch(4, false, "b")) })
+	got, err = relay.Watch(t.Context(), 3, time.Second)
+	if err != nil || got.Whole || got.Age > time.Second {
+		t.Errorf("got %+v, %v; want changes known lately", got, err)
+	}
+	expectNames(t, "watch", got.Entries, "-b")
+	got, err = relay.Watch(t.Context(), 1, time.Second)
+	if err != nil || !got.Whole {
+		t.Errorf("watch from before the copy: got %+v, %v; want the whole copy", got, err)
+	}
+	relay.Name = "none"
+	if _, err := relay.List(t.Context()); !slipwick.IsKind(err, slipwick.KindUnavailable) {
+		t.Errorf("unknown feed: got %v, want unavailable", err)
+	}
+}
--- /dev/null
+++ b/directory/shared_test.go
@@ -0,0 +1,108 @@
+package directory
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/slipwick/slipwick"
+)
+
+// newShared makes a router that follows routers r1 and r2 rather than the
+// store.
+func newShared() (shared *Shared, store *fakeFeed, peers *fakePeers) {
+	store = newFakeFeed(batch(1, true, "a1"))
+	peers = &fakePeers{
+		relays: map[string]*fakeFeed{
+			"r1": newFakeFeed(batch(1, true, "a1")),
+			"r2": newFakeFeed(batch(1, true, "a1")),
+		},
+		order: []string{"r1", "r2"},
+	}
+	return &Shared{
+		Store: store,
+		Peers: peers,
+	}, store, peers
+}
+
+func TestSharedLeavesTheStoreAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		shared, store, peers := newShared()
+		for range 10 {
+			if _, err := shared.Watch(t.Context(), 1, storeWait); err != nil {
+				t.Fatal(err)
+			}
+			for _, f := range peers.relays {
+				f.Apply(batch(1, false))
+			}
+		}
+		if store.calls != 0 || peers.relays["r1"].calls != 5 || peers.relays["r2"].calls != 5 {
+			t.Errorf("got %d calls to the store, %d and %d to the routers; want 0, 5 and 5",
+				store.calls, peers.relays["r1"].calls, peers.relays["r2"].calls)
+		}
+	})
+}
+
+// TestSharedNoticesAChangeThoughRoutersFail has the routers that it follows
+// fail in every way; the change at the store has to arrive within 2 s.
+func TestSharedNoticesAChangeThoughRoutersFail(t *testing.T) {
+	for name, fail := range map[string]func(*fakeFeed){
+		"hang":       func(f *fakeFeed) { f.hangs = true },
+		"refuse":     func(f *fakeFeed) { f.err = errors.New("refused") },
+		"lag":        func(f *fakeFeed) { f.age = relayAge },
+		"are unsure": func(f *fakeFeed) { f.Fail() },
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			shared, store, peers := newShared()
+			for _, f := range peers.relays {
+				fail(f)
+			}
+			started := time.Now()
+			store.Apply(batch(2, false, "a2"))
+			for after := uint64(1); after == 1; {
+				got, err := shared.Watch(t.Context(), 1, storeWait)
+				if err != nil {
+					t.Fatalf("%s: %v", name, err)
+				}
+				after = got.Revision
+			}
+			if took := time.Since(started); took > 2*time.Second {
+				t.Errorf("routers %s: got the change after %v, want it within 2 s", name, took)
+			}
+		})
+	}
+}
+
+func TestSharedLearnsFromRoutersWhenTheStoreRefusesIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		shared, store, peers := newShared()
+		peers.watches = true
+		store.fail(errors.New("503"))
+		peers.relays["r1"].Apply(batch(3, false, "a3"))
+		peers.relays["r2"].Apply(batch(3, false, "a3"))
+		got, err := shared.Watch(t.Context(), 1, storeWait)
+		if err != nil {
+			t.Fatal(err)
+		}
+		expectNames(t, "from a router", got.Entries, "a3")
+		got, err = shared.List(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		expectNames(t, "list", got.Entries, "a3")
+	})
+}
+
+func TestSharedTellsThatTheStoreForgot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		shared, store, peers := newShared()
+		peers.watches = true
+		store.fail(&slipwick.Error{
+			Kind: slipwick.KindHistoryLost,
+		})
+		if _, err := shared.Watch(t.Context(), 1, storeWait); !slipwick.IsKind(err, slipwick.KindHistoryLost) {
+			t.Errorf("got %v, want history lost, so that the store is listed", err)
+		}
+	})
+}
--- /dev/null
+++ b/exchange/teller_test.go
@@ -0,0 +1,147 @@
+package exchange
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/balance"
+)
+
+// switchboard carries datagrams between tellers by address.
+type switchboard struct {
+	tellers map[string]*Teller
+
+	mu      sync.Mutex
+	longest int
+}
+
+// port is one router's way into the switchboard.
+type port struct {
+	board *switchboard
+	from  string
+}
+
+func (p *port) Send(address string, packet []byte) {
+	p.board.mu.Lock()
+	p.board.longest = max(p.board.longest, len(packet))
+	p.board.mu.Unlock()
+	if to := p.board.tellers[address]; to != nil {
+		to.Receive(p.from, packet)
+	}
+}
+
+func newRouters(n int) ([]*Teller, *switchboard) {
+	board := &switchboard{
+		tellers: make(map[string]*Teller),
+	}
+	var routers []slipwick.Router
+	for i := range n {
+		routers = append(routers, slipwick.Router{
+			ID: fmt.Sprint(i),
+		})
+	}
+	var backends []balance.Listed
+	for i := range 20 {
+		backends = append(backends, balance.Listed{
+			Backend: slipwick.Backend{
+				ID:      fmt.Sprintf("engine-%d", i),
+				Address: fmt.Sprintf("10.0.0.%d:80", i),
+			},
+			Pool: "p",
+		})
+	}
+	var tellers []*Teller
+	for i := range n {
+		t := NewTeller(fmt.Sprint(i))
+		t.Balancer = balance.New("")
+		t.Balancer.SetBackends(backends)
+		t.Routers = func() []slipwick.Router { return routers }
+		t.Address = func(r slipwick.Router) string { return r.ID }
+		t.Wire = &port{
+			board: board,
+			from:  t.Self,
+		}
+		board.tellers[t.Self] = t
+		tellers = append(tellers, t)
+	}
+	return tellers, board
+}
+
+func ask(t *testing.T, b *balance.Balancer, key uint64) *balance.Lease {
+	t.Helper()
+	lease, err := b.Acquire(&balance.Ask{
+		Pool:   "p",
+		Prompt: []uint64{key},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return lease
+}
+
+// TestRoutersShareOneBound has three routers send one prompt at once; together
+// they have to stay below the bound that one alone would keep.
+func TestRoutersShareOneBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tellers, board := newRouters(3)
+		ctx, cancel := context.WithCancel(t.Context())
+		for _, teller := range tellers {
+			go teller.Run(ctx)
+		}
+		counts := make(map[string]int)
+		for i := range 90 {
+			time.Sleep(shortestPause)
+			synctest.Wait()
+			counts[ask(t, tellers[i%3].Balancer, 7).Backend.ID]++
+		}
+		cancel()
+		for _, teller := range tellers {
+			<-teller.Done()
+		}
+		// 1.6 * 90 / 20 + 2, and one that was chosen below it.
+		for id, got := range counts {
+			if got > 11 {
+				t.Errorf("%s: got %d of 90 requests at 20 engines, want at most 11", id, got)
+			}
+		}
+		if board.longest > 1400 {
+			t.Errorf("got a datagram of %d bytes, want all within one packet", board.longest)
+		}
+	})
+}
+
+func TestRouterThatStartsLearnsWhatOthersKnow(t *testing.T) {
+	tellers, board := newRouters(2)
+	for key := range uint64(500) {
+		lease := ask(t, tellers[0].Balancer, key)
+		tellers[0].Balancer.Release(lease, slipwick.EvidenceGood)
+	}
+	if tellers[1].OthersKnow.Load() {
+		t.Error("got told that others know before anyone was asked")
+	}
+	tellers[0].Knows.Store(true)
+	if !tellers[1].Ask() {
+		t.Fatal("got no other router to ask")
+	}
+	if got := tellers[1].Balancer.KnownParts(); got != 500 || !tellers[1].OthersKnow.Load() {
+		t.Errorf("got %d parts, want 500 and to be told that the other knows", got)
+	}
+	if board.longest > 1400 {
+		t.Errorf("got a datagram of %d bytes, want all within one packet", board.longest)
+	}
+}
+
+func TestGarbageIsDropped(t *testing.T) {
+	tellers, _ := newRouters(2)
+	for _, packet := range []string{"", "garbage", "\x2a\x08\x01\x02\x03\x04\x05\x06\x07\x08\x32\x01\x09"} {
+		tellers[0].Receive("x", []byte(packet))
+	}
+	if got := tellers[0].Balancer.KnownParts(); got != 0 {
+		t.Errorf("got %d parts from garbage, want 0", got)
+	}
+}
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -268,14 +267,3 @@
 	t.Helper()
 	return send(t, f.request(t, path, "question"))
 }
-
-// closedAddress is an address that refuses connections.
-func closedAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -116,7 +116,7 @@
 	r.Header.Set("X-Hop", "dropped")
 	got := send(t, r)
 	if got.status != http.StatusTeapot || got.body != "answer" || got.header.Get("Slipwick-Stamp") != "b1" {
-		t.Errorf("got %d %q stamped %q, want the backend server's own answer", got.status, got.body, got.header.Get("Slipwick-Stamp"))
+		t.Errorf("got %+v, want the backend server's own answer", got)
 	}
 	seen := b.last.Load()
 	if got, want := seen.RequestURI, "/single/a%2Fb//c?d=%20e&f"; got != want {
