--- a/balance/ask.go
+++ b/balance/ask.go
@@ -3,9 +3,34 @@
 // Ask says what a request needs.
 type Ask struct {
 	Pool string
-	// Prompt has the keys of the parts of the request's prompt that other
-	// requests share, in order; empty without a prompt.
-	Prompt []uint64
+	// Prompt has the parts of the request's prompt that other requests share,
+	// in order; empty without a prompt.
+	Prompt []Part
+	// Own is how many tokens of the prompt are the request's alone.
+	Own int
 	// Avoid lists the IDs of backend servers that the request has tried.
 	Avoid []string
 }
+
+// Part is one part of a prompt.
+type Part struct {
+	Key    uint64
+	Tokens int
+}
+
+func (a *Ask) keys() []uint64 {
+	keys := make([]uint64, 0, len(a.Prompt))
+	for _, part := range a.Prompt {
+		keys = append(keys, part.Key)
+	}
+	return keys
+}
+
+// tokens counts the whole prompt.
+func (a *Ask) tokens() int {
+	sum := a.Own
+	for _, part := range a.Prompt {
+		sum += part.Tokens
+	}
+	return sum
+}
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/slipwick/slipwick"
-	"github.com/slipwick/slipwick/placement"
 )
 
 const (
@@ -92,11 +91,12 @@
 	}
 	var lease *Lease
 	if len(ask.Prompt) > 0 {
-		lease = b.byPromptLocked(ask.Prompt, pool, usable, now)
+		lease = b.byPromptLocked(ask, pool, usable, now)
 	} else {
 		lease = leaseOf(b.leastLoadedLocked(usable, now))
 	}
 	lease.server.inFlight++
+	lease.server.reading += lease.reading
 	return lease, nil
 }
 
@@ -172,113 +172,6 @@
 	return float64(sum) / float64(known)
 }
 
-// byPromptLocked takes an engine that has the prompt cached and is not loaded
-// above the bound; without one, the first below the bound in the order of the
-// prompt's rendezvous ranks, which all routers agree on.
-func (b *Balancer) byPromptLocked(parts []uint64, pool, usable []*server, now time.Time) *Lease {
-	prompt := parts[len(parts)-1]
-	each, mean := b.loadsLocked(usable, now)
-	bound := b.LoadFactor*mean + loadSlack
-	best, least := candidate{}, 0
-	home := firstRanked(prompt, usable)
-	for i, s := range usable {
-		if each[i] < each[least] {
-			least = i
-		}
-		if each[i] >= bound {
-			continue
-		}
-		c := candidate{
-			server: s,
-			has:    s == home || b.homes.has(prompt, s),
-			score:  placement.Score(prompt, s.hash),
-		}
-		if c.betterThan(&best) {
-			best = c
-		}
-	}
-	chosen := best.server
-	if chosen == nil {
-		chosen = usable[least]
-	}
-	lease := leaseOf(chosen)
-	if holder := b.holderLocked(parts, pool, chosen, now); holder != nil {
-		lease.FetchFrom = holder.Address
-	}
-	b.ranLocked(parts, chosen)
-	return lease
-}
-
-// firstRanked is the prompt's home: the one of the highest score.
-func firstRanked(prompt uint64, servers []*server) *server {
-	var home *server
-	for _, s := range servers {
-		if home == nil || placement.Score(prompt, s.hash) > placement.Score(prompt, home.hash) {
-			home = s
-		}
-	}
-	return home
-}
-
-// candidate is an engine that a prompt could go to.
-type candidate struct {
-	server *server
-	// has says that it is known to have the prompt cached.
-	has   bool
-	score uint64
-}
-
-func (c *candidate) betterThan(other *candidate) bool {
-	if other.server == nil || c.has != other.has {
-		return other.server == nil || c.has
-	}
-	return c.score > other.score
-}
-
-// ranLocked notes, and later tells the other routers, where parts are kept.
-func (b *Balancer) ranLocked(parts []uint64, s *server) {
-	for _, part := range parts {
-		if b.homes.ran(part, s) && len(b.reads) < maxReads {
-			b.reads = append(b.reads, Read{
-				Part:   part,
-				Server: s.hash,
-			})
-		}
-	}
-}
-
-// holderLocked gives the engine that most probably has the prompt cached, or
-// its first parts, if it is not the chosen one: where this router sent the
-// parts, else the best ranked of those that were listed before the chosen one.
-func (b *Balancer) holderLocked(parts []uint64, pool []*server, chosen *server, now time.Time) *server {
-	usable := func(s *server) bool { return b.servers[s.ID] == s && !s.isOut(now) }
-	prompt := parts[len(parts)-1]
-	if holder, known := b.homes.holder(parts[len(parts)-1:], chosen, usable); known {
-		return holder
-	}
-	var home *server
-	for _, s := range pool {
-		if s.isOut(now) || s != chosen && s.since.After(chosen.since) {
-			continue
-		}
-		if s == chosen && now.Sub(s.since) < settledAfter {
-			continue
-		}
-		if home == nil || placement.Score(prompt, s.hash) > placement.Score(prompt, home.hash) {
-			home = s
-		}
-	}
-	if home != nil && home != chosen {
-		return home
-	}
-	holder, _ := b.homes.holder(parts[:len(parts)-1], chosen, usable)
-	return holder
-}
-
-// settledAfter is how long an engine has to be listed for its prompts to count
-// as cached there.
-const settledAfter = 20 * time.Second
-
 // leastLoadedLocked gives the least loaded, near ones before far ones.
 func (b *Balancer) leastLoadedLocked(usable []*server, now time.Time) *server {
 	each, _ := b.loadsLocked(usable, now)
@@ -305,10 +198,21 @@
 	s.reportedAt = time.Now()
 }
 
+// Began notes that a backend server has begun to answer, and so has read the
+// prompt.
+func (b *Balancer) Began(lease *Lease) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	lease.server.reading -= lease.reading
+	lease.reading = 0
+}
+
 // Release ends a lease and tells what the request showed.
 func (b *Balancer) Release(lease *Lease, evidence slipwick.Evidence) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	lease.server.inFlight--
+	lease.server.reading -= lease.reading
+	lease.reading = 0
 	lease.server.observe(evidence, time.Now())
 }
--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -42,8 +42,12 @@
 
 func prompt(key uint64) *Ask {
 	return &Ask{
-		Pool:   "p",
-		Prompt: []uint64{key},
+		Pool: "p",
+		Prompt: []Part{
+			{
+				Key: key,
+			},
+		},
 	}
 }
 
--- a/balance/lease.go
+++ b/balance/lease.go
@@ -10,6 +10,8 @@
 	FetchFrom string
 
 	server *server
+	// reading is how many tokens the engine has to read for it yet.
+	reading int
 }
 
 // Load is what a backend server says of itself.
--- /dev/null
+++ b/balance/prompt.go
@@ -0,0 +1,147 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/slipwick/slipwick/placement"
+)
+
+// byPromptLocked takes an engine that has the prompt cached and is not loaded
+// above the bound; without one, the first below the bound in the order of the
+// prompt's rendezvous ranks, which all routers agree on.
+func (b *Balancer) byPromptLocked(ask *Ask, pool, usable []*server, now time.Time) *Lease {
+	parts := ask.keys()
+	prompt := parts[len(parts)-1]
+	each, mean := b.loadsLocked(usable, now)
+	bound := b.LoadFactor*mean + loadSlack
+	best, least := candidate{}, 0
+	home := firstRanked(prompt, usable)
+	for i, s := range usable {
+		if each[i] < each[least] {
+			least = i
+		}
+		if each[i] >= bound {
+			continue
+		}
+		c := candidate{
+			server: s,
+			has:    s == home || b.homes.has(prompt, s),
+			score:  placement.Score(prompt, s.hash),
+		}
+		if c.betterThan(&best) {
+			best = c
+		}
+	}
+	chosen := best.server
+	switch {
+	case chosen == nil:
+		chosen = usable[least]
+	case !b.homes.isKnown(prompt):
+		chosen = b.leastReadingLocked(usable, each, bound, home)
+	}
+	lease := leaseOf(chosen)
+	lease.reading = ask.Own
+	if !b.homes.has(prompt, chosen) {
+		lease.reading = ask.tokens()
+	}
+	if holder := b.holderLocked(parts, pool, chosen, now); holder != nil {
+		lease.FetchFrom = holder.Address
+	}
+	b.ranLocked(parts, chosen)
+	return lease
+}
+
+// firstRanked is the prompt's home: the one of the highest score.
+func firstRanked(prompt uint64, servers []*server) *server {
+	var home *server
+	for _, s := range servers {
+		if home == nil || placement.Score(prompt, s.hash) > placement.Score(prompt, home.hash) {
+			home = s
+		}
+	}
+	return home
+}
+
+// homeLead is by how many tokens to read the prompt's home may be behind
+// another engine and still read a prompt that no engine has: some 30 ms of
+// reading, against the chance that another router chooses differently.
+const homeLead = 4000
+
+// leastReadingLocked gives the engine, below the bound, that has the least to
+// read before it: for prompts that no engine has cached.
+func (b *Balancer) leastReadingLocked(usable []*server, each []float64, bound float64, home *server) *server {
+	var best *server
+	bestCost := 0
+	for i, s := range usable {
+		if each[i] >= bound {
+			continue
+		}
+		cost := s.reading + b.readingToldLocked(s)
+		if s != home {
+			cost += homeLead
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = s, cost
+		}
+	}
+	return best
+}
+
+// candidate is an engine that a prompt could go to.
+type candidate struct {
+	server *server
+	// has says that it is known to have the prompt cached.
+	has   bool
+	score uint64
+}
+
+func (c *candidate) betterThan(other *candidate) bool {
+	if other.server == nil || c.has != other.has {
+		return other.server == nil || c.has
+	}
+	return c.score > other.score
+}
+
+// ranLocked notes, and later tells the other routers, where parts are kept.
+func (b *Balancer) ranLocked(parts []uint64, s *server) {
+	for _, part := range parts {
+		if b.homes.ran(part, s) && len(b.reads) < maxReads {
+			b.reads = append(b.reads, Read{
+				Part:   part,
+				Server: s.hash,
+			})
+		}
+	}
+}
+
+// holderLocked gives the engine that most probably has the prompt cached, or
+// its first parts, if it is not the chosen one: where this router sent the
+// parts, else the best ranked of those that were listed before the chosen one.
+func (b *Balancer) holderLocked(parts []uint64, pool []*server, chosen *server, now time.Time) *server {
+	usable := func(s *server) bool { return b.servers[s.ID] == s && !s.isOut(now) }
+	prompt := parts[len(parts)-1]
+	if holder, known := b.homes.holder(parts[len(parts)-1:], chosen, usable); known {
+		return holder
+	}
+	var home *server
+	for _, s := range pool {
+		if s.isOut(now) || s != chosen && s.since.After(chosen.since) {
+			continue
+		}
+		if s == chosen && now.Sub(s.since) < settledAfter {
+			continue
+		}
+		if home == nil || placement.Score(prompt, s.hash) > placement.Score(prompt, home.hash) {
+			home = s
+		}
+	}
+	if home != nil && home != chosen {
+		return home
+	}
+	holder, _ := b.homes.holder(parts[:len(parts)-1], chosen, usable)
+	return holder
+}
+
+// settledAfter is how long an engine has to be listed for its prompts to count
+// as cached there.
+const settledAfter = 20 * time.Second
--- a/balance/server.go
+++ b/balance/server.go
@@ -29,6 +29,9 @@
 	since time.Time
 	// inFlight counts the leases of this router.
 	inFlight int
+	// reading counts the tokens that it has to read for this router before
+	// its answers begin.
+	reading int
 
 	// reported is the load of all routers that it told at reportedAt, when
 	// this router had reportedOwn requests there.
--- a/balance/told.go
+++ b/balance/told.go
@@ -17,6 +17,8 @@
 type InFlight struct {
 	Server uint64
 	Count  int
+	// Reading is how many tokens it has to read for the router yet.
+	Reading int
 }
 
 // Read says that an engine read, and so keeps, a part of a prompt.
@@ -37,6 +39,7 @@
 	at       time.Time
 	sequence uint64
 	counts   map[uint64]int
+	reading  map[uint64]int
 }
 
 // Tell gives what there is to tell the other routers. Reads are told once.
@@ -50,8 +53,9 @@
 	for _, s := range b.servers {
 		if s.inFlight > 0 {
 			told.InFlight = append(told.InFlight, InFlight{
-				Server: s.hash,
-				Count:  s.inFlight,
+				Server:  s.hash,
+				Count:   s.inFlight,
+				Reading: max(s.reading, 0),
 			})
 		}
 	}
@@ -66,9 +70,11 @@
 		at:       time.Now(),
 		sequence: sequence,
 		counts:   make(map[uint64]int, len(told.InFlight)),
+		reading:  make(map[uint64]int, len(told.InFlight)),
 	}
 	for _, in := range told.InFlight {
 		h.counts[in.Server] = in.Count
+		h.reading[in.Server] = in.Reading
 	}
 	if sequence > b.heard[router].sequence {
 		b.heard[router] = h
@@ -80,6 +86,15 @@
 	}
 }
 
+// readingToldLocked sums what an engine has to read for the other routers.
+func (b *Balancer) readingToldLocked(s *server) int {
+	sum := 0
+	for _, h := range b.heard {
+		sum += h.reading[s.hash]
+	}
+	return sum
+}
+
 // AllReads gives all that is known of parts and the engines that keep them.
 func (b *Balancer) AllReads() []Read {
 	b.mu.Lock()
--- a/cmd/internal/gatewayd/gateway.go
+++ b/cmd/internal/gatewayd/gateway.go
@@ -67,6 +67,8 @@
 	connections atomic.Int64
 
 	listed   atomic.Bool
+	ready    sync.Once
+	started  chan struct{}
 	draining atomic.Bool
 	done     chan struct{}
 }
@@ -77,6 +79,7 @@
 		Settings: settings,
 		Feeds:    feeds,
 		Log:      log,
+		started:  make(chan struct{}),
 		done:     make(chan struct{}),
 	}
 }
@@ -128,6 +131,7 @@
 		Balancer: p.balancer,
 		Client:   p.client,
 		Observer: p.observer,
+		Started:  p.started,
 		Budget: &retry.Budget{
 			Ratio:   s.Retries.Ratio,
 			Extra:   s.Retries.Extra,
@@ -230,6 +234,13 @@
 // drainCheck is how often a draining router looks whether it is done.
 const drainCheck = 50 * time.Millisecond
 
+// learnt notes that a table or the list of backend servers came.
+func (p *Process) learnt() {
+	if p.gateway.Table() != nil && p.listed.Load() {
+		p.ready.Do(func() { close(p.started) })
+	}
+}
+
 // isReady tells whether the balancer may send connections here.
 func (p *Process) isReady() bool {
 	return p.gateway.Table() != nil && p.listed.Load() && !p.draining.Load()
--- a/exchange/teller.go
+++ b/exchange/teller.go
@@ -131,6 +131,7 @@
 	for _, in := range told.InFlight[:min(len(told.InFlight), maxCounts)] {
 		at(in.Server)
 		message.InFlight = append(message.InFlight, uint32(in.Count))
+		message.Reading = append(message.Reading, uint32(in.Reading))
 	}
 	count := min(len(told.Reads), maxReads)
 	for _, read := range told.Reads[:count] {
@@ -197,10 +198,11 @@
 	told := &balance.Told{}
 	servers := message.GetServers()
 	for i, count := range message.GetInFlight() {
-		if i < len(servers) {
+		if i < len(servers) && i < len(message.GetReading()) {
 			told.InFlight = append(told.InFlight, balance.InFlight{
-				Server: servers[i],
-				Count:  int(count),
+				Server:  servers[i],
+				Count:   int(count),
+				Reading: int(message.GetReading()[i]),
 			})
 		}
 	}
--- a/exchange/teller_test.go
+++ b/exchange/teller_test.go
@@ -75,8 +75,12 @@
 func ask(t *testing.T, b *balance.Balancer, key uint64) *balance.Lease {
 	t.Helper()
 	lease, err := b.Acquire(&balance.Ask{
-		Pool:   "p",
-		Prompt: []uint64{key},
+		Pool: "p",
+		Prompt: []balance.Part{
+			{
+				Key: key,
+			},
+		},
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -19,6 +19,7 @@
 // judgeAnswer tells what an answer means, and passes it on if it is one.
 func (c *call) judgeAnswer(lease *balance.Lease, answer *upstream.Answer) (result, slipwick.Evidence, error) {
 	names := &c.gateway.Headers
+	c.gateway.Balancer.Began(lease)
 	if load, ok := parseLoad(answer.Header.Get(names.Load)); ok {
 		c.gateway.Balancer.Reported(lease, load)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,6 +25,9 @@
 	Balancer *balance.Balancer
 	Client   *upstream.Client
 	Budget   *retry.Budget
+	// Started is closed once there are a table and a list of backend servers;
+	// requests that come before wait a moment for it. Nil waits for nothing.
+	Started <-chan struct{}
 	// Observer is told of each request's ending.
 	Observer Observer
 
@@ -82,6 +85,7 @@
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	g.awaitStart(r.Context())
 	c, refusal := g.admit(w, r, arrived)
 	if refusal != nil {
 		refusal.write(w)
@@ -96,6 +100,28 @@
 	c.serve()
 }
 
+// startWait is how long a request waits for a router that has just started: it
+// lists what it needs within some tens of milliseconds.
+const startWait = 300 * time.Millisecond
+
+func (g *Gateway) awaitStart(ctx context.Context) {
+	if g.Started == nil {
+		return
+	}
+	select {
+	case <-g.Started:
+		return
+	default:
+	}
+	timer := time.NewTimer(startWait)
+	defer timer.Stop()
+	select {
+	case <-g.Started:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // admit checks a request and reads its body.
 func (g *Gateway) admit(w http.ResponseWriter, r *http.Request, arrived time.Time) (*call, *Refusal) {
 	table := g.table.Load()
@@ -139,7 +165,7 @@
 	}
 	c.ask.Pool = c.pool
 	if route.Affinity {
-		c.ask.Prompt = sharedParts(r.Header.Get(g.Headers.Prompt))
+		c.ask.Prompt, c.ask.Own = promptParts(r.Header.Get(g.Headers.Prompt))
 	}
 	c.stream.lastID = r.Header.Get(lastEventID)
 	return c, nil
--- a/gateway/prompt.go
+++ b/gateway/prompt.go
@@ -1,25 +1,35 @@
 package gateway
 
 import (
+	"strconv"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/slipwick/slipwick/balance"
 )
 
-// sharedParts gives the keys of the parts of a prompt that other requests
-// share: all but the last, which is the request's own unless it is the only
-// one.
-func sharedParts(prompt string) []uint64 {
+// promptParts reads the parts of a prompt: those that other requests share,
+// which are all but the last, and the tokens of the last. An only part counts
+// as shared.
+func promptParts(prompt string) (shared []balance.Part, own int) {
 	if prompt == "" {
-		return nil
+		return nil, 0
+	}
+	for _, text := range strings.Split(prompt, ",") {
+		id, size, _ := strings.Cut(strings.TrimSpace(text), ":")
+		// A part of unreadable size counts as empty.
+		tokens, _ := strconv.Atoi(size)
+		shared = append(shared, balance.Part{
+			Key:    PartKey(id),
+			Tokens: max(tokens, 0),
+		})
 	}
-	parts := strings.Split(prompt, ",")
-	keys := make([]uint64, 0, len(parts))
-	for _, part := range parts[:max(len(parts)-1, 1)] {
-		id, _, _ := strings.Cut(strings.TrimSpace(part), ":")
-		keys = append(keys, PartKey(id))
+	last := len(shared) - 1
+	if last == 0 {
+		return shared, 0
 	}
-	return keys
+	return shared[:last], shared[last].Tokens
 }
 
 // PartKey gives the key of a part of a prompt by its ID.
