--- a/balance/prompt.go
+++ b/balance/prompt.go
@@ -25,7 +25,7 @@
 		}
 		c := candidate{
 			server: s,
-			has:    s == home || b.homes.has(prompt, s),
+			has:    b.homes.has(prompt, s),
 			score:  placement.Score(prompt, s.hash),
 		}
 		if c.betterThan(&best) {
--- a/cmd/internal/gatewayd/follow.go
+++ b/cmd/internal/gatewayd/follow.go
@@ -37,7 +37,6 @@
 			if c.Value == nil || !p.gateway.SetTable(c.Value) {
 				continue
 			}
-			p.learnt()
 			p.metrics.version.Set(float64(c.Value.Version))
 			events.ConfigurationInForce.On(&p.Log).Uint64("version", c.Value.Version).Send()
 		}
@@ -65,7 +64,6 @@
 func (p *Process) onBackends(list []balance.Listed) {
 	p.balancer.SetBackends(list)
 	p.listed.Store(true)
-	p.learnt()
 }
 
 // joinEvery is how often a router that knows no other tries its seeds.
--- a/cmd/internal/gatewayd/gateway.go
+++ b/cmd/internal/gatewayd/gateway.go
@@ -67,7 +67,8 @@
 	connections atomic.Int64
 
 	listed   atomic.Bool
-	ready    sync.Once
+	// started is closed when the process has learnt what it needs to choose
+	// well.
 	started  chan struct{}
 	draining atomic.Bool
 	done     chan struct{}
@@ -234,13 +235,6 @@
 // drainCheck is how often a draining router looks whether it is done.
 const drainCheck = 50 * time.Millisecond
 
-// learnt notes that a table or the list of backend servers came.
-func (p *Process) learnt() {
-	if p.gateway.Table() != nil && p.listed.Load() {
-		p.ready.Do(func() { close(p.started) })
-	}
-}
-
 // isReady tells whether the balancer may send connections here.
 func (p *Process) isReady() bool {
 	return p.gateway.Table() != nil && p.listed.Load() && !p.draining.Load()
--- a/cmd/internal/gatewayd/homes.go
+++ b/cmd/internal/gatewayd/homes.go
@@ -16,7 +16,7 @@
 	listedPoll = 20 * time.Millisecond
 	// peersWait is how long it looks for other routers, and then waits for
 	// what they know: some round trips within a region.
-	peersWait = 100 * time.Millisecond
+	peersWait = 50 * time.Millisecond
 	// listWait bounds one engine's list of what it keeps.
 	listWait = time.Second
 )
@@ -25,7 +25,7 @@
 // router, or, when none knows, from the engines. Each router then asks the
 // engines that the rendezvous of routers gives it, and tells the others.
 func (p *Process) recoverHomes(ctx context.Context) {
-	defer p.teller.Knows.Store(true)
+	defer p.learntHomes()
 	for !p.listed.Load() || p.gateway.Table() == nil {
 		if !sleep(ctx, listedPoll) {
 			return
@@ -50,6 +50,12 @@
 	}
 }
 
+// learntHomes lets requests in that waited for the start.
+func (p *Process) learntHomes() {
+	p.teller.Knows.Store(true)
+	close(p.started)
+}
+
 // listCaches asks this router's share of a pool's engines.
 func (p *Process) listCaches(ctx context.Context, pool string) {
 	routers := p.node.Routers()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,8 +25,9 @@
 	Balancer *balance.Balancer
 	Client   *upstream.Client
 	Budget   *retry.Budget
-	// Started is closed once there are a table and a list of backend servers;
-	// requests that come before wait a moment for it. Nil waits for nothing.
+	// Started is closed once the router has learnt what it needs to choose
+	// well; requests that come before wait a moment for it. Nil waits for
+	// nothing.
 	Started <-chan struct{}
 	// Observer is told of each request's ending.
 	Observer Observer
@@ -101,8 +102,8 @@
 }
 
 // startWait is how long a request waits for a router that has just started: it
-// lists what it needs within some tens of milliseconds.
-const startWait = 300 * time.Millisecond
+// learns what it needs within some 200 ms.
+const startWait = 400 * time.Millisecond
 
 func (g *Gateway) awaitStart(ctx context.Context) {
 	if g.Started == nil {
