--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -108,12 +108,10 @@
 			keeper = l
 		}
 	}
-	b.Hear("other", 1, &Told{
-		Reads: []Read{
-			{
-				Part:   7,
-				Server: placement.IDHash(keeper.ID),
-			},
+	b.HearReads([]Read{
+		{
+			Part:   7,
+			Server: placement.IDHash(keeper.ID),
 		},
 	})
 	for range 4 {
@@ -229,15 +227,13 @@
 			Running: 50,
 		})
 		b.SetPeers([]string{"r2"})
-		b.Hear("r2", 5, &Told{
-			InFlight: []InFlight{
-				{
-					Server: placement.IDHash(lease.Backend.ID),
-					Count:  1,
-				},
+		b.Hear("r2", 5, []InFlight{
+			{
+				Server: placement.IDHash(lease.Backend.ID),
+				Count:  1,
 			},
 		})
-		b.Hear("r2", 4, &Told{})
+		b.Hear("r2", 4, nil)
 		load := func() float64 {
 			b.mu.Lock()
 			defer b.mu.Unlock()
--- a/balance/told.go
+++ b/balance/told.go
@@ -62,24 +62,32 @@
 	return told
 }
 
-// Hear takes what another router told; counts that were overtaken are dropped.
-func (b *Balancer) Hear(router string, sequence uint64, told *Told) {
+// Hear takes the counts that another router told; those that were overtaken
+// are dropped.
+func (b *Balancer) Hear(router string, sequence uint64, list []InFlight) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if sequence <= b.heard[router].sequence {
+		return
+	}
 	h := heard{
 		at:       time.Now(),
 		sequence: sequence,
-		counts:   make(map[uint64]int, len(told.InFlight)),
-		reading:  make(map[uint64]int, len(told.InFlight)),
+		counts:   make(map[uint64]int, len(list)),
+		reading:  make(map[uint64]int, len(list)),
 	}
-	for _, in := range told.InFlight {
+	for _, in := range list {
 		h.counts[in.Server] = in.Count
 		h.reading[in.Server] = in.Reading
 	}
-	if sequence > b.heard[router].sequence {
-		b.heard[router] = h
-	}
-	for _, read := range told.Reads {
+	b.heard[router] = h
+}
+
+// HearReads takes what engines read for other routers.
+func (b *Balancer) HearReads(reads []Read) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, read := range reads {
 		if s := b.hashes[read.Server]; s != nil {
 			b.homes.heard(read.Part, s)
 		}
@@ -95,6 +103,18 @@
 	return sum
 }
 
+// InFlight counts the requests of all routers at a pool, as far as known.
+func (b *Balancer) InFlight(pool string) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	each, _ := b.loadsLocked(b.pools[pool], time.Now())
+	sum := 0.0
+	for _, load := range each {
+		sum += load
+	}
+	return sum
+}
+
 // AllReads gives all that is known of parts and the engines that keep them.
 func (b *Balancer) AllReads() []Read {
 	b.mu.Lock()
--- a/cmd/internal/gatewayd/gateway.go
+++ b/cmd/internal/gatewayd/gateway.go
@@ -66,7 +66,7 @@
 	// connections counts those of callers.
 	connections atomic.Int64
 
-	listed   atomic.Bool
+	listed atomic.Bool
 	// started is closed when the process has learnt what it needs to choose
 	// well.
 	started  chan struct{}
--- a/cmd/internal/gatewayd/homes.go
+++ b/cmd/internal/gatewayd/homes.go
@@ -17,6 +17,8 @@
 	// peersWait is how long it looks for other routers, and then waits for
 	// what they know: some round trips within a region.
 	peersWait = 50 * time.Millisecond
+	// peersRounds bounds how often it waits for more routers to turn up.
+	peersRounds = 20
 	// listWait bounds one engine's list of what it keeps.
 	listWait = time.Second
 )
@@ -31,7 +33,7 @@
 			return
 		}
 	}
-	if p.Settings.FirstStart || !sleep(ctx, peersWait) {
+	if p.Settings.FirstStart || !p.awaitPeers(ctx) {
 		return
 	}
 	if p.teller.Ask() && !sleep(ctx, peersWait) {
@@ -50,6 +52,22 @@
 	}
 }
 
+// awaitPeers waits until no more routers turn up; false if ctx ended first.
+func (p *Process) awaitPeers(ctx context.Context) bool {
+	known := 0
+	for range peersRounds {
+		if !sleep(ctx, peersWait) {
+			return false
+		}
+		now := len(p.node.Routers())
+		if now > 1 && now == known {
+			return true
+		}
+		known = now
+	}
+	return true
+}
+
 // learntHomes lets requests in that waited for the start.
 func (p *Process) learntHomes() {
 	p.teller.Knows.Store(true)
--- /dev/null
+++ b/exchange/codec.go
@@ -0,0 +1,111 @@
+package exchange
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"github.com/slipwick/slipwick/balance"
+	"github.com/slipwick/slipwick/exchange/exchangepb"
+)
+
+// maxCounts and maxReads bound a datagram to what fits one packet of 1,500
+// bytes: at most 14 bytes a count and 10 a read, and 8 for a read's engine.
+const (
+	maxCounts = 50
+	maxReads  = 60
+)
+
+// encode makes the datagrams of what is told; those of one call share a round.
+func (t *Teller) encode(scope exchangepb.Scope, told balance.Told) [][]byte {
+	round := t.sequence.Add(1)
+	var packets [][]byte
+	for first := true; first || len(told.InFlight)+len(told.Reads) > 0; first = false {
+		e := &encoder{
+			message: t.message(scope),
+			place:   make(map[uint64]uint32),
+		}
+		e.message.Round = round
+		n := min(len(told.InFlight), maxCounts)
+		e.addCounts(told.InFlight[:n])
+		told.InFlight = told.InFlight[n:]
+		if n < maxCounts/2 {
+			n = min(len(told.Reads), maxReads)
+			e.addReads(told.Reads[:n])
+			told.Reads = told.Reads[n:]
+		}
+		packets = append(packets, marshal(e.message))
+	}
+	return packets
+}
+
+func (t *Teller) message(scope exchangepb.Scope) *exchangepb.Told {
+	return &exchangepb.Told{
+		From:     t.Self,
+		Sequence: t.sequence.Add(1),
+		Scope:    scope,
+		Knows:    t.Knows.Load(),
+	}
+}
+
+// marshal encodes a message; the generated types encode always.
+func marshal(message *exchangepb.Told) []byte {
+	packet, _ := proto.Marshal(message)
+	return packet
+}
+
+// encoder fills one datagram.
+type encoder struct {
+	message *exchangepb.Told
+	place   map[uint64]uint32
+}
+
+// at gives a backend server's place in the list.
+func (e *encoder) at(server uint64) uint32 {
+	index, ok := e.place[server]
+	if !ok {
+		index = uint32(len(e.message.GetServers()))
+		e.place[server] = index
+		e.message.Servers = append(e.message.Servers, server)
+	}
+	return index
+}
+
+// addCounts comes before addReads, so that counts stand in the list's order.
+func (e *encoder) addCounts(list []balance.InFlight) {
+	for _, in := range list {
+		e.at(in.Server)
+		e.message.InFlight = append(e.message.InFlight, uint32(in.Count))
+		e.message.Reading = append(e.message.Reading, uint32(in.Reading))
+	}
+}
+
+func (e *encoder) addReads(reads []balance.Read) {
+	for _, read := range reads {
+		e.message.Parts = append(e.message.Parts, read.Part)
+		e.message.Readers = append(e.message.Readers, e.at(read.Server))
+	}
+}
+
+// decode reads what a datagram tells; what does not fit together is left out.
+func decode(message *exchangepb.Told) balance.Told {
+	var told balance.Told
+	servers := message.GetServers()
+	for i, count := range message.GetInFlight() {
+		if i < len(servers) && i < len(message.GetReading()) {
+			told.InFlight = append(told.InFlight, balance.InFlight{
+				Server:  servers[i],
+				Count:   int(count),
+				Reading: int(message.GetReading()[i]),
+			})
+		}
+	}
+	for i, part := range message.GetParts() {
+		if i >= len(message.GetReaders()) || int(message.GetReaders()[i]) >= len(servers) {
+			break
+		}
+		told.Reads = append(told.Reads, balance.Read{
+			Part:   part,
+			Server: servers[message.GetReaders()[i]],
+		})
+	}
+	return told
+}
--- a/exchange/teller.go
+++ b/exchange/teller.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,17 +16,15 @@
 )
 
 const (
-	// shortestPause lies between two tellings in a small fleet: shorter than
-	// a request runs, long enough to cost a router little.
-	shortestPause = 200 * time.Millisecond
-	// pausePerRouter bounds the datagrams of a large fleet, to some 60 a
-	// second sent and received.
-	pausePerRouter = 16 * time.Millisecond
-	// maxCounts and maxReads bound a datagram to what fits one packet.
-	maxCounts = 60
-	maxReads  = 80
+	// pause lies between two tellings: shorter than a request runs, long
+	// enough to cost a router little.
+	pause = 200 * time.Millisecond
 	// sequenceBits leave room for the datagrams of a millisecond.
 	sequenceBits = 16
+	// fleetSource names what a hub tells of the whole fleet.
+	fleetSource = "fleet"
+	// maxPassed bounds the reads that a hub has yet to pass on.
+	maxPassed = 4096
 )
 
 // Wire carries datagrams between routers.
@@ -42,20 +42,32 @@
 	Routers func() []slipwick.Router
 	// Address gives where a router hears what is told.
 	Address func(slipwick.Router) string
-
 	// Knows is set once this router knows which engines keep which parts;
 	// OthersKnow once another router said so of itself.
 	Knows      atomic.Bool
 	OthersKnow atomic.Bool
 
 	sequence atomic.Uint64
-	done     chan struct{}
+	// size is that of the fleet when this router told last; 0 before.
+	size atomic.Int64
+
+	mu sync.Mutex
+	// told are the counts that others told, by router or hub.
+	told map[string]*counts
+	// own is what this router told last.
+	own *counts
+	// fromGroup and fromHubs are reads to pass on.
+	fromGroup, fromHubs []balance.Read
+
+	done chan struct{}
 }
 
 // NewTeller makes a teller; its exported fields are to be set.
 func NewTeller(self string) *Teller {
 	t := &Teller{
 		Self: self,
+		told: make(map[string]*counts),
+		own:  newCounts(nil),
 		done: make(chan struct{}),
 	}
 	// What a restarted router tells is newer than what it told before.
@@ -71,115 +83,110 @@
 // Run tells until ctx ends.
 func (t *Teller) Run(ctx context.Context) {
 	defer close(t.done)
+	ticker := time.NewTicker(pause)
+	defer ticker.Stop()
 	for {
-		pause := t.tell()
-		timer := time.NewTimer(pause)
+		t.tell()
 		select {
 		case <-ctx.Done():
-			timer.Stop()
 			return
-		case <-timer.C:
+		case <-ticker.C:
 		}
 	}
 }
 
-// tell tells all others and gives the pause until the next time.
-func (t *Teller) tell() time.Duration {
-	var ids, addresses []string
-	for _, r := range t.Routers() {
-		if r.ID != t.Self {
-			ids = append(ids, r.ID)
-			addresses = append(addresses, t.Address(r))
-		}
-	}
-	t.Balancer.SetPeers(ids)
-	for _, packet := range t.packets() {
-		for _, address := range addresses {
-			t.Wire.Send(address, packet)
-		}
+// tell tells those that this router tells in a fleet of this size.
+func (t *Teller) tell() {
+	hubs := chooseHubs(t.Routers())
+	t.size.Store(int64(len(hubs.routers)))
+	told := t.Balancer.Tell()
+	t.mu.Lock()
+	t.own = newCounts(told.InFlight)
+	t.mu.Unlock()
+	switch {
+	case len(hubs.chosen) == 0:
+		others := without(hubs.routers, t.Self)
+		t.Balancer.SetPeers(idsOf(others))
+		t.send(others, t.encode(exchangepb.Scope_SCOPE_OWN, told))
+	case hubs.has(t.Self):
+		t.tellAsHub(hubs, told)
+	default:
+		t.mu.Lock()
+		t.fromGroup, t.fromHubs = nil, nil
+		t.mu.Unlock()
+		hub, _ := hubs.of(t.Self)
+		t.Balancer.SetPeers([]string{fleetSource})
+		t.send([]slipwick.Router{hub}, t.encode(exchangepb.Scope_SCOPE_OWN, told))
 	}
-	return max(shortestPause, time.Duration(len(ids))*pausePerRouter)
 }
 
-// packets encodes what there is to tell; counts stand in the first one, reads
-// in as many as they take.
-func (t *Teller) packets() [][]byte {
-	told := t.Balancer.Tell()
-	first := &told
-	var packets [][]byte
-	for first != nil || len(told.Reads) > 0 {
-		packets = append(packets, t.encode(&told))
-		told.InFlight, first = nil, nil
-	}
-	return packets
+// tellAsHub tells the other hubs of the group, and the group of the fleet.
+func (t *Teller) tellAsHub(hubs *hubs, own balance.Told) {
+	group, others := hubs.group(t.Self), without(hubs.chosen, t.Self)
+	t.Balancer.SetPeers(slices.Concat(idsOf(group), idsOf(others)))
+	ofGroup, ofHubs := t.sums(idsOf(group), idsOf(others))
+	t.mu.Lock()
+	fromGroup, fromHubs := slices.Concat(own.Reads, t.fromGroup), t.fromHubs
+	t.fromGroup, t.fromHubs = nil, nil
+	t.mu.Unlock()
+	t.send(others, t.encode(exchangepb.Scope_SCOPE_GROUP, balance.Told{
+		InFlight: ofGroup.list(),
+		Reads:    fromGroup,
+	}))
+	ofGroup.add(ofHubs, 1)
+	t.send(group, t.encode(exchangepb.Scope_SCOPE_FLEET, balance.Told{
+		InFlight: ofGroup.list(),
+		Reads:    slices.Concat(fromGroup, fromHubs),
+	}))
 }
 
-// encode makes a datagram of the counts and as many reads as fit, which it
-// removes.
-func (t *Teller) encode(told *balance.Told) []byte {
-	message := t.message()
-	place := make(map[uint64]uint32)
-	at := func(server uint64) uint32 {
-		index, ok := place[server]
-		if !ok {
-			index = uint32(len(message.GetServers()))
-			place[server] = index
-			message.Servers = append(message.Servers, server)
+// sums adds what the group and this router, and what the other hubs have, and
+// forgets what others told.
+func (t *Teller) sums(group, hubs []string) (ofGroup, ofHubs *counts) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	fromGroup, fromHubs := make(map[string]*counts), make(map[string]*counts)
+	for _, id := range group {
+		if c := t.told[id]; c != nil {
+			fromGroup[id] = c
 		}
-		return index
 	}
-	for _, in := range told.InFlight[:min(len(told.InFlight), maxCounts)] {
-		at(in.Server)
-		message.InFlight = append(message.InFlight, uint32(in.Count))
-		message.Reading = append(message.Reading, uint32(in.Reading))
+	for _, id := range hubs {
+		if c := t.told[id]; c != nil {
+			fromHubs[id] = c
+		}
 	}
-	count := min(len(told.Reads), maxReads)
-	for _, read := range told.Reads[:count] {
-		message.Parts = append(message.Parts, read.Part)
-		message.Readers = append(message.Readers, at(read.Server))
+	t.told = make(map[string]*counts, len(fromGroup)+len(fromHubs))
+	for _, kept := range []map[string]*counts{fromGroup, fromHubs} {
+		for id, c := range kept {
+			t.told[id] = c
+		}
 	}
-	told.Reads = told.Reads[count:]
-	return marshal(message)
+	ofGroup, ofHubs = sumOf(fromGroup), sumOf(fromHubs)
+	ofGroup.add(t.own, 1)
+	return ofGroup, ofHubs
 }
 
-func (t *Teller) message() *exchangepb.Told {
-	return &exchangepb.Told{
-		From:     t.Self,
-		Sequence: t.sequence.Add(1),
-		Knows:    t.Knows.Load(),
+func (t *Teller) send(routers []slipwick.Router, packets [][]byte) {
+	for _, r := range routers {
+		address := t.Address(r)
+		for _, packet := range packets {
+			t.Wire.Send(address, packet)
+		}
 	}
 }
 
-// marshal encodes a message; the generated types encode always.
-func marshal(message *exchangepb.Told) []byte {
-	packet, _ := proto.Marshal(message)
-	return packet
-}
-
 // Ask asks one of the other routers for all it knows of parts and engines, as
 // a router that starts knows nothing; false if there is no other.
 func (t *Teller) Ask() bool {
-	routers := t.Routers()
-	for _, i := range rand.Perm(len(routers)) {
-		if routers[i].ID == t.Self {
-			continue
-		}
-		message := t.message()
-		message.Asks = true
-		t.Wire.Send(t.Address(routers[i]), marshal(message))
-		return true
-	}
-	return false
-}
-
-// answer tells all that this router knows of parts and engines.
-func (t *Teller) answer(address string) {
-	told := balance.Told{
-		Reads: t.Balancer.AllReads(),
-	}
-	for len(told.Reads) > 0 {
-		t.Wire.Send(address, t.encode(&told))
+	others := without(t.Routers(), t.Self)
+	if len(others) == 0 {
+		return false
 	}
+	message := t.message(exchangepb.Scope_SCOPE_NONE)
+	message.Asks = true
+	t.send(others[rand.IntN(len(others)):][:1], [][]byte{marshal(message)})
+	return true
 }
 
 // Receive takes a datagram of another router. What can't be read is dropped.
@@ -195,25 +202,68 @@
 	if message.GetKnows() {
 		t.OthersKnow.Store(true)
 	}
-	told := &balance.Told{}
-	servers := message.GetServers()
-	for i, count := range message.GetInFlight() {
-		if i < len(servers) && i < len(message.GetReading()) {
-			told.InFlight = append(told.InFlight, balance.InFlight{
-				Server:  servers[i],
-				Count:   int(count),
-				Reading: int(message.GetReading()[i]),
-			})
-		}
+	told := decode(message)
+	t.passLater(message.GetScope(), told.Reads)
+	source, list := message.GetFrom(), t.collect(message, told.InFlight)
+	if message.GetScope() == exchangepb.Scope_SCOPE_FLEET {
+		source = fleetSource
 	}
-	for i, part := range message.GetParts() {
-		if i >= len(message.GetReaders()) || int(message.GetReaders()[i]) >= len(servers) {
-			break
-		}
-		told.Reads = append(told.Reads, balance.Read{
-			Part:   part,
-			Server: servers[message.GetReaders()[i]],
-		})
+	if message.GetScope() != exchangepb.Scope_SCOPE_NONE {
+		t.Balancer.Hear(source, message.GetSequence(), list)
+	}
+	t.Balancer.HearReads(told.Reads)
+}
+
+// answer tells all that this router knows of parts and engines.
+func (t *Teller) answer(address string) {
+	if !t.Knows.Load() {
+		return
+	}
+	packets := t.encode(exchangepb.Scope_SCOPE_NONE, balance.Told{
+		Reads: t.Balancer.AllReads(),
+	})
+	for _, packet := range packets {
+		t.Wire.Send(address, packet)
+	}
+}
+
+// passLater keeps reads to pass on, in case this router is a hub.
+func (t *Teller) passLater(scope exchangepb.Scope, reads []balance.Read) {
+	size := t.size.Load()
+	if len(reads) == 0 || size > 0 && size <= meshSize {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case scope == exchangepb.Scope_SCOPE_OWN && len(t.fromGroup) < maxPassed:
+		t.fromGroup = append(t.fromGroup, reads...)
+	case scope == exchangepb.Scope_SCOPE_GROUP && len(t.fromHubs) < maxPassed:
+		t.fromHubs = append(t.fromHubs, reads...)
+	}
+}
+
+// collect joins the counts of a round's datagrams, and gives them without this
+// router's own, as far as they hold these.
+func (t *Teller) collect(message *exchangepb.Told, list []balance.InFlight) []balance.InFlight {
+	if message.GetScope() == exchangepb.Scope_SCOPE_NONE {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := newCounts(list)
+	c.sequence = message.GetRound()
+	id := message.GetFrom()
+	if before := t.told[id]; before != nil && before.sequence == c.sequence {
+		c.add(before, 1)
+	} else if before != nil && before.sequence > c.sequence {
+		return before.list()
+	}
+	t.told[id] = c
+	if message.GetScope() != exchangepb.Scope_SCOPE_FLEET {
+		return c.list()
 	}
-	t.Balancer.Hear(message.GetFrom(), message.GetSequence(), told)
+	others := newCounts(c.list())
+	others.add(t.own, -1)
+	return others.list()
 }
--- a/exchange/teller_test.go
+++ b/exchange/teller_test.go
@@ -99,7 +99,7 @@
 		}
 		counts := make(map[string]int)
 		for i := range 90 {
-			time.Sleep(shortestPause)
+			time.Sleep(pause)
 			synctest.Wait()
 			counts[ask(t, tellers[i%3].Balancer, 7).Backend.ID]++
 		}
@@ -119,6 +119,58 @@
 	})
 }
 
+// TestHubsCountEveryRequestOnce has a fleet too large to tell all; each router
+// has one request at an engine of its own choice, and has to learn of all the
+// others' once.
+func TestHubsCountEveryRequestOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size = 50
+		tellers, _ := newRouters(size)
+		ctx, cancel := context.WithCancel(t.Context())
+		for i, teller := range tellers {
+			ask(t, teller.Balancer, uint64(i))
+			go teller.Run(ctx)
+		}
+		time.Sleep(6 * pause)
+		synctest.Wait()
+		for _, teller := range tellers {
+			if got := teller.Balancer.InFlight("p"); got != size {
+				t.Errorf("router %s: got %v requests in the fleet, want %d", teller.Self, got, size)
+			}
+			if got := teller.Balancer.KnownParts(); got != size {
+				t.Errorf("router %s: got %d parts, want %d", teller.Self, got, size)
+			}
+		}
+		cancel()
+		for _, teller := range tellers {
+			<-teller.Done()
+		}
+	})
+}
+
+func TestHubsAreFewAndEvenlyTold(t *testing.T) {
+	for _, size := range []int{17, 62, 80, 330} {
+		var routers []slipwick.Router
+		for i := range size {
+			routers = append(routers, slipwick.Router{
+				ID: fmt.Sprint(i),
+			})
+		}
+		h := chooseHubs(routers)
+		told := 0
+		for _, hub := range h.chosen {
+			group := len(h.group(hub.ID))
+			told += group
+			if group > 4*len(h.chosen) {
+				t.Errorf("%d routers: a hub has %d of them, want at most 4 times the %d hubs", size, group, len(h.chosen))
+			}
+		}
+		if told+len(h.chosen) != size {
+			t.Errorf("%d routers: %d hubs and %d that tell them, want all", size, len(h.chosen), told)
+		}
+	}
+}
+
 func TestRouterThatStartsLearnsWhatOthersKnow(t *testing.T) {
 	tellers, board := newRouters(2)
 	for key := range uint64(500) {
