Run the gateway from a file of slipwick's own; bound the log; reread settings

The gateway's routes, pools, workspaces and backend servers can stand in a file in JSON with comments, checked whole and followed while it changes. SIGHUP rereads seeds, grace period and the bound on repeats.

--- a/cmd/internal/events/catalogue.go
+++ b/cmd/internal/events/catalogue.go
@@ -42,9 +42,16 @@
 		Number:  104,
 		Name:    "settings-reloaded",
 		Level:   zerolog.InfoLevel,
-		Meaning: "The process was told that its settings changed.",
+		Meaning: "The process read its settings anew: seeds, grace period and the bound on repeats.",
 		Remedy:  "Restart the process for what it listens on.",
 	}
+	SettingsRefused = Event{
+		Number:  106,
+		Name:    "settings-refused",
+		Level:   zerolog.WarnLevel,
+		Meaning: "The changed settings could not be read; those before stay in use.",
+		Remedy:  "Mend what the field cause lists.",
+	}
 	RequestEnded = Event{
 		Number:  201,
 		Name:    "request-ended",
@@ -139,6 +146,7 @@
 		DrainFinished,
 		SettingsReloaded,
 		HomesAsked,
+		SettingsRefused,
 		RequestEnded,
 		RequestBroken,
 		RequestRefused,
--- a/cmd/internal/gatewayd/fixture_test.go
+++ b/cmd/internal/gatewayd/fixture_test.go
@@ -12,8 +12,6 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/balance"
 	"github.com/slipwick/slipwick/directory"
@@ -171,7 +169,7 @@
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	r := &running{
-		Process: New(settings, w.feeds(), zerolog.Nop()),
+		Process: New(settings, w.feeds()),
 		stop:    cancel,
 	}
 	go func() {
--- a/cmd/internal/gatewayd/follow.go
+++ b/cmd/internal/gatewayd/follow.go
@@ -20,6 +20,9 @@
 
 // shared gives a feed as the fleet shares it.
 func (p *Process) shared(name string, store slipwick.Feed) slipwick.Feed {
+	if p.Feeds.Private {
+		return store
+	}
 	return &directory.Shared{
 		Name:  name,
 		Store: store,
@@ -75,7 +78,7 @@
 	defer ticker.Stop()
 	for {
 		if len(p.node.Routers()) == 1 {
-			for _, seed := range p.Settings.Seeds {
+			for _, seed := range *p.seeds.Load() {
 				p.node.Join(seed)
 			}
 		}
@@ -87,15 +90,31 @@
 	}
 }
 
-// watchSettings notes that the settings may have changed. What a process
-// listens on and promises is fixed for its life.
+// watchSettings takes changed settings: seeds, grace period and the bound on
+// repeats. What a process listens on is fixed for its life.
 func (p *Process) watchSettings(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-p.Reload:
-			events.SettingsReloaded.On(&p.Log).Send()
+			p.reread()
 		}
 	}
 }
+
+func (p *Process) reread() {
+	if p.Reread == nil {
+		return
+	}
+	settings, err := p.Reread()
+	if err != nil {
+		events.SettingsRefused.On(&p.Log).AnErr("cause", err).Send()
+		return
+	}
+	p.seeds.Store(&settings.Seeds)
+	p.grace.Store(int64(settings.Grace))
+	p.gateway.Budget.SetBound(settings.Retries.Ratio, settings.Retries.Extra)
+	events.SettingsReloaded.On(&p.Log).Int("seeds", len(settings.Seeds)).Dur("grace_ms", settings.Grace).
+		Float64("retry_ratio", settings.Retries.Ratio).Float64("retry_extra", settings.Retries.Extra).Send()
+}
--- a/cmd/internal/gatewayd/gateway.go
+++ b/cmd/internal/gatewayd/gateway.go
@@ -47,8 +47,12 @@
 	Settings *Settings
 	Feeds    Feeds
 	Log      zerolog.Logger
-	// Reload is called when the settings may have changed.
+	// DroppedLines counts lines of the log that were not written; may be nil.
+	DroppedLines *atomic.Int64
+	// Reload gives a value when the settings may have changed, and Reread
+	// reads them anew. Both may be nil.
 	Reload <-chan struct{}
+	Reread func() (*Settings, error)
 
 	gateway  *gateway.Gateway
 	balancer *balance.Balancer
@@ -71,15 +75,18 @@
 	// well.
 	started  chan struct{}
 	draining atomic.Bool
-	done     chan struct{}
+	// seeds and grace are those of the settings read last.
+	seeds atomic.Pointer[[]string]
+	grace atomic.Int64
+	done  chan struct{}
 }
 
 // New makes a process that Run starts.
-func New(settings *Settings, feeds Feeds, log zerolog.Logger) *Process {
+func New(settings *Settings, feeds Feeds) *Process {
 	return &Process{
 		Settings: settings,
 		Feeds:    feeds,
-		Log:      log,
+		Log:      zerolog.Nop(),
 		started:  make(chan struct{}),
 		done:     make(chan struct{}),
 	}
@@ -98,6 +105,8 @@
 		log:     p.Log,
 		metrics: p.metrics,
 	}
+	p.seeds.Store(&s.Seeds)
+	p.grace.Store(int64(s.Grace))
 	p.balancer = balance.New(s.DataCentre)
 	p.client = &upstream.Client{}
 	p.backends = directory.NewBackends(p.onBackends)
@@ -146,6 +155,7 @@
 // Run serves until ctx ends, then drains.
 func (p *Process) Run(ctx context.Context) error {
 	defer close(p.done)
+	p.Log = p.Log.With().Str("router", p.Settings.ID).Logger()
 	if p.Settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(p.Settings.MemoryBytes)))
 	}
@@ -222,7 +232,7 @@
 	p.node.Leave()
 	time.Sleep(announceTime)
 	p.gateway.Close()
-	end := started.Add(p.Settings.Grace - graceMargin)
+	end := started.Add(time.Duration(p.grace.Load()) - graceMargin)
 	for closed := time.Now(); time.Now().Before(end); time.Sleep(drainCheck) {
 		if p.gateway.InFlight() == 0 && time.Since(closed) > refuseTime {
 			break
--- a/cmd/internal/gatewayd/metrics.go
+++ b/cmd/internal/gatewayd/metrics.go
@@ -60,6 +60,16 @@
 			help: "Connections accepted from callers.",
 			read: func() float64 { return float64(p.connections.Load()) },
 		},
+		{
+			name: "slipwick_log_lines_dropped",
+			help: "Lines of the log beyond its budget.",
+			read: func() float64 {
+				if p.DroppedLines == nil {
+					return 0
+				}
+				return float64(p.DroppedLines.Load())
+			},
+		},
 		{
 			name: "slipwick_members",
 			help: "Routers that this router does not count as dead.",
--- a/cmd/internal/gatewayd/settings.go
+++ b/cmd/internal/gatewayd/settings.go
@@ -56,6 +56,9 @@
 	// DecodeTable gives nil for objects that are no table.
 	DecodeTable   func(name string, value []byte) (*routing.Table, error)
 	DecodeBackend func(name string, value []byte) (balance.Listed, error)
+	// Private says that each router has the state from elsewhere, so that
+	// routers do not follow each other.
+	Private bool
 	// Caches may be nil.
 	Caches slipwick.CacheLister
 }
--- a/cmd/slipwickd/serve/gateway.go
+++ b/cmd/slipwickd/serve/gateway.go
@@ -7,19 +7,24 @@
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
-	"github.com/rs/zerolog"
+	"github.com/pkg/errors"
 
 	"github.com/slipwick/slipwick/httpclient"
 	"github.com/slipwick/slipwick/platform"
 
+	"github.com/slipwick/slipwick/cmd/internal/boundedlog"
 	"github.com/slipwick/slipwick/cmd/internal/cli"
 	"github.com/slipwick/slipwick/cmd/internal/gatewayd"
 )
 
 const gatewayHelp = `The slipwick gateway: routes HTTP requests by host and path.
 
-With --on-platform the settings are the users' platform's own file, and the
-configuration and the backend servers come from the platform's store.
+With --config the settings are a file of slipwick's own, which names the table
+of routes and backend servers. Without it they are the users' platform's file,
+and routes and backend servers come from the platform's store.
+
+Example:
+  slipwickd gateway --config /etc/slipwick/gateway.jsonc
 
 Exit codes: 0 stopped as asked, 1 failed, 2 the settings have mistakes.`
 
@@ -33,38 +38,76 @@
 	reload := hangups()
 	app := kingpin.New("slipwickd gateway", gatewayHelp)
 	app.UsageWriter(streams.Out).ErrorWriter(streams.Err)
-	path := app.Flag("on-platform", "The platform's settings file.").Default(platform.SettingsPath()).String()
-	check := app.Flag("check", "Check the settings file and exit.").Bool()
+	options := &gatewayOptions{}
+	app.Flag("config", "Settings file, in JSON with comments.").StringVar(&options.Config)
+	app.Flag("platform-settings", "The platform's settings file.").Default(platform.SettingsPath()).
+		StringVar(&options.Platform)
+	app.Flag("check", "Check the settings file and exit.").BoolVar(&options.Check)
 	app.HelpFlag.Short('h')
 	if _, err := app.Parse(args); err != nil {
 		return streams.Fail("slipwickd gateway", cli.Usage(err, "run slipwickd gateway --help"))
 	}
-	settings, err := platform.ReadSettings(*path)
+	process, err := options.process()
 	if err != nil {
-		return streams.Fail("slipwickd gateway", cli.Usage(err, "mend the settings file"))
+		return streams.Fail("slipwickd gateway", refused(err))
 	}
-	if *check {
-		_, _ = streams.Out.Write([]byte(*path + " is in order\n"))
+	if options.Check {
+		_, _ = streams.Out.Write([]byte("the settings are in order\n"))
 		return cli.ExitOK
 	}
+	lines := boundedlog.New(streams.Out)
+	defer lines.Close()
+	process.Log, process.DroppedLines, process.Reload = lines.Logger(), &lines.Dropped, reload
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	process := onPlatform(streams, settings)
-	process.Reload = reload
 	if err := process.Run(ctx); err != nil {
 		return streams.Fail("slipwickd gateway", err)
 	}
 	return cli.ExitOK
 }
 
-// onPlatform makes a gateway from the platform's settings.
-func onPlatform(streams cli.Streams, s *platform.Settings) *gatewayd.Process {
-	store := &platform.Store{
-		Address: s.Platform.Address,
-		HTTP:    httpclient.New(),
+// gatewayOptions are what the command line gives.
+type gatewayOptions struct {
+	Config   string
+	Platform string
+	Check    bool
+}
+
+// process makes the gateway from the settings that the options name.
+func (o *gatewayOptions) process() (*gatewayd.Process, error) {
+	if o.Config != "" {
+		settings, feeds, err := gatewayd.ReadFileSettings(o.Config)
+		if err != nil {
+			return nil, err
+		}
+		process := gatewayd.New(settings, feeds)
+		process.Reread = func() (*gatewayd.Settings, error) {
+			settings, _, err := gatewayd.ReadFileSettings(o.Config)
+			return settings, err
+		}
+		return process, nil
+	}
+	if o.Platform == "" {
+		return nil, errors.New("no settings are named")
 	}
-	log := zerolog.New(streams.Out).With().Timestamp().Str("router", s.NodeName).Logger()
-	return gatewayd.New(&gatewayd.Settings{
+	settings, err := platform.ReadSettings(o.Platform)
+	if err != nil {
+		return nil, err
+	}
+	process := gatewayd.New(platformSettings(settings), platformFeeds(settings))
+	process.Reread = func() (*gatewayd.Settings, error) {
+		settings, err := platform.ReadSettings(o.Platform)
+		if err != nil {
+			return nil, err
+		}
+		return platformSettings(settings), nil
+	}
+	return process, nil
+}
+
+// platformSettings translates the platform's settings.
+func platformSettings(s *platform.Settings) *gatewayd.Settings {
+	return &gatewayd.Settings{
 		ID:         s.NodeName,
 		DataCentre: s.Zone,
 		Region:     s.Region,
@@ -85,7 +128,16 @@
 		FirstStart:  s.Bootstrap,
 		Grace:       s.Grace(),
 		MemoryBytes: s.Limits.MemoryMB << 20,
-	}, gatewayd.Feeds{
+	}
+}
+
+// platformFeeds gives what the platform's store and replicas tell.
+func platformFeeds(s *platform.Settings) gatewayd.Feeds {
+	store := &platform.Store{
+		Address: s.Platform.Address,
+		HTTP:    httpclient.New(),
+	}
+	return gatewayd.Feeds{
 		Tables:        platform.Configurations(store),
 		Backends:      platform.Replicas(store),
 		DecodeTable:   platform.DecodeConfiguration,
@@ -93,7 +145,7 @@
 		Caches: &platform.Caches{
 			HTTP: httpclient.New(),
 		},
-	}, log)
+	}
 }
 
 // hangups gives a value for each SIGHUP.
--- /dev/null
+++ b/cmd/slipwickd/serve/gateway_test.go
@@ -0,0 +1,90 @@
+package serve
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/slipwick/slipwick/cmd/internal/cli"
+)
+
+const goodSettings = `{
+  "id": "g1", "data_centre": "d",
+  "listen": {"callers": "127.0.0.1:1", "ready": "127.0.0.1:2", "peers": "127.0.0.1:3"},
+  "table": "table.jsonc" // beside this file
+}`
+
+const goodTable = `{"version": 1,
+ "pools": [{"name": "p", "backends": []}],
+ "routes": [{"name": "r", "host": "h", "prefix": "/", "kind": "single", "targets": [{"pool": "p"}]}]}`
+
+func check(t *testing.T, settings, table string) (code int, output string) {
+	t.Helper()
+	folder := t.TempDir()
+	for name, text := range map[string]string{
+		"gateway.jsonc": settings,
+		"table.jsonc":   table,
+	} {
+		if err := os.WriteFile(filepath.Join(folder, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var out bytes.Buffer
+	code = Main(cli.Streams{
+		Out: &out,
+		Err: &out,
+	}, []string{"gateway", "--check", "--config", filepath.Join(folder, "gateway.jsonc")})
+	return code, out.String()
+}
+
+func TestGatewayChecksItsSettings(t *testing.T) {
+	if code, output := check(t, goodSettings, goodTable); code != cli.ExitOK {
+		t.Errorf("good settings: got %d, %s; want 0", code, output)
+	}
+	for name, tc := range map[string]struct {
+		settings, table string
+		want            []string
+	}{
+		"several mistakes": {
+			settings: strings.NewReplacer(`"g1"`, `""`, "127.0.0.1:2", "nowhere").Replace(goodSettings),
+			table:    goodTable,
+			want:     []string{"/id", "/listen/ready"},
+		},
+		"no JSON": {
+			settings: "{",
+			table:    goodTable,
+			want:     []string{"gateway.jsonc"},
+		},
+		"mistakes in the table": {
+			settings: goodSettings,
+			table:    strings.Replace(goodTable, `"single"`, `"double"`, 1),
+			want:     []string{"table.jsonc", "/routes/0/kind"},
+		},
+	} {
+		code, output := check(t, tc.settings, tc.table)
+		if code != cli.ExitUsage {
+			t.Errorf("%s: got exit code %d, want %d", name, code, cli.ExitUsage)
+		}
+		for _, want := range tc.want {
+			if !strings.Contains(output, want) {
+				t.Errorf("%s: got %q, want it to name %s", name, output, want)
+			}
+		}
+	}
+}
+
+func TestGatewayWithoutSettingsTellsWhatToDo(t *testing.T) {
+	var out bytes.Buffer
+	streams := cli.Streams{
+		Out: &out,
+		Err: &out,
+	}
+	if code := Main(streams, []string{"gateway", "--platform-settings", ""}); code != cli.ExitUsage {
+		t.Errorf("got exit code %d, want %d", code, cli.ExitUsage)
+	}
+	if !strings.Contains(out.String(), "--config") {
+		t.Errorf("got %q, want it to name --config", out.String())
+	}
+}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -28,6 +28,13 @@
 	pools map[string]*window
 }
 
+// SetBound changes the bound; what was counted stays counted.
+func (b *Budget) SetBound(ratio, extra float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.Ratio, b.Extra = ratio, extra
+}
+
 // Requested counts a caller's request for the pool.
 func (b *Budget) Requested(pool string) {
 	b.mu.Lock()
--- /dev/null
+++ b/tablefile/feed.go
@@ -0,0 +1,133 @@
+package tablefile
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/balance"
+	"github.com/slipwick/slipwick/routing"
+)
+
+// pollEvery is how often a file is read anew: well within the time in which a
+// changed configuration has to be in force.
+const pollEvery = 500 * time.Millisecond
+
+// Feed follows a file; each state of it is a list of its own.
+type Feed struct {
+	Path string
+	// entries picks the objects out of the file.
+	entries func(*File, []byte) ([]slipwick.FeedEntry, error)
+}
+
+var _ slipwick.Feed = (*Feed)(nil)
+
+// Tables follows the table of a file.
+func Tables(path string) *Feed {
+	return &Feed{
+		Path: path,
+		entries: func(_ *File, source []byte) ([]slipwick.FeedEntry, error) {
+			return []slipwick.FeedEntry{
+				{
+					Name:  path,
+					Value: source,
+				},
+			}, nil
+		},
+	}
+}
+
+// Backends follows the backend servers of a file.
+func Backends(path string) *Feed {
+	return &Feed{
+		Path: path,
+		entries: func(file *File, _ []byte) ([]slipwick.FeedEntry, error) {
+			var entries []slipwick.FeedEntry
+			for _, listed := range file.Backends() {
+				value, err := json.Marshal(listed)
+				if err != nil {
+					return nil, errors.Wrap(err, "encode a backend server")
+				}
+				entries = append(entries, slipwick.FeedEntry{
+					Name:  listed.ID,
+					Value: value,
+				})
+			}
+			return entries, nil
+		},
+	}
+}
+
+// DecodeTable reads an object of Tables.
+func DecodeTable(name string, value []byte) (*routing.Table, error) {
+	file, err := Parse(name, value)
+	if err != nil {
+		return nil, err
+	}
+	return file.Table(), nil
+}
+
+// DecodeBackend reads an object of Backends.
+func DecodeBackend(_ string, value []byte) (balance.Listed, error) {
+	var listed balance.Listed
+	err := json.Unmarshal(value, &listed)
+	return listed, errors.Wrap(err, "decode a backend server")
+}
+
+// List reads the file. Its revision is the hash of its content.
+func (f *Feed) List(context.Context) (slipwick.FeedBatch, error) {
+	source, err := os.ReadFile(f.Path)
+	if err != nil {
+		return slipwick.FeedBatch{}, unreadable(err)
+	}
+	file, err := Parse(f.Path, source)
+	if err != nil {
+		return slipwick.FeedBatch{}, unreadable(err)
+	}
+	entries, err := f.entries(file, source)
+	return slipwick.FeedBatch{
+		Entries:  entries,
+		Whole:    true,
+		Revision: xxhash.Sum64(source),
+	}, err
+}
+
+// Watch reads the file until its content differs from the revision.
+func (f *Feed) Watch(ctx context.Context, after uint64, wait time.Duration) (slipwick.FeedBatch, error) {
+	end := time.NewTimer(wait)
+	defer end.Stop()
+	ticker := time.NewTicker(pollEvery)
+	defer ticker.Stop()
+	for ended := false; ; {
+		batch, err := f.List(ctx)
+		if err != nil || ended || batch.Revision != after {
+			return batch, err
+		}
+		select {
+		case <-ctx.Done():
+			return slipwick.FeedBatch{}, ctx.Err()
+		case <-end.C:
+			ended = true
+		case <-ticker.C:
+		}
+	}
+}
+
+func unreadable(cause error) error {
+	return &slipwick.Error{
+		Kind:    slipwick.KindInvalidConfiguration,
+		Message: "the table file is out of use; the last good state stays in force",
+		Remedy:  "mend the file",
+		Cause:   cause,
+	}
+}
+
+func pointer(field string, index int) string {
+	return "/" + field + "/" + strconv.Itoa(index)
+}
--- /dev/null
+++ b/tablefile/file.go
@@ -0,0 +1,171 @@
+package tablefile
+
+import (
+	"time"
+
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/balance"
+	"github.com/slipwick/slipwick/jsonfile"
+	"github.com/slipwick/slipwick/routing"
+)
+
+// File is the whole desired state of a gateway.
+type File struct {
+	// Version has to rise with each change; lower ones are ignored.
+	Version    uint64      `json:"version" validate:"required"`
+	Limits     Limits      `json:"limits"`
+	Routes     []Route     `json:"routes" validate:"dive"`
+	Pools      []Pool      `json:"pools" validate:"dive"`
+	Workspaces []Workspace `json:"workspaces" validate:"dive"`
+}
+
+// Limits bound what callers may send; what is left out sets no bound.
+type Limits struct {
+	HeaderBytes int64             `json:"header_bytes" validate:"min=0"`
+	BodyBytes   int64             `json:"body_bytes" validate:"min=0"`
+	HeaderWait  jsonfile.Duration `json:"header_wait" validate:"min=0"`
+	Idle        jsonfile.Duration `json:"idle" validate:"min=0"`
+}
+
+// Route is routing.Route as the file has it.
+type Route struct {
+	Name        string            `json:"name" validate:"required"`
+	Host        string            `json:"host" validate:"required"`
+	Prefix      string            `json:"prefix" validate:"required,startswith=/,endswith=/"`
+	Kind        string            `json:"kind" validate:"oneof=repeatable single stream"`
+	Timeout     jsonfile.Duration `json:"timeout" validate:"min=0"`
+	Objective   jsonfile.Duration `json:"objective" validate:"min=0"`
+	Priority    int               `json:"priority" validate:"min=0,max=9"`
+	MaxAttempts int               `json:"max_attempts" validate:"min=0"`
+	Anonymous   bool              `json:"anonymous"`
+	Affinity    bool              `json:"affinity"`
+	Resumable   bool              `json:"resumable"`
+	Targets     []Target          `json:"targets" validate:"required,dive"`
+}
+
+// Target is a pool's share of a route.
+type Target struct {
+	Pool   string `json:"pool" validate:"required"`
+	Weight int    `json:"weight" validate:"min=0"`
+}
+
+// Pool is a set of backend servers that serve alike.
+type Pool struct {
+	Name           string             `json:"name" validate:"required"`
+	MaxConnections int                `json:"max_connections" validate:"min=0"`
+	Engine         bool               `json:"engine"`
+	Backends       []slipwick.Backend `json:"backends" validate:"dive"`
+}
+
+// Workspace holds keys.
+type Workspace struct {
+	Name     string   `json:"name" validate:"required"`
+	Keys     []string `json:"keys" validate:"dive,min=8"`
+	Priority *int     `json:"priority"`
+}
+
+// Parse reads a file. The error is jsonfile.Mistakes.
+func Parse(name string, source []byte) (*File, error) {
+	document, err := jsonfile.Parse(name, source)
+	if err != nil {
+		return nil, err
+	}
+	file := &File{}
+	mistakes := document.Decode(file)
+	if len(mistakes) == 0 {
+		mistakes = file.checkTargets(document)
+	}
+	if len(mistakes) > 0 {
+		return nil, mistakes
+	}
+	return file, nil
+}
+
+// checkTargets finds routes to pools that the file lacks.
+func (f *File) checkTargets(document *jsonfile.Document) jsonfile.Mistakes {
+	known := make(map[string]bool, len(f.Pools))
+	for i := range f.Pools {
+		known[f.Pools[i].Name] = true
+	}
+	var mistakes jsonfile.Mistakes
+	for i := range f.Routes {
+		for _, target := range f.Routes[i].Targets {
+			if !known[target.Pool] {
+				mistakes = append(mistakes, document.Mistake(pointer("routes", i), "no pool "+target.Pool,
+					"name one of the file's pools"))
+			}
+		}
+	}
+	return mistakes
+}
+
+// Table translates the file.
+func (f *File) Table() *routing.Table {
+	routes := make([]routing.Route, 0, len(f.Routes))
+	for i := range f.Routes {
+		routes = append(routes, f.Routes[i].translate())
+	}
+	pools := make([]routing.Pool, 0, len(f.Pools))
+	for i := range f.Pools {
+		pool := routing.Pool{
+			Name:           f.Pools[i].Name,
+			MaxConnections: f.Pools[i].MaxConnections,
+		}
+		if f.Pools[i].Engine {
+			pool.Engine = &routing.Engine{}
+		}
+		pools = append(pools, pool)
+	}
+	workspaces := make([]routing.Workspace, 0, len(f.Workspaces))
+	for _, w := range f.Workspaces {
+		workspaces = append(workspaces, routing.Workspace{
+			Name:     w.Name,
+			Keys:     w.Keys,
+			Priority: w.Priority,
+		})
+	}
+	return routing.NewTable(f.Version, routing.Limits{
+		HeaderBytes: f.Limits.HeaderBytes,
+		BodyBytes:   f.Limits.BodyBytes,
+		HeaderWait:  time.Duration(f.Limits.HeaderWait),
+		Idle:        time.Duration(f.Limits.Idle),
+	}, pools, routes, workspaces)
+}
+
+func (r *Route) translate() routing.Route {
+	targets := make([]routing.Target, 0, len(r.Targets))
+	for _, t := range r.Targets {
+		targets = append(targets, routing.Target{
+			Pool:   t.Pool,
+			Weight: max(t.Weight, 1),
+		})
+	}
+	return routing.Route{
+		Name:        r.Name,
+		Host:        r.Host,
+		Prefix:      r.Prefix,
+		Kind:        routing.Kind(r.Kind),
+		Timeout:     time.Duration(r.Timeout),
+		Objective:   time.Duration(r.Objective),
+		Priority:    r.Priority,
+		MaxAttempts: max(r.MaxAttempts, 1),
+		Anonymous:   r.Anonymous,
+		Affinity:    r.Affinity,
+		Resumable:   r.Resumable,
+		Targets:     targets,
+	}
+}
+
+// Backends gives the backend servers of all pools.
+func (f *File) Backends() []balance.Listed {
+	var list []balance.Listed
+	for i := range f.Pools {
+		for _, backend := range f.Pools[i].Backends {
+			list = append(list, balance.Listed{
+				Backend: backend,
+				Pool:    f.Pools[i].Name,
+			})
+		}
+	}
+	return list
+}
