--- a/cmd/internal/gatewayd/follow.go
+++ b/cmd/internal/gatewayd/follow.go
@@ -69,23 +69,29 @@
 	p.listed.Store(true)
 }
 
-// joinEvery is how often a router that knows no other tries its seeds.
-const joinEvery = time.Second
+const (
+	// joinSoon is how often a router that has just started and knows no other
+	// tries its seeds, for the first joinsSoon times: whole fleets start at
+	// once, in any order. joinEvery is how often it does later.
+	joinSoon  = 50 * time.Millisecond
+	joinsSoon = 20
+	joinEvery = time.Second
+)
 
 // join finds the other routers through the seeds.
 func (p *Process) join(ctx context.Context) {
-	ticker := time.NewTicker(joinEvery)
-	defer ticker.Stop()
-	for {
+	for tries := 0; ; tries++ {
 		if len(p.node.Routers()) == 1 {
 			for _, seed := range *p.seeds.Load() {
 				p.node.Join(seed)
 			}
 		}
-		select {
-		case <-ctx.Done():
+		pause := joinEvery
+		if tries < joinsSoon {
+			pause = joinSoon
+		}
+		if !sleep(ctx, pause) {
 			return
-		case <-ticker.C:
 		}
 	}
 }
--- a/cmd/internal/gatewayd/homes.go
+++ b/cmd/internal/gatewayd/homes.go
@@ -17,8 +17,9 @@
 	// peersWait is how long it looks for other routers, and then waits for
 	// what they know: some round trips within a region.
 	peersWait = 50 * time.Millisecond
-	// peersRounds bounds how often it waits for more routers to turn up.
-	peersRounds = 20
+	// peersRounds bounds how often it waits for more routers to turn up, so
+	// that requests that wait for it do not wait in vain.
+	peersRounds = 5
 	// listWait bounds one engine's list of what it keeps.
 	listWait = time.Second
 )
