--- a/balance/prompt.go
+++ b/balance/prompt.go
@@ -26,6 +26,7 @@
 		c := candidate{
 			server: s,
 			has:    b.homes.has(prompt, s),
+			near:   s.DataCentre == b.DataCentre,
 			score:  placement.Score(prompt, s.hash),
 		}
 		if c.betterThan(&best) {
@@ -91,7 +92,10 @@
 type candidate struct {
 	server *server
 	// has says that it is known to have the prompt cached.
-	has   bool
+	has bool
+	// near says that it is in the router's data centre; among several that
+	// have the prompt, near ones save bytes between data centres.
+	near  bool
 	score uint64
 }
 
@@ -99,6 +103,9 @@
 	if other.server == nil || c.has != other.has {
 		return other.server == nil || c.has
 	}
+	if c.has && c.near != other.near {
+		return c.near
+	}
 	return c.score > other.score
 }
 
