--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -20,6 +20,9 @@
 	farCost = 1.5
 )
 
+// longRead is how many tokens make a long prompt: some 60 ms of reading.
+const longRead = 8000
+
 // Balancer chooses among the backend servers of all pools. It is safe for
 // concurrent use. Set the exported fields before the first call.
 type Balancer struct {
@@ -27,6 +30,10 @@
 	DataCentre string
 	// LoadFactor takes its default when zero.
 	LoadFactor float64
+	// OnLongRead is called when an engine gets a long prompt to read, which
+	// delays all else there: other routers are to know soon. It must not call
+	// back.
+	OnLongRead func()
 
 	mu      sync.Mutex
 	servers map[string]*server
@@ -46,6 +53,7 @@
 	return &Balancer{
 		DataCentre: dataCentre,
 		LoadFactor: defaultLoadFactor,
+		OnLongRead: func() {},
 		servers:    make(map[string]*server),
 		pools:      make(map[string][]*server),
 		homes:      newHomes(),
@@ -97,6 +105,9 @@
 	}
 	lease.server.inFlight++
 	lease.server.reading += lease.reading
+	if lease.reading >= longRead {
+		b.OnLongRead()
+	}
 	return lease, nil
 }
 
--- a/balance/prompt.go
+++ b/balance/prompt.go
@@ -1,6 +1,8 @@
 package balance
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/slipwick/slipwick/placement"
@@ -15,7 +17,6 @@
 	each, mean := b.loadsLocked(usable, now)
 	bound := b.LoadFactor*mean + loadSlack
 	best, least := candidate{}, 0
-	home := firstRanked(prompt, usable)
 	for i, s := range usable {
 		if each[i] < each[least] {
 			least = i
@@ -38,7 +39,7 @@
 	case chosen == nil:
 		chosen = usable[least]
 	case !b.homes.isKnown(prompt):
-		chosen = b.leastReadingLocked(usable, each, bound, home)
+		chosen = b.leastReadingLocked(prompt, usable, each, bound)
 	}
 	lease := leaseOf(chosen)
 	lease.reading = ask.Own
@@ -52,35 +53,29 @@
 	return lease
 }
 
-// firstRanked is the prompt's home: the one of the highest score.
-func firstRanked(prompt uint64, servers []*server) *server {
-	var home *server
-	for _, s := range servers {
-		if home == nil || placement.Score(prompt, s.hash) > placement.Score(prompt, home.hash) {
-			home = s
-		}
-	}
-	return home
-}
-
-// homeLead is by how many tokens to read the prompt's home may be behind
-// another engine and still read a prompt that no engine has: some 30 ms of
-// reading, against the chance that another router chooses differently.
-const homeLead = 4000
+// rankLead is by how many tokens to read an engine may be behind the next in
+// the prompt's ranks and still read a prompt that no engine has: some 10 ms of
+// reading. It keeps routers, which know of each other's readings late, from
+// choosing the same engine for all prompts.
+const rankLead = 1500
 
 // leastReadingLocked gives the engine, below the bound, that has the least to
-// read before it: for prompts that no engine has cached.
-func (b *Balancer) leastReadingLocked(usable []*server, each []float64, bound float64, home *server) *server {
-	var best *server
-	bestCost := 0
+// read before it, with a lead by the prompt's ranks: for prompts that no engine
+// has cached.
+func (b *Balancer) leastReadingLocked(prompt uint64, usable []*server, each []float64, bound float64) *server {
+	var below []*server
 	for i, s := range usable {
-		if each[i] >= bound {
-			continue
-		}
-		cost := s.reading + b.readingToldLocked(s)
-		if s != home {
-			cost += homeLead
+		if each[i] < bound {
+			below = append(below, s)
 		}
+	}
+	slices.SortFunc(below, func(x, y *server) int {
+		return cmp.Compare(placement.Score(prompt, y.hash), placement.Score(prompt, x.hash))
+	})
+	var best *server
+	bestCost := 0
+	for rank, s := range below {
+		cost := rank*rankLead + s.reading + b.readingToldLocked(s)
 		if best == nil || cost < bestCost {
 			best, bestCost = s, cost
 		}
--- a/cmd/internal/gatewayd/gateway.go
+++ b/cmd/internal/gatewayd/gateway.go
@@ -132,6 +132,7 @@
 	p.tellings = membership.NewUDP(open.tellings)
 	p.teller = exchange.NewTeller(s.ID)
 	p.teller.Balancer = p.balancer
+	p.balancer.OnLongRead = p.teller.Soon
 	p.teller.Wire = p.tellings
 	p.teller.Routers = p.node.Routers
 	p.teller.Address = tellingsAddress
--- a/exchange/teller.go
+++ b/exchange/teller.go
@@ -19,6 +19,8 @@
 	// pause lies between two tellings: shorter than a request runs, long
 	// enough to cost a router little.
 	pause = 200 * time.Millisecond
+	// leastPause lies between tellings that cannot wait.
+	leastPause = 10 * time.Millisecond
 	// sequenceBits leave room for the datagrams of a millisecond.
 	sequenceBits = 16
 	// fleetSource names what a hub tells of the whole fleet.
@@ -48,6 +50,7 @@
 	OthersKnow atomic.Bool
 
 	sequence atomic.Uint64
+	soon     chan struct{}
 	// size is that of the fleet when this router told last; 0 before.
 	size atomic.Int64
 
@@ -68,6 +71,7 @@
 		Self: self,
 		told: make(map[string]*counts),
 		own:  newCounts(nil),
+		soon: make(chan struct{}, 1),
 		done: make(chan struct{}),
 	}
 	// What a restarted router tells is newer than what it told before.
@@ -80,6 +84,14 @@
 	return t.done
 }
 
+// Soon has the next telling come without a pause, but for leastPause.
+func (t *Teller) Soon() {
+	select {
+	case t.soon <- struct{}{}:
+	default:
+	}
+}
+
 // Run tells until ctx ends.
 func (t *Teller) Run(ctx context.Context) {
 	defer close(t.done)
@@ -91,6 +103,8 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-t.soon:
+			time.Sleep(leastPause)
 		}
 	}
 }
