Pass over backend servers that hang, where a request may repeat

Now a send that may repeat goes on elsewhere after twice the route's objective, and a stream after a pause of 1.2 s, within attempts and budget. Both tests failed first (504 after 5 s; stream cut after 5 s). Refusals get a log budget of their own and name the request.

--- a/cmd/internal/gatewayd/gateway.go
+++ b/cmd/internal/gatewayd/gateway.go
@@ -101,10 +101,7 @@
 func (p *Process) assemble(open *listeners) {
 	s := p.Settings
 	p.metrics = newMetrics()
-	p.observer = &observer{
-		log:     p.Log,
-		metrics: p.metrics,
-	}
+	p.observer = newObserver(p.Log, p.metrics, s.Headers.RequestID)
 	p.seeds.Store(&s.Seeds)
 	p.grace.Store(int64(s.Grace))
 	p.balancer = balance.New(s.DataCentre)
--- a/cmd/internal/gatewayd/observer.go
+++ b/cmd/internal/gatewayd/observer.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -16,12 +17,32 @@
 type observer struct {
 	log     zerolog.Logger
 	metrics *metrics
+	// refusals logs what was turned away at once. It has a budget of its own:
+	// a caller with a wrong key must not crowd out all else.
+	refusals zerolog.Logger
+	// requestID names the header that has a request's ID.
+	requestID string
+}
+
+// refusalsPerSecond is the budget of lines on requests turned away at once.
+const refusalsPerSecond = 10
+
+func newObserver(log zerolog.Logger, metrics *metrics, requestID string) *observer {
+	return &observer{
+		log:     log,
+		metrics: metrics,
+		refusals: log.Sample(&zerolog.BurstSampler{
+			Burst:  refusalsPerSecond,
+			Period: time.Second,
+		}),
+		requestID: requestID,
+	}
 }
 
 // Refused notes a request that was turned away at once.
 func (o *observer) Refused(request *http.Request, refusal *gateway.Refusal) {
 	o.metrics.requests.WithLabelValues("refused", refusal.Reason).Inc()
-	events.RequestRefused.On(&o.log).Str("host", request.Host).Str("path", request.URL.Path).
+	events.RequestRefused.On(&o.refusals).Str("request", request.Header.Get(o.requestID)).Str("host", request.Host).Str("path", request.URL.Path).
 		Int("status", refusal.Status).Str("reason", refusal.Reason).Send()
 }
 
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -17,7 +17,9 @@
 var errSpoilt = errors.New("the answer is not the backend server's own: stamp or ID are missing, or it is encoded")
 
 // judgeAnswer tells what an answer means, and passes it on if it is one.
-func (c *call) judgeAnswer(lease *balance.Lease, answer *upstream.Answer) (result, slipwick.Evidence, error) {
+func (c *call) judgeAnswer(
+	lease *balance.Lease, answer *upstream.Answer, patience *patience,
+) (result, slipwick.Evidence, error) {
 	names := &c.gateway.Headers
 	c.gateway.Balancer.Began(lease)
 	if load, ok := parseLoad(answer.Header.Get(names.Load)); ok {
@@ -37,7 +39,7 @@
 		return resultBroken, slipwick.EvidenceError, errSpoilt
 	}
 	if succeeded && c.route.Kind == routing.KindStream {
-		return c.passEvents(answer)
+		return c.passEvents(answer, patience)
 	}
 	return c.passWhole(answer)
 }
@@ -115,7 +117,7 @@
 const maxEvent = 256 << 10
 
 // passEvents passes whole events on as they arrive.
-func (c *call) passEvents(answer *upstream.Answer) (result, slipwick.Evidence, error) {
+func (c *call) passEvents(answer *upstream.Answer, patience *patience) (result, slipwick.Evidence, error) {
 	held := make([]byte, 0, streamBuffer)
 	for {
 		if len(held) == cap(held) {
@@ -134,6 +136,9 @@
 			return resultLeft, slipwick.EvidenceNone, failed
 		}
 		held = append(held[:0], held[size:]...)
+		if size > 0 {
+			patience.renew()
+		}
 		switch {
 		case errors.Is(err, io.EOF):
 			if c.begin(answer) != nil {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -264,6 +264,25 @@
 	}
 }
 
+// TestHangingBackendIsPassedOver has the first backend server hang; the request
+// has to be served by the second within the caller's time, if it may repeat.
+func TestHangingBackendIsPassedOver(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	hangs := func(*backend, http.ResponseWriter, *http.Request) { <-release }
+	f := newFixture(t, newBackend(t, "b1", hangs), newBackend(t, "b2", answers(http.StatusOK, "answer")))
+	started := time.Now()
+	got := f.post(t, "/repeatable/x")
+	if took := time.Since(started); got.body != "answer" || took > 2*time.Second {
+		t.Errorf("got %d %q after %v, want the second backend server's answer soon", got.status, got.body, took)
+	}
+	r := f.request(t, "/single/x", "question")
+	r.Header.Set("Slipwick-Deadline-Ms", "700")
+	if got := send(t, r); got.status != http.StatusGatewayTimeout {
+		t.Errorf("request that may not repeat: got %d, want 504", got.status)
+	}
+}
+
 func TestRetryBudgetEndsRepeats(t *testing.T) {
 	second := newBackend(t, "b2", answers(http.StatusOK, "answer"))
 	f := newFixture(t, newBackend(t, "b1", refuses), second)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -117,7 +117,9 @@
 	started := time.Now()
 	c.sends++
 	c.ask.Avoid = append(c.ask.Avoid, lease.Backend.ID)
-	answer, err := c.gateway.Client.Do(c.ctx, lease.Backend.ID, lease.Backend.Address, c.upstreamRequest(lease))
+	patience := c.newPatience()
+	defer patience.end()
+	answer, err := c.gateway.Client.Do(patience.ctx, lease.Backend.ID, lease.Backend.Address, c.upstreamRequest(lease))
 	attempt := &Attempt{
 		Request: c.id,
 		Route:   c.route.Name,
@@ -131,7 +133,7 @@
 		last, evidence = c.judgeError(err)
 	} else {
 		attempt.Status = answer.Status
-		last, evidence, attempt.Err = c.judgeAnswer(lease, answer)
+		last, evidence, attempt.Err = c.judgeAnswer(lease, answer, patience)
 		answer.Close()
 	}
 	c.gateway.Balancer.Release(lease, evidence)
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -62,6 +62,24 @@
 	}
 }
 
+// TestStreamThatHangsGoesOnElsewhere has the first backend server fall silent
+// in the middle of the stream, its connection staying open.
+func TestStreamThatHangsGoesOnElsewhere(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	first := newBackend(t, "b1", func(b *backend, w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Slipwick-Stamp", b.id)
+		_, _ = io.WriteString(w, event("1"))
+		_ = http.NewResponseController(w).Flush()
+		<-release
+	})
+	f := newFixture(t, first, newBackend(t, "b2", answers(http.StatusOK, event("2"))))
+	got := f.post(t, "/resumable/x")
+	if want := event("1") + event("2"); got.body != want || got.broken != nil {
+		t.Errorf("got %q (%v), want %q", got.body, got.broken, want)
+	}
+}
+
 func TestStreamThatCannotGoOnLooksBroken(t *testing.T) {
 	for name, second := range map[string]func(*backend, http.ResponseWriter, *http.Request){
 		"breaks again": breaks(event("3")),
