--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -119,7 +119,8 @@
 	c.ask.Avoid = append(c.ask.Avoid, lease.Backend.ID)
 	patience := c.newPatience()
 	defer patience.end()
-	answer, err := c.gateway.Client.Do(patience.ctx, lease.Backend.ID, lease.Backend.Address, c.upstreamRequest(lease))
+	request := c.upstreamRequest(lease)
+	answer, err := c.gateway.Client.Do(patience.ctx, lease.Backend.ID, lease.Backend.Address, request)
 	attempt := &Attempt{
 		Request: c.id,
 		Route:   c.route.Name,
