--- a/cmd/internal/gatewayd/metrics.go
+++ b/cmd/internal/gatewayd/metrics.go
@@ -70,6 +70,13 @@
 				return float64(p.DroppedLines.Load())
 			},
 		},
+		{
+			name: "slipwick_control_bytes",
+			help: "Bytes of membership and tellings sent and received, headers of IP and UDP included.",
+			read: func() float64 {
+				return float64(p.udp.Sent.Load() + p.udp.Received.Load() + p.tellings.Sent.Load() + p.tellings.Received.Load())
+			},
+		},
 		{
 			name: "slipwick_members",
 			help: "Routers that this router does not count as dead.",
--- a/cmd/internal/gatewayd/observer.go
+++ b/cmd/internal/gatewayd/observer.go
@@ -42,7 +42,8 @@
 // Refused notes a request that was turned away at once.
 func (o *observer) Refused(request *http.Request, refusal *gateway.Refusal) {
 	o.metrics.requests.WithLabelValues("refused", refusal.Reason).Inc()
-	events.RequestRefused.On(&o.refusals).Str("request", request.Header.Get(o.requestID)).Str("host", request.Host).Str("path", request.URL.Path).
+	events.RequestRefused.On(&o.refusals).Str("request", request.Header.Get(o.requestID)).
+		Str("host", request.Host).Str("path", request.URL.Path).
 		Int("status", refusal.Status).Str("reason", refusal.Reason).Send()
 }
 
