Start from other routers' copies while the store is away

Now a list comes from any of four other routers after 300 ms, however old, and a restarted router asks whoever probes it for the fleet.

--- a/cmd/internal/gatewayd/peers.go
+++ b/cmd/internal/gatewayd/peers.go
@@ -32,6 +32,17 @@
 	return slices.DeleteFunc(watchers, func(id string) bool { return id == p.self.ID })
 }
 
+// Others gives all other routers that live.
+func (p *peers) Others() []string {
+	var others []string
+	for _, r := range p.node.Routers() {
+		if r.ID != p.self.ID {
+			others = append(others, r.ID)
+		}
+	}
+	return others
+}
+
 func (p *peers) watchers() []string {
 	return fleet.StoreWatchers(p.self, p.node.Routers())
 }
--- a/directory/fakefeed_test.go
+++ b/directory/fakefeed_test.go
@@ -70,4 +70,6 @@
 func (p *fakePeers) Watches() bool    { return p.watches }
 func (p *fakePeers) Relays() []string { return p.order }
 
+func (p *fakePeers) Others() []string { return p.order }
+
 func (p *fakePeers) Relay(id, _ string) slipwick.Feed { return p.relays[id] }
--- a/directory/mirror.go
+++ b/directory/mirror.go
@@ -142,11 +142,12 @@
 	m.changed = make(chan struct{})
 }
 
-// List gives the whole copy.
+// List gives the whole copy, also one that is not current: its age tells. A
+// router that starts while the store is away has nothing better.
 func (m *Mirror) List(context.Context) (slipwick.FeedBatch, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.failing {
+	if m.confirmed.IsZero() {
 		return slipwick.FeedBatch{}, notCurrent()
 	}
 	batch := m.batchLocked(true)
--- a/directory/shared.go
+++ b/directory/shared.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -17,6 +18,13 @@
 	// relayAge is how old another router's knowledge may be: the wait of its
 	// own watch and what it takes to notice that the store is silent.
 	relayAge = storeWait + answerMargin + 300*time.Millisecond
+	// storePatience is how long a list from the store may take before another
+	// router is asked: some tens of its usual answers.
+	storePatience = 300 * time.Millisecond
+	// othersAsked is how many other routers are asked for a list at most, and
+	// otherPatience how long each may take.
+	othersAsked   = 4
+	otherPatience = 200 * time.Millisecond
 	// relayOuting is how long a router that failed is not asked again.
 	relayOuting = 3 * time.Second
 )
@@ -28,6 +36,8 @@
 	Watches() bool
 	// Relays gives the IDs of routers to follow instead of the store.
 	Relays() []string
+	// Others gives the IDs of all other routers that live.
+	Others() []string
 	// Relay gives another router's copy of the feed.
 	Relay(id, feed string) slipwick.Feed
 }
@@ -47,21 +57,61 @@
 
 var _ slipwick.Feed = (*Shared)(nil)
 
-// List lists from the store, else from another router.
+// List lists from the store, or from another router if the store fails or lets
+// it wait.
 func (s *Shared) List(ctx context.Context) (slipwick.FeedBatch, error) {
-	storeCtx, cancel := context.WithTimeout(ctx, listTimeout)
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	batch, err := s.Store.List(storeCtx)
-	if err == nil || ctx.Err() != nil {
-		return batch, err
+	type answer struct {
+		batch slipwick.FeedBatch
+		err   error
 	}
-	if relay := s.choose(); relay != "" {
-		list := func(ctx context.Context, f slipwick.Feed) (slipwick.FeedBatch, error) { return f.List(ctx) }
-		if batch, ok := s.relayed(ctx, relay, listTimeout, list); ok {
-			return batch, nil
+	fromStore := make(chan answer, 1)
+	go func() {
+		batch, err := s.Store.List(ctx)
+		fromStore <- answer{
+			batch: batch,
+			err:   err,
+		}
+	}()
+	timer := time.NewTimer(storePatience)
+	defer timer.Stop()
+	var failure error
+	select {
+	case a := <-fromStore:
+		if a.err == nil {
+			return a.batch, nil
+		}
+		failure = a.err
+	case <-timer.C:
+	}
+	if batch, ok := s.listOthers(ctx); ok {
+		return batch, nil
+	}
+	if failure != nil {
+		return slipwick.FeedBatch{}, failure
+	}
+	a := <-fromStore
+	return a.batch, a.err
+}
+
+// listOthers lists from a few of the other routers, one after the other. An old
+// copy will do: what changed since comes with a watch.
+func (s *Shared) listOthers(ctx context.Context) (slipwick.FeedBatch, bool) {
+	others := s.Peers.Others()
+	order := rand.Perm(len(others))
+	for _, i := range order[:min(len(order), othersAsked)] {
+		if ctx.Err() != nil {
+			break
+		}
+		limited, cancel := context.WithTimeout(ctx, otherPatience)
+		batch, err := s.Peers.Relay(others[i], s.Name).List(limited)
+		cancel()
+		if err == nil {
+			return batch, true
 		}
 	}
-	return batch, err
+	return slipwick.FeedBatch{}, false
 }
 
 // Watch waits for changes at another router or the store.
--- a/directory/shared_test.go
+++ b/directory/shared_test.go
@@ -94,6 +94,42 @@
 	})
 }
 
+// TestSharedStartsFromRoutersWhileTheStoreIsSilent is a router that restarts
+// during an outage.
+func TestSharedStartsFromRoutersWhileTheStoreIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		shared, store, _ := newShared()
+		store.hangs = true
+		started := time.Now()
+		got, err := shared.List(t.Context())
+		if took := time.Since(started); err != nil || took > 500*time.Millisecond {
+			t.Errorf("got %v after %v, want a list within half a second", err, took)
+		}
+		expectNames(t, "list", got.Entries, "a1")
+	})
+}
+
+// TestSharedStartsFromOldCopies is a router that restarts while the store is
+// away for all: the others' copies cannot be confirmed.
+func TestSharedStartsFromOldCopies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		shared, store, peers := newShared()
+		store.fail(errors.New("503"))
+		time.Sleep(10 * time.Second)
+		for _, f := range peers.relays {
+			f.Fail()
+		}
+		got, err := shared.List(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		expectNames(t, "list", got.Entries, "a1")
+		if _, err := shared.Watch(t.Context(), got.Revision, storeWait); err == nil {
+			t.Error("watch of old copies: got no error, want the store tried again")
+		}
+	})
+}
+
 func TestSharedTellsThatTheStoreForgot(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		shared, store, peers := newShared()
--- a/membership/node.go
+++ b/membership/node.go
@@ -42,8 +42,10 @@
 	round    []string
 	differed int
 	syncedAt time.Time
-	pushing  bool
-	died     []string
+	// metAt is when a router that was not known was asked last.
+	metAt   time.Time
+	pushing bool
+	died    []string
 	// changed says that OnChange is due, stale that it may be.
 	changed, stale bool
 	// eligible lists the routers that OnChange was told of last.
--- a/membership/node_test.go
+++ b/membership/node_test.go
@@ -76,6 +76,51 @@
 	})
 }
 
+// sentTo keeps the addresses and kinds of what was sent.
+type sentTo struct {
+	packets map[string][]memberpb.Kind
+}
+
+func (s *sentTo) Send(address string, encoded []byte) {
+	packet := &memberpb.Packet{}
+	if proto.Unmarshal(encoded, packet) == nil {
+		s.packets[address] = append(s.packets[address], packet.GetKind())
+	}
+}
+
+// TestRestartedRouterAsksWhoProbesIt has a router without seeds probed by one
+// that knew its earlier life.
+func TestRestartedRouterAsksWhoProbesIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := lonely()
+		wire := &sentTo{
+			packets: make(map[string][]memberpb.Kind),
+		}
+		n.Wire = wire
+		probe, err := proto.Marshal(&memberpb.Packet{
+			Kind: memberpb.Kind_KIND_PROBE,
+			From: "other",
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		// A third would ask for a difference in what they know.
+		for range 2 {
+			n.Receive("10.0.0.2:1", probe)
+		}
+		asked := 0
+		for _, kind := range wire.packets["10.0.0.2:1"] {
+			if kind == memberpb.Kind_KIND_SYNC {
+				asked++
+			}
+		}
+		if asked != 1 {
+			t.Errorf("got %d requests for all that the other knows, want 1", asked)
+		}
+		time.Sleep(time.Second)
+	})
+}
+
 // TestDeathIsRefuted checks that a live router answers news of its own death
 // with a newer incarnation.
 func TestDeathIsRefuted(t *testing.T) {
--- a/membership/packet.go
+++ b/membership/packet.go
@@ -40,6 +40,7 @@
 }
 
 func (n *Node) receive(address string, packet *memberpb.Packet) {
+	n.meet(address, packet.GetFrom())
 	for _, news := range packet.GetNews() {
 		n.apply(news)
 	}
@@ -61,6 +62,21 @@
 	}
 }
 
+// meetEvery bounds how often a router asks others that it does not know.
+const meetEvery = 100 * time.Millisecond
+
+// meet asks a router that is not known here for all it knows. A router that
+// restarts at the same address is still probed by those that knew it: so it
+// finds the fleet though none of its seeds is up.
+func (n *Node) meet(address, from string) {
+	now := time.Now()
+	if from == "" || n.members[from] != nil || now.Sub(n.metAt) < meetEvery {
+		return
+	}
+	n.metAt = now
+	n.join(address)
+}
+
 // accuse tells a router that probes, though it counts as dead or suspect here,
 // what is said of it, so that it refutes.
 func (n *Node) accuse(id string) {
@@ -114,11 +130,13 @@
 
 // Join asks a router at the address for all that it knows.
 func (n *Node) Join(address string) {
-	n.locked(func() {
-		packet := n.packet(memberpb.Kind_KIND_SYNC, 0)
-		packet.News = append(packet.News, n.self().news)
-		n.send(address, packet)
-	})
+	n.locked(func() { n.join(address) })
+}
+
+func (n *Node) join(address string) {
+	packet := n.packet(memberpb.Kind_KIND_SYNC, 0)
+	packet.News = append(packet.News, n.self().news)
+	n.send(address, packet)
 }
 
 // sendAll tells all that this router knows, in packets of bounded size.
