Prove the gateway's binary through a reload, a change and a stop

Callers go on over kept connections through a new table, SIGHUP and SIGTERM: no request is lost and runs are as many as answers.

--- /dev/null
+++ b/cmd/slipwickd/gateway_test.go
@@ -0,0 +1,180 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const gatewaySettings = `{
+	"id": "g", "data_centre": "dc",
+	"listen": {"callers": "%s", "ready": "%s", "peers": "%s"},
+	"table": "table.jsonc",
+}`
+
+const gatewayTable = `{
+	"version": %d,
+	"pools": [{"name": "p", "backends": [{"id": "b", "address": "%s", "data_centre": "dc"}]}],
+	"routes": [{"name": "r", "host": "a.example", "prefix": "/v%d/", "kind": "single", "timeout": "5s",
+		"targets": [{"pool": "p"}]}],
+}`
+
+// gatewayBinary is the real gateway before a backend server that counts runs.
+type gatewayBinary struct {
+	process *exec.Cmd
+	callers string
+	ready   string
+	table   string
+	backend *httptest.Server
+	runs    atomic.Int64
+}
+
+func startGateway(t *testing.T) *gatewayBinary {
+	t.Helper()
+	g := &gatewayBinary{
+		callers: freeAddress(t),
+		ready:   freeAddress(t),
+	}
+	g.backend = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		g.runs.Add(1)
+		time.Sleep(30 * time.Millisecond)
+		w.Header().Set("Slipwick-Request", r.Header.Get("Slipwick-Request"))
+		w.Header().Set("Slipwick-Stamp", "b")
+		_, _ = io.WriteString(w, r.Header.Get("Slipwick-Request"))
+	}))
+	t.Cleanup(g.backend.Close)
+	folder := t.TempDir()
+	g.table = filepath.Join(folder, "table.jsonc")
+	g.setTable(t, 1)
+	settings := filepath.Join(folder, "gateway.jsonc")
+	text := fmt.Sprintf(gatewaySettings, g.callers, g.ready, freeAddress(t))
+	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	g.process = exec.Command(buildBinary(t), "gateway", "--config", settings)
+	if err := g.process.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = g.process.Process.Kill() })
+	g.await(t, "readiness", func() bool { return g.status("http://"+g.ready+"/readyz", "") == http.StatusOK })
+	return g
+}
+
+func (g *gatewayBinary) setTable(t *testing.T, version int) {
+	t.Helper()
+	text := fmt.Sprintf(gatewayTable, version, g.backend.Listener.Addr(), version)
+	if err := os.WriteFile(g.table, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (g *gatewayBinary) await(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for range 200 {
+		if condition() {
+			return
+		}
+		time.Sleep(25 * time.Millisecond)
+	}
+	t.Fatalf("%s: not within 5 s", what)
+}
+
+// status asks and gives the status; 0 without an answer.
+func (g *gatewayBinary) status(address, id string) int {
+	request, err := http.NewRequest(http.MethodPost, address, http.NoBody)
+	if err != nil {
+		return 0
+	}
+	request.Host = "a.example"
+	request.Header.Set("Slipwick-Request", id)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil || response.StatusCode == http.StatusOK && string(body) != id {
+		return 0
+	}
+	return response.StatusCode
+}
+
+func (g *gatewayBinary) signal(t *testing.T, signal os.Signal) {
+	t.Helper()
+	if err := g.process.Process.Signal(signal); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestGatewayBinaryLosesNothing has callers go on through a change of the
+// table, a SIGHUP and a SIGTERM, over kept connections: every request has to get
+// its own answer or a refusal, and runs are as many as answers.
+func TestGatewayBinaryLosesNothing(t *testing.T) {
+	g := startGateway(t)
+	var answered, refused, lost atomic.Int64
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	for caller := range 8 {
+		callers.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				switch g.status("http://"+g.callers+"/v1/x", fmt.Sprintf("q-%d-%d", caller, n)) {
+				case http.StatusOK:
+					answered.Add(1)
+				case http.StatusServiceUnavailable:
+					refused.Add(1)
+					time.Sleep(10 * time.Millisecond)
+				default:
+					lost.Add(1)
+				}
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	g.signal(t, syscall.SIGHUP)
+	time.Sleep(300 * time.Millisecond)
+	g.signal(t, syscall.SIGTERM)
+	// The gateway serves on for a while, then refuses, and only then ends.
+	g.await(t, "refusals", func() bool { return refused.Load() > 0 })
+	close(stop)
+	callers.Wait()
+	if err := g.process.Wait(); err != nil {
+		t.Errorf("got %v after SIGTERM, want exit code 0", err)
+	}
+	if lost.Load() > 0 || answered.Load() < 100 || refused.Load() == 0 {
+		t.Errorf("got %d answers, %d refusals and %d lost; want many, some and none",
+			answered.Load(), refused.Load(), lost.Load())
+	}
+	if got, want := g.runs.Load(), answered.Load(); got != want {
+		t.Errorf("got %d runs, want the %d that were answered", got, want)
+	}
+}
+
+func TestGatewayBinaryFollowsItsTable(t *testing.T) {
+	g := startGateway(t)
+	g.setTable(t, 2)
+	g.await(t, "version 2", func() bool {
+		return g.status("http://"+g.callers+"/v2/x", "q") == http.StatusOK
+	})
+	if got := g.status("http://"+g.callers+"/v1/x", "q"); got != http.StatusNotFound {
+		t.Errorf("route of version 1: got %d, want 404", got)
+	}
+	g.setTable(t, 1)
+	time.Sleep(1200 * time.Millisecond)
+	if got := g.status("http://"+g.callers+"/v2/x", "q"); got != http.StatusOK {
+		t.Errorf("after an older version: got %d, want version 2 to stay in force", got)
+	}
+}
--- /dev/null
+++ b/gateway/main_test.go
@@ -0,0 +1,11 @@
+package gateway
+
+import (
+	"testing"
+
+	"github.com/slipwick/slipwick/internal/fixedseed"
+)
+
+func TestMain(m *testing.M) {
+	fixedseed.Main(m, 500)
+}
