--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -28,7 +29,8 @@
 type Balancer struct {
 	// DataCentre is the router's own.
 	DataCentre string
-	// LoadFactor takes its default when zero.
+	// LoadFactor bounds an engine's load as a multiple of the pool's mean; New
+	// sets the default.
 	LoadFactor float64
 	// OnLongRead is called when an engine gets a long prompt to read, which
 	// delays all else there: other routers are to know soon. It must not call
@@ -183,13 +185,16 @@
 	return float64(sum) / float64(known)
 }
 
-// leastLoadedLocked gives the least loaded, near ones before far ones.
+// leastLoadedLocked gives the least loaded, near ones before far ones. Equals
+// are taken by chance: in one order, all routers would choose the same first.
 func (b *Balancer) leastLoadedLocked(usable []*server, now time.Time) *server {
 	each, _ := b.loadsLocked(usable, now)
 	best, bestCost := 0, math.Inf(1)
-	for i, s := range usable {
+	offset := rand.IntN(len(usable))
+	for n := range usable {
+		i := (n + offset) % len(usable)
 		cost := each[i]
-		if s.DataCentre != b.DataCentre {
+		if usable[i].DataCentre != b.DataCentre {
 			cost += farCost
 		}
 		if cost < bestCost {
--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -180,6 +180,24 @@
 	}
 }
 
+func TestEqualServicesShareRequests(t *testing.T) {
+	b := New("elsewhere")
+	b.SetBackends(listed(4))
+	counts := make(map[string]int)
+	for range 200 {
+		lease := acquire(t, b, &Ask{
+			Pool: "p",
+		})
+		counts[lease.Backend.ID]++
+		b.Release(lease, slipwick.EvidenceGood)
+	}
+	for _, l := range listed(4) {
+		if got := counts[l.ID]; got < 10 {
+			t.Errorf("%s: got %d of 200 requests, want a share", l.ID, got)
+		}
+	}
+}
+
 func TestUnreachableBackendIsLeftOutForAWhile(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestBalancer(3)
