--- a/cmd/internal/gatewayd/gateway_test.go
+++ b/cmd/internal/gatewayd/gateway_test.go
@@ -2,8 +2,13 @@
 
 import (
 	"net/http"
+	"os"
+	"regexp"
+	"slices"
 	"testing"
 	"time"
+
+	"github.com/slipwick/slipwick/gateway"
 )
 
 func newClient() *http.Client {
@@ -109,6 +114,38 @@
 	}
 }
 
+// TestMetricsPageAgreesWithCode compares docs/METRICS-GATEWAY.md with what a
+// gateway serves.
+func TestMetricsPageAgreesWithCode(t *testing.T) {
+	r := start(t, newWorld(t), "r1")
+	if status, _, err := r.ask(t, newClient(), "/1/x"); status != http.StatusOK {
+		t.Fatalf("got %d %v, want 200", status, err)
+	}
+	// A send that fails, so that each vector has a member.
+	r.observer.Attempted(&gateway.Attempt{})
+	page, err := os.ReadFile("../../../docs/METRICS-GATEWAY.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var want []string
+	for _, found := range regexp.MustCompile("(?m)^\\| `(slipwick_[a-z_]+)`").FindAllStringSubmatch(string(page), -1) {
+		want = append(want, found[1])
+	}
+	families, err := r.metrics.registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, family := range families {
+		got = append(got, family.GetName())
+	}
+	slices.Sort(want)
+	slices.Sort(got)
+	if !slices.Equal(got, want) {
+		t.Errorf("got metrics %v, the page lists %v", got, want)
+	}
+}
+
 // TestRoutersFollowEachOther has three routers: two follow the store, the third
 // follows these, and all have a new version in force soon.
 func TestRoutersFollowEachOther(t *testing.T) {
