--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -36,6 +36,9 @@
 	// delays all else there: other routers are to know soon. It must not call
 	// back.
 	OnLongRead func()
+	// OnOut is told of each backend server that is left out for a while, and
+	// for how long. It must not call back.
+	OnOut func(backend slipwick.Backend, wait time.Duration)
 
 	mu      sync.Mutex
 	servers map[string]*server
@@ -56,6 +59,7 @@
 		DataCentre: dataCentre,
 		LoadFactor: defaultLoadFactor,
 		OnLongRead: func() {},
+		OnOut:      func(slipwick.Backend, time.Duration) {},
 		servers:    make(map[string]*server),
 		pools:      make(map[string][]*server),
 		homes:      newHomes(),
@@ -230,5 +234,8 @@
 	lease.server.inFlight--
 	lease.server.reading -= lease.reading
 	lease.reading = 0
-	lease.server.observe(evidence, time.Now())
+	now := time.Now()
+	if lease.server.observe(evidence, now) {
+		b.OnOut(lease.Backend, lease.server.outUntil.Sub(now))
+	}
 }
--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -202,7 +202,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestBalancer(3)
 		id := home(7, 3)
+		var told []string
+		b.OnOut = func(backend slipwick.Backend, wait time.Duration) {
+			told = append(told, backend.ID+" "+wait.String())
+		}
 		b.Release(acquire(t, b, prompt(7)), slipwick.EvidenceUnreachable)
+		if want := id + " " + shortOuting.String(); len(told) != 1 || told[0] != want {
+			t.Errorf("got told of %v, want %s", told, want)
+		}
 		lease := acquire(t, b, prompt(7))
 		if lease.Backend.ID == id {
 			t.Errorf("got %s right after it was unreachable", id)
--- a/balance/server.go
+++ b/balance/server.go
@@ -66,31 +66,34 @@
 	return now.Before(s.outUntil)
 }
 
-// observe takes what one request showed.
-func (s *server) observe(evidence slipwick.Evidence, now time.Time) {
+// observe takes what one request showed; true says that the backend server is
+// left out from now on.
+func (s *server) observe(evidence slipwick.Evidence, now time.Time) (isLeftOut bool) {
 	switch evidence {
 	case slipwick.EvidenceNone:
 	case slipwick.EvidenceGood:
 		s.errorRate *= 1 - errorWeight
 		s.outings = 0
 	case slipwick.EvidenceUnreachable, slipwick.EvidenceTimeout, slipwick.EvidenceLeaving:
-		s.leaveOut(now)
+		return s.leaveOut(now)
 	case slipwick.EvidenceError:
 		s.errorRate += (1 - s.errorRate) * errorWeight
 		if s.errorRate > errorLimit {
 			s.errorRate = errorLimit / 2
-			s.leaveOut(now)
+			return s.leaveOut(now)
 		}
 	}
+	return false
 }
 
-func (s *server) leaveOut(now time.Time) {
+func (s *server) leaveOut(now time.Time) bool {
 	if s.isOut(now) {
-		return
+		return false
 	}
 	outing := min(shortOuting<<s.outings, longOuting)
 	if s.outings < 8 {
 		s.outings++
 	}
 	s.outUntil = now.Add(outing)
+	return true
 }
--- a/cmd/internal/events/catalogue.go
+++ b/cmd/internal/events/catalogue.go
@@ -101,6 +101,20 @@
 		Meaning: "The platform gave no usable answer. The router goes on with what it has and tries again.",
 		Remedy:  "Check the platform's address and health.",
 	}
+	StoreRegained = Event{
+		Number:  303,
+		Name:    "store-regained",
+		Level:   zerolog.InfoLevel,
+		Meaning: "A feed is followed again, from the store or another router, after calls that failed.",
+		Remedy:  "None.",
+	}
+	BackendsChanged = Event{
+		Number:  405,
+		Name:    "backends-changed",
+		Level:   zerolog.InfoLevel,
+		Meaning: "The list of backend servers changed; leaving ones get nothing new.",
+		Remedy:  "None if it was planned.",
+	}
 	BackendEjected = Event{
 		Number:  402,
 		Name:    "backend-ejected",
@@ -154,10 +168,12 @@
 		RequestUnserved,
 		ConfigurationInForce,
 		PlatformCallFailed,
+		StoreRegained,
 		BackendLeaving,
 		BackendEjected,
 		BackendRestored,
 		CacheListFailed,
+		BackendsChanged,
 		RouterDied,
 	}
 }
--- a/cmd/internal/gatewayd/follow.go
+++ b/cmd/internal/gatewayd/follow.go
@@ -7,6 +7,7 @@
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/balance"
 	"github.com/slipwick/slipwick/directory"
+	"github.com/slipwick/slipwick/membership"
 	"github.com/slipwick/slipwick/routing"
 
 	"github.com/slipwick/slipwick/cmd/internal/events"
@@ -34,7 +35,8 @@
 func (p *Process) followTables(ctx context.Context) {
 	follower := directory.NewFollower[*routing.Table](p.shared(feedTables, p.Feeds.Tables), p.mirrors[feedTables])
 	follower.Decode = p.Feeds.DecodeTable
-	follower.OnError = p.storeFailed
+	dependency := p.newDependency(feedTables)
+	follower.OnError, follower.OnAnswer = dependency.failed, dependency.answered
 	follower.OnChange = func(changes []directory.Change[*routing.Table]) {
 		for _, c := range changes {
 			if c.Value == nil || !p.gateway.SetTable(c.Value) {
@@ -52,23 +54,73 @@
 	follower := directory.NewFollower[balance.Listed](p.shared(feedBackends, p.Feeds.Backends), p.mirrors[feedBackends])
 	follower.Decode = p.Feeds.DecodeBackend
 	follower.OnChange = p.backends.Change
-	follower.OnAnswer = p.backends.Answered
+	dependency := p.newDependency(feedBackends)
+	follower.OnAnswer = func() {
+		p.backends.Answered()
+		dependency.answered()
+	}
 	follower.OnError = func(err error) {
 		p.backends.Failed()
-		p.storeFailed(err)
+		dependency.failed(err)
 	}
 	follower.Run(ctx)
 }
 
-func (p *Process) storeFailed(err error) {
-	events.PlatformCallFailed.On(&p.Log).AnErr("cause", err).Send()
+// dependency logs when a feed is lost and regained. It belongs to one
+// goroutine.
+type dependency struct {
+	process *Process
+	feed    string
+	lost    time.Time
+}
+
+func (p *Process) newDependency(feed string) *dependency {
+	return &dependency{
+		process: p,
+		feed:    feed,
+	}
+}
+
+func (d *dependency) failed(err error) {
+	if d.lost.IsZero() {
+		d.lost = time.Now()
+	}
+	events.PlatformCallFailed.On(&d.process.Log).Str("feed", d.feed).AnErr("cause", err).Send()
+}
+
+func (d *dependency) answered() {
+	if d.lost.IsZero() {
+		return
+	}
+	events.StoreRegained.On(&d.process.Log).Str("feed", d.feed).Dur("lost_ms", time.Since(d.lost)).Send()
+	d.lost = time.Time{}
 }
 
 func (p *Process) onBackends(list []balance.Listed) {
 	p.balancer.SetBackends(list)
+	leaving := 0
+	for i := range list {
+		if list[i].Leaving {
+			leaving++
+		}
+	}
+	events.BackendsChanged.On(&p.Log).Int("listed", len(list)).Int("leaving", leaving).Send()
 	p.listed.Store(true)
 }
 
+// onMembers notes routers that died.
+func (p *Process) onMembers(change membership.Change) {
+	for _, id := range change.Died {
+		events.RouterDied.On(&p.Log).Str("died", id).Send()
+	}
+}
+
+// onOut notes a backend server that is left out for a while.
+func (p *Process) onOut(backend slipwick.Backend, wait time.Duration) {
+	events.BackendEjected.On(&p.Log).Str("backend", backend.ID).Str("address", backend.Address).
+		Dur("wait_ms", wait).Send()
+}
+
 const (
 	// joinSoon is how often a router that has just started and knows no other
 	// tries its seeds, for the first joinsSoon times: whole fleets start at
--- a/cmd/internal/gatewayd/gateway.go
+++ b/cmd/internal/gatewayd/gateway.go
@@ -117,6 +117,8 @@
 	}
 	p.node = membership.NewNode(self, p.udp, membership.DefaultPolicy(), random)
 	p.udp.OnReceive = p.node.Receive
+	p.node.OnChange = p.onMembers
+	p.balancer.OnOut = p.onOut
 	p.peers = &peers{
 		self: self,
 		node: p.node,
