Let go of connections to what is gone; fetch only where engines can

Read as a newcomer would: connections of replaced backend servers were never closed, what a backend server takes from all routers was not heeded by those that rest (16 each), a prompt whose engines have all left went by rank alone, and engines that cannot fetch were told to. Fields that nothing read are gone.

--- a/balance/homes.go
+++ b/balance/homes.go
@@ -61,11 +61,6 @@
 	return slices.Contains(known, s)
 }
 
-// isKnown tells whether any engine is known to have a part.
-func (h *homes) isKnown(part uint64) bool {
-	return h.holders.Contains(part)
-}
-
 // holder finds the engine that has the most of a prompt's parts beyond what the
 // chosen one has; known is false if none of the parts is known to be anywhere.
 func (h *homes) holder(parts []uint64, chosen *server, usable func(*server) bool) (s *server, known bool) {
--- a/balance/prompt.go
+++ b/balance/prompt.go
@@ -9,8 +9,8 @@
 )
 
 // byPromptLocked takes an engine that has the prompt cached and is not loaded
-// above the bound; without one, the first below the bound in the order of the
-// prompt's rendezvous ranks, which all routers agree on.
+// above the bound; without one, the engine below the bound that has the least to
+// read; and when all are above it, the least loaded.
 func (b *Balancer) byPromptLocked(ask *Ask, pool, usable []*server, now time.Time) *Lease {
 	parts := ask.keys()
 	prompt := parts[len(parts)-1]
@@ -38,7 +38,7 @@
 	switch {
 	case chosen == nil:
 		chosen = usable[least]
-	case !b.homes.isKnown(prompt):
+	case !best.has:
 		chosen = b.leastReadingLocked(prompt, usable, each, bound)
 	}
 	lease := leaseOf(chosen)
@@ -54,14 +54,13 @@
 }
 
 // rankLead is by how many tokens to read an engine may be behind the next in
-// the prompt's ranks and still read a prompt that no engine has: some 10 ms of
+// the prompt's ranks and still get a prompt that it does not have: some 10 ms of
 // reading. It keeps routers, which know of each other's readings late, from
 // choosing the same engine for all prompts.
 const rankLead = 1500
 
 // leastReadingLocked gives the engine, below the bound, that has the least to
-// read before it, with a lead by the prompt's ranks: for prompts that no engine
-// has cached.
+// read before it, with a lead by the prompt's ranks.
 func (b *Balancer) leastReadingLocked(prompt uint64, usable []*server, each []float64, bound float64) *server {
 	var below []*server
 	for i, s := range usable {
--- a/cmd/internal/gatewayd/follow.go
+++ b/cmd/internal/gatewayd/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/slipwick/slipwick"
@@ -42,6 +43,7 @@
 			if c.Value == nil || !p.gateway.SetTable(c.Value) {
 				continue
 			}
+			p.shareConnections(len(p.node.Routers()))
 			p.metrics.version.Set(float64(c.Value.Version))
 			events.ConfigurationInForce.On(&p.Log).Uint64("version", c.Value.Version).Send()
 		}
@@ -98,13 +100,16 @@
 
 func (p *Process) onBackends(list []balance.Listed) {
 	p.balancer.SetBackends(list)
+	known := make(map[string]bool, len(list))
 	leaving := 0
 	for i := range list {
+		known[list[i].ID] = true
 		if list[i].Leaving {
 			leaving++
 		}
 	}
 	events.BackendsChanged.On(&p.Log).Int("listed", len(list)).Int("leaving", leaving).Send()
+	p.client.Retain(func(id string) bool { return known[id] })
 	p.listed.Store(true)
 }
 
@@ -113,6 +118,23 @@
 	for _, id := range change.Died {
 		events.RouterDied.On(&p.Log).Str("died", id).Send()
 	}
+	p.shareConnections(len(change.Routers))
+}
+
+// shareConnections gives each router its part of the connections that a backend
+// server takes, half of it for those that rest.
+func (p *Process) shareConnections(routers int) {
+	table := p.gateway.Table()
+	if table == nil {
+		return
+	}
+	least := math.MaxInt
+	for _, pool := range table.Pools {
+		if pool.MaxConnections > 0 {
+			least = min(least, pool.MaxConnections)
+		}
+	}
+	p.client.SetMaxResting(least / (2 * max(routers, 1)))
 }
 
 // onOut notes a backend server that is left out for a while.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -63,7 +63,7 @@
 	if c.route.Affinity {
 		header.Set(names.Priority, strconv.Itoa(c.priority()))
 	}
-	if lease.FetchFrom != "" {
+	if pool := c.table.Pools[c.pool]; lease.FetchFrom != "" && pool != nil && pool.Engine != nil && pool.Engine.Fetches {
 		header.Set(names.FetchFrom, lease.FetchFrom)
 	}
 	if c.stream.lastID != "" {
--- a/routing/limits.go
+++ b/routing/limits.go
@@ -6,8 +6,6 @@
 type Limits struct {
 	HeaderBytes int64
 	BodyBytes   int64
-	// HeaderWait bounds the time that a request's header takes.
-	HeaderWait time.Duration
 	// Idle is how long a connection may rest between requests.
 	Idle time.Duration
 }
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -12,10 +12,6 @@
 
 // Engine says what the model engines of a pool can do.
 type Engine struct {
-	// Slots is how many requests run at once.
-	Slots int
-	// CacheTokens is the memory for running requests and cached prompts.
-	CacheTokens int
 	// Fetches says that an engine can take cached prompts from another.
 	Fetches bool
 }
--- a/tablefile/file.go
+++ b/tablefile/file.go
@@ -23,7 +23,6 @@
 type Limits struct {
 	HeaderBytes int64             `json:"header_bytes" validate:"min=0"`
 	BodyBytes   int64             `json:"body_bytes" validate:"min=0"`
-	HeaderWait  jsonfile.Duration `json:"header_wait" validate:"min=0"`
 	Idle        jsonfile.Duration `json:"idle" validate:"min=0"`
 }
 
@@ -51,10 +50,13 @@
 
 // Pool is a set of backend servers that serve alike.
 type Pool struct {
-	Name           string             `json:"name" validate:"required"`
-	MaxConnections int                `json:"max_connections" validate:"min=0"`
-	Engine         bool               `json:"engine"`
-	Backends       []slipwick.Backend `json:"backends" validate:"dive"`
+	Name           string `json:"name" validate:"required"`
+	MaxConnections int    `json:"max_connections" validate:"min=0"`
+	// Engine says that its backend servers cache prompts, Fetches that they can
+	// take cached prompts from each other.
+	Engine   bool               `json:"engine"`
+	Fetches  bool               `json:"fetches"`
+	Backends []slipwick.Backend `json:"backends" validate:"dive"`
 }
 
 // Workspace holds keys.
@@ -112,7 +114,9 @@
 			MaxConnections: f.Pools[i].MaxConnections,
 		}
 		if f.Pools[i].Engine {
-			pool.Engine = &routing.Engine{}
+			pool.Engine = &routing.Engine{
+				Fetches: f.Pools[i].Fetches,
+			}
 		}
 		pools = append(pools, pool)
 	}
@@ -127,7 +131,6 @@
 	return routing.NewTable(f.Version, routing.Limits{
 		HeaderBytes: f.Limits.HeaderBytes,
 		BodyBytes:   f.Limits.BodyBytes,
-		HeaderWait:  time.Duration(f.Limits.HeaderWait),
 		Idle:        time.Duration(f.Limits.Idle),
 	}, pools, routes, workspaces)
 }
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -23,7 +23,8 @@
 	// probeEvery is the pause between probes of a connection that waits.
 	probeEvery = time.Second
 	bufferSize = 4 << 10
-	// maxResting bounds the connections kept for one backend server.
+	// maxResting bounds the connections kept for one backend server, unless
+	// SetMaxResting says less.
 	maxResting = 16
 )
 
@@ -41,6 +42,17 @@
 
 	mu      sync.Mutex
 	resting map[string][]*connection
+	// mostResting is the bound that SetMaxResting gave; 0 stands for
+	// maxResting.
+	mostResting int
+}
+
+// SetMaxResting bounds the connections kept for one backend server, which
+// takes only so many from all routers; it is at least one.
+func (c *Client) SetMaxResting(most int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.mostResting = min(max(most, 1), maxResting)
 }
 
 // Do sends the request to a backend server and reads the head of its answer.
@@ -152,22 +164,32 @@
 		c.resting = make(map[string][]*connection)
 	}
 	resting := c.resting[key]
+	most := c.mostResting
+	if most == 0 {
+		most = maxResting
+	}
 	// The longest at rest stands first.
-	for len(resting) > 0 && (len(resting) >= maxResting || now.After(resting[0].usableUntil)) {
+	for len(resting) > 0 && (len(resting) >= most || now.After(resting[0].usableUntil)) {
 		_ = resting[0].Close()
 		resting = resting[1:]
 	}
 	c.resting[key] = append(resting, conn)
 }
 
-// Forget closes the resting connections of a backend server that is gone.
-func (c *Client) Forget(key string) {
+// Retain closes the resting connections of backend servers that are gone: those
+// whose keys are not known.
+func (c *Client) Retain(known func(key string) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, conn := range c.resting[key] {
-		_ = conn.Close()
+	for key, resting := range c.resting {
+		if known(key) {
+			continue
+		}
+		for _, conn := range resting {
+			_ = conn.Close()
+		}
+		delete(c.resting, key)
 	}
-	delete(c.resting, key)
 }
 
 // Close closes all resting connections.
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -214,6 +215,51 @@
 	}
 }
 
+func TestClientClosesConnectionsOfBackendsThatAreGone(t *testing.T) {
+	server := serve(t, script(answer("1", "one"), answer("2", "two")))
+	client := &Client{}
+	defer client.Close()
+	mustAsk(t, client, server.address, request("1"), "one")
+	client.Retain(func(key string) bool { return key == "key" })
+	mustAsk(t, client, server.address, request("2"), "two")
+	if got := client.Opened.Load(); got != 1 {
+		t.Errorf("known backend server: got %d connections, want 1", got)
+	}
+	client.Retain(func(string) bool { return false })
+	mustAsk(t, client, server.address, request("1"), "one")
+	if got := client.Opened.Load(); got != 2 {
+		t.Errorf("backend server that was gone: got %d connections, want a new one", got)
+	}
+}
+
+func TestClientKeepsNoMoreThanItMay(t *testing.T) {
+	hold := make(chan struct{})
+	server := serve(t, func(conn net.Conn, requests *bufio.Reader) {
+		if _, err := http.ReadRequest(requests); err == nil {
+			<-hold
+			_, _ = conn.Write([]byte(answer("1", "one")))
+		}
+		_, _ = requests.ReadByte()
+	})
+	client := &Client{}
+	defer client.Close()
+	client.SetMaxResting(2)
+	var asks sync.WaitGroup
+	for range 5 {
+		asks.Go(func() { mustAsk(t, client, server.address, request("1"), "one") })
+	}
+	for range 5 {
+		<-server.connections
+	}
+	close(hold)
+	asks.Wait()
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	if got := len(client.resting["key"]); got != 2 {
+		t.Errorf("got %d kept connections, want 2", got)
+	}
+}
+
 func TestClientHonoursKeepAlive(t *testing.T) {
 	for text, want := range map[string]time.Duration{
 		"timeout=5, max=100": 5*time.Second - restMargin,
