Catch up by lists, not by all versions since

Ruled out: the store (stable), the router (it served all the time). A list brings the newest alone: now one is read after a relay that failed and after any failed call; one that is older than what is known is left. Revisions of a table file count up, which that needs. Two tests failed first (no list; back to the older).

--- a/directory/fakefeed_test.go
+++ b/directory/fakefeed_test.go
@@ -16,6 +16,7 @@
 	err   error
 	hangs bool
 	calls int
+	lists int
 	// age is added to that of the copy.
 	age time.Duration
 }
@@ -52,7 +53,17 @@
 	f.err = err
 }
 
+// listed counts the lists so far.
+func (f *fakeFeed) listed() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lists
+}
+
 func (f *fakeFeed) List(ctx context.Context) (slipwick.FeedBatch, error) {
+	f.mu.Lock()
+	f.lists++
+	f.mu.Unlock()
 	return f.answer(ctx, func() (slipwick.FeedBatch, error) { return f.Mirror.List(ctx) })
 }
 
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -77,6 +77,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if err == nil && batch.Revision < revision {
+			err = errOlder
+		}
 		if err != nil {
 			f.OnError(err)
 			f.Mirror.Fail()
@@ -84,6 +87,9 @@
 				listed = false
 				continue
 			}
+			// A list is bounded; the changes since may be too many to be read
+			// in time.
+			listed = false
 			rest(ctx, pause)
 			pause = min(2*pause, lastPause)
 			continue
@@ -91,7 +97,7 @@
 		pause = firstPause
 		f.OnAnswer()
 		changes := f.decode(f.Mirror.Apply(&batch))
-		if len(changes) > 0 || !listed {
+		if len(changes) > 0 || revision == 0 {
 			f.OnChange(changes)
 		}
 		revision, listed = batch.Revision, true
@@ -125,6 +131,10 @@
 	return changes
 }
 
+// errOlder is an answer that is older than what is known, as another router's
+// old copy may be.
+var errOlder = errors.New("the answer is older than what is known; the newer state stays in use")
+
 // rest waits for about the pause, so that routers do not call all at once.
 func rest(ctx context.Context, pause time.Duration) {
 	timer := time.NewTimer(pause/2 + time.Duration(rand.Int64N(int64(pause))))
--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -95,6 +95,46 @@
 	})
 }
 
+// TestFollowerListsAfterAFailure has versions come in quick succession while
+// calls fail: what is read then has to be a list, which is bounded, and not all
+// that came since.
+func TestFollowerListsAfterAFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeFeed(batch(1, true, "a1"))
+		state, stop := follow(t, store)
+		defer stop()
+		state()
+		store.fail(errors.New("not read in time"))
+		time.Sleep(2 * storeWait)
+		store.Apply(batch(2, false, "a2"))
+		store.fail(nil)
+		before := store.listed()
+		time.Sleep(2 * lastPause)
+		if got, want := state(), []string{"a2"}; !slices.Equal(got, want) || store.listed() == before {
+			t.Errorf("got %v and %d lists, want %v by a list", got, store.listed()-before, want)
+		}
+	})
+}
+
+// TestFollowerNeverGoesBack has a list come from an older copy.
+func TestFollowerNeverGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeFeed(batch(5, true, "a5", "b5"))
+		state, stop := follow(t, store)
+		defer stop()
+		state()
+		store.fail(errors.New("down"))
+		time.Sleep(2 * storeWait)
+		store.Mirror = NewMirror()
+		store.Apply(batch(3, true, "a3"))
+		store.fail(nil)
+		time.Sleep(2 * lastPause)
+		if got, want := state(), []string{"a5", "b5"}; !slices.Equal(got, want) {
+			t.Errorf("got %v, want %v to stay", got, want)
+		}
+	})
+}
+
 func TestFollowerKeepsTheLastReadableValue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := newFakeFeed(batch(1, true, "a1"))
--- a/directory/shared.go
+++ b/directory/shared.go
@@ -131,6 +131,9 @@
 		if ok {
 			return batch, nil
 		}
+		if err == nil {
+			return s.catchUp(ctx)
+		}
 	}
 	if err != nil {
 		return slipwick.FeedBatch{}, err
@@ -138,6 +141,15 @@
 	return s.watchStore(ctx, after, wait)
 }
 
+// catchUp lists from the store after another router failed. Time was lost, and
+// a watch brings every version since then, which a slow link may not carry in
+// time when versions come in quick succession; a list brings the newest alone.
+func (s *Shared) catchUp(ctx context.Context) (slipwick.FeedBatch, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	return s.Store.List(ctx)
+}
+
 func (s *Shared) watchStore(ctx context.Context, after uint64, wait time.Duration) (slipwick.FeedBatch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+answerMargin)
 	defer cancel()
--- a/tablefile/feed.go
+++ b/tablefile/feed.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"os"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,6 +25,23 @@
 	Path string
 	// entries picks the objects out of the file.
 	entries func(*File, []byte) ([]slipwick.FeedEntry, error)
+
+	mu sync.Mutex
+	// content is the hash of what was read last, revision the number of
+	// different contents so far.
+	content  uint64
+	revision uint64
+}
+
+// revisionOf counts the contents that were read.
+func (f *Feed) revisionOf(source []byte) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if content := xxhash.Sum64(source); content != f.content || f.revision == 0 {
+		f.content = content
+		f.revision++
+	}
+	return f.revision
 }
 
 var _ slipwick.Feed = (*Feed)(nil)
@@ -80,7 +98,7 @@
 	return listed, errors.Wrap(err, "decode a backend server")
 }
 
-// List reads the file. Its revision is the hash of its content.
+// List reads the file. Its revision rises with each change of the content.
 func (f *Feed) List(context.Context) (slipwick.FeedBatch, error) {
 	source, err := os.ReadFile(f.Path)
 	if err != nil {
@@ -94,7 +112,7 @@
 	return slipwick.FeedBatch{
 		Entries:  entries,
 		Whole:    true,
-		Revision: xxhash.Sum64(source),
+		Revision: f.revisionOf(source),
 	}, err
 }
 
--- a/tablefile/feed_test.go
+++ b/tablefile/feed_test.go
@@ -68,15 +68,16 @@
 func TestWatchGivesTheChangedFile(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "table.jsonc")
 	write(t, path, good)
-	first, err := Tables(path).List(t.Context())
+	feed := Tables(path)
+	first, err := feed.List(t.Context())
 	if err != nil {
 		t.Fatal(err)
 	}
 	changed := strings.Replace(good, `"version": 3`, `"version": 4`, 1)
 	time.AfterFunc(50*time.Millisecond, func() { write(t, path, changed) })
-	second, err := Tables(path).Watch(t.Context(), first.Revision, 5*time.Second)
-	if err != nil || second.Revision == first.Revision {
-		t.Fatalf("got %+v, %v; want the changed file", second, err)
+	second, err := feed.Watch(t.Context(), first.Revision, 5*time.Second)
+	if err != nil || second.Revision <= first.Revision {
+		t.Fatalf("got %+v, %v; want the changed file at a higher revision", second, err)
 	}
 	table, err := DecodeTable(path, second.Entries[0].Value)
 	if err != nil || table.Version != 4 {
