--- a/cmd/internal/gatewayd/fixture_test.go
+++ b/cmd/internal/gatewayd/fixture_test.go
@@ -17,6 +17,8 @@
 	"github.com/slipwick/slipwick/directory"
 	"github.com/slipwick/slipwick/gateway"
 	"github.com/slipwick/slipwick/routing"
+
+	"github.com/slipwick/slipwick/cmd/internal/loopback"
 )
 
 // world is a store and a backend server for gateway processes.
@@ -126,12 +128,12 @@
 func freePorts(t *testing.T) int {
 	t.Helper()
 	for range 50 {
-		first, err := net.Listen("tcp4", "127.0.0.1:0")
+		first, err := net.Listen("tcp4", loopback.Host()+":0")
 		if err != nil {
 			t.Fatal(err)
 		}
 		port := first.Addr().(*net.TCPAddr).Port
-		second, err := net.ListenPacket("udp4", fmt.Sprintf("127.0.0.1:%d", port+1))
+		second, err := net.ListenPacket("udp4", fmt.Sprintf("%s:%d", loopback.Host(), port+1))
 		_ = first.Close()
 		if err == nil {
 			_ = second.Close()
@@ -144,7 +146,7 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	return fmt.Sprintf("127.0.0.1:%d", freePorts(t))
+	return fmt.Sprintf("%s:%d", loopback.Host(), freePorts(t))
 }
 
 // start starts a process and waits until it is ready.
--- a/cmd/slipwickd/gateway_test.go
+++ b/cmd/slipwickd/gateway_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -61,10 +62,21 @@
 		t.Fatal(err)
 	}
 	g.process = exec.Command(buildBinary(t), "gateway", "--config", settings)
+	var output bytes.Buffer
+	g.process.Stdout, g.process.Stderr = &output, &output
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("the gateway wrote: %s", output.String())
+		}
+	})
 	if err := g.process.Start(); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = g.process.Process.Kill() })
+	t.Cleanup(func() {
+		_ = g.process.Process.Kill()
+		// It may have been waited for.
+		_ = g.process.Wait()
+	})
 	g.await(t, "readiness", func() bool { return g.status("http://"+g.ready+"/readyz", "") == http.StatusOK })
 	return g
 }
--- a/cmd/slipwickd/slipwickd_test.go
+++ b/cmd/slipwickd/slipwickd_test.go
@@ -22,6 +22,8 @@
 	"github.com/slipwick/slipwick/httpclient"
 	"github.com/slipwick/slipwick/objectapi"
 	"github.com/slipwick/slipwick/standin"
+
+	"github.com/slipwick/slipwick/cmd/internal/loopback"
 )
 
 const settings = `{
@@ -156,7 +158,7 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", loopback.Host()+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
