Learn every engine's cache after a restart

Cause: a router that had asked only its share of the engines what they keep told the others that it knew; those then left out their shares.

Ruled out: datagrams lost on the way (the log's homes-asked has 885 parts of some 5,500, with others_know set, at the moment that the shares were left out).

Now coverage is kept by engine, and what is known is pulled over TCP, from any router, until nothing is missing; engines whose router does not ask are asked by the others. Homes stand by the hash of an engine's ID, so that an entry that lapses and comes back keeps its prompts.

The test of the question by datagram is replaced by one of the pull, which also checks what is not covered; TestRestartedFleetLearnsAllCaches fails with shares alone (its second case, by the rule removed here).

--- a/balance/homes.go
+++ b/balance/homes.go
@@ -15,79 +15,83 @@
 )
 
 // homes remembers which engines ran each part of a prompt, the latest first.
+// Engines stand by the hash of their ID: one whose entry lapses and comes back
+// has kept its cache.
 type homes struct {
-	holders *lru.LRU[uint64, []*server]
+	holders *lru.LRU[uint64, []uint64]
 }
 
 func newHomes() *homes {
 	// The size is positive, the only thing that NewLRU refuses.
-	holders, _ := lru.NewLRU[uint64, []*server](homesKept, nil)
+	holders, _ := lru.NewLRU[uint64, []uint64](homesKept, nil)
 	return &homes{
 		holders: holders,
 	}
 }
 
 // ran notes that an engine read a part; isNew says that it was not known to.
-func (h *homes) ran(part uint64, s *server) (isNew bool) {
+func (h *homes) ran(part, engine uint64) (isNew bool) {
 	known, _ := h.holders.Get(part)
-	if len(known) > 0 && known[0] == s {
+	if len(known) > 0 && known[0] == engine {
 		return false
 	}
-	latest := append(make([]*server, 0, holdersKept), s)
+	latest := append(make([]uint64, 0, holdersKept), engine)
 	for _, other := range known {
-		if other != s && len(latest) < holdersKept {
+		if other != engine && len(latest) < holdersKept {
 			latest = append(latest, other)
 		}
 	}
 	h.holders.Add(part, latest)
-	return !slices.Contains(known, s)
+	return !slices.Contains(known, engine)
 }
 
 // heard notes that an engine read a part for another router.
-func (h *homes) heard(part uint64, s *server) {
+func (h *homes) heard(part, engine uint64) {
 	known, _ := h.holders.Get(part)
-	if slices.Contains(known, s) {
+	if slices.Contains(known, engine) {
 		return
 	}
 	if len(known) == holdersKept {
 		known = known[:holdersKept-1]
 	}
-	h.holders.Add(part, append(slices.Clone(known), s))
+	h.holders.Add(part, append(slices.Clone(known), engine))
 }
 
 // has tells whether an engine is known to have a part.
 func (h *homes) has(part uint64, s *server) bool {
 	known, _ := h.holders.Peek(part)
-	return slices.Contains(known, s)
+	return slices.Contains(known, s.hash)
 }
 
 // holder finds the engine that has the most of a prompt's parts beyond what the
 // chosen one has; known is false if none of the parts is known to be anywhere.
-func (h *homes) holder(parts []uint64, chosen *server, usable func(*server) bool) (s *server, known bool) {
+func (h *homes) holder(
+	parts []uint64, chosen *server, usable func(engine uint64) *server,
+) (s *server, known bool) {
 	for _, part := range slices.Backward(parts) {
 		holders, _ := h.holders.Get(part)
-		if slices.Contains(holders, chosen) {
+		if slices.Contains(holders, chosen.hash) {
 			return nil, true
 		}
 		for _, holder := range holders {
-			if usable(holder) {
-				return holder, true
+			if s := usable(holder); s != nil {
+				return s, true
 			}
 		}
 	}
 	return nil, false
 }
 
-// all gives every part and the engines that keep it.
-func (h *homes) all(usable func(*server) bool) []Read {
+// all gives every part and the engines that keep it, of those that are listed.
+func (h *homes) all(listed map[uint64]*server) []Read {
 	var reads []Read
 	for _, part := range h.holders.Keys() {
 		holders, _ := h.holders.Peek(part)
-		for _, s := range holders {
-			if usable(s) {
+		for _, engine := range holders {
+			if listed[engine] != nil {
 				reads = append(reads, Read{
 					Part:   part,
-					Server: s.hash,
+					Server: engine,
 				})
 			}
 		}
--- a/balance/prompt.go
+++ b/balance/prompt.go
@@ -106,7 +106,7 @@
 // ranLocked notes, and later tells the other routers, where parts are kept.
 func (b *Balancer) ranLocked(parts []uint64, s *server) {
 	for _, part := range parts {
-		if b.homes.ran(part, s) && len(b.reads) < maxReads {
+		if b.homes.ran(part, s.hash) && len(b.reads) < maxReads {
 			b.reads = append(b.reads, Read{
 				Part:   part,
 				Server: s.hash,
@@ -119,7 +119,12 @@
 // its first parts, if it is not the chosen one: where this router sent the
 // parts, else the best ranked of those that were listed before the chosen one.
 func (b *Balancer) holderLocked(parts []uint64, pool []*server, chosen *server, now time.Time) *server {
-	usable := func(s *server) bool { return b.servers[s.ID] == s && !s.isOut(now) }
+	usable := func(engine uint64) *server {
+		if s := b.hashes[engine]; s != nil && !s.isOut(now) {
+			return s
+		}
+		return nil
+	}
 	prompt := parts[len(parts)-1]
 	if holder, known := b.homes.holder(parts[len(parts)-1:], chosen, usable); known {
 		return holder
--- a/balance/server.go
+++ b/balance/server.go
@@ -27,6 +27,9 @@
 	hash uint64
 	// since is when it was first listed; zero if it was when the router began.
 	since time.Time
+	// covered says that the router knows what it has cached: it was listed
+	// empty, or its cache was learnt after a start.
+	covered bool
 	// inFlight counts the leases of this router.
 	inFlight int
 	// reading counts the tokens that it has to read for this router before
@@ -50,6 +53,8 @@
 		Listed: listed,
 		hash:   placement.IDHash(listed.ID),
 		since:  since,
+		// One that comes after the router's start has nothing cached yet.
+		covered: !since.IsZero(),
 	}
 }
 
--- a/balance/told.go
+++ b/balance/told.go
@@ -1,10 +1,6 @@
 package balance
 
-import (
-	"time"
-
-	"github.com/slipwick/slipwick"
-)
+import "time"
 
 // Told is what one router tells the others: the backend servers it uses, by the
 // hash of their ID, and what engines read for it.
@@ -89,7 +85,7 @@
 	defer b.mu.Unlock()
 	for _, read := range reads {
 		if s := b.hashes[read.Server]; s != nil {
-			b.homes.heard(read.Part, s)
+			b.homes.heard(read.Part, s.hash)
 		}
 	}
 }
@@ -115,50 +111,6 @@
 	return sum
 }
 
-// AllReads gives all that is known of parts and the engines that keep them.
-func (b *Balancer) AllReads() []Read {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.homes.all(func(s *server) bool { return b.servers[s.ID] == s })
-}
-
-// Keeps takes the parts that an engine says it keeps, and tells them on.
-func (b *Balancer) Keeps(id string, parts []uint64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	s := b.servers[id]
-	if s == nil {
-		return
-	}
-	for _, part := range parts {
-		b.homes.heard(part, s)
-		b.reads = append(b.reads, Read{
-			Part:   part,
-			Server: s.hash,
-		})
-	}
-}
-
-// KnownParts counts the parts that are known to be kept somewhere.
-func (b *Balancer) KnownParts() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.homes.holders.Len()
-}
-
-// Engines gives the backend servers of a pool, without those that leave.
-func (b *Balancer) Engines(pool string) []slipwick.Backend {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var engines []slipwick.Backend
-	for _, s := range b.pools[pool] {
-		if !s.Leaving {
-			engines = append(engines, s.Backend)
-		}
-	}
-	return engines
-}
-
 // SetPeers takes the IDs of the other routers that live. Only when all of them
 // have told their counts do these stand for the fleet's.
 func (b *Balancer) SetPeers(ids []string) {
--- a/cmd/internal/events/catalogue.go
+++ b/cmd/internal/events/catalogue.go
@@ -31,12 +31,12 @@
 		Meaning: "The router has stopped; the field cut counts requests that it cut off.",
 		Remedy:  "If cut is above 0, raise limits.drain.",
 	}
-	HomesAsked = Event{
+	HomesLearnt = Event{
 		Number:  105,
-		Name:    "homes-asked",
+		Name:    "homes-learnt",
 		Level:   zerolog.InfoLevel,
-		Meaning: "A starting router has asked another which engines keep which prompts; known counts the parts it knows.",
-		Remedy:  "None. Where no other router knows, it goes on to ask engines.",
+		Meaning: "A starting router has learnt which engines keep which prompts; known counts the parts, missing the engines whose caches it does not know.",
+		Remedy:  "None; prompts of missing engines are read again, and found by use.",
 	}
 	SettingsReloaded = Event{
 		Number:  104,
@@ -159,7 +159,7 @@
 		DrainStarted,
 		DrainFinished,
 		SettingsReloaded,
-		HomesAsked,
+		HomesLearnt,
 		SettingsRefused,
 		RequestEnded,
 		RequestBroken,
--- a/cmd/internal/gatewayd/gateway.go
+++ b/cmd/internal/gatewayd/gateway.go
@@ -61,6 +61,7 @@
 	node     *membership.Node
 	udp      *membership.UDP
 	teller   *exchange.Teller
+	recovery *exchange.Recovery
 	peers    *peers
 	mirrors  map[string]*directory.Mirror
 	tellings *membership.UDP
@@ -149,6 +150,7 @@
 			Routers: func() int { return len(p.node.Routers()) },
 		},
 	}
+	p.recovery = p.newRecovery()
 	p.metrics.add(p)
 }
 
@@ -176,10 +178,7 @@
 	parts.Go(func() { failed <- p.tellings.Run(background) })
 	callers := newServer(p.gateway)
 	callers.ConnState = onState
-	relays := newServer(&directory.RelayServer{
-		Mirrors: p.mirrors,
-	})
-	servers := []*http.Server{callers, newServer(p.readiness()), relays}
+	servers := []*http.Server{callers, newServer(p.readiness()), newServer(p.forPeers())}
 	listeners := []net.Listener{
 		&idleListener{
 			Listener: open.callers,
@@ -260,6 +259,18 @@
 	return mux
 }
 
+// forPeers answers other routers.
+func (p *Process) forPeers() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(directory.RelayPath, &directory.RelayServer{
+		Mirrors: p.mirrors,
+	})
+	mux.Handle(exchange.KnowledgePath, &exchange.KnowledgeServer{
+		Balancer: p.balancer,
+	})
+	return mux
+}
+
 // idleLimit is how long callers' connections may rest.
 func (p *Process) idleLimit() time.Duration {
 	if table := p.gateway.Table(); table != nil {
--- a/cmd/internal/gatewayd/homes.go
+++ b/cmd/internal/gatewayd/homes.go
@@ -4,8 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/balance"
+	"github.com/slipwick/slipwick/exchange"
 	"github.com/slipwick/slipwick/gateway"
-	"github.com/slipwick/slipwick/placement"
 
 	"github.com/slipwick/slipwick/cmd/internal/events"
 )
@@ -14,43 +16,62 @@
 	// listedPoll is how often a starting router looks whether it has the list
 	// of backend servers.
 	listedPoll = 20 * time.Millisecond
-	// peersWait is how long it looks for other routers, and then waits for
-	// what they know: some round trips within a region.
+	// peersWait is how long it looks for other routers: some round trips
+	// within a region.
 	peersWait = 50 * time.Millisecond
 	// peersRounds bounds how often it waits for more routers to turn up, so
 	// that requests that wait for it do not wait in vain.
 	peersRounds = 5
-	// listWait bounds one engine's list of what it keeps.
-	listWait = time.Second
 )
 
-// recoverHomes learns where prompts are cached after a start: from another
-// router, or, when none knows, from the engines. Each router then asks the
-// engines that the rendezvous of routers gives it, and tells the others.
+// recoverHomes learns where prompts are cached after a start, and then lets
+// requests in that waited for it.
 func (p *Process) recoverHomes(ctx context.Context) {
-	defer p.learntHomes()
+	defer close(p.started)
 	for !p.listed.Load() || p.gateway.Table() == nil {
 		if !sleep(ctx, listedPoll) {
 			return
 		}
 	}
-	if p.Settings.FirstStart || !p.awaitPeers(ctx) {
+	if p.Settings.FirstStart {
+		p.balancer.CoverAll()
 		return
 	}
-	if p.teller.Ask() && !sleep(ctx, peersWait) {
+	if !p.awaitPeers(ctx) {
 		return
 	}
-	knows := p.teller.OthersKnow.Load()
-	events.HomesAsked.On(&p.Log).Int("known", p.balancer.KnownParts()).Bool("others_know", knows).
-		Int("routers", len(p.node.Routers())).Send()
-	if knows || p.Feeds.Caches == nil {
-		return
+	started := time.Now()
+	p.recovery.Run(ctx)
+	events.HomesLearnt.On(&p.Log).Int("known", p.balancer.KnownParts()).Int("missing", p.recovery.Missing()).
+		Int("routers", len(p.node.Routers())).Dur("took_ms", time.Since(started)).Send()
+}
+
+// newRecovery makes the part that learns of caches.
+func (p *Process) newRecovery() *exchange.Recovery {
+	r := exchange.NewRecovery(p.Settings.ID)
+	r.Balancer = p.balancer
+	r.Routers = p.node.Routers
+	r.Pools = p.enginePools
+	r.Ask = func(ctx context.Context, router slipwick.Router) (*balance.Knowledge, error) {
+		return exchange.FetchKnowledge(ctx, p.peers.http, router.Address)
+	}
+	if p.Feeds.Caches != nil {
+		r.List = p.listCache
 	}
-	for name, pool := range p.gateway.Table().Pools {
-		if pool.Engine != nil {
-			p.listCaches(ctx, name)
+	return r
+}
+
+// enginePools names the pools of engines of the table in force.
+func (p *Process) enginePools() []string {
+	var names []string
+	if table := p.gateway.Table(); table != nil {
+		for name, pool := range table.Pools {
+			if pool.Engine != nil {
+				names = append(names, name)
+			}
 		}
 	}
+	return names
 }
 
 // awaitPeers waits until no more routers turn up; false if ctx ended first.
@@ -69,36 +90,18 @@
 	return true
 }
 
-// learntHomes lets requests in that waited for the start.
-func (p *Process) learntHomes() {
-	p.teller.Knows.Store(true)
-	close(p.started)
-}
-
-// listCaches asks this router's share of a pool's engines.
-func (p *Process) listCaches(ctx context.Context, pool string) {
-	routers := p.node.Routers()
-	for _, engine := range p.balancer.Engines(pool) {
-		chosen := placement.Choose(placement.IDHash(engine.ID), routers)
-		if chosen < 0 || routers[chosen].ID == p.Settings.ID {
-			p.listCache(ctx, engine.ID, engine.Address)
-		}
-	}
-}
-
-func (p *Process) listCache(ctx context.Context, id, address string) {
-	ctx, cancel := context.WithTimeout(ctx, listWait)
-	defer cancel()
-	ids, err := p.Feeds.Caches.CachedParts(ctx, address)
+// listCache asks an engine for the parts that it keeps.
+func (p *Process) listCache(ctx context.Context, engine slipwick.Backend) ([]uint64, error) {
+	ids, err := p.Feeds.Caches.CachedParts(ctx, engine.Address)
 	if err != nil {
-		events.CacheListFailed.On(&p.Log).Str("backend", id).AnErr("cause", err).Send()
-		return
+		events.CacheListFailed.On(&p.Log).Str("backend", engine.ID).AnErr("cause", err).Send()
+		return nil, err
 	}
 	parts := make([]uint64, 0, len(ids))
-	for _, part := range ids {
-		parts = append(parts, gateway.PartKey(part))
+	for _, id := range ids {
+		parts = append(parts, gateway.PartKey(id))
 	}
-	p.balancer.Keeps(id, parts)
+	return parts, nil
 }
 
 // sleep waits; false if ctx ended first.
--- a/exchange/codec.go
+++ b/exchange/codec.go
@@ -42,7 +42,6 @@
 		From:     t.Self,
 		Sequence: t.sequence.Add(1),
 		Scope:    scope,
-		Knows:    t.Knows.Load(),
 	}
 }
 
--- /dev/null
+++ b/exchange/recovery_test.go
@@ -0,0 +1,202 @@
+package exchange
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/balance"
+)
+
+const (
+	testEngines = 20
+	// testParts is how many parts each engine keeps.
+	testParts = 30
+)
+
+// recoveringFleet is a fleet of which routers start one after the other.
+type recoveringFleet struct {
+	mu      sync.Mutex
+	live    []slipwick.Router
+	routers map[string]*Recovery
+	// lists counts the lists that each engine gave.
+	lists map[string]int
+	// silent are engines that give none.
+	silent map[string]bool
+}
+
+func newRecoveringFleet() *recoveringFleet {
+	return &recoveringFleet{
+		routers: make(map[string]*Recovery),
+		lists:   make(map[string]int),
+		silent:  make(map[string]bool),
+	}
+}
+
+var errSilent = errors.New("silent")
+
+// add makes a router that knows the engines and none of their caches.
+func (f *recoveringFleet) add(id string) *Recovery {
+	r := NewRecovery(id)
+	r.Balancer = balance.New("")
+	var backends []balance.Listed
+	for i := range testEngines {
+		backends = append(backends, balance.Listed{
+			Backend: slipwick.Backend{
+				ID: fmt.Sprintf("engine-%d", i),
+			},
+			Pool: "p",
+		})
+	}
+	r.Balancer.SetBackends(backends)
+	r.Pools = func() []string { return []string{"p"} }
+	r.Routers = func() []slipwick.Router {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.live
+	}
+	r.Ask = func(_ context.Context, router slipwick.Router) (*balance.Knowledge, error) {
+		time.Sleep(3 * time.Millisecond)
+		f.mu.Lock()
+		other := f.routers[router.ID]
+		f.mu.Unlock()
+		if other == nil {
+			return nil, errSilent
+		}
+		k := other.Balancer.Knowledge()
+		return &k, nil
+	}
+	r.List = func(ctx context.Context, engine slipwick.Backend) ([]uint64, error) {
+		f.mu.Lock()
+		f.lists[engine.ID]++
+		silent := f.silent[engine.ID]
+		f.mu.Unlock()
+		if silent {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		time.Sleep(10 * time.Millisecond)
+		var number uint64
+		_, _ = fmt.Sscanf(engine.ID, "engine-%d", &number)
+		var parts []uint64
+		for i := range uint64(testParts) {
+			parts = append(parts, number*testParts+i)
+		}
+		return parts, nil
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.routers[id] = r
+	f.live = append(f.live[:len(f.live):len(f.live)], slipwick.Router{
+		ID: id,
+	})
+	return r
+}
+
+// startAll starts routers with a pause between two of them, and waits until all
+// have recovered.
+func (f *recoveringFleet) startAll(t *testing.T, n int, pause time.Duration) []*Recovery {
+	t.Helper()
+	var started []*Recovery
+	for i := range n {
+		r := f.add(fmt.Sprint("r", i))
+		started = append(started, r)
+		go r.Run(t.Context())
+		time.Sleep(pause)
+	}
+	for _, r := range started {
+		<-r.Done()
+	}
+	return started
+}
+
+func TestRestartedFleetLearnsAllCaches(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		size  int
+		pause time.Duration
+	}{
+		{"at once", 8, 0},
+		{"one after the other", 8, 60 * time.Millisecond},
+		{"large", 62, 5 * time.Millisecond},
+		{"alone", 1, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newRecoveringFleet()
+				for _, r := range f.startAll(t, test.size, test.pause) {
+					if got, want := r.Balancer.KnownParts(), testEngines*testParts; got != want || r.Missing() > 0 {
+						t.Errorf("router %s: got %d parts and %d engines missing, want %d and none", r.Self, got, r.Missing(), want)
+					}
+				}
+				sum := 0
+				for _, n := range f.lists {
+					sum += n
+				}
+				// Routers that start alone ask for more than their share.
+				if limit := 3 * testEngines; sum > limit {
+					t.Errorf("got %d lists from %d engines, want at most %d", sum, testEngines, limit)
+				}
+			})
+		})
+	}
+}
+
+func TestRouterThatRestartsAloneAsksNoEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRecoveringFleet()
+		f.startAll(t, 8, 0)
+		clear(f.lists)
+		r := f.add("late")
+		r.Run(t.Context())
+		if got, want := r.Balancer.KnownParts(), testEngines*testParts; got != want || len(f.lists) > 0 {
+			t.Errorf("got %d parts and lists %v, want %d parts and no list", got, f.lists, want)
+		}
+	})
+}
+
+// TestSilentEnginesAndRoutersEndInTime has one engine and one router that
+// answer nothing: all else has to be learnt, soon.
+func TestSilentEnginesAndRoutersEndInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRecoveringFleet()
+		f.silent["engine-3"] = true
+		f.add("silent")
+		f.routers["silent"] = nil
+		started := time.Now()
+		for _, r := range f.startAll(t, 4, 0) {
+			if got, want := r.Balancer.KnownParts(), (testEngines-1)*testParts; got != want || r.Missing() != 1 {
+				t.Errorf("router %s: got %d parts and %d engines missing, want %d and 1", r.Self, got, r.Missing(), want)
+			}
+		}
+		if took := time.Since(started); took > 2*time.Second {
+			t.Errorf("got an end after %v, want it within 2 s", took)
+		}
+	})
+}
+
+func TestKnowledgeTravelsWhole(t *testing.T) {
+	want := &balance.Knowledge{
+		Covered: []uint64{7, 9},
+		Reads: []balance.Read{
+			{Part: 1, Server: 9},
+			{Part: 1, Server: 8},
+			{Part: 2, Server: 7},
+		},
+	}
+	got := decodeKnowledge(encodeKnowledge(want))
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+	spoilt := encodeKnowledge(want)
+	spoilt.Keepers[1], spoilt.Servers = 17, spoilt.Servers[:1]
+	if got := decodeKnowledge(spoilt); len(got.Reads) != 0 || len(got.Covered) != 1 {
+		t.Errorf("spoilt: got %+v, want what fits together", got)
+	}
+}
--- a/exchange/teller.go
+++ b/exchange/teller.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -44,10 +43,6 @@
 	Routers func() []slipwick.Router
 	// Address gives where a router hears what is told.
 	Address func(slipwick.Router) string
-	// Knows is set once this router knows which engines keep which parts;
-	// OthersKnow once another router said so of itself.
-	Knows      atomic.Bool
-	OthersKnow atomic.Bool
 
 	sequence atomic.Uint64
 	soon     chan struct{}
@@ -190,32 +185,12 @@
 	}
 }
 
-// Ask asks one of the other routers for all it knows of parts and engines, as
-// a router that starts knows nothing; false if there is no other.
-func (t *Teller) Ask() bool {
-	others := without(t.Routers(), t.Self)
-	if len(others) == 0 {
-		return false
-	}
-	message := t.message(exchangepb.Scope_SCOPE_NONE)
-	message.Asks = true
-	t.send(others[rand.IntN(len(others)):][:1], [][]byte{marshal(message)})
-	return true
-}
-
 // Receive takes a datagram of another router. What can't be read is dropped.
-func (t *Teller) Receive(address string, packet []byte) {
+func (t *Teller) Receive(_ string, packet []byte) {
 	message := &exchangepb.Told{}
 	if proto.Unmarshal(packet, message) != nil || message.GetFrom() == t.Self {
 		return
 	}
-	if message.GetAsks() {
-		t.answer(address)
-		return
-	}
-	if message.GetKnows() {
-		t.OthersKnow.Store(true)
-	}
 	told := decode(message)
 	t.passLater(message.GetScope(), told.Reads)
 	source, list := message.GetFrom(), t.collect(message, told.InFlight)
@@ -228,19 +203,6 @@
 	t.Balancer.HearReads(told.Reads)
 }
 
-// answer tells all that this router knows of parts and engines.
-func (t *Teller) answer(address string) {
-	if !t.Knows.Load() {
-		return
-	}
-	packets := t.encode(exchangepb.Scope_SCOPE_NONE, balance.Told{
-		Reads: t.Balancer.AllReads(),
-	})
-	for _, packet := range packets {
-		t.Wire.Send(address, packet)
-	}
-}
-
 // passLater keeps reads to pass on, in case this router is a hub.
 func (t *Teller) passLater(scope exchangepb.Scope, reads []balance.Read) {
 	size := t.size.Load()
--- a/exchange/teller_test.go
+++ b/exchange/teller_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -177,16 +178,27 @@
 		lease := ask(t, tellers[0].Balancer, key)
 		tellers[0].Balancer.Release(lease, slipwick.EvidenceGood)
 	}
-	if tellers[1].OthersKnow.Load() {
-		t.Error("got told that others know before anyone was asked")
+	server := httptest.NewServer(&KnowledgeServer{
+		Balancer: tellers[0].Balancer,
+	})
+	defer server.Close()
+	learn := func() {
+		k, err := FetchKnowledge(t.Context(), server.Client(), server.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		tellers[1].Balancer.Learn(k)
 	}
-	tellers[0].Knows.Store(true)
-	if !tellers[1].Ask() {
-		t.Fatal("got no other router to ask")
+	learn()
+	if got := len(tellers[1].Balancer.Uncovered("p")); got != 20 {
+		t.Errorf("the other has not learnt of all caches: got %d of 20 engines missing, want all", got)
 	}
-	if got := tellers[1].Balancer.KnownParts(); got != 500 || !tellers[1].OthersKnow.Load() {
-		t.Errorf("got %d parts, want 500 and to be told that the other knows", got)
+	tellers[0].Balancer.CoverAll()
+	learn()
+	if got, missing := tellers[1].Balancer.KnownParts(), len(tellers[1].Balancer.Uncovered("p")); got != 500 || missing > 0 {
+		t.Errorf("got %d parts and %d engines missing, want 500 and none", got, missing)
 	}
+	tellers[0].tell()
 	if board.longest > 1400 {
 		t.Errorf("got a datagram of %d bytes, want all within one packet", board.longest)
 	}
