Take old copies of other routers for no answer of the store

Cause: while the store refuses everybody, a router's list came from another router's old copy. It counted as an answer: the pause between calls began anew (8 routers made some 100 calls a second), and the store never counted as away, so that entries that lapsed meanwhile were dropped at once on its return instead of being kept for 1.9 s.

TestOldCopiesAreNoAnswerOfTheStore failed before: 154 calls in 10 s, 77 answers.

--- a/directory/fakefeed_test.go
+++ b/directory/fakefeed_test.go
@@ -32,7 +32,7 @@
 func (f *fakeFeed) answer(ctx context.Context, call func() (slipwick.FeedBatch, error)) (slipwick.FeedBatch, error) {
 	f.mu.Lock()
 	f.calls++
-	hangs, failure := f.hangs, f.err
+	hangs, failure, age := f.hangs, f.err, f.age
 	f.mu.Unlock()
 	if hangs {
 		<-ctx.Done()
@@ -42,7 +42,7 @@
 		return slipwick.FeedBatch{}, failure
 	}
 	b, err := call()
-	b.Age += f.age
+	b.Age += age
 	return b, err
 }
 
@@ -53,6 +53,20 @@
 	f.err = err
 }
 
+// grow adds to the age of what it answers from now on.
+func (f *fakeFeed) grow(age time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.age += age
+}
+
+// called counts the calls so far.
+func (f *fakeFeed) called() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls
+}
+
 // listed counts the lists so far.
 func (f *fakeFeed) listed() int {
 	f.mu.Lock()
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -44,7 +44,8 @@
 	OnChange func([]Change[T])
 	// OnError is told of failed calls and of what cannot be decoded.
 	OnError func(error)
-	// OnAnswer is told of each usable answer, before its changes.
+	// OnAnswer is told of each answer that the store gave lately, itself or
+	// through another router, before its changes.
 	OnAnswer func()
 
 	done chan struct{}
@@ -94,13 +95,22 @@
 			pause = min(2*pause, lastPause)
 			continue
 		}
-		pause = firstPause
-		f.OnAnswer()
+		isCurrent := batch.Age <= relayAge
+		if isCurrent {
+			pause = firstPause
+			f.OnAnswer()
+		}
 		changes := f.decode(f.Mirror.Apply(&batch))
 		if len(changes) > 0 || revision == 0 {
 			f.OnChange(changes)
 		}
-		revision, listed = batch.Revision, true
+		revision, listed = batch.Revision, isCurrent
+		if !isCurrent {
+			// Another router's old copy: the store is away, and is not to be
+			// called more often for it. On its return a list answers at once.
+			rest(ctx, pause)
+			pause = min(2*pause, lastPause)
+		}
 	}
 }
 
--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -116,6 +117,57 @@
 	})
 }
 
+// TestOldCopiesAreNoAnswerOfTheStore has a watcher whose store is away, while
+// another router still gives its old copy: calls to the store have to become
+// seldom, and the store has to count as away, so that entries which lapse
+// meanwhile are kept on its return.
+func TestOldCopiesAreNoAnswerOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeFeed(batch(1, true, "a1"))
+		other := newFakeFeed(batch(1, true, "a1"))
+		shared := &Shared{
+			Name:  "backends",
+			Store: store,
+			Peers: &fakePeers{
+				watches: true,
+				relays: map[string]*fakeFeed{
+					"other": other,
+				},
+				order: []string{"other"},
+			},
+		}
+		var answers atomic.Int64
+		follower := NewFollower[string](shared, NewMirror())
+		follower.Decode = func(_ string, value []byte) (string, error) { return string(value), nil }
+		follower.OnAnswer = func() { answers.Add(1) }
+		ctx, cancel := context.WithCancel(t.Context())
+		go follower.Run(ctx)
+		synctest.Wait()
+		store.fail(errors.New("down"))
+		other.grow(relayAge + time.Second)
+		time.Sleep(2 * storeWait)
+		before := store.called()
+		answers.Store(0)
+		const outage = 10 * time.Second
+		time.Sleep(outage)
+		if got, limit := store.called()-before, int(outage/(lastPause/2)); got > limit {
+			t.Errorf("got %d calls in %v, want at most %d", got, outage, limit)
+		}
+		if got := answers.Load(); got > 0 {
+			t.Errorf("got %d answers of the store while it is away, want none", got)
+		}
+		store.Apply(batch(2, true, "a2"))
+		store.fail(nil)
+		time.Sleep(2 * lastPause)
+		synctest.Wait()
+		if answers.Load() == 0 {
+			t.Error("got no answer after the store's return")
+		}
+		cancel()
+		<-follower.Done()
+	})
+}
+
 // TestFollowerNeverGoesBack has a list come from an older copy.
 func TestFollowerNeverGoesBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
