Read a prompt once: wait for a first reading, fetch first parts

Now a request waits, at most 250 ms, until the engine that reads its prompt for another has begun to answer; and a prompt that nobody has is fetched as far as its first parts are kept.

TestHotPromptSpillsBelowTheBound now has its engine begin to answer, as its count of fetches is of a prompt that has been read; the case before that is in TestRequestsWaitWhileTheirPromptIsReadForAnother. TestPromptIsReadOnce failed before.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -51,6 +51,8 @@
 	peers []string
 	heard map[string]heard
 	reads []Read
+	// readings are the prompts that are read for the first time.
+	readings readings
 }
 
 // New makes a balancer without backend servers.
@@ -64,6 +66,7 @@
 		pools:      make(map[string][]*server),
 		homes:      newHomes(),
 		heard:      make(map[string]heard),
+		readings:   make(readings),
 	}
 }
 
@@ -225,6 +228,7 @@
 	defer b.mu.Unlock()
 	lease.server.reading -= lease.reading
 	lease.reading = 0
+	b.endReadingLocked(lease)
 }
 
 // Release ends a lease and tells what the request showed.
@@ -234,6 +238,7 @@
 	lease.server.inFlight--
 	lease.server.reading -= lease.reading
 	lease.reading = 0
+	b.endReadingLocked(lease)
 	now := time.Now()
 	if lease.server.observe(evidence, now) {
 		b.OnOut(lease.Backend, lease.server.outUntil.Sub(now))
--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -78,13 +78,15 @@
 	}
 }
 
-// TestHotPromptSpillsBelowTheBound sends one prompt alone, without an end.
+// TestHotPromptSpillsBelowTheBound sends one prompt alone, without an end; the
+// first engine has read it.
 func TestHotPromptSpillsBelowTheBound(t *testing.T) {
 	b := newTestBalancer(6)
 	counts := make(map[string]int)
 	fetched := 0
 	for range 60 {
 		lease := acquire(t, b, prompt(7))
+		b.Began(lease)
 		counts[lease.Backend.ID]++
 		if lease.FetchFrom != "" {
 			fetched++
--- a/balance/lease.go
+++ b/balance/lease.go
@@ -1,6 +1,10 @@
 package balance
 
-import "github.com/slipwick/slipwick"
+import (
+	"time"
+
+	"github.com/slipwick/slipwick"
+)
 
 // Lease is a request's place at a backend server. It has to be released.
 type Lease struct {
@@ -8,8 +12,15 @@
 	// FetchFrom is the address of another engine that probably has the
 	// prompt cached; empty if there is none or the engine itself has it.
 	FetchFrom string
+	// Wait is how long to wait, or until Read is closed, before the request is
+	// sent: the prompt is being read for another. Read may be nil.
+	Wait time.Duration
+	Read <-chan struct{}
 
 	server *server
+	// part and begun are the reading that this request is the first of.
+	part  uint64
+	begun *reading
 	// reading is how many tokens the engine has to read for it yet.
 	reading int
 }
--- a/balance/prompt.go
+++ b/balance/prompt.go
@@ -43,12 +43,19 @@
 	}
 	lease := leaseOf(chosen)
 	lease.reading = ask.Own
-	if !b.homes.has(prompt, chosen) {
+	has := b.homes.has(prompt, chosen)
+	if !has {
 		lease.reading = ask.tokens()
 	}
-	if holder := b.holderLocked(parts, pool, chosen, now); holder != nil {
+	holder := b.holderLocked(parts, pool, chosen, now)
+	if holder != nil {
 		lease.FetchFrom = holder.Address
 	}
+	if has || holder != nil && b.homes.has(prompt, holder) {
+		b.awaitReadingLocked(prompt, ask.tokens(), lease, now)
+	} else {
+		b.beginReadingLocked(prompt, lease, now)
+	}
 	b.ranLocked(parts, chosen)
 	return lease
 }
@@ -116,8 +123,9 @@
 }
 
 // holderLocked gives the engine that most probably has the prompt cached, or
-// its first parts, if it is not the chosen one: where this router sent the
-// parts, else the best ranked of those that were listed before the chosen one.
+// its first parts, if it is not the chosen one: one that is known to keep the
+// prompt; the best ranked of those that were listed before the chosen one, if
+// its cache is not known; one that is known to keep the first parts.
 func (b *Balancer) holderLocked(parts []uint64, pool []*server, chosen *server, now time.Time) *server {
 	usable := func(engine uint64) *server {
 		if s := b.hashes[engine]; s != nil && !s.isOut(now) {
@@ -141,7 +149,7 @@
 			home = s
 		}
 	}
-	if home != nil && home != chosen {
+	if home != nil && home != chosen && !home.covered {
 		return home
 	}
 	holder, _ := b.homes.holder(parts[:len(parts)-1], chosen, usable)
--- /dev/null
+++ b/balance/reading_test.go
@@ -0,0 +1,138 @@
+package balance
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/placement"
+)
+
+// longPrompt has a shared part of 10,000 tokens.
+func longPrompt(key uint64) *Ask {
+	ask := prompt(key)
+	ask.Prompt[0].Tokens = 10000
+	return ask
+}
+
+func isOver(lease *Lease) bool {
+	select {
+	case <-lease.Read:
+		return true
+	default:
+		return false
+	}
+}
+
+func TestRequestsWaitWhileTheirPromptIsReadForAnother(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		end  func(b *Balancer, first *Lease)
+	}{
+		{"the engine begins to answer", func(b *Balancer, first *Lease) { b.Began(first) }},
+		{"the request fails", func(b *Balancer, first *Lease) { b.Release(first, slipwick.EvidenceError) }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newTestBalancer(4)
+				first := acquire(t, b, longPrompt(7))
+				if first.Wait > 0 {
+					t.Errorf("first: got a wait of %v, want none", first.Wait)
+				}
+				// The second is sent to the same engine, later ones to others
+				// that fetch from it.
+				for range 5 {
+					lease := acquire(t, b, longPrompt(7))
+					if lease.Wait <= 0 || lease.Wait > maxReadingWait || isOver(lease) {
+						t.Errorf("%s: got a wait of %v, want one of up to %v", lease.Backend.ID, lease.Wait, maxReadingWait)
+					}
+					defer func() {
+						if !isOver(lease) {
+							t.Errorf("%s: got no end of the wait", lease.Backend.ID)
+						}
+					}()
+				}
+				test.end(b, first)
+				if lease := acquire(t, b, longPrompt(7)); lease.Wait > 0 {
+					t.Errorf("after it: got a wait of %v, want none", lease.Wait)
+				}
+			})
+		})
+	}
+}
+
+func TestRequestsWaitForLongReadingsOfOtherRouters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBalancer(4)
+		reads := []Read{
+			{
+				Part:   7,
+				Server: placement.IDHash("p-2"),
+			},
+		}
+		b.HearReadings(reads)
+		lease := acquire(t, b, longPrompt(7))
+		if want := readingBase + 100*time.Millisecond; lease.Backend.ID != "p-2" || lease.Wait != want || lease.Read != nil {
+			t.Errorf("got %s and a wait of %v, want p-2 and %v", lease.Backend.ID, lease.Wait, want)
+		}
+		if lease := acquire(t, b, prompt(7)); lease.Wait > 0 {
+			t.Errorf("a short prompt: got a wait of %v, want none", lease.Wait)
+		}
+		time.Sleep(readingBase + 100*time.Millisecond)
+		b.HearReadings(reads)
+		if lease := acquire(t, b, longPrompt(7)); lease.Wait > 0 {
+			t.Errorf("when it is read: got a wait of %v, want none", lease.Wait)
+		}
+	})
+}
+
+// TestReadingsAreForgotten has more readings than are kept, none of which ends.
+func TestReadingsAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBalancer(4)
+		for key := range uint64(3 * readingsKept) {
+			acquire(t, b, longPrompt(key))
+		}
+		if got := len(b.readings); got > readingsKept {
+			t.Errorf("got %d readings, want at most %d", got, readingsKept)
+		}
+		time.Sleep(maxReadingWait + time.Millisecond)
+		acquire(t, b, longPrompt(1<<40))
+		if got := len(b.readings); got > 1 {
+			t.Errorf("got %d readings later, want the newest alone", got)
+		}
+	})
+}
+
+// TestFirstPartsAreFetchedForNewPrompts has a prompt that nobody has, but for
+// its first part.
+func TestFirstPartsAreFetchedForNewPrompts(t *testing.T) {
+	b := newTestBalancer(6)
+	b.CoverAll()
+	const head, part = 7, 8
+	var keeper Listed
+	for _, l := range listed(6) {
+		if l.ID != home(part, 6) {
+			keeper = l
+		}
+	}
+	b.Keeps(keeper.ID, []uint64{head})
+	ask := &Ask{
+		Pool: "p",
+		Prompt: []Part{
+			{
+				Key:    head,
+				Tokens: 300,
+			},
+			{
+				Key:    part,
+				Tokens: 1000,
+			},
+		},
+	}
+	lease := acquire(t, b, ask)
+	if lease.Backend.ID != keeper.ID && lease.FetchFrom != keeper.Address {
+		t.Errorf("got %s fetching from %q, want a fetch from %s", lease.Backend.ID, lease.FetchFrom, keeper.Address)
+	}
+}
--- a/balance/told.go
+++ b/balance/told.go
@@ -90,6 +90,22 @@
 	}
 }
 
+// HearReadings takes what engines have just begun to read for other routers.
+func (b *Balancer) HearReadings(reads []Read) {
+	b.mu.Lock()
+	now := time.Now()
+	for _, read := range reads {
+		if known, _ := b.homes.holders.Peek(read.Part); len(known) == 0 {
+			b.readings.begin(read.Part, &reading{
+				engine: read.Server,
+				began:  now,
+			})
+		}
+	}
+	b.mu.Unlock()
+	b.HearReads(reads)
+}
+
 // readingToldLocked sums what an engine has to read for the other routers.
 func (b *Balancer) readingToldLocked(s *server) int {
 	sum := 0
--- a/exchange/teller.go
+++ b/exchange/teller.go
@@ -200,7 +200,7 @@
 	if message.GetScope() != exchangepb.Scope_SCOPE_NONE {
 		t.Balancer.Hear(source, message.GetSequence(), list)
 	}
-	t.Balancer.HearReads(told.Reads)
+	t.Balancer.HearReadings(told.Reads)
 }
 
 // passLater keeps reads to pass on, in case this router is a hub.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -379,3 +380,33 @@
 		t.Errorf("got status %d after %v, want 200 soon after %v", got.status, took, startWait/4)
 	}
 }
+
+// TestPromptIsReadOnce sends two requests with one prompt at once: the second
+// reaches the engine when it has begun to answer the first.
+func TestPromptIsReadOnce(t *testing.T) {
+	reads := make(chan struct{}, 2)
+	answer := make(chan struct{})
+	f := newFixture(t, newBackend(t, "b1", func(b *backend, w http.ResponseWriter, r *http.Request) {
+		reads <- struct{}{}
+		<-answer
+		answers(http.StatusOK, "answer")(b, w, r)
+	}))
+	var both sync.WaitGroup
+	for range 2 {
+		request := f.request(t, "/affine/x", "question")
+		request.Header.Set("Slipwick-Prompt", "ab:20000,cd:10")
+		both.Go(func() {
+			if got := send(t, request); got.status != http.StatusOK {
+				t.Errorf("got status %d, want 200", got.status)
+			}
+		})
+	}
+	<-reads
+	select {
+	case <-reads:
+		t.Error("got two readings at once, want the second request to wait for the first")
+	case <-time.After(100 * time.Millisecond):
+	}
+	close(answer)
+	both.Wait()
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -28,6 +28,7 @@
 			reason = "no-backend"
 			break
 		}
+		c.awaitReading(lease)
 		last = c.send(lease)
 		if last == resultDelivered || last == resultLeft || last == resultCut {
 			c.end(last, "", 0)
@@ -44,6 +45,20 @@
 	c.giveUp(reason)
 }
 
+// awaitReading waits while the engine reads the request's prompt for another.
+func (c *call) awaitReading(lease *balance.Lease) {
+	if lease.Wait <= 0 {
+		return
+	}
+	timer := time.NewTimer(lease.Wait)
+	defer timer.Stop()
+	select {
+	case <-lease.Read:
+	case <-timer.C:
+	case <-c.ctx.Done():
+	}
+}
+
 // whyNoMore tells why a request is not sent again; empty if it is.
 func (c *call) whyNoMore(last result) string {
 	switch {
