Share how requests end, and pass over servers that say nothing

Cause: each router judged backend servers by its own requests alone. One of 18 engines that fails 45 in 100 gets a request a second from each of 8 routers, so that it failed for some 5 of its 6.5 s; one that has gone dark got new requests until its entry lapsed, 3.6 s later, and those that may not be repeated were lost. Requests that hung to the end of their time said nothing at all.

Now routers tell each other how requests ended, with the next failure, and one whose rate of failures is twice the others' is left out by all, at most a third of a pool; one with requests in flight that has said nothing for half a second gets nothing new; a request that waits beyond its patience counts as failed at once. Engines that are left out for failures are still fetched from.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -112,6 +112,9 @@
 	} else {
 		lease = leaseOf(b.leastLoadedLocked(usable, now))
 	}
+	if lease.server.inFlight == 0 {
+		lease.server.waitingSince = now
+	}
 	lease.server.inFlight++
 	lease.server.reading += lease.reading
 	if lease.reading >= longRead {
@@ -228,6 +231,7 @@
 	defer b.mu.Unlock()
 	lease.server.reading -= lease.reading
 	lease.reading = 0
+	lease.server.hears(time.Now())
 	b.endReadingLocked(lease)
 }
 
@@ -239,8 +243,10 @@
 	lease.server.reading -= lease.reading
 	lease.reading = 0
 	b.endReadingLocked(lease)
-	now := time.Now()
-	if lease.server.observe(evidence, now) {
-		b.OnOut(lease.Backend, lease.server.outUntil.Sub(now))
-	}
+	b.observeLocked(lease.server, evidence, time.Now())
+}
+
+// Heard notes that the backend server goes on with an answer.
+func (b *Balancer) Heard(lease *Lease) {
+	lease.server.hears(time.Now())
 }
--- /dev/null
+++ b/balance/errors.go
@@ -0,0 +1,146 @@
+package balance
+
+import (
+	"math"
+	"time"
+
+	"github.com/slipwick/slipwick"
+)
+
+const (
+	// outcomeWeight is the share of the latest outcome in the error rate: about
+	// the last ten count, of all routers.
+	outcomeWeight = 0.1
+	// errorLimit is the error rate from which on a backend server is left out,
+	// if it is errorFactor times as high as that of the others: what fails
+	// everywhere is no reason to avoid one.
+	errorLimit  = 0.2
+	errorFactor = 2
+	// trialRate is the error rate that it comes back with: a few failures more
+	// have it left out again, for longer.
+	trialRate = 0.12
+	// soundRate is the error rate below which earlier times out are forgotten.
+	soundRate = 0.05
+	// errorOuting is how long one is left out the first time: failures that
+	// come by chance are rare enough for it, and others take its work.
+	errorOuting = time.Second
+	// outShare is the part of a pool, one in so many and rounded up, that may be
+	// left out for failures: the others have to carry its work.
+	outShare = 3
+	// maxUntold bounds the good outcomes that are told with the next failure:
+	// more would only say that it was sound long before.
+	maxUntold = 20
+)
+
+// errorRate is the share of a backend server's latest requests that failed.
+type errorRate struct {
+	rate float64
+	// good and failed are outcomes of this router that are not told yet.
+	good, failed int
+}
+
+// learn takes outcomes, of this router or others.
+func (e *errorRate) learn(good, failed int) {
+	n := good + failed
+	if n <= 0 {
+		return
+	}
+	kept := math.Pow(1-outcomeWeight, float64(n))
+	e.rate = e.rate*kept + float64(failed)/float64(n)*(1-kept)
+}
+
+// note takes an outcome of this router.
+func (e *errorRate) note(failed bool) {
+	if failed {
+		e.failed++
+		e.learn(0, 1)
+		return
+	}
+	e.good = min(e.good+1, maxUntold)
+	e.learn(1, 0)
+}
+
+// untold gives what there is to tell: nothing without a failure.
+func (e *errorRate) untold() (good, failed int) {
+	if e.failed == 0 {
+		return 0, 0
+	}
+	good, failed = e.good, e.failed
+	e.good, e.failed = 0, 0
+	return good, failed
+}
+
+// observeLocked takes what one request of this router showed.
+func (b *Balancer) observeLocked(s *server, evidence slipwick.Evidence, now time.Time) {
+	switch evidence {
+	case slipwick.EvidenceNone:
+	case slipwick.EvidenceUnreachable, slipwick.EvidenceTimeout, slipwick.EvidenceLeaving:
+		if s.leaveOut(now, shortOuting) {
+			b.OnOut(s.Backend, s.outUntil.Sub(now))
+		}
+	case slipwick.EvidenceGood, slipwick.EvidenceError:
+		s.hears(now)
+		s.errors.note(evidence == slipwick.EvidenceError)
+		b.judgeLocked(s, now)
+	}
+}
+
+// judgeLocked leaves a backend server out that fails more than the others.
+func (b *Balancer) judgeLocked(s *server, now time.Time) {
+	if s.errors.rate < soundRate {
+		s.outings = 0
+	}
+	if s.errors.rate <= errorLimit || s.errors.rate <= errorFactor*b.othersRateLocked(s) || b.tooManyOutLocked(s, now) {
+		return
+	}
+	if s.leaveOut(now, errorOuting) {
+		s.errors.rate, s.failing = trialRate, true
+		b.OnOut(s.Backend, s.outUntil.Sub(now))
+	}
+}
+
+// tooManyOutLocked tells whether the pool can spare no more of its servers.
+func (b *Balancer) tooManyOutLocked(s *server, now time.Time) bool {
+	pool := b.pools[s.Pool]
+	out := 0
+	for _, other := range pool {
+		if other != s && other.isOut(now) {
+			out++
+		}
+	}
+	return outShare*(out+1) > len(pool)+outShare-1
+}
+
+// othersRateLocked is the mean error rate of the pool's other backend servers.
+func (b *Balancer) othersRateLocked(s *server) float64 {
+	sum, n := 0.0, 0
+	for _, other := range b.pools[s.Pool] {
+		if other != s {
+			sum += other.errors.rate
+			n++
+		}
+	}
+	return sum / float64(max(n, 1))
+}
+
+// Overdue notes that the backend server has let a request wait for so long that
+// its answer would be late. The request goes on.
+func (b *Balancer) Overdue(lease *Lease) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	lease.server.errors.note(true)
+	b.judgeLocked(lease.server, time.Now())
+}
+
+// HearOutcomes takes how requests of other routers ended.
+func (b *Balancer) HearOutcomes(outcomes []Outcomes) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	for _, o := range outcomes {
+		if s := b.hashes[o.Server]; s != nil {
+			s.errors.learn(o.Good, o.Failed)
+			b.judgeLocked(s, now)
+		}
+	}
+}
--- /dev/null
+++ b/balance/errors_test.go
@@ -0,0 +1,202 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/placement"
+)
+
+var plain = &Ask{
+	Pool: "p",
+}
+
+// outNow counts the backend servers that are left out.
+func outNow(b *Balancer) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := 0
+	for _, s := range b.servers {
+		if s.isOut(time.Now()) {
+			out++
+		}
+	}
+	return out
+}
+
+func TestSilentBackendGetsNothingNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBalancer(3)
+		id := home(7, 3)
+		waiting := acquire(t, b, prompt(7))
+		b.Began(waiting)
+		time.Sleep(silenceLimit)
+		if got := acquire(t, b, prompt(7)).Backend.ID; got != id {
+			t.Errorf("after %v: got %s, want %s still", silenceLimit, got, id)
+		}
+		time.Sleep(time.Millisecond)
+		lease := acquire(t, b, prompt(7))
+		if lease.Backend.ID == id || lease.FetchFrom != "" {
+			t.Errorf("later: got %s fetching from %q, want another, fetching from none", lease.Backend.ID, lease.FetchFrom)
+		}
+		b.Heard(waiting)
+		if got := acquire(t, b, prompt(7)).Backend.ID; got != id {
+			t.Errorf("when it was heard: got %s, want %s", got, id)
+		}
+	})
+}
+
+// TestIdleBackendIsNotSilent has one say nothing as it was asked nothing.
+func TestIdleBackendIsNotSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBalancer(1)
+		b.Release(acquire(t, b, plain), slipwick.EvidenceGood)
+		time.Sleep(time.Minute)
+		acquire(t, b, plain)
+		if got := outNow(b); got != 0 {
+			t.Error("got it left out when it had just been asked, want it used")
+		}
+	})
+}
+
+func TestOutcomesOfOtherRoutersCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBalancer(4)
+		bad := Outcomes{
+			Server: placement.IDHash("p-2"),
+			Good:   2,
+			Failed: 2,
+		}
+		b.HearOutcomes([]Outcomes{bad})
+		if got := outNow(b); got != 0 {
+			t.Errorf("after two failures of four: got %d left out, want none", got)
+		}
+		b.HearOutcomes([]Outcomes{bad, bad})
+		for range 20 {
+			lease := acquire(t, b, plain)
+			if lease.Backend.ID == "p-2" {
+				t.Fatal("after six failures of twelve: got p-2, want it left out")
+			}
+			b.Release(lease, slipwick.EvidenceNone)
+		}
+		time.Sleep(errorOuting)
+		b.HearOutcomes([]Outcomes{bad, bad})
+		time.Sleep(errorOuting)
+		if got := outNow(b); got != 1 {
+			t.Errorf("when it fails again: got %d left out after %v, want it out for longer", got, errorOuting)
+		}
+	})
+}
+
+func TestOutcomesAreToldOnceAndWithFailuresAlone(t *testing.T) {
+	b := newTestBalancer(1)
+	end := func(evidence slipwick.Evidence) { b.Release(acquire(t, b, plain), evidence) }
+	for range 3 * maxUntold {
+		end(slipwick.EvidenceGood)
+	}
+	if got := b.Tell().Outcomes; len(got) != 0 {
+		t.Errorf("without a failure: got %v, want nothing told", got)
+	}
+	end(slipwick.EvidenceError)
+	got := b.Tell().Outcomes
+	if len(got) != 1 || got[0].Good != maxUntold || got[0].Failed != 1 {
+		t.Errorf("got %v, want %d good and 1 failed", got, maxUntold)
+	}
+	if got := b.Tell().Outcomes; len(got) != 0 {
+		t.Errorf("told again: got %v, want nothing", got)
+	}
+}
+
+func TestFailingEngineIsStillFetchedFrom(t *testing.T) {
+	b := newTestBalancer(4)
+	b.CoverAll()
+	first := acquire(t, b, prompt(7))
+	b.Began(first)
+	b.Release(first, slipwick.EvidenceGood)
+	b.HearOutcomes([]Outcomes{
+		{
+			Server: placement.IDHash(first.Backend.ID),
+			Failed: 5,
+		},
+	})
+	lease := acquire(t, b, prompt(7))
+	if want := first.Backend.Address; lease.Backend.ID == first.Backend.ID || lease.FetchFrom != want {
+		t.Errorf("got %s fetching from %q, want another fetching from %s", lease.Backend.ID, lease.FetchFrom, want)
+	}
+}
+
+func TestOverdueRequestsCountAsFailures(t *testing.T) {
+	b := newTestBalancer(4)
+	var lease *Lease
+	for lease == nil || lease.Backend.ID != "p-1" {
+		lease = acquire(t, b, plain)
+	}
+	for range 4 {
+		b.Overdue(lease)
+	}
+	if got := outNow(b); got != 1 {
+		t.Errorf("got %d left out, want the one that lets requests wait", got)
+	}
+}
+
+// TestOutingsAreBounded has backend servers fail at rates of their own: never
+// more than a third of a pool, rounded up, is left out, one that fails far more
+// than the others is found, and the sound ones stay.
+func TestOutingsAreBounded(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		size := rapid.IntRange(2, 20).Draw(r, "size")
+		usual := rapid.Float64Range(0, 0.5).Draw(r, "usual")
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(r, "seed"), 1))
+		b := newTestBalancer(size)
+		for range 500 {
+			i := random.IntN(size)
+			o := Outcomes{
+				Server: placement.IDHash(fmt.Sprintf("p-%d", i)),
+				Good:   1,
+			}
+			if random.Float64() < usual {
+				o.Good, o.Failed = 0, 1
+			}
+			b.HearOutcomes([]Outcomes{o})
+			if got, limit := outNow(b), (size+outShare-1)/outShare; got > limit {
+				r.Fatalf("got %d of %d left out, want at most %d", got, size, limit)
+			}
+		}
+	})
+}
+
+// TestBadServerIsFoundAmongMany has one of 18 engines fail nearly every second
+// request.
+func TestBadServerIsFoundAmongMany(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	b := newTestBalancer(18)
+	found := 0
+	b.OnOut = func(backend slipwick.Backend, _ time.Duration) {
+		if backend.ID == "p-3" {
+			found++
+		} else {
+			t.Errorf("got %s left out, want p-3 alone", backend.ID)
+		}
+	}
+	for n := 0; found == 0 && n < 20; n++ {
+		for i := range 18 {
+			o := Outcomes{
+				Server: placement.IDHash(fmt.Sprintf("p-%d", i)),
+				Good:   1,
+			}
+			if i == 3 && random.Float64() < 0.45 {
+				o.Good, o.Failed = 0, 1
+			}
+			b.HearOutcomes([]Outcomes{o})
+		}
+	}
+	if found == 0 {
+		t.Error("got p-3 not left out after 20 requests, want it found")
+	}
+}
--- a/balance/prompt.go
+++ b/balance/prompt.go
@@ -128,7 +128,7 @@
 // its cache is not known; one that is known to keep the first parts.
 func (b *Balancer) holderLocked(parts []uint64, pool []*server, chosen *server, now time.Time) *server {
 	usable := func(engine uint64) *server {
-		if s := b.hashes[engine]; s != nil && !s.isOut(now) {
+		if s := b.hashes[engine]; s != nil && s.isReachable(now) {
 			return s
 		}
 		return nil
--- a/balance/server.go
+++ b/balance/server.go
@@ -1,9 +1,9 @@
 package balance
 
 import (
+	"sync/atomic"
 	"time"
 
-	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/placement"
 )
 
@@ -11,11 +11,10 @@
 	// reportLife is how long a report of load is believed: at the rates
 	// designed for, a router hears from each engine about once a second.
 	reportLife = 1500 * time.Millisecond
-	// errorWeight is the share of the latest request in the error rate.
-	errorWeight = 0.2
-	// errorLimit is the error rate from which on a backend server is left
-	// out: three errors in a row, or nearly every second request.
-	errorLimit = 0.45
+	// silenceLimit is how long a backend server with requests in flight may
+	// say nothing before new ones go elsewhere: engines say something with
+	// every step, plain services answer most requests within 100 ms.
+	silenceLimit = 500 * time.Millisecond
 	// shortOuting and longOuting bound how long one is left out.
 	shortOuting = 500 * time.Millisecond
 	longOuting  = 4 * time.Second
@@ -42,10 +41,17 @@
 	reportedOwn int
 	reportedAt  time.Time
 
-	errorRate float64
-	// outings counts the times in a row that it was left out.
+	// heardAt is when it last said anything to this router, in nanoseconds;
+	// waitingSince is since when requests of this router are in flight there.
+	heardAt      atomic.Int64
+	waitingSince time.Time
+
+	errors errorRate
+	// outings counts the times in a row that it was left out. failing says that
+	// it is out for requests that failed, and can still be fetched from.
 	outings  int
 	outUntil time.Time
+	failing  bool
 }
 
 func newServer(listed Listed, since time.Time) *server {
@@ -66,39 +72,38 @@
 	return max(s.reported-s.reportedOwn, 0), true
 }
 
-// isOut tells whether it is left out for its failures.
+// isOut tells whether it gets nothing new for now: it is left out for its
+// failures, or says nothing though it has requests to answer.
 func (s *server) isOut(now time.Time) bool {
-	return now.Before(s.outUntil)
+	return now.Before(s.outUntil) || s.isSilent(now)
+}
+
+// isReachable tells whether another engine may fetch from it.
+func (s *server) isReachable(now time.Time) bool {
+	return !s.isSilent(now) && (s.failing || !now.Before(s.outUntil))
 }
 
-// observe takes what one request showed; true says that the backend server is
-// left out from now on.
-func (s *server) observe(evidence slipwick.Evidence, now time.Time) (isLeftOut bool) {
-	switch evidence {
-	case slipwick.EvidenceNone:
-	case slipwick.EvidenceGood:
-		s.errorRate *= 1 - errorWeight
-		s.outings = 0
-	case slipwick.EvidenceUnreachable, slipwick.EvidenceTimeout, slipwick.EvidenceLeaving:
-		return s.leaveOut(now)
-	case slipwick.EvidenceError:
-		s.errorRate += (1 - s.errorRate) * errorWeight
-		if s.errorRate > errorLimit {
-			s.errorRate = errorLimit / 2
-			return s.leaveOut(now)
-		}
+func (s *server) isSilent(now time.Time) bool {
+	if s.inFlight == 0 || now.Sub(s.waitingSince) <= silenceLimit {
+		return false
 	}
-	return false
+	return now.UnixNano()-s.heardAt.Load() > int64(silenceLimit)
+}
+
+// hears notes that it said something.
+func (s *server) hears(now time.Time) {
+	s.heardAt.Store(now.UnixNano())
 }
 
-func (s *server) leaveOut(now time.Time) bool {
-	if s.isOut(now) {
+// leaveOut leaves it out, for longer each time in a row; false if it is out.
+func (s *server) leaveOut(now time.Time, first time.Duration) bool {
+	if now.Before(s.outUntil) {
 		return false
 	}
-	outing := min(shortOuting<<s.outings, longOuting)
+	outing := min(first<<s.outings, longOuting)
 	if s.outings < 8 {
 		s.outings++
 	}
-	s.outUntil = now.Add(outing)
+	s.outUntil, s.failing = now.Add(outing), false
 	return true
 }
--- a/balance/told.go
+++ b/balance/told.go
@@ -2,11 +2,20 @@
 
 import "time"
 
-// Told is what one router tells the others: the backend servers it uses, by the
-// hash of their ID, and what engines read for it.
+// Told is what one router tells the others of the backend servers it uses, by
+// the hash of their ID: its requests there, what engines read for it, and how
+// requests ended where some failed.
 type Told struct {
 	InFlight []InFlight
 	Reads    []Read
+	Outcomes []Outcomes
+}
+
+// Outcomes counts requests that ended since they were told last.
+type Outcomes struct {
+	Server uint64
+	Good   int
+	Failed int
 }
 
 // InFlight counts a router's requests at a backend server.
@@ -38,7 +47,8 @@
 	reading  map[uint64]int
 }
 
-// Tell gives what there is to tell the other routers. Reads are told once.
+// Tell gives what there is to tell the other routers. Reads and outcomes are
+// told once.
 func (b *Balancer) Tell() Told {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -47,6 +57,13 @@
 	}
 	b.reads = nil
 	for _, s := range b.servers {
+		if good, failed := s.errors.untold(); failed > 0 {
+			told.Outcomes = append(told.Outcomes, Outcomes{
+				Server: s.hash,
+				Good:   good,
+				Failed: failed,
+			})
+		}
 		if s.inFlight > 0 {
 			told.InFlight = append(told.InFlight, InFlight{
 				Server:  s.hash,
--- a/exchange/codec.go
+++ b/exchange/codec.go
@@ -7,18 +7,21 @@
 	"github.com/slipwick/slipwick/exchange/exchangepb"
 )
 
-// maxCounts and maxReads bound a datagram to what fits one packet of 1,500
-// bytes: at most 14 bytes a count and 10 a read, and 8 for a read's engine.
+// maxCounts, maxReads and maxOutcomes bound a datagram to what fits one packet
+// of 1,500 bytes: at most 14 bytes a count, 10 a read, 6 a server's outcomes, and
+// 8 for the server of either. Reads and outcomes share a datagram with few counts
+// alone.
 const (
-	maxCounts = 50
-	maxReads  = 60
+	maxCounts   = 50
+	maxReads    = 30
+	maxOutcomes = 25
 )
 
 // encode makes the datagrams of what is told; those of one call share a round.
 func (t *Teller) encode(scope exchangepb.Scope, told balance.Told) [][]byte {
 	round := t.sequence.Add(1)
 	var packets [][]byte
-	for first := true; first || len(told.InFlight)+len(told.Reads) > 0; first = false {
+	for first := true; first || len(told.InFlight)+len(told.Reads)+len(told.Outcomes) > 0; first = false {
 		e := &encoder{
 			message: t.message(scope),
 			place:   make(map[uint64]uint32),
@@ -31,6 +34,9 @@
 			n = min(len(told.Reads), maxReads)
 			e.addReads(told.Reads[:n])
 			told.Reads = told.Reads[n:]
+			n = min(len(told.Outcomes), maxOutcomes)
+			e.addOutcomes(told.Outcomes[:n])
+			told.Outcomes = told.Outcomes[n:]
 		}
 		packets = append(packets, marshal(e.message))
 	}
@@ -84,6 +90,14 @@
 	}
 }
 
+func (e *encoder) addOutcomes(list []balance.Outcomes) {
+	for _, o := range list {
+		e.message.Ended = append(e.message.Ended, e.at(o.Server))
+		e.message.Good = append(e.message.Good, uint32(o.Good))
+		e.message.Failed = append(e.message.Failed, uint32(o.Failed))
+	}
+}
+
 // decode reads what a datagram tells; what does not fit together is left out.
 func decode(message *exchangepb.Told) balance.Told {
 	var told balance.Told
@@ -106,5 +120,18 @@
 			Server: servers[message.GetReaders()[i]],
 		})
 	}
+	for i, place := range message.GetEnded() {
+		if int(place) >= len(servers) || i >= len(message.GetGood()) || i >= len(message.GetFailed()) {
+			break
+		}
+		told.Outcomes = append(told.Outcomes, balance.Outcomes{
+			Server: servers[place],
+			Good:   int(min(message.GetGood()[i], maxOutcomeCount)),
+			Failed: int(min(message.GetFailed()[i], maxOutcomeCount)),
+		})
+	}
 	return told
 }
+
+// maxOutcomeCount is more than can be of use: older outcomes weigh nothing.
+const maxOutcomeCount = 1000
--- a/exchange/teller.go
+++ b/exchange/teller.go
@@ -24,7 +24,8 @@
 	sequenceBits = 16
 	// fleetSource names what a hub tells of the whole fleet.
 	fleetSource = "fleet"
-	// maxPassed bounds the reads that a hub has yet to pass on.
+	// maxPassed bounds the reads, and the outcomes, that a hub has yet to pass
+	// on.
 	maxPassed = 4096
 )
 
@@ -54,8 +55,10 @@
 	told map[string]*counts
 	// own is what this router told last.
 	own *counts
-	// fromGroup and fromHubs are reads to pass on.
-	fromGroup, fromHubs []balance.Read
+	// fromGroup and fromHubs are reads and outcomes to pass on. A router that
+	// tells a hub gets its own outcomes back with those of the fleet, and
+	// counts them twice.
+	fromGroup, fromHubs balance.Told
 
 	done chan struct{}
 }
@@ -121,7 +124,7 @@
 		t.tellAsHub(hubs, told)
 	default:
 		t.mu.Lock()
-		t.fromGroup, t.fromHubs = nil, nil
+		t.fromGroup, t.fromHubs = balance.Told{}, balance.Told{}
 		t.mu.Unlock()
 		hub, _ := hubs.of(t.Self)
 		t.Balancer.SetPeers([]string{fleetSource})
@@ -135,18 +138,26 @@
 	t.Balancer.SetPeers(slices.Concat(idsOf(group), idsOf(others)))
 	ofGroup, ofHubs := t.sums(idsOf(group), idsOf(others))
 	t.mu.Lock()
-	fromGroup, fromHubs := slices.Concat(own.Reads, t.fromGroup), t.fromHubs
-	t.fromGroup, t.fromHubs = nil, nil
+	news, fromHubs := t.fromGroup, t.fromHubs
+	t.fromGroup, t.fromHubs = balance.Told{}, balance.Told{}
 	t.mu.Unlock()
-	t.send(others, t.encode(exchangepb.Scope_SCOPE_GROUP, balance.Told{
-		InFlight: ofGroup.list(),
-		Reads:    fromGroup,
-	}))
+	addNews(&news, own)
+	news.InFlight = ofGroup.list()
+	t.send(others, t.encode(exchangepb.Scope_SCOPE_GROUP, news))
 	ofGroup.add(ofHubs, 1)
-	t.send(group, t.encode(exchangepb.Scope_SCOPE_FLEET, balance.Told{
-		InFlight: ofGroup.list(),
-		Reads:    slices.Concat(fromGroup, fromHubs),
-	}))
+	addNews(&news, fromHubs)
+	news.InFlight = ofGroup.list()
+	t.send(group, t.encode(exchangepb.Scope_SCOPE_FLEET, news))
+}
+
+// addNews adds what is told once, as far as there is room.
+func addNews(news *balance.Told, more balance.Told) {
+	if len(news.Reads) < maxPassed {
+		news.Reads = append(news.Reads, more.Reads...)
+	}
+	if len(news.Outcomes) < maxPassed {
+		news.Outcomes = append(news.Outcomes, more.Outcomes...)
+	}
 }
 
 // sums adds what the group and this router, and what the other hubs have, and
@@ -192,7 +203,7 @@
 		return
 	}
 	told := decode(message)
-	t.passLater(message.GetScope(), told.Reads)
+	t.passLater(message.GetScope(), told)
 	source, list := message.GetFrom(), t.collect(message, told.InFlight)
 	if message.GetScope() == exchangepb.Scope_SCOPE_FLEET {
 		source = fleetSource
@@ -201,21 +212,23 @@
 		t.Balancer.Hear(source, message.GetSequence(), list)
 	}
 	t.Balancer.HearReadings(told.Reads)
+	t.Balancer.HearOutcomes(told.Outcomes)
 }
 
-// passLater keeps reads to pass on, in case this router is a hub.
-func (t *Teller) passLater(scope exchangepb.Scope, reads []balance.Read) {
+// passLater keeps news to pass on, in case this router is a hub.
+func (t *Teller) passLater(scope exchangepb.Scope, news balance.Told) {
 	size := t.size.Load()
-	if len(reads) == 0 || size > 0 && size <= meshSize {
+	if len(news.Reads)+len(news.Outcomes) == 0 || size > 0 && size <= meshSize {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	switch {
-	case scope == exchangepb.Scope_SCOPE_OWN && len(t.fromGroup) < maxPassed:
-		t.fromGroup = append(t.fromGroup, reads...)
-	case scope == exchangepb.Scope_SCOPE_GROUP && len(t.fromHubs) < maxPassed:
-		t.fromHubs = append(t.fromHubs, reads...)
+	switch scope {
+	case exchangepb.Scope_SCOPE_OWN:
+		addNews(&t.fromGroup, news)
+	case exchangepb.Scope_SCOPE_GROUP:
+		addNews(&t.fromHubs, news)
+	default:
 	}
 }
 
--- a/exchange/teller_test.go
+++ b/exchange/teller_test.go
@@ -149,6 +149,42 @@
 	})
 }
 
+// TestFailuresReachAllRouters has one router's requests fail at one engine, in a
+// fleet that tells all and in one that tells through hubs.
+func TestFailuresReachAllRouters(t *testing.T) {
+	for _, size := range []int{3, 50} {
+		synctest.Test(t, func(t *testing.T) {
+			tellers, _ := newRouters(size)
+			var mu sync.Mutex
+			out := make(map[string]int)
+			for _, teller := range tellers {
+				teller.Balancer.OnOut = func(backend slipwick.Backend, _ time.Duration) {
+					mu.Lock()
+					defer mu.Unlock()
+					out[teller.Self+" "+backend.ID]++
+				}
+			}
+			for range 4 {
+				b := tellers[size-1].Balancer
+				b.Release(ask(t, b, 7), slipwick.EvidenceError)
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			for _, teller := range tellers {
+				go teller.Run(ctx)
+			}
+			time.Sleep(6 * pause)
+			synctest.Wait()
+			cancel()
+			for _, teller := range tellers {
+				<-teller.Done()
+			}
+			if len(out) != size {
+				t.Errorf("%d routers: got %d that left the engine out, want all: %v", size, len(out), out)
+			}
+		})
+	}
+}
+
 func TestHubsAreFewAndEvenlyTold(t *testing.T) {
 	for _, size := range []int{17, 62, 80, 330} {
 		var routers []slipwick.Router
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -39,7 +39,7 @@
 		return resultBroken, slipwick.EvidenceError, errSpoilt
 	}
 	if succeeded && c.route.Kind == routing.KindStream {
-		return c.passEvents(answer, patience)
+		return c.passEvents(lease, answer, patience)
 	}
 	return c.passWhole(answer)
 }
@@ -117,7 +117,9 @@
 const maxEvent = 256 << 10
 
 // passEvents passes whole events on as they arrive.
-func (c *call) passEvents(answer *upstream.Answer, patience *patience) (result, slipwick.Evidence, error) {
+func (c *call) passEvents(
+	lease *balance.Lease, answer *upstream.Answer, patience *patience,
+) (result, slipwick.Evidence, error) {
 	held := make([]byte, 0, streamBuffer)
 	for {
 		if len(held) == cap(held) {
@@ -138,6 +140,7 @@
 		held = append(held[:0], held[size:]...)
 		if size > 0 {
 			patience.renew()
+			c.gateway.Balancer.Heard(lease)
 		}
 		switch {
 		case errors.Is(err, io.EOF):
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -410,3 +410,24 @@
 	close(answer)
 	both.Wait()
 }
+
+// TestHangingSingleRequestSpeaksAgainstItsBackend has a request that may not be
+// repeated wait beyond its patience: later ones are to know before it ends.
+func TestHangingSingleRequestSpeaksAgainstItsBackend(t *testing.T) {
+	release := make(chan struct{})
+	f := newFixture(t, newBackend(t, "b1", func(b *backend, w http.ResponseWriter, r *http.Request) {
+		<-release
+		answers(http.StatusOK, "answer")(b, w, r)
+	}))
+	var hanging sync.WaitGroup
+	for range 3 {
+		hanging.Go(func() { f.post(t, "/single/x") })
+	}
+	time.Sleep(leastPatience + 200*time.Millisecond)
+	told := f.gateway.Balancer.Tell().Outcomes
+	close(release)
+	hanging.Wait()
+	if len(told) != 1 || told[0].Failed != 3 {
+		t.Errorf("got %v, want three failures told while the requests wait", told)
+	}
+}
--- a/gateway/patience.go
+++ b/gateway/patience.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/slipwick/slipwick/balance"
 )
 
 const (
@@ -18,38 +20,43 @@
 )
 
 // patience ends one send when its backend server hangs and another may be
-// tried. It belongs to one goroutine.
+// tried; where none may, it tells the balancer. It belongs to one goroutine.
 type patience struct {
 	ctx    context.Context
 	cancel context.CancelFunc
-	// timer is nil when there is no other to try.
-	timer *time.Timer
+	timer  *time.Timer
+	// goesOn says that the request may go on elsewhere.
+	goesOn bool
 }
 
 // newPatience begins to wait for a send that is about to be made.
-func (c *call) newPatience() *patience {
+func (c *call) newPatience(lease *balance.Lease) *patience {
 	ctx, cancel := context.WithCancel(c.ctx)
 	p := &patience{
 		ctx:    ctx,
 		cancel: cancel,
+		goesOn: c.route.MayRepeat() && c.runs+1 < c.route.MaxAttempts,
 	}
-	if c.route.MayRepeat() && c.runs+1 < c.route.MaxAttempts {
-		p.timer = time.AfterFunc(max(patienceFactor*c.route.Objective, leastPatience), cancel)
+	passed := cancel
+	if !p.goesOn {
+		passed = func() { c.gateway.Balancer.Overdue(lease) }
 	}
+	p.timer = time.AfterFunc(max(patienceFactor*c.route.Objective, leastPatience), passed)
 	return p
 }
 
-// renew allows for the next pause of a stream.
+// renew allows for the next pause of a stream. Where the request may not go on
+// elsewhere, the balancer notices by itself that nothing comes.
 func (p *patience) renew() {
-	if p.timer != nil {
+	if p.goesOn {
 		p.timer.Reset(pausePatience)
+	} else {
+		p.timer.Stop()
 	}
 }
 
 // end frees what waits.
 func (p *patience) end() {
-	if p.timer != nil {
-		p.timer.Stop()
-	}
+	p.timer.Stop()
 	p.cancel()
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -132,7 +132,7 @@
 	started := time.Now()
 	c.sends++
 	c.ask.Avoid = append(c.ask.Avoid, lease.Backend.ID)
-	patience := c.newPatience()
+	patience := c.newPatience(lease)
 	defer patience.end()
 	request := c.upstreamRequest(lease)
 	answer, err := c.gateway.Client.Do(patience.ctx, lease.Backend.ID, lease.Backend.Address, request)
