Add a fault soak of the real gateway

Four gateway processes on loopback serve 24 callers before stand-ins of backend servers, each behind a proxy that delays, resets, silences or cuts one way, and of the platform's store. A seed draws kills, pauses, stops, hangups, kills of all, outages of the store, failing, crashing and leaving backend servers, and versions in quick succession, several at once. What callers and backend servers saw is held against the promises: own and whole answers, at most one run, true refusals with a time to come back, nothing cut off by a planned stop, nothing new to a server that leaves, versions in force in time and never reverted, and service again at the end. The short run of seed 1 is part of the tests.

The metrics of a gateway on the platform are at its own address now, as several gateways run on one machine here.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 export GOBIN := $(CURDIR)/bin
 PACKAGES := ./... ./cmd/...
 
-.PHONY: test lint fix build generate measure
+.PHONY: test lint fix build generate measure soak
 
 # Runs the tests of all modules.
 test:
@@ -18,6 +18,13 @@
 measure:
 	go test ./emulation -run TestMeasure -measure -case "$(CASE)" -policy "$(POLICY)" -timeout 30m -v | grep Benchmark
 
+# Runs the fault soak of the gateway once: SEED= draws the faults, FOR= says how
+# long they come.
+SEED ?= 1
+FOR ?= 20s
+soak:
+	go test ./cmd/slipwickd/soak -count 1 -v -soak-seed $(SEED) -soak-for $(FOR) -timeout 1h
+
 build:
 	go build -o bin/ ./cmd/slipwick ./cmd/slipwickd
 
--- a/cmd/slipwickd/serve/gateway.go
+++ b/cmd/slipwickd/serve/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"os"
 	"os/signal"
 	"syscall"
@@ -28,9 +29,9 @@
 
 Exit codes: 0 stopped as asked, 1 failed, 2 the settings have mistakes.`
 
-// metricsAddress is where a gateway on the platform tells its figures;
+// metricsPort is where a gateway on the platform tells its figures;
 // deploy/system.toml names it too.
-const metricsAddress = ":9464"
+const metricsPort = "9464"
 
 // gatewayMain runs the gateway and gives the exit code.
 func gatewayMain(streams cli.Streams, args []string) int {
@@ -116,7 +117,7 @@
 			Ready:     s.Listen.Ready,
 			ReadyPath: platform.ReadyPath,
 			Peers:     s.PeerAddress(),
-			Metrics:   metricsAddress,
+			Metrics:   net.JoinHostPort(s.IPAddress, metricsPort),
 		},
 		Seeds:   s.SeedAddresses(),
 		Headers: platform.Headers(),
--- /dev/null
+++ b/cmd/slipwickd/soak/fleet_test.go
@@ -0,0 +1,261 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/slipwick/slipwick/cmd/internal/loopback"
+)
+
+const (
+	gateways       = 4
+	startEngines   = 5
+	startPlain     = 3
+	poolEngines    = "engines"
+	poolPlain      = "plain"
+	readyEvery     = 200 * time.Millisecond
+	firstReadyTime = 5 * time.Second
+)
+
+// fleet is the system under the soak and what stands around it.
+type fleet struct {
+	t        *testing.T
+	ledger   *ledger
+	store    *store
+	gateways []*gateway
+
+	mu       sync.Mutex
+	ready    []*gateway
+	backends []*backend
+	made     int
+	// version is the newest configuration, which the store took at took.
+	version int
+	took    time.Time
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	host := loopback.Host()
+	f := &fleet{
+		t:      t,
+		ledger: newLedger(),
+		store:  newStore(t, host),
+	}
+	f.ledger.store = f.store
+	for range startEngines {
+		f.addBackend(poolEngines)
+	}
+	for range startPlain {
+		f.addBackend(poolPlain)
+	}
+	f.configure()
+	binary := filepath.Join(t.TempDir(), "slipwickd")
+	if out, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "..").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	folder := t.TempDir()
+	prefix := strings.TrimSuffix(host, "1")
+	var seeds []string
+	for i := range gateways {
+		g := &gateway{
+			name:   fmt.Sprintf("g%d", i),
+			host:   fmt.Sprintf("%s%d", prefix, 10+i),
+			binary: binary,
+			folder: folder,
+		}
+		f.gateways = append(f.gateways, g)
+		if i < 3 {
+			seeds = append(seeds, fmt.Sprintf("%s:%d", g.host, seedPort))
+		}
+	}
+	for i, g := range f.gateways {
+		g.write(t, f.store.address, fmt.Sprintf("zone-%d", i%2), seeds, true)
+		g.start(t)
+		g.write(t, f.store.address, fmt.Sprintf("zone-%d", i%2), seeds, false)
+		t.Cleanup(g.kill)
+	}
+	return f
+}
+
+// addBackend starts a backend server and enters it.
+func (f *fleet) addBackend(pool string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.made++
+	b := newBackend(f.t, f.ledger, loopback.Host(), fmt.Sprintf("b%d", f.made), pool, fmt.Sprintf("zone-%d", f.made%2))
+	f.backends = append(f.backends, b)
+	f.store.put("servers", b.id, b.specification("ready"))
+}
+
+// take takes a backend server out of the list, one that its pool can spare.
+func (f *fleet) take(random *rand.Rand) *backend {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, i := range random.Perm(len(f.backends)) {
+		b := f.backends[i]
+		if f.countLocked(b.pool) > 2 {
+			f.backends = append(f.backends[:i], f.backends[i+1:]...)
+			return b
+		}
+	}
+	return nil
+}
+
+func (f *fleet) countLocked(pool string) int {
+	n := 0
+	for _, b := range f.backends {
+		if b.pool == pool {
+			n++
+		}
+	}
+	return n
+}
+
+// some gives a backend server that is listed.
+func (f *fleet) some(random *rand.Rand) *backend {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.backends[random.IntN(len(f.backends))]
+}
+
+// configure writes the next version; its probing route tells which is in force.
+func (f *fleet) configure() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version++
+	list := []map[string]any{
+		{
+			"name": "probe", "host": "probe.example", "path_prefix": fmt.Sprintf("/v%d/", f.version), "kind": "safe",
+			"timeout_ms": 1000, "service": "nobody", "max_attempts": 1, "allow_anonymous": true,
+		},
+	}
+	kinds := map[string]string{
+		routeSingle: "unsafe", routeRepeatable: "safe", routeStream: "streaming", routeResumable: "streaming",
+	}
+	for _, route := range routes {
+		isStream := kinds[route] == "streaming"
+		service, attempts := poolPlain, 1
+		if isStream {
+			service = poolEngines
+		}
+		if route == routeRepeatable || route == routeResumable {
+			attempts = 2
+		}
+		list = append(list, map[string]any{
+			"name": route, "host": "soak.example", "path_prefix": "/" + route + "/", "kind": kinds[route],
+			"timeout_ms": 4000, "target_latency_ms": 300, "service": service, "max_attempts": attempts,
+			"session_affinity": isStream, "resume_streams": route == routeResumable,
+		})
+	}
+	f.store.put("config", "main", map[string]any{
+		"version": f.version, "routes": list,
+		"services": []map[string]any{
+			{"name": poolPlain, "max_connections": 300},
+			{"name": poolEngines, "max_connections": 300, "inference_engine": map[string]any{"link_mbps": 0}},
+			{"name": "nobody", "max_connections": 10},
+		},
+		"limits":  map[string]int{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "idle_timeout_ms": 15000},
+		"tenants": []map[string]any{{"name": "w", "api_keys": []string{"a-long-key-of-the-soak"}}},
+	})
+	f.took = time.Now()
+}
+
+// watch keeps the list of gateways that are ready, as the platform's balancer
+// does, and probes the configuration in force.
+func (f *fleet) watch(done <-chan struct{}) {
+	for {
+		var ready []*gateway
+		for _, g := range f.gateways {
+			if g.isReady() {
+				ready = append(ready, g)
+				f.probe(g)
+			}
+		}
+		f.mu.Lock()
+		f.ready = ready
+		f.mu.Unlock()
+		select {
+		case <-done:
+			return
+		case <-time.After(readyEvery):
+		}
+	}
+}
+
+// probe asks a gateway which version is in force: the newest has to be in time,
+// and none may be older than one that was.
+func (f *fleet) probe(g *gateway) {
+	f.mu.Lock()
+	version, took := f.version, f.took
+	f.mu.Unlock()
+	g.mu.Lock()
+	seen, process := g.version, g.life
+	g.mu.Unlock()
+	if seen > 0 && seen == version && f.inForce(g, version) == http.StatusNotFound {
+		f.reverted(g, process, version)
+	}
+	if seen == version {
+		return
+	}
+	switch f.inForce(g, version) {
+	case 0:
+	case http.StatusNotFound:
+		isDue := time.Since(took) > configBound
+		if isDue && f.store.healthyFor() > settleTime && g.calmFor() > settleTime {
+			f.ledger.violated("%s has not version %d in force %v after it was accepted", g.name, version, time.Since(took))
+		}
+	default:
+		g.mu.Lock()
+		if g.life == process {
+			g.version = version
+		}
+		g.mu.Unlock()
+	}
+}
+
+// reverted notes a version that is no longer in force though no newer one is.
+func (f *fleet) reverted(g *gateway, process *life, version int) {
+	f.mu.Lock()
+	newest := f.version
+	f.mu.Unlock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if newest == version && g.life == process {
+		f.ledger.violated("%s went back behind version %d", g.name, version)
+	}
+}
+
+// inForce gives the status of a version's probing route; 0 without an answer.
+func (f *fleet) inForce(g *gateway, version int) int {
+	client := &http.Client{
+		Timeout: 300 * time.Millisecond,
+	}
+	request, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s:%d/v%d/", g.host, callersPort, version), nil)
+	if err != nil {
+		return 0
+	}
+	request.Host = "probe.example"
+	response, err := client.Do(request)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// choose gives a gateway that is ready.
+func (f *fleet) choose(random *rand.Rand) *gateway {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.ready) == 0 {
+		return nil
+	}
+	return f.ready[random.IntN(len(f.ready))]
+}
--- /dev/null
+++ b/cmd/slipwickd/soak/proxy_test.go
@@ -0,0 +1,145 @@
+package soak
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// pathMode is what a proxy does with bytes.
+type pathMode int32
+
+const (
+	pathPasses pathMode = iota
+	// pathDelays holds each piece for a while.
+	pathDelays
+	// pathSilent passes nothing, pathOneWay nothing back; connections stay.
+	pathSilent
+	pathOneWay
+	// pathResets resets connections that are there and that come.
+	pathResets
+)
+
+const pathDelay = 80 * time.Millisecond
+
+// proxy stands between gateways and one backend server.
+type proxy struct {
+	address string
+	target  string
+	mode    atomic.Int32
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+}
+
+func newProxy(t *testing.T, host, target string) *proxy {
+	t.Helper()
+	p := &proxy{
+		target: target,
+		conns:  make(map[net.Conn]bool),
+	}
+	listener, err := net.Listen("tcp4", host+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.address = listener.Addr().String()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		p.setMode(pathResets)
+	})
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go p.serve(conn)
+		}
+	}()
+	return p
+}
+
+func (p *proxy) setMode(mode pathMode) {
+	p.mode.Store(int32(mode))
+	if mode != pathResets {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for conn := range p.conns {
+		reset(conn)
+	}
+}
+
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+func (p *proxy) serve(caller net.Conn) {
+	if pathMode(p.mode.Load()) == pathResets {
+		reset(caller)
+		return
+	}
+	server, err := net.Dial("tcp4", p.target)
+	if err != nil {
+		reset(caller)
+		return
+	}
+	p.mu.Lock()
+	p.conns[caller], p.conns[server] = true, true
+	p.mu.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { p.pass(server, caller, false) })
+	both.Go(func() { p.pass(caller, server, true) })
+	both.Wait()
+	p.mu.Lock()
+	delete(p.conns, caller)
+	delete(p.conns, server)
+	p.mu.Unlock()
+}
+
+// pass copies until either side ends, and ends the other side alike.
+func (p *proxy) pass(to, from net.Conn, isBack bool) {
+	buffer := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buffer)
+		for p.isHeld(isBack) {
+			time.Sleep(5 * time.Millisecond)
+		}
+		if n > 0 {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				break
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			reset(to)
+			break
+		}
+	}
+	_ = to.Close()
+	_ = from.Close()
+}
+
+// isHeld tells whether bytes have to wait; a delay is waited for here.
+func (p *proxy) isHeld(isBack bool) bool {
+	switch pathMode(p.mode.Load()) {
+	case pathDelays:
+		time.Sleep(pathDelay)
+	case pathSilent:
+		return true
+	case pathOneWay:
+		return isBack
+	default:
+	}
+	return false
+}
--- /dev/null
+++ b/cmd/slipwickd/soak/store_test.go
@@ -0,0 +1,194 @@
+package soak
+
+import (
+	"encoding/json"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// storeMode is how the store treats calls.
+type storeMode string
+
+const (
+	storeServes  storeMode = "serves"
+	storeRefuses storeMode = "refuses"
+	storeSilent  storeMode = "silent"
+	storeSlow    storeMode = "slow"
+	// storeForgets answers each watch that its history is gone.
+	storeForgets storeMode = "forgets"
+)
+
+// object is an object as the platform's pages have it.
+type object struct {
+	Metadata struct {
+		Name     string `json:"name"`
+		Revision int    `json:"revision"`
+	} `json:"metadata"`
+	Specification any `json:"specification"`
+}
+
+type storeEvent struct {
+	Tombstone bool   `json:"tombstone"`
+	Object    object `json:"object"`
+
+	kind string
+}
+
+// store is a stand-in of the platform's metadata store.
+type store struct {
+	address string
+
+	mu       sync.Mutex
+	mode     storeMode
+	healthy  time.Time
+	revision int
+	objects  map[string]map[string]object
+	events   []storeEvent
+	changed  chan struct{}
+}
+
+func newStore(t *testing.T, host string) *store {
+	t.Helper()
+	s := &store{
+		mode:    storeServes,
+		healthy: time.Now(),
+		objects: make(map[string]map[string]object),
+		changed: make(chan struct{}),
+	}
+	listener, err := net.Listen("tcp4", host+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.address = listener.Addr().String()
+	server := &http.Server{
+		Handler: s,
+	}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return s
+}
+
+// setMode changes how calls are treated from now on; waiting ones end.
+func (s *store) setMode(mode storeMode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mode = mode
+	s.healthy = time.Now()
+	s.wakeLocked()
+}
+
+// healthyFor tells for how long the store has served.
+func (s *store) healthyFor() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.mode != storeServes {
+		return 0
+	}
+	return time.Since(s.healthy)
+}
+
+func (s *store) wakeLocked() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) put(kind, name string, specification any) {
+	s.write(kind, name, specification, false)
+}
+
+func (s *store) remove(kind, name string) { s.write(kind, name, nil, true) }
+
+func (s *store) write(kind, name string, specification any, gone bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	o := object{
+		Specification: specification,
+	}
+	o.Metadata.Name, o.Metadata.Revision = name, s.revision
+	if s.objects[kind] == nil {
+		s.objects[kind] = make(map[string]object)
+	}
+	s.objects[kind][name] = o
+	if gone {
+		delete(s.objects[kind], name)
+	}
+	s.events = append(s.events, storeEvent{
+		Tombstone: gone,
+		Object:    o,
+		kind:      kind,
+	})
+	s.wakeLocked()
+}
+
+// ServeHTTP lists objects of a kind or waits for changes.
+func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	kind := strings.TrimPrefix(r.URL.Path, "/-/objects/")
+	query := r.URL.Query()
+	s.mu.Lock()
+	mode := s.mode
+	s.mu.Unlock()
+	switch mode {
+	case storeRefuses:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case storeSilent:
+		<-r.Context().Done()
+		return
+	case storeSlow:
+		time.Sleep(250 * time.Millisecond)
+	default:
+	}
+	if !query.Has("watch") {
+		s.mu.Lock()
+		items := slices.Collect(maps.Values(s.objects[kind]))
+		answer := map[string]any{"items": items, "truncated": false, "as_of": s.revision}
+		s.mu.Unlock()
+		_ = json.NewEncoder(w).Encode(answer)
+		return
+	}
+	if mode == storeForgets {
+		w.WriteHeader(http.StatusGone)
+		return
+	}
+	after, _ := strconv.Atoi(query.Get("watch"))
+	wait, _ := strconv.Atoi(query.Get("wait_ms"))
+	s.watch(w, r, kind, after, time.Duration(wait)*time.Millisecond)
+}
+
+func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string, after int, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for ended := false; ; {
+		s.mu.Lock()
+		mode, asOf, changed := s.mode, s.revision, s.changed
+		events := []storeEvent{}
+		for _, e := range s.events {
+			if e.kind == kind && e.Object.Metadata.Revision > after {
+				events = append(events, e)
+			}
+		}
+		s.mu.Unlock()
+		switch {
+		case mode == storeRefuses || mode == storeSilent:
+			panic(http.ErrAbortHandler)
+		case ended || len(events) > 0:
+			_ = json.NewEncoder(w).Encode(map[string]any{"events": events, "as_of": asOf})
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-timer.C:
+			ended = true
+		case <-changed:
+		}
+	}
+}
