Serve short requests late in a planned stop

Cause: from 2.6 s after SIGTERM a router refused everything, for 0.5 s and until its last stream ended, some 3 s. Requests that end by their own time-out within 3 s need not be refused.

The test of closed routers failed for a request with a short time-out before.

--- a/cmd/internal/gatewayd/gateway.go
+++ b/cmd/internal/gatewayd/gateway.go
@@ -34,6 +34,9 @@
 	// refuseTime is how long it then refuses, so that connections that were
 	// on their way get an answer.
 	refuseTime = 500 * time.Millisecond
+	// lateTime is how long after that requests are still served that end
+	// within it by their time-out.
+	lateTime = 3 * time.Second
 	// graceMargin is what is left of the grace period at the end.
 	graceMargin = 300 * time.Millisecond
 	// headerWait bounds the time of a request's header.
@@ -223,8 +226,8 @@
 }
 
 // drain stops being ready, serves until the balancer has seen it, refuses what
-// still comes, and ends when nothing is in progress or the grace period is
-// over. Connections that rest stay open until then: closing one cuts off the
+// still comes and could last too long, and ends when nothing is in progress or
+// the grace period is over. Connections that rest stay open until then: closing one cuts off the
 // request that is on its way; answers tell callers to take others.
 func (p *Process) drain() {
 	started := time.Now()
@@ -233,8 +236,8 @@
 	p.gateway.Leave()
 	p.node.Leave()
 	time.Sleep(announceTime)
-	p.gateway.Close()
 	end := started.Add(time.Duration(p.grace.Load()) - graceMargin)
+	p.gateway.Close(earlier(end, time.Now().Add(lateTime)))
 	for closed := time.Now(); time.Now().Before(end); time.Sleep(drainCheck) {
 		if p.gateway.InFlight() == 0 && time.Since(closed) > refuseTime {
 			break
@@ -244,6 +247,13 @@
 	events.DrainFinished.On(&p.Log).Int64("cut", cut).Bool("in_time", cut == 0).Send()
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // drainCheck is how often a draining router looks whether it is done.
 const drainCheck = 50 * time.Millisecond
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,9 +35,12 @@
 
 	table atomic.Pointer[routing.Table]
 	// leaving says that the router will stop: callers are to take other
-	// connections. closed says that it takes no more requests.
-	leaving, closed atomic.Bool
-	inFlight        atomic.Int64
+	// connections.
+	leaving atomic.Bool
+	// closing is when it stops, once it has begun to refuse what may last
+	// longer; nil before.
+	closing  atomic.Pointer[time.Time]
+	inFlight atomic.Int64
 }
 
 // SetTable puts a version of the table in force. Older versions are ignored.
@@ -63,9 +66,15 @@
 	g.leaving.Store(true)
 }
 
-// Close refuses all requests from now on.
-func (g *Gateway) Close() {
-	g.closed.Store(true)
+// Close refuses all requests from now on that may last beyond the end.
+func (g *Gateway) Close(end time.Time) {
+	g.closing.Store(&end)
+}
+
+// closesBefore tells whether the router stops before the time.
+func (g *Gateway) closesBefore(deadline time.Time) bool {
+	end := g.closing.Load()
+	return end != nil && deadline.After(*end)
 }
 
 // InFlight counts the requests in progress.
@@ -106,10 +115,7 @@
 // admit checks a request and reads its body.
 func (g *Gateway) admit(w http.ResponseWriter, r *http.Request, arrived time.Time) (*call, *Refusal) {
 	table := g.table.Load()
-	switch {
-	case g.closed.Load():
-		return nil, refuseStopping()
-	case table == nil:
+	if table == nil {
 		return nil, refuseNotReady()
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
@@ -127,6 +133,10 @@
 	if limit := table.Limits.HeaderBytes; limit > 0 && headerBytes(r) > limit {
 		return nil, refuseHeader(limit)
 	}
+	deadline := deadlineOf(r.Header.Get(g.Headers.Deadline), route, arrived)
+	if g.closesBefore(deadline) {
+		return nil, refuseStopping()
+	}
 	body, refusal := readBody(w, r, table.Limits.BodyBytes)
 	if refusal != nil {
 		return nil, refusal
@@ -142,7 +152,7 @@
 		id:        r.Header.Get(g.Headers.RequestID),
 		body:      body,
 		arrived:   arrived,
-		deadline:  deadlineOf(r.Header.Get(g.Headers.Deadline), route, arrived),
+		deadline:  deadline,
 	}
 	c.ask.Pool = c.pool
 	if route.Affinity {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -326,13 +326,16 @@
 	if got.status != http.StatusOK || !got.closes {
 		t.Errorf("leaving: got %d, closing %v; want 200 and a connection that closes", got.status, got.closes)
 	}
-	f.gateway.Close()
+	f.gateway.Close(time.Now().Add(time.Second))
 	if got := f.post(t, "/single/x"); got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
 		t.Errorf("closed: got %d, want 503 and when to come back", got.status)
 	}
 	if got := b.runs.Load(); got != 1 {
 		t.Errorf("got %d runs, want 1", got)
 	}
+	if got := f.post(t, "/short/x"); got.status != http.StatusOK || !got.closes {
+		t.Errorf("closed, a request that ends in time: got %d, closing %v; want 200, closing", got.status, got.closes)
+	}
 }
 
 // TestStartingRouterHoldsOnlyPromptsWithoutHome has a router that does not know
