Learn homes in large fleets with few lists, from near routers

Now a router asks at most three engines a round, those of its own data centre first; it pulls only the caches that it lacks, two times of three from its own data centre; and it leaves other routers' engines to them for 16 rounds.

Ruled out: waiting until the fleet's size rests, which a fleet of 8 that starts over half a second would pay with late answers.

--- a/balance/knowledge.go
+++ b/balance/knowledge.go
@@ -1,6 +1,10 @@
 package balance
 
-import "github.com/slipwick/slipwick"
+import (
+	"slices"
+
+	"github.com/slipwick/slipwick"
+)
 
 // Knowledge is what a router knows of the caches of engines, by the hash of
 // their ID.
@@ -12,18 +16,34 @@
 	Reads []Read
 }
 
-// Knowledge gives what this router knows, for one that knows less.
-func (b *Balancer) Knowledge() Knowledge {
+// Covered gives the engines, by the hash of their ID, whose caches this router
+// knows.
+func (b *Balancer) Covered() []uint64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	k := Knowledge{
-		Reads: b.homes.all(b.hashes),
-	}
+	var covered []uint64
 	for hash, s := range b.hashes {
 		if s.covered {
+			covered = append(covered, hash)
+		}
+	}
+	return covered
+}
+
+// Knowledge gives what this router knows of the caches of engines, for one that
+// knows those of some already.
+func (b *Balancer) Knowledge(known []uint64) Knowledge {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	lacking := make(map[uint64]*server)
+	k := Knowledge{}
+	for hash, s := range b.hashes {
+		if s.covered && !slices.Contains(known, hash) {
+			lacking[hash] = s
 			k.Covered = append(k.Covered, hash)
 		}
 	}
+	k.Reads = b.homes.all(lacking)
 	return k
 }
 
--- a/cmd/internal/gatewayd/homes.go
+++ b/cmd/internal/gatewayd/homes.go
@@ -41,8 +41,9 @@
 	r.Balancer = p.balancer
 	r.Routers = p.node.Routers
 	r.Pools = p.enginePools
-	r.Ask = func(ctx context.Context, router slipwick.Router) (*balance.Knowledge, error) {
-		return exchange.FetchKnowledge(ctx, p.peers.http, router.Address)
+	r.DataCentre = p.Settings.DataCentre
+	r.Ask = func(ctx context.Context, router slipwick.Router, known []uint64) (*balance.Knowledge, error) {
+		return exchange.FetchKnowledge(ctx, p.peers.http, router.Address, known)
 	}
 	if p.Feeds.Caches != nil {
 		r.List = p.listCache
--- a/exchange/knowledge.go
+++ b/exchange/knowledge.go
@@ -13,9 +13,10 @@
 	"github.com/slipwick/slipwick/httpclient"
 )
 
-// KnowledgePath is where a router tells others all that it knows of the caches
-// of engines. It is told over TCP: a datagram that is lost would leave prompts
-// without a home until they are read anew.
+// KnowledgePath is where a router tells others what it knows of the caches of
+// engines, but for those that the other names in the body as known. It is told
+// over TCP: a datagram that is lost would leave prompts without a home until
+// they are read anew.
 const KnowledgePath = "/homes"
 
 // maxKnowledge bounds what is read of another router's answer: some times what
@@ -28,8 +29,13 @@
 }
 
 // ServeHTTP answers with an encoded exchangepb.Knowledge.
-func (s *KnowledgeServer) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
-	k := s.Balancer.Knowledge()
+func (s *KnowledgeServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	known, err := readKnowledge(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	k := s.Balancer.Knowledge(known.Covered)
 	body, err := proto.Marshal(encodeKnowledge(&k))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
@@ -39,9 +45,18 @@
 	_, _ = w.Write(body)
 }
 
-// FetchKnowledge asks the router at host:port.
-func FetchKnowledge(ctx context.Context, client *http.Client, address string) (*balance.Knowledge, error) {
-	request, err := httpclient.Request(ctx, http.MethodGet, "http://"+address+KnowledgePath, nil)
+// FetchKnowledge asks the router at host:port for what it knows beyond the
+// caches that are known.
+func FetchKnowledge(
+	ctx context.Context, client *http.Client, address string, known []uint64,
+) (*balance.Knowledge, error) {
+	question, err := proto.Marshal(encodeKnowledge(&balance.Knowledge{
+		Covered: known,
+	}))
+	if err != nil {
+		return nil, errors.Wrap(err, "ask a router for the homes of prompts")
+	}
+	request, err := httpclient.Request(ctx, http.MethodPost, "http://"+address+KnowledgePath, question)
 	if err != nil {
 		return nil, err
 	}
@@ -50,16 +65,20 @@
 		return nil, errors.Wrap(err, "ask a router for the homes of prompts")
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxKnowledge))
-	if err != nil {
-		return nil, errors.Wrap(err, "ask a router for the homes of prompts")
-	}
 	if response.StatusCode != http.StatusOK {
 		return nil, errors.Errorf("ask router %s for the homes of prompts: it answered %d", address, response.StatusCode)
 	}
+	return readKnowledge(response.Body)
+}
+
+func readKnowledge(from io.Reader) (*balance.Knowledge, error) {
+	body, err := io.ReadAll(io.LimitReader(from, maxKnowledge))
+	if err != nil {
+		return nil, errors.Wrap(err, "read the homes of prompts")
+	}
 	message := &exchangepb.Knowledge{}
 	if err := proto.Unmarshal(body, message); err != nil {
-		return nil, errors.Wrapf(err, "read what router %s knows of the homes of prompts", address)
+		return nil, errors.Wrap(err, "read the homes of prompts")
 	}
 	return decodeKnowledge(message), nil
 }
--- a/exchange/recovery.go
+++ b/exchange/recovery.go
@@ -14,8 +14,10 @@
 const (
 	// firstAsked is how many other routers are asked before any engine: in a
 	// fleet of which half has just started, all of them have with a chance of
-	// one in sixteen.
+	// one in sixteen. farEvery is in how many questions one goes to any data
+	// centre, the others to the own one: bytes between them are dear.
 	firstAsked = 4
+	farEvery   = 3
 	// askTime bounds one question to a router, listTime one to an engine.
 	askTime  = 200 * time.Millisecond
 	listTime = 300 * time.Millisecond
@@ -25,12 +27,15 @@
 	// for one to turn up: routers that start together find each other within
 	// some 100 ms.
 	lonelyRounds = 4
+	// listsARound bounds the engines that a router asks in a round: one that
+	// knows few others yet takes too many for its own.
+	listsARound = 3
 	// patientRounds is for how many rounds engines are left to the routers
 	// that the rendezvous gives them to; then the router asks them itself.
 	// Knowledge that routers pull from each other doubles with each round.
-	patientRounds = 8
+	patientRounds = 16
 	// recoveryRounds bounds the whole.
-	recoveryRounds = 16
+	recoveryRounds = 40
 )
 
 // Recovery teaches a router that starts which engines have which parts of
@@ -39,20 +44,23 @@
 // pull from each other what they learnt. Set the exported fields before Run.
 type Recovery struct {
 	// Self is the router's ID.
-	Self     string
-	Balancer *balance.Balancer
+	Self       string
+	DataCentre string
+	Balancer   *balance.Balancer
 	// Pools gives the pools of engines.
 	Pools func() []string
 	// Routers gives the routers that live, this one among them or not.
 	Routers func() []slipwick.Router
-	// Ask asks another router for all it knows.
-	Ask func(context.Context, slipwick.Router) (*balance.Knowledge, error)
+	// Ask asks another router for what it knows beyond the caches of the
+	// engines named.
+	Ask func(ctx context.Context, router slipwick.Router, known []uint64) (*balance.Knowledge, error)
 	// List asks an engine for the parts that it keeps; nil asks none.
 	List func(context.Context, slipwick.Backend) ([]uint64, error)
 
-	// asked are the engines asked so far.
-	asked map[string]bool
-	done  chan struct{}
+	// asked are the engines asked so far, questions counts those to routers.
+	asked     map[string]bool
+	questions int
+	done      chan struct{}
 }
 
 // NewRecovery makes a recovery; its exported fields are to be set.
@@ -112,13 +120,13 @@
 // askRouters asks up to n other routers, one after the other, until nothing is
 // missing.
 func (r *Recovery) askRouters(ctx context.Context, n int) {
-	others := without(r.Routers(), r.Self)
-	for _, i := range rand.Perm(len(others))[:min(n, len(others))] {
-		if len(r.missing()) == 0 {
+	for range n {
+		other, ok := r.chooseRouter()
+		if !ok || len(r.missing()) == 0 {
 			return
 		}
 		limited, cancel := context.WithTimeout(ctx, askTime)
-		k, err := r.Ask(limited, others[i])
+		k, err := r.Ask(limited, other, r.Balancer.Covered())
 		cancel()
 		// A router that does not answer is passed over: another is asked in
 		// the next round.
@@ -128,20 +136,50 @@
 	}
 }
 
-// listEngines asks the engines that are this router's to ask, or all, at once.
+// chooseRouter gives another router by chance, most often one of the own data
+// centre; false if there is no other.
+func (r *Recovery) chooseRouter() (slipwick.Router, bool) {
+	others := without(r.Routers(), r.Self)
+	r.questions++
+	if r.questions%farEvery != 0 {
+		if near := inDataCentre(others, r.DataCentre); len(near) > 0 {
+			others = near
+		}
+	}
+	if len(others) == 0 {
+		return slipwick.Router{}, false
+	}
+	return others[rand.IntN(len(others))], true
+}
+
+func inDataCentre(routers []slipwick.Router, dataCentre string) []slipwick.Router {
+	var near []slipwick.Router
+	for _, router := range routers {
+		if router.DataCentre == dataCentre {
+			near = append(near, router)
+		}
+	}
+	return near
+}
+
+// listEngines asks some of the engines that are this router's to ask, or of all,
+// at once.
 func (r *Recovery) listEngines(ctx context.Context, engines []slipwick.Backend, all bool) {
 	if r.List == nil {
 		return
 	}
 	routers := append(without(r.Routers(), r.Self), slipwick.Router{
-		ID: r.Self,
+		ID:         r.Self,
+		DataCentre: r.DataCentre,
 	})
 	var lists sync.WaitGroup
-	for _, engine := range engines {
-		isOwn := routers[placement.Choose(placement.IDHash(engine.ID), routers)].ID == r.Self
-		if r.asked[engine.ID] || !isOwn && !all {
+	begun := 0
+	for _, i := range rand.Perm(len(engines)) {
+		engine := engines[i]
+		if begun == listsARound || r.asked[engine.ID] || !all && !r.isOwn(engine, routers) {
 			continue
 		}
+		begun++
 		r.asked[engine.ID] = true
 		lists.Go(func() {
 			limited, cancel := context.WithTimeout(ctx, listTime)
@@ -155,3 +193,12 @@
 	}
 	lists.Wait()
 }
+
+// isOwn tells whether an engine is this router's to ask: one of the routers in
+// the engine's data centre asks it, if there are any.
+func (r *Recovery) isOwn(engine slipwick.Backend, routers []slipwick.Router) bool {
+	if near := inDataCentre(routers, engine.DataCentre); len(near) > 0 {
+		routers = near
+	}
+	return routers[placement.Choose(placement.IDHash(engine.ID), routers)].ID == r.Self
+}
