Ask a silent store again while a list is not answered

Its pauses after refusals grew to 1.2 s, too, though it serves nobody meanwhile.

Ruled out: a bound on the first list that doubles: the list that runs when the store returns may have a second to go.

TestStartingRouterIsNotHeldByALostAnswer fails with one call alone.

--- a/directory/fakefeed_test.go
+++ b/directory/fakefeed_test.go
@@ -17,6 +17,8 @@
 	hangs bool
 	calls int
 	lists int
+	// slow is how long each answer takes.
+	slow time.Duration
 	// age is added to that of the copy.
 	age time.Duration
 }
@@ -34,6 +36,12 @@
 	f.calls++
 	hangs, failure, age := f.hangs, f.err, f.age
 	f.mu.Unlock()
+	if f.slow > 0 {
+		time.Sleep(f.slow)
+		if ctx.Err() != nil {
+			return slipwick.FeedBatch{}, ctx.Err()
+		}
+	}
 	if hangs {
 		<-ctx.Done()
 		return slipwick.FeedBatch{}, ctx.Err()
@@ -53,6 +61,13 @@
 	f.err = err
 }
 
+// hang has further calls get no answer, or ends that; those that hang stay so.
+func (f *fakeFeed) hang(hangs bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hangs = hangs
+}
+
 // grow adds to the age of what it answers from now on.
 func (f *fakeFeed) grow(age time.Duration) {
 	f.mu.Lock()
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -22,6 +22,9 @@
 	// doubles in between.
 	firstPause = 100 * time.Millisecond
 	lastPause  = 800 * time.Millisecond
+	// startPause bounds it at a router that knows nothing yet, and so serves
+	// nobody.
+	startPause = 250 * time.Millisecond
 )
 
 // Change is one decoded object that changed.
@@ -92,7 +95,7 @@
 			// in time.
 			listed = false
 			rest(ctx, pause)
-			pause = min(2*pause, lastPause)
+			pause = nextPause(pause, revision)
 			continue
 		}
 		isCurrent := batch.Age <= relayAge
@@ -109,11 +112,18 @@
 			// Another router's old copy: the store is away, and is not to be
 			// called more often for it. On its return a list answers at once.
 			rest(ctx, pause)
-			pause = min(2*pause, lastPause)
+			pause = nextPause(pause, revision)
 		}
 	}
 }
 
+func nextPause(pause time.Duration, revision uint64) time.Duration {
+	if revision == 0 {
+		return min(2*pause, startPause)
+	}
+	return min(2*pause, lastPause)
+}
+
 func (f *Follower[T]) call(ctx context.Context, listed bool, revision uint64) (slipwick.FeedBatch, error) {
 	if !listed {
 		return f.Feed.List(ctx)
--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -168,6 +168,50 @@
 	})
 }
 
+// TestStartingRouterIsNotHeldByALostAnswer starts a router alone while the store
+// is silent: what it asked then is never answered, and it has to ask again soon
+// after the store's return.
+func TestStartingRouterIsNotHeldByALostAnswer(t *testing.T) {
+	for _, outage := range []time.Duration{100 * time.Millisecond, 700 * time.Millisecond, 3 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			store := newFakeFeed(batch(1, true, "a1"))
+			store.hang(true)
+			state, stop := follow(t, &Shared{
+				Store: store,
+				Peers: &fakePeers{
+					watches: true,
+				},
+			})
+			defer stop()
+			time.Sleep(outage)
+			store.hang(false)
+			time.Sleep(askAgain + 2*startPause)
+			if got, want := state(), []string{"a1"}; !slices.Equal(got, want) {
+				t.Errorf("outage of %v: got %v after it, want %v", outage, got, want)
+			}
+		})
+	}
+}
+
+// TestSlowStoreIsGivenTime has lists take longer than the first one may.
+func TestSlowStoreIsGivenTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeFeed(batch(1, true, "a1"))
+		store.slow = 3 * askAgain / 2
+		state, stop := follow(t, &Shared{
+			Store: store,
+			Peers: &fakePeers{
+				watches: true,
+			},
+		})
+		defer stop()
+		time.Sleep(2 * askAgain)
+		if got, want := state(), []string{"a1"}; !slices.Equal(got, want) {
+			t.Errorf("got %v, want %v by the first call", got, want)
+		}
+	})
+}
+
 // TestFollowerNeverGoesBack has a list come from an older copy.
 func TestFollowerNeverGoesBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/directory/shared.go
+++ b/directory/shared.go
@@ -25,6 +25,10 @@
 	// otherPatience how long each may take.
 	othersAsked   = 4
 	otherPatience = 200 * time.Millisecond
+	// askAgain is the pause until the store is asked for a list once more while
+	// it has not answered: a store that had fallen silent never answers what it
+	// was asked then, while a slow one needs its time.
+	askAgain = 500 * time.Millisecond
 	// relayOuting is how long a router that failed is not asked again.
 	relayOuting = 3 * time.Second
 )
@@ -57,42 +61,58 @@
 
 var _ slipwick.Feed = (*Shared)(nil)
 
+// listed is how one list ended.
+type listed struct {
+	batch slipwick.FeedBatch
+	err   error
+}
+
 // List lists from the store, or from another router if the store fails or lets
 // it wait.
 func (s *Shared) List(ctx context.Context) (slipwick.FeedBatch, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	type answer struct {
-		batch slipwick.FeedBatch
-		err   error
+	fromStore := make(chan listed, listTimeout/askAgain+1)
+	pending := 0
+	ask := func() {
+		pending++
+		go func() {
+			batch, err := s.Store.List(ctx)
+			fromStore <- listed{
+				batch: batch,
+				err:   err,
+			}
+		}()
 	}
-	fromStore := make(chan answer, 1)
-	go func() {
-		batch, err := s.Store.List(ctx)
-		fromStore <- answer{
-			batch: batch,
-			err:   err,
+	ask()
+	patience := time.NewTimer(storePatience)
+	defer patience.Stop()
+	again := time.NewTicker(askAgain)
+	defer again.Stop()
+	for askedOthers := false; ; {
+		var failure error
+		select {
+		case <-again.C:
+			ask()
+			continue
+		case <-patience.C:
+		case a := <-fromStore:
+			if a.err == nil {
+				return a.batch, nil
+			}
+			pending--
+			failure = a.err
 		}
-	}()
-	timer := time.NewTimer(storePatience)
-	defer timer.Stop()
-	var failure error
-	select {
-	case a := <-fromStore:
-		if a.err == nil {
-			return a.batch, nil
+		if !askedOthers {
+			askedOthers = true
+			if batch, ok := s.listOthers(ctx); ok {
+				return batch, nil
+			}
+		}
+		if failure != nil && pending == 0 {
+			return slipwick.FeedBatch{}, failure
 		}
-		failure = a.err
-	case <-timer.C:
-	}
-	if batch, ok := s.listOthers(ctx); ok {
-		return batch, nil
-	}
-	if failure != nil {
-		return slipwick.FeedBatch{}, failure
 	}
-	a := <-fromStore
-	return a.batch, a.err
 }
 
 // listOthers lists from a few of the other routers, one after the other. An old
