--- /dev/null
+++ b/gateway/start_test.go
@@ -0,0 +1,53 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+	"time"
+)
+
+// TestStartingRouterHoldsOnlyPromptsWithoutHome has a router that does not know
+// yet what engines keep.
+func TestStartingRouterHoldsOnlyPromptsWithoutHome(t *testing.T) {
+	for _, test := range []struct {
+		name, prompt string
+		wait         time.Duration
+	}{
+		{"no prompt", "", 0},
+		{"a prompt with a home", "ab:100,cd:10", 0},
+		{"a prompt without one", "ef:100,cd:10", startWait},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t, newBackend(t, "b1", answers(http.StatusOK, "answer")))
+			f.gateway.Homes = make(chan struct{})
+			f.gateway.Balancer.Keeps("b1", []uint64{PartKey("ab")})
+			request := f.request(t, "/affine/x", "question")
+			if test.prompt != "" {
+				request.Header.Set("Slipwick-Prompt", test.prompt)
+			}
+			started := time.Now()
+			got := send(t, request)
+			took := time.Since(started)
+			if got.status != http.StatusOK || took < test.wait || took > test.wait+startWait/2 {
+				t.Errorf("got status %d after %v, want 200 after %v", got.status, took, test.wait)
+			}
+		})
+	}
+}
+
+// TestStartingRouterServesAsSoonAsItKnows has the homes learnt while a request
+// waits for them.
+func TestStartingRouterServesAsSoonAsItKnows(t *testing.T) {
+	f := newFixture(t, newBackend(t, "b1", answers(http.StatusOK, "answer")))
+	ready, homes := make(chan struct{}), make(chan struct{})
+	f.gateway.Ready, f.gateway.Homes = ready, homes
+	request := f.request(t, "/affine/x", "question")
+	request.Header.Set("Slipwick-Prompt", "ef:100,cd:10")
+	time.AfterFunc(startWait/8, func() { close(ready) })
+	time.AfterFunc(startWait/4, func() { close(homes) })
+	started := time.Now()
+	got := send(t, request)
+	if took := time.Since(started); got.status != http.StatusOK || took < startWait/4 || took > startWait*3/4 {
+		t.Errorf("got status %d after %v, want 200 soon after %v", got.status, took, startWait/4)
+	}
+}
