--- /dev/null
+++ b/balance/state.go
@@ -0,0 +1,55 @@
+package balance
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// State is what the balancer knows of a backend server, for operators.
+type State struct {
+	ID         string `json:"id"`
+	Pool       string `json:"pool"`
+	Address    string `json:"address"`
+	DataCentre string `json:"data_centre"`
+	// Leaving says that it gets nothing new as it ends, Out that it gets
+	// nothing new for its failures, for OutMS milliseconds yet, Silent that it
+	// has not said anything for a while.
+	Leaving bool  `json:"leaving"`
+	Out     bool  `json:"out"`
+	OutMS   int64 `json:"out_ms"`
+	Silent  bool  `json:"silent"`
+	// InFlight counts this router's requests there.
+	InFlight int `json:"in_flight"`
+	// ErrorRate is the share of the latest requests of all routers that failed.
+	ErrorRate float64 `json:"error_rate"`
+}
+
+// States gives all backend servers by pool and ID.
+func (b *Balancer) States() []State {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	states := make([]State, 0, len(b.servers))
+	for _, s := range b.servers {
+		state := State{
+			ID:         s.ID,
+			Pool:       s.Pool,
+			Address:    s.Address,
+			DataCentre: s.DataCentre,
+			Leaving:    s.Leaving,
+			Out:        now.Before(s.outUntil),
+			Silent:     s.isSilent(now),
+			InFlight:   s.inFlight,
+			ErrorRate:  s.errors.rate,
+		}
+		if state.Out {
+			state.OutMS = s.outUntil.Sub(now).Milliseconds()
+		}
+		states = append(states, state)
+	}
+	slices.SortFunc(states, func(x, y State) int {
+		return cmp.Or(cmp.Compare(x.Pool, y.Pool), cmp.Compare(x.ID, y.ID))
+	})
+	return states
+}
--- a/cmd/internal/gatewayd/gateway.go
+++ b/cmd/internal/gatewayd/gateway.go
@@ -197,7 +197,7 @@
 		open.peers,
 	}
 	if open.metrics != nil {
-		servers, listeners = append(servers, newServer(p.metrics.handler())), append(listeners, open.metrics)
+		servers, listeners = append(servers, newServer(p.forOperators())), append(listeners, open.metrics)
 	}
 	for i, server := range servers {
 		parts.Go(func() { failed <- server.Serve(listeners[i]) })
--- a/cmd/internal/gatewayd/metrics.go
+++ b/cmd/internal/gatewayd/metrics.go
@@ -101,7 +101,5 @@
 }
 
 func (m *metrics) handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("/metrics", promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{}))
-	return mux
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
--- /dev/null
+++ b/cmd/slipwick/gateways/gateways.go
@@ -0,0 +1,117 @@
+// Package gateways is the command slipwick gateways.
+package gateways
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/slipwick/slipwick/balance"
+
+	"github.com/slipwick/slipwick/cmd/internal/cli"
+	"github.com/slipwick/slipwick/cmd/internal/gatewayd"
+)
+
+const help = `Show the gateways' state, as each one sees it.
+
+The routers are named by the gateways' metrics addresses.
+
+Examples:
+  slipwick gateways --router 10.0.0.5:9090 --router 10.0.0.6:9090
+  slipwick gateways --router 10.0.0.5:9090 --backends`
+
+// Options are the command's settings.
+type Options struct {
+	Factory  *cli.Factory
+	JSON     bool
+	Backends bool
+}
+
+// Register adds the command.
+func Register(app *kingpin.Application, factory *cli.Factory, choose cli.Choose) {
+	options := &Options{
+		Factory: factory,
+	}
+	clause := cli.Add(app.Command("gateways", help), choose, func(ctx context.Context) error {
+		return run(ctx, options)
+	})
+	clause.Flag("json", "Print JSON.").BoolVar(&options.JSON)
+	clause.Flag("backends", "Show each gateway's backend servers.").BoolVar(&options.Backends)
+}
+
+func run(ctx context.Context, options *Options) error {
+	addresses, err := options.Factory.RouterAddresses()
+	if err != nil {
+		return err
+	}
+	statuses := make([]gatewayd.Status, len(addresses))
+	for i, address := range addresses {
+		if err := options.Factory.ReadRouter(ctx, address, gatewayd.StatusPath, &statuses[i]); err != nil {
+			return err
+		}
+	}
+	table := gatewaysTable(statuses)
+	if options.Backends {
+		table = backendsTable(statuses)
+	}
+	return options.Factory.Streams.Print(options.JSON, statuses, table)
+}
+
+func gatewaysTable(statuses []gatewayd.Status) cli.Table {
+	table := cli.Table{
+		Header: []string{
+			"GATEWAY", "DATA CENTRE", "STATE", "CONFIGURATION", "MEMBERS", "WATCHES", "IN FLIGHT", "PARTS", "MISSING CACHES",
+		},
+	}
+	for i := range statuses {
+		s := &statuses[i]
+		table.Rows = append(table.Rows, []string{
+			s.Router, s.DataCentre, stateOf(s), strconv.FormatUint(s.Configuration, 10), strconv.Itoa(len(s.Members)),
+			strconv.FormatBool(s.WatchesStore), strconv.FormatInt(s.InFlight, 10), strconv.Itoa(s.KnownParts),
+			strconv.Itoa(s.MissingCaches),
+		})
+	}
+	return table
+}
+
+func stateOf(s *gatewayd.Status) string {
+	switch {
+	case s.Draining:
+		return "draining"
+	case s.Ready:
+		return "ready"
+	default:
+		return "starting"
+	}
+}
+
+func backendsTable(statuses []gatewayd.Status) cli.Table {
+	table := cli.Table{
+		Header: []string{"GATEWAY", "POOL", "BACKEND SERVER", "ADDRESS", "DATA CENTRE", "STATE", "IN FLIGHT", "ERRORS"},
+	}
+	for i := range statuses {
+		for j := range statuses[i].Backends {
+			b := &statuses[i].Backends[j]
+			table.Rows = append(table.Rows, []string{
+				statuses[i].Router, b.Pool, b.ID, b.Address, b.DataCentre, backendState(b), strconv.Itoa(b.InFlight),
+				fmt.Sprintf("%.2f", b.ErrorRate),
+			})
+		}
+	}
+	return table
+}
+
+func backendState(b *balance.State) string {
+	switch {
+	case b.Leaving:
+		return "leaving"
+	case b.Out:
+		return fmt.Sprintf("out for %d ms", b.OutMS)
+	case b.Silent:
+		return "silent"
+	default:
+		return "in use"
+	}
+}
--- a/cmd/slipwick/root/root_test.go
+++ b/cmd/slipwick/root/root_test.go
@@ -3,15 +3,18 @@
 import (
 	"bytes"
 	"encoding/json"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 
+	"github.com/slipwick/slipwick/balance"
 	"github.com/slipwick/slipwick/standin"
 
 	"github.com/slipwick/slipwick/cmd/internal/cli"
+	"github.com/slipwick/slipwick/cmd/internal/gatewayd"
 )
 
 const file = `{
@@ -185,3 +188,49 @@
 		t.Errorf("got %d %v %q, want completed and nothing doubled or mismatched", code, got, errors)
 	}
 }
+
+func TestGateways(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != gatewayd.StatusPath {
+			t.Errorf("got path %s, want %s", r.URL.Path, gatewayd.StatusPath)
+		}
+		_ = json.NewEncoder(w).Encode(&gatewayd.Status{
+			Router:        "g1",
+			Ready:         true,
+			Configuration: 7,
+			Members:       []string{"g1", "g2"},
+			Backends: []balance.State{
+				{
+					ID:        "b1",
+					Out:       true,
+					OutMS:     250,
+					ErrorRate: 0.31,
+				},
+				{
+					ID:      "b2",
+					Leaving: true,
+				},
+			},
+		})
+	}))
+	defer server.Close()
+	router := strings.TrimPrefix(server.URL, "http://")
+	code, out, errors := command(t, true, "gateways", "--router", router)
+	if code != cli.ExitOK || !strings.Contains(out, "g1") || !strings.Contains(out, "ready") {
+		t.Errorf("got %d, %q, %q; want a line for g1", code, out, errors)
+	}
+	code, out, errors = command(t, true, "gateways", "--backends", "--router", router)
+	if code != cli.ExitOK || !strings.Contains(out, "out for 250 ms") || !strings.Contains(out, "leaving") ||
+		!strings.Contains(out, "0.31") {
+		t.Errorf("got %d, %q, %q; want lines for b1 and b2", code, out, errors)
+	}
+	code, out, _ = command(t, false, "gateways", "--router", router)
+	var statuses []gatewayd.Status
+	if err := json.Unmarshal([]byte(out), &statuses); code != cli.ExitOK || err != nil || len(statuses) != 1 {
+		t.Errorf("got %d, %q, %v; want JSON of one gateway", code, out, err)
+	}
+	server.Close()
+	if code, _, _ := command(t, true, "gateways", "--router", router); code != cli.ExitUnavailable {
+		t.Errorf("no gateway there: got %d, want %d", code, cli.ExitUnavailable)
+	}
+}
