Give up a running send only when the next one is granted

Cause: a send to a server that hangs was ended by a timer, set before the send by what the route allows. The timer asked neither the retry budget nor whether another server is there, did not stop for the head of an answer, and raced with the first event.

Now the goroutine that reads decides, and only while nothing has come: it takes the budget and a place at a sound backend server first; bytes that wait in the socket go before the decision. A stream that has begun ends by silence only where it may be resumed, and with the next place in hand.

Ruled out: a timer that takes the grant itself. It still races with the read that returns at the same moment.

--- a/balance/ask.go
+++ b/balance/ask.go
@@ -10,6 +10,9 @@
 	Own int
 	// Avoid lists the IDs of backend servers that the request has tried.
 	Avoid []string
+	// Sound asks for a backend server that is not left out; without one there
+	// is none.
+	Sound bool
 }
 
 // Part is one part of a prompt.
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -102,7 +102,7 @@
 	defer b.mu.Unlock()
 	now := time.Now()
 	pool := b.pools[ask.Pool]
-	usable := usableOf(pool, ask.Avoid, now)
+	usable := usableOf(pool, ask, now)
 	if len(usable) == 0 {
 		return nil, noBackend(ask.Pool)
 	}
@@ -141,19 +141,19 @@
 
 // usableOf gives the backend servers that may get the request; those that are
 // left out count when no other is left.
-func usableOf(pool []*server, avoid []string, now time.Time) []*server {
+func usableOf(pool []*server, ask *Ask, now time.Time) []*server {
 	usable := make([]*server, 0, len(pool))
 	var out []*server
 	for _, s := range pool {
 		switch {
-		case s.Leaving || slices.Contains(avoid, s.ID):
+		case s.Leaving || slices.Contains(ask.Avoid, s.ID):
 		case s.isOut(now):
 			out = append(out, s)
 		default:
 			usable = append(usable, s)
 		}
 	}
-	if len(usable) == 0 {
+	if len(usable) == 0 && !ask.Sound {
 		return out
 	}
 	return usable
@@ -246,6 +246,11 @@
 	b.observeLocked(lease.server, evidence, time.Now())
 }
 
+// Abandon gives a lease back that nothing was sent for.
+func (b *Balancer) Abandon(lease *Lease) {
+	b.Release(lease, slipwick.EvidenceNone)
+}
+
 // Heard notes that the backend server goes on with an answer.
 func (b *Balancer) Heard(lease *Lease) {
 	b.mu.Lock()
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -17,9 +17,7 @@
 var errSpoilt = errors.New("the answer is not the backend server's own: stamp or ID are missing, or it is encoded")
 
 // judgeAnswer tells what an answer means, and passes it on if it is one.
-func (c *call) judgeAnswer(
-	lease *balance.Lease, answer *upstream.Answer, patience *patience,
-) (result, slipwick.Evidence, error) {
+func (c *call) judgeAnswer(lease *balance.Lease, answer *upstream.Answer) (result, slipwick.Evidence, error) {
 	names := &c.gateway.Headers
 	c.gateway.Balancer.Began(lease)
 	if load, ok := parseLoad(answer.Header.Get(names.Load)); ok {
@@ -39,7 +37,7 @@
 		return resultBroken, slipwick.EvidenceError, errSpoilt
 	}
 	if succeeded && c.route.Kind == routing.KindStream {
-		return c.passEvents(lease, answer, patience)
+		return c.passEvents(lease, answer)
 	}
 	return c.passWhole(answer)
 }
@@ -117,9 +115,7 @@
 const maxEvent = 256 << 10
 
 // passEvents passes whole events on as they arrive.
-func (c *call) passEvents(
-	lease *balance.Lease, answer *upstream.Answer, patience *patience,
-) (result, slipwick.Evidence, error) {
+func (c *call) passEvents(lease *balance.Lease, answer *upstream.Answer) (result, slipwick.Evidence, error) {
 	held := make([]byte, 0, streamBuffer)
 	for {
 		if len(held) == cap(held) {
@@ -139,7 +135,6 @@
 		}
 		held = append(held[:0], held[size:]...)
 		if size > 0 {
-			patience.renew()
 			c.gateway.Balancer.Heard(lease)
 		}
 		switch {
@@ -159,7 +154,7 @@
 	switch {
 	case c.request.Context().Err() != nil:
 		return resultLeft, slipwick.EvidenceNone, err
-	case c.ctx.Err() != nil:
+	case c.ctx.Err() != nil || upstream.IsGivenUp(err):
 		return resultBroken, slipwick.EvidenceNone, err
 	default:
 		return resultBroken, slipwick.EvidenceError, err
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -30,6 +30,8 @@
 	ctx      context.Context
 
 	ask balance.Ask
+	// next is the place that was granted for the next send while one ran.
+	next *balance.Lease
 	// sends counts the requests sent to backend servers, runs those that may
 	// have run there.
 	sends, runs int
@@ -78,6 +80,7 @@
 		ID:       c.id,
 		IDHeader: names.RequestID,
 	}
+	request.Patience = c.patienceFor(lease)
 	if !c.route.MayRepeat() {
 		request.MaxRest = singleMaxRest
 	}
--- a/gateway/patience.go
+++ b/gateway/patience.go
@@ -1,15 +1,15 @@
 package gateway
 
 import (
-	"context"
 	"time"
 
 	"github.com/slipwick/slipwick/balance"
+	"github.com/slipwick/slipwick/upstream"
 )
 
 const (
 	// patienceFactor times the route's objective is how long a backend server
-	// may take to answer before the request goes on elsewhere: an answer that
+	// may say nothing before the request goes on elsewhere: an answer that
 	// takes longer is late in any case.
 	patienceFactor = 2
 	// leastPatience is for routes with a very short objective or none.
@@ -17,46 +17,69 @@
 	// pausePatience is how long a stream that has begun may pause: callers
 	// give up after 2 s.
 	pausePatience = 1200 * time.Millisecond
+	// askNextEvery is how often a send that hangs asks for the next one, while
+	// none is granted.
+	askNextEvery = 100 * time.Millisecond
 )
 
-// patience ends one send when its backend server hangs and another may be
-// tried; where none may, it tells the balancer. It belongs to one goroutine.
+// patience watches one send whose backend server says nothing: it tells the
+// balancer, and gives the send up once the request may go on elsewhere. A send
+// that has brought anything of an answer is given up only where the rest may
+// come from elsewhere. It belongs to the goroutine that sends.
 type patience struct {
-	ctx    context.Context
-	cancel context.CancelFunc
-	timer  *time.Timer
-	// goesOn says that the request may go on elsewhere.
-	goesOn bool
+	call  *call
+	lease *balance.Lease
+	// mayGoOn says that the route allows another send after this one, told
+	// that the balancer knows of the silence.
+	mayGoOn bool
+	told    bool
 }
 
-// newPatience begins to wait for a send that is about to be made.
-func (c *call) newPatience(lease *balance.Lease) *patience {
-	ctx, cancel := context.WithCancel(c.ctx)
+// patienceFor makes the patience of a send that is about to be made.
+func (c *call) patienceFor(lease *balance.Lease) upstream.Patience {
 	p := &patience{
-		ctx:    ctx,
-		cancel: cancel,
-		goesOn: c.route.MayRepeat() && c.runs+1 < c.route.MaxAttempts,
+		call:    c,
+		lease:   lease,
+		mayGoOn: c.route.MayRepeat() && c.runs+1 < c.route.MaxAttempts,
 	}
-	passed := cancel
-	if !p.goesOn {
-		passed = func() { c.gateway.Balancer.Overdue(lease) }
+	bounds := upstream.Patience{
+		First:   max(patienceFactor*c.route.Objective, leastPatience),
+		Overdue: p.overdue,
 	}
-	p.timer = time.AfterFunc(max(patienceFactor*c.route.Objective, leastPatience), passed)
-	return p
+	if p.mayGoOn {
+		bounds.Pause = pausePatience
+	}
+	return bounds
 }
 
-// renew allows for the next pause of a stream. Where the request may not go on
-// elsewhere, the balancer notices by itself that nothing comes.
-func (p *patience) renew() {
-	if p.goesOn {
-		p.timer.Reset(pausePatience)
-	} else {
-		p.timer.Stop()
+// overdue tells how long to wait on for a backend server that says nothing.
+func (p *patience) overdue() time.Duration {
+	c := p.call
+	if !p.told {
+		p.told = true
+		c.gateway.Balancer.Overdue(p.lease)
+	}
+	if !p.mayGoOn || time.Until(c.deadline) < leastTime {
+		return upstream.Forever
+	}
+	if c.next = c.grantNext(); c.next == nil {
+		return askNextEvery
 	}
+	return 0
 }
 
-// end frees what waits.
-func (p *patience) end() {
-	p.timer.Stop()
-	p.cancel()
+// grantNext grants another send while one runs; nil if there is no sound backend
+// server for it, or no budget.
+func (c *call) grantNext() *balance.Lease {
+	ask := c.ask
+	ask.Sound = true
+	lease, err := c.gateway.Balancer.Acquire(&ask)
+	if err != nil {
+		return nil
+	}
+	if !c.gateway.Budget.Take(c.pool) {
+		c.gateway.Balancer.Abandon(lease)
+		return nil
+	}
+	return lease
 }
--- /dev/null
+++ b/gateway/patience_test.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+// answersAfter is a handler that answers like answers, after a while.
+func answersAfter(wait time.Duration, body string) func(*backend, http.ResponseWriter, *http.Request) {
+	return func(b *backend, w http.ResponseWriter, r *http.Request) {
+		time.Sleep(wait)
+		answers(http.StatusOK, body)(b, w, r)
+	}
+}
+
+// TestSlowSendIsNotGivenUpWithoutAnother has the first backend server answer
+// late while the budget allows no other send.
+func TestSlowSendIsNotGivenUpWithoutAnother(t *testing.T) {
+	for _, path := range []string{"/repeatable/x", "/resumable/x"} {
+		second := newBackend(t, "b2", answers(http.StatusOK, event("1")))
+		f := newFixture(t, newBackend(t, "b1", answersAfter(leastPatience+200*time.Millisecond, event("1"))), second)
+		f.gateway.Budget.Ratio, f.gateway.Budget.Extra = 0, 0
+		got := f.post(t, path)
+		if got.status != http.StatusOK || got.body != event("1") || got.header.Get("Slipwick-Stamp") != "b1" {
+			t.Errorf("%s: got %d %q (%v), want the late answer of b1", path, got.status, got.body, got.header)
+		}
+		if got := second.runs.Load(); got != 0 {
+			t.Errorf("%s: got %d runs elsewhere, want 0", path, got)
+		}
+	}
+}
+
+// TestSlowSendIsNotGivenUpWithoutAnotherServer has no other backend server.
+func TestSlowSendIsNotGivenUpWithoutAnotherServer(t *testing.T) {
+	f := newFixture(t, newBackend(t, "b1", answersAfter(leastPatience+200*time.Millisecond, "answer")))
+	if got := f.post(t, "/repeatable/x"); got.status != http.StatusOK || got.body != "answer" {
+		t.Errorf("got %d %q, want the late answer", got.status, got.body)
+	}
+}
+
+// TestAnswerThatHasBegunIsNotGivenUp has the first backend server send its head
+// soon and the first event late.
+func TestAnswerThatHasBegunIsNotGivenUp(t *testing.T) {
+	second := newBackend(t, "b2", answers(http.StatusOK, event("1")))
+	first := newBackend(t, "b1", func(b *backend, w http.ResponseWriter, _ *http.Request) {
+		b.runs.Add(1)
+		w.Header().Set("Slipwick-Stamp", b.id)
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(leastPatience + 200*time.Millisecond)
+		_, _ = io.WriteString(w, event("1"))
+	})
+	f := newFixture(t, first, second)
+	got := f.post(t, "/resumable/x")
+	if got.body != event("1") || got.header.Get("Slipwick-Stamp") != "b1" {
+		t.Errorf("got %q of %s, want the answer of b1", got.body, got.header.Get("Slipwick-Stamp"))
+	}
+	if got := second.runs.Load(); got != 0 {
+		t.Errorf("got %d runs elsewhere, want 0", got)
+	}
+}
+
+// TestAnswerAtTheMomentOfGivingUp has answers come just when the patience ends:
+// each request has to be served, by the first backend server or the second.
+func TestAnswerAtTheMomentOfGivingUp(t *testing.T) {
+	for _, budget := range []float64{0, 1000} {
+		first := newBackend(t, "b1", answersAfter(leastPatience, event("1")))
+		f := newFixture(t, first, newBackend(t, "b2", answers(http.StatusOK, event("1"))))
+		f.gateway.Budget.Ratio, f.gateway.Budget.Extra = 0, budget
+		var all sync.WaitGroup
+		for i := range 40 {
+			all.Go(func() {
+				time.Sleep(time.Duration(i%8) * time.Millisecond)
+				if got := f.post(t, "/resumable/x"); got.status != http.StatusOK || got.body != event("1") || got.broken != nil {
+					t.Errorf("budget %v: got %d %q (%v), want the whole answer", budget, got.status, got.body, got.broken)
+				}
+			})
+		}
+		all.Wait()
+	}
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -7,6 +7,7 @@
 
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/balance"
+	"github.com/slipwick/slipwick/upstream"
 )
 
 const (
@@ -23,7 +24,7 @@
 	var last result
 	reason := ""
 	for {
-		lease, err := c.gateway.Balancer.Acquire(&c.ask)
+		lease, err := c.acquire()
 		if err != nil {
 			reason = "no-backend"
 			break
@@ -37,7 +38,7 @@
 		if reason = c.whyNoMore(last); reason != "" {
 			break
 		}
-		if !c.gateway.Budget.Take(c.pool) {
+		if c.next == nil && !c.gateway.Budget.Take(c.pool) {
 			reason = "retry-budget"
 			break
 		}
@@ -45,6 +46,24 @@
 	c.giveUp(reason)
 }
 
+// acquire gives the place that was granted while the last send ran, or a new
+// one.
+func (c *call) acquire() (*balance.Lease, error) {
+	if lease := c.next; lease != nil {
+		c.next = nil
+		return lease, nil
+	}
+	return c.gateway.Balancer.Acquire(&c.ask)
+}
+
+// dropNext gives a place back that is not used: the answer came after all.
+func (c *call) dropNext() {
+	if c.next != nil {
+		c.gateway.Balancer.Abandon(c.next)
+		c.next = nil
+	}
+}
+
 // awaitReading waits while the engine reads the request's prompt for another.
 func (c *call) awaitReading(lease *balance.Lease) {
 	if lease.Wait <= 0 {
@@ -132,10 +151,8 @@
 	started := time.Now()
 	c.sends++
 	c.ask.Avoid = append(c.ask.Avoid, lease.Backend.ID)
-	patience := c.newPatience(lease)
-	defer patience.end()
 	request := c.upstreamRequest(lease)
-	answer, err := c.gateway.Client.Do(patience.ctx, lease.Backend.ID, lease.Backend.Address, request)
+	answer, err := c.gateway.Client.Do(c.ctx, lease.Backend.ID, lease.Backend.Address, request)
 	attempt := &Attempt{
 		Request: c.id,
 		Route:   c.route.Name,
@@ -149,10 +166,13 @@
 		last, evidence = c.judgeError(err)
 	} else {
 		attempt.Status = answer.Status
-		last, evidence, attempt.Err = c.judgeAnswer(lease, answer, patience)
+		last, evidence, attempt.Err = c.judgeAnswer(lease, answer)
 		answer.Close()
 	}
 	c.gateway.Balancer.Release(lease, evidence)
+	if !upstream.IsGivenUp(attempt.Err) {
+		c.dropNext()
+	}
 	if last != resultDelivered {
 		attempt.Result, attempt.Took = last.String(), time.Since(started)
 		c.gateway.Observer.Attempted(attempt)
@@ -173,7 +193,8 @@
 		return resultNotRun, slipwick.EvidenceUnreachable
 	}
 	c.runs++
-	if c.ctx.Err() == context.DeadlineExceeded {
+	if c.ctx.Err() == context.DeadlineExceeded || upstream.IsGivenUp(err) {
+		// Whoever let it wait too long was told of already.
 		return resultBroken, slipwick.EvidenceNone
 	}
 	return resultBroken, slipwick.EvidenceError
--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -29,11 +29,17 @@
 	keep     bool
 	whole    bool
 	finished bool
+	patience Patience
 }
 
 // Read reads the body. It gives io.EOF at the end of a whole body, and an
 // *slipwick.Error when the body breaks off.
 func (a *Answer) Read(into []byte) (int, error) {
+	if a.Length < 0 {
+		if err := a.conn.awaitByte(a.ctx, a.patience.Pause, a.patience.Overdue); err != nil {
+			return 0, broken(a.ctx, a.address, err)
+		}
+	}
 	n, err := a.body.Read(into)
 	switch {
 	case err == nil:
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -66,7 +67,11 @@
 	}
 	stop := conn.interruptible(ctx)
 	written := conn.write(request)
-	response, err := conn.read(request, &c.Strays)
+	var response *http.Response
+	err = conn.awaitByte(ctx, request.Patience.First, request.Patience.Overdue)
+	if err == nil {
+		response, err = conn.read(request, &c.Strays)
+	}
 	if err != nil {
 		stop()
 		_ = conn.Close()
@@ -74,18 +79,19 @@
 	}
 	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 	return &Answer{
-		Status:  response.StatusCode,
-		Header:  response.Header,
-		Length:  response.ContentLength,
-		ctx:     ctx,
-		client:  c,
-		key:     key,
-		address: address,
-		conn:    conn,
-		written: written,
-		body:    response.Body,
-		stop:    stop,
-		keep:    framed && !response.Close,
+		Status:   response.StatusCode,
+		Header:   response.Header,
+		Length:   response.ContentLength,
+		ctx:      ctx,
+		client:   c,
+		key:      key,
+		address:  address,
+		conn:     conn,
+		written:  written,
+		body:     response.Body,
+		stop:     stop,
+		keep:     framed && !response.Close,
+		patience: request.Patience,
 	}, nil
 }
 
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -28,18 +28,31 @@
 // isAlive tells whether a resting connection is open and silent: bytes that
 // wait belong to no request.
 func (c *connection) isAlive() bool {
+	_, err := c.peek()
+	return errors.Is(err, unix.EAGAIN)
+}
+
+// hasBytes tells whether bytes wait to be read.
+func (c *connection) hasBytes() bool {
+	n, err := c.peek()
+	return err == nil && n > 0
+}
+
+// peek looks at the next byte without waiting: unix.EAGAIN says that there is
+// none, no byte without an error that the other side has closed.
+func (c *connection) peek() (n int, err error) {
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	alive := false
-	err = raw.Read(func(fd uintptr) bool {
+	controlErr := raw.Control(func(fd uintptr) {
 		var one [1]byte
-		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		alive = errors.Is(err, unix.EAGAIN)
-		return true
+		n, _, err = unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return alive && err == nil
+	if controlErr != nil {
+		return 0, controlErr
+	}
+	return n, err
 }
 
 // inlineBytes is the longest request that is written before its answer is
@@ -102,6 +115,9 @@
 // given ends that and tells whether the connection is still undisturbed.
 func (c *connection) interruptible(ctx context.Context) (stop func() bool) {
 	return context.AfterFunc(ctx, func() {
-		_ = c.SetDeadline(time.Unix(1, 0))
+		_ = c.SetDeadline(longAgo)
 	})
 }
+
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/slipwick/slipwick"
 )
@@ -19,6 +20,9 @@
 
 // broken is an exchange that failed after the request, or a part, was sent.
 func broken(ctx context.Context, address string, cause error) error {
+	if errors.Is(cause, errGivenUp) {
+		return givenUp(address)
+	}
 	err := &slipwick.Error{
 		Kind:    slipwick.KindBackendError,
 		Message: "the exchange with backend server " + address + " broke",
--- a/upstream/request.go
+++ b/upstream/request.go
@@ -21,6 +21,9 @@
 	// MaxRest bounds how long a kept connection may have rested to be used;
 	// 0 sets no bound. The shorter, the less likely it is dead.
 	MaxRest time.Duration
+	// Patience may end the exchange while nothing comes; the zero value does
+	// not.
+	Patience Patience
 }
 
 // head gives the request line and the header.
