Take the bounds of a deployment from the settings

Cause: of the platform's bounds slipwick read the grace period and the retry budget; the bound on load, the times in which changes are in force and a leaving server gets nothing new, the heartbeat and the rhythm of readiness were constants that fit today's deployments. Now they are settings, also in our own file (bounds), checked; what is waited for follows: directory.Rhythm has the waits as shares of the shorter of both times, the store counts as away after 1.25 heartbeats, lapsed entries are kept for 1.9 s at most and never beyond the time after which a server that left gets nothing, the load used is 1 + 0.6 x (factor - 1) times the mean, and the slack less one.

Tests: TestTightBoundIsKept (34 of 120 requests at an engine before, 29 allowed), TestLoadBoundKeepsThePromise, TestRhythmFitsTheTimeAllowed, TestBackendsFollowTheBounds, settings of both forms.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -11,11 +11,15 @@
 )
 
 const (
-	// defaultLoadFactor and loadSlack keep an engine below factor * mean +
-	// slack, which leaves room to the promised bound for what other routers
-	// send meanwhile.
-	defaultLoadFactor = 1.6
-	loadSlack         = 2
+	// defaultLoadFactor and defaultLoadSlack are the promised bound on an
+	// engine's load where the settings name none: factor * mean + slack.
+	defaultLoadFactor = 2
+	defaultLoadSlack  = 3
+	// loadShare of what the promise allows beyond the mean is used, and
+	// slackMargin of its slack is not: the rest is for what other routers send
+	// meanwhile.
+	loadShare   = 0.6
+	slackMargin = 1
 	// farCost is what a backend server in another data centre costs in the
 	// choice among plain services, in requests in flight.
 	farCost = 1.5
@@ -29,9 +33,10 @@
 type Balancer struct {
 	// DataCentre is the router's own.
 	DataCentre string
-	// LoadFactor bounds an engine's load as a multiple of the pool's mean; New
-	// sets the default.
+	// LoadFactor and LoadSlack are the promise on an engine's load: at most the
+	// factor times the pool's mean, and the slack. New sets the defaults.
 	LoadFactor float64
+	LoadSlack  float64
 	// OnLongRead is called when an engine gets a long prompt to read, which
 	// delays all else there: other routers are to know soon. It must not call
 	// back.
@@ -60,6 +65,7 @@
 	return &Balancer{
 		DataCentre: dataCentre,
 		LoadFactor: defaultLoadFactor,
+		LoadSlack:  defaultLoadSlack,
 		OnLongRead: func() {},
 		OnOut:      func(slipwick.Backend, time.Duration) {},
 		servers:    make(map[string]*server),
@@ -195,6 +201,19 @@
 	return float64(sum) / float64(known)
 }
 
+// SetLoadBound changes the promise on an engine's load.
+func (b *Balancer) SetLoadBound(factor, slack float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.LoadFactor, b.LoadSlack = factor, slack
+}
+
+// loadBound is the load from which on an engine gets no more while others are
+// below it.
+func (b *Balancer) loadBound(mean float64) float64 {
+	return (1+loadShare*(b.LoadFactor-1))*mean + max(b.LoadSlack-slackMargin, 0)
+}
+
 // leastLoadedLocked gives the least loaded, near ones before far ones. Equals
 // are taken by chance: in one order, all routers would choose the same first.
 func (b *Balancer) leastLoadedLocked(usable []*server, now time.Time) *server {
--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -93,7 +93,7 @@
 		}
 	}
 	for id, got := range counts {
-		if limit := int(defaultLoadFactor*10) + loadSlack + 1; got > limit {
+		if limit := int(1.6*10) + 2 + 1; got > limit {
 			t.Errorf("%s: got %d of 60 requests at 6 engines, want at most %d", id, got, limit)
 		}
 	}
--- /dev/null
+++ b/balance/bound_test.go
@@ -0,0 +1,35 @@
+package balance
+
+import "testing"
+
+// TestLoadBoundKeepsThePromise has the bound that is used stay below the one
+// promised, with room for what other routers send meanwhile.
+func TestLoadBoundKeepsThePromise(t *testing.T) {
+	b := New("d")
+	for _, factor := range []float64{1.3, 1.4, 1.6, 2, 3} {
+		b.SetLoadBound(factor, 3)
+		for _, mean := range []float64{0, 1, 5, 20, 60} {
+			got, promised := b.loadBound(mean), factor*mean+3
+			if got+1 > promised || got < mean+1 {
+				t.Errorf("factor %v, mean %v: got a bound of %v, want between the mean and %v", factor, mean, got, promised)
+			}
+		}
+	}
+}
+
+// TestTightBoundIsKept sends one prompt alone to a pool with a tight bound.
+func TestTightBoundIsKept(t *testing.T) {
+	b := newTestBalancer(6)
+	b.SetLoadBound(1.3, 3)
+	counts := make(map[string]int)
+	for range 120 {
+		lease := acquire(t, b, prompt(7))
+		b.Began(lease)
+		counts[lease.Backend.ID]++
+	}
+	for id, got := range counts {
+		if limit := 1.3*20 + 3; float64(got) > limit {
+			t.Errorf("%s: got %d of 120 requests at 6 engines, want at most %v", id, got, limit)
+		}
+	}
+}
--- a/balance/prompt.go
+++ b/balance/prompt.go
@@ -15,7 +15,7 @@
 	parts := ask.keys()
 	prompt := parts[len(parts)-1]
 	each, mean := b.loadsLocked(usable, now)
-	bound := b.LoadFactor*mean + loadSlack
+	bound := b.loadBound(mean)
 	best, least := candidate{}, 0
 	for i, s := range usable {
 		if each[i] < each[least] {
--- /dev/null
+++ b/cmd/internal/gatewayd/bounds.go
@@ -0,0 +1,68 @@
+package gatewayd
+
+import (
+	"time"
+
+	"github.com/slipwick/slipwick/directory"
+)
+
+// Bounds are what the fleet promises, and how often others do what it has to
+// wait for. Zero fields take the defaults.
+type Bounds struct {
+	// LoadFactor and LoadSlack bound an engine's load: the factor times the
+	// mean of its pool, and the slack.
+	LoadFactor float64
+	LoadSlack  float64
+	// Apply is the time in which a configuration is in force at every router,
+	// Leave the time after which a backend server that leaves gets nothing new.
+	Apply, Leave time.Duration
+	// Heartbeat is how often backend servers renew their entries.
+	Heartbeat time.Duration
+	// ReadyEvery is how often the balancer asks whether this router is ready.
+	ReadyEvery time.Duration
+}
+
+// Defaults of Bounds.
+const (
+	defaultLoadFactor = 2
+	defaultLoadSlack  = 3
+	defaultReadyEvery = time.Second
+)
+
+// orDefaults fills zero fields.
+func (b Bounds) orDefaults() Bounds {
+	if b.LoadFactor == 0 {
+		b.LoadFactor = defaultLoadFactor
+	}
+	if b.LoadSlack == 0 {
+		b.LoadSlack = defaultLoadSlack
+	}
+	if b.Apply == 0 {
+		b.Apply = directory.DefaultWithin
+	}
+	if b.Leave == 0 {
+		b.Leave = directory.DefaultWithin
+	}
+	if b.Heartbeat == 0 {
+		b.Heartbeat = directory.DefaultHeartbeat
+	}
+	if b.ReadyEvery == 0 {
+		b.ReadyEvery = defaultReadyEvery
+	}
+	return b
+}
+
+// rhythm is how long to wait for the store and other routers.
+func (b Bounds) rhythm() directory.Rhythm {
+	return directory.RhythmWithin(min(b.Apply, b.Leave))
+}
+
+// announceTime is how long a stopping router still takes requests: the balancer
+// sends new connections until it has asked twice in vain.
+func (b Bounds) announceTime() time.Duration {
+	return time.Duration(announceQuestions * float64(b.ReadyEvery))
+}
+
+// announceQuestions is twice the pause between two questions, and what the
+// second takes.
+const announceQuestions = 2.6
--- a/cmd/internal/gatewayd/filesettings.go
+++ b/cmd/internal/gatewayd/filesettings.go
@@ -24,6 +24,7 @@
 	// absolute starts at the settings file's folder.
 	Table   string      `json:"table" validate:"required"`
 	Retries FileRetries `json:"retries"`
+	Bounds  FileBounds  `json:"bounds"`
 	// Grace bounds the time from the signal to stop to the end.
 	Grace jsonfile.Duration `json:"grace" validate:"min=0"`
 	// MemoryMB bounds the process' memory; 0 sets no bound.
@@ -47,6 +48,22 @@
 	Window jsonfile.Duration `json:"window" validate:"min=0"`
 }
 
+// FileBounds are what the fleet promises; what is left out takes its default.
+type FileBounds struct {
+	// LoadFactor and LoadSlack bound an engine's load: the factor times the
+	// mean of its pool, and the slack, in requests.
+	LoadFactor float64 `json:"load_factor" validate:"omitempty,gte=1,lte=10"`
+	LoadSlack  float64 `json:"load_slack" validate:"omitempty,gte=1,lte=100"`
+	// Apply bounds the time until a configuration is in force everywhere,
+	// Leave that until a leaving backend server gets nothing new.
+	Apply jsonfile.Duration `json:"apply" validate:"min=0"`
+	Leave jsonfile.Duration `json:"leave" validate:"min=0"`
+	// Heartbeat is how often backend servers renew their entries, ReadyEvery
+	// how often the balancer asks for readiness.
+	Heartbeat  jsonfile.Duration `json:"heartbeat" validate:"min=0"`
+	ReadyEvery jsonfile.Duration `json:"ready_every" validate:"min=0"`
+}
+
 // Defaults of FileSettings: a fifth of the requests may be sent again in ten
 // seconds, and the grace period is that of common service managers.
 const (
@@ -110,6 +127,14 @@
 			Extra:  f.Retries.Extra,
 			Window: f.Retries.Window.Or(defaultWindow),
 		},
+		Bounds: Bounds{
+			LoadFactor: f.Bounds.LoadFactor,
+			LoadSlack:  f.Bounds.LoadSlack,
+			Apply:      f.Bounds.Apply.Or(0),
+			Leave:      f.Bounds.Leave.Or(0),
+			Heartbeat:  f.Bounds.Heartbeat.Or(0),
+			ReadyEvery: f.Bounds.ReadyEvery.Or(0),
+		},
 		Grace:       f.Grace.Or(defaultGrace),
 		MemoryBytes: f.MemoryMB << 20,
 	}
--- a/cmd/internal/gatewayd/follow.go
+++ b/cmd/internal/gatewayd/follow.go
@@ -26,15 +26,17 @@
 		return store
 	}
 	return &directory.Shared{
-		Name:  name,
-		Store: store,
-		Peers: p.peers,
+		Name:   name,
+		Store:  store,
+		Peers:  p.peers,
+		Rhythm: p.Settings.Bounds.rhythm(),
 	}
 }
 
 // followTables puts each newer version of the configuration in force.
 func (p *Process) followTables(ctx context.Context) {
 	follower := directory.NewFollower[*routing.Table](p.shared(feedTables, p.Feeds.Tables), p.mirrors[feedTables])
+	follower.Rhythm = p.Settings.Bounds.rhythm()
 	follower.Decode = p.Feeds.DecodeTable
 	dependency := p.newDependency(feedTables)
 	follower.OnError, follower.OnAnswer = dependency.failed, dependency.answered
@@ -54,6 +56,7 @@
 // followBackends keeps the list of backend servers.
 func (p *Process) followBackends(ctx context.Context) {
 	follower := directory.NewFollower[balance.Listed](p.shared(feedBackends, p.Feeds.Backends), p.mirrors[feedBackends])
+	follower.Rhythm = p.Settings.Bounds.rhythm()
 	follower.Decode = p.Feeds.DecodeBackend
 	follower.OnChange = p.backends.Change
 	dependency := p.newDependency(feedBackends)
@@ -170,8 +173,9 @@
 	}
 }
 
-// watchSettings takes changed settings: seeds, grace period and the bound on
-// repeats. What a process listens on is fixed for its life.
+// watchSettings takes changed settings: seeds, grace period, and the bounds on
+// load and repeats. What a process listens on, and its rhythm, are fixed for its
+// life.
 func (p *Process) watchSettings(ctx context.Context) {
 	for {
 		select {
@@ -194,7 +198,10 @@
 	}
 	p.seeds.Store(&settings.Seeds)
 	p.grace.Store(int64(settings.Grace))
+	bounds := settings.Bounds.orDefaults()
+	p.balancer.SetLoadBound(bounds.LoadFactor, bounds.LoadSlack)
 	p.gateway.Budget.SetBound(settings.Retries.Ratio, settings.Retries.Extra)
 	events.SettingsReloaded.On(&p.Log).Int("seeds", len(settings.Seeds)).Dur("grace_ms", settings.Grace).
-		Float64("retry_ratio", settings.Retries.Ratio).Float64("retry_extra", settings.Retries.Extra).Send()
+		Float64("load_factor", bounds.LoadFactor).Float64("retry_ratio", settings.Retries.Ratio).
+		Float64("retry_extra", settings.Retries.Extra).Send()
 }
--- a/cmd/internal/gatewayd/gateway.go
+++ b/cmd/internal/gatewayd/gateway.go
@@ -27,10 +27,6 @@
 )
 
 const (
-	// announceTime is how long a stopping router still takes requests: the
-	// balancer sends new connections until it has asked twice in vain, once
-	// a second.
-	announceTime = 2600 * time.Millisecond
 	// refuseTime is how long it then refuses, so that connections that were
 	// on their way get an answer.
 	refuseTime = 500 * time.Millisecond
@@ -106,13 +102,16 @@
 // assemble makes the parts and joins them.
 func (p *Process) assemble(open *listeners) {
 	s := p.Settings
+	s.Bounds = s.Bounds.orDefaults()
 	p.metrics = newMetrics()
 	p.observer = newObserver(p.Log, p.metrics, s.Headers.RequestID)
 	p.seeds.Store(&s.Seeds)
 	p.grace.Store(int64(s.Grace))
 	p.balancer = balance.New(s.DataCentre)
+	p.balancer.SetLoadBound(s.Bounds.LoadFactor, s.Bounds.LoadSlack)
 	p.client = &upstream.Client{}
 	p.backends = directory.NewBackends(p.onBackends)
+	p.backends.Heartbeat, p.backends.Leave = s.Bounds.Heartbeat, s.Bounds.Leave
 	p.udp = membership.NewUDP(open.packets)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	self := slipwick.Router{
@@ -237,8 +236,8 @@
 	p.draining.Store(true)
 	p.gateway.Leave()
 	p.node.Leave()
-	time.Sleep(announceTime)
 	end := started.Add(time.Duration(p.grace.Load()) - graceMargin)
+	time.Sleep(time.Until(earlier(end, started.Add(p.Settings.Bounds.announceTime()))))
 	p.gateway.Close(earlier(end, time.Now().Add(lateTime)))
 	for closed := time.Now(); time.Now().Before(end); time.Sleep(drainCheck) {
 		if p.gateway.InFlight() == 0 && time.Since(closed) > refuseTime {
--- a/cmd/internal/gatewayd/gateway_test.go
+++ b/cmd/internal/gatewayd/gateway_test.go
@@ -78,7 +78,7 @@
 	waitFor(t, "a request in flight", func() bool { return r.gateway.InFlight() == 1 })
 	stopped := time.Now()
 	r.stop()
-	time.Sleep(announceTime + 200*time.Millisecond)
+	time.Sleep(Bounds{}.orDefaults().announceTime() + 200*time.Millisecond)
 	if status, _, err := r.ask(t, newClient(), "/1/x"); status != http.StatusServiceUnavailable {
 		t.Errorf("late request: got %d %v, want 503", status, err)
 	}
--- a/cmd/internal/gatewayd/settings.go
+++ b/cmd/internal/gatewayd/settings.go
@@ -20,6 +20,7 @@
 	Seeds   []string
 	Headers gateway.Headers
 	Retries Retries
+	Bounds  Bounds
 	// FirstStart says that the whole fleet starts for the first time, so that
 	// engines have nothing cached for it.
 	FirstStart bool
--- a/cmd/slipwickd/serve/gateway_test.go
+++ b/cmd/slipwickd/serve/gateway_test.go
@@ -40,8 +40,12 @@
 }
 
 func TestGatewayChecksItsSettings(t *testing.T) {
-	if code, output := check(t, goodSettings, goodTable); code != cli.ExitOK {
-		t.Errorf("good settings: got %d, %s; want 0", code, output)
+	bounds := `"bounds": {"load_factor": 1.4, "load_slack": 3, "apply": "1s", "leave": "1s", "heartbeat": "600ms",
+  "ready_every": "1s"}, "table"`
+	for _, settings := range []string{goodSettings, strings.Replace(goodSettings, `"table"`, bounds, 1)} {
+		if code, output := check(t, settings, goodTable); code != cli.ExitOK {
+			t.Errorf("good settings: got %d, %s; want 0", code, output)
+		}
 	}
 	for name, tc := range map[string]struct {
 		settings, table string
@@ -52,6 +56,11 @@
 			table:    goodTable,
 			want:     []string{"/id", "/listen/ready"},
 		},
+		"bounds that make no sense": {
+			settings: strings.Replace(goodSettings, `"table"`, `"bounds": {"load_factor": 0.5, "apply": "-1s"}, "table"`, 1),
+			table:    goodTable,
+			want:     []string{"/bounds/load_factor", "/bounds/apply"},
+		},
 		"no JSON": {
 			settings: "{",
 			table:    goodTable,
--- a/directory/backends.go
+++ b/directory/backends.go
@@ -8,13 +8,18 @@
 )
 
 const (
-	// awayAfter is how long the store has to be silent at a failed call to
-	// count as away: entries lapse after some missed heartbeats, and the
-	// store may have been away for the servers longer than for this router.
-	awayAfter = 1500 * time.Millisecond
+	// awayShare of a heartbeat is how long the store has to be silent at a
+	// failed call to count as away: entries lapse after some missed heartbeats,
+	// and the store may have been away for the servers longer than for this
+	// router.
+	awayShare = 1.25
+	// DefaultHeartbeat is taken where no settings name one.
+	DefaultHeartbeat = 1200 * time.Millisecond
 	// returnTime is how long servers have after the store's return to enter
-	// themselves again.
-	returnTime = 1900 * time.Millisecond
+	// themselves again: they do within about 2 s. returnShare of the time after
+	// which one that is gone gets nothing new bounds it.
+	returnTime  = 1900 * time.Millisecond
+	returnShare = 0.95
 )
 
 // Backends keeps the list of backend servers. Set the exported fields before
@@ -22,12 +27,16 @@
 type Backends struct {
 	// OnChange takes each new list, one call at a time.
 	OnChange func([]balance.Listed)
+	// Heartbeat is how often servers renew their entries, Leave the time after
+	// which one that leaves or is gone gets nothing new; 0 stands for the
+	// defaults.
+	Heartbeat, Leave time.Duration
 
 	mu       sync.Mutex
 	entries  map[string]balance.Listed
 	lapsed   map[string]balance.Listed
 	answered time.Time
-	// away says that the store gave no answer for awayAfter.
+	// away says that the store gave no answer for some time.
 	away bool
 	// grace is until when entries that vanish count as lapsed.
 	grace time.Time
@@ -58,15 +67,32 @@
 func (b *Backends) Failed() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.away = b.away || time.Since(b.answered) > awayAfter
+	b.away = b.away || time.Since(b.answered) > b.awayAfter()
+}
+
+func (b *Backends) awayAfter() time.Duration {
+	heartbeat := b.Heartbeat
+	if heartbeat <= 0 {
+		heartbeat = DefaultHeartbeat
+	}
+	return time.Duration(awayShare * float64(heartbeat))
+}
+
+// returnWithin is how long servers have to enter themselves again.
+func (b *Backends) returnWithin() time.Duration {
+	if b.Leave <= 0 {
+		return returnTime
+	}
+	return min(returnTime, time.Duration(returnShare*float64(b.Leave)))
 }
 
 func (b *Backends) returnedLocked(now time.Time) {
-	b.grace = now.Add(returnTime)
+	within := b.returnWithin()
+	b.grace = now.Add(within)
 	if b.timer != nil {
 		b.timer.Stop()
 	}
-	b.timer = time.AfterFunc(returnTime, b.dropLapsed)
+	b.timer = time.AfterFunc(within, b.dropLapsed)
 }
 
 // dropLapsed removes what did not come back in time.
--- a/directory/fakefeed_test.go
+++ b/directory/fakefeed_test.go
@@ -113,3 +113,6 @@
 func (p *fakePeers) Others() []string { return p.order }
 
 func (p *fakePeers) Relay(id, _ string) slipwick.Feed { return p.relays[id] }
+
+// rhythm is the one that followers have by default.
+var rhythm = RhythmWithin(DefaultWithin)
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -11,13 +11,6 @@
 )
 
 const (
-	// storeWait is how long a watch of the store waits, and answerMargin how
-	// long after that it may be answered: a store that has fallen silent is
-	// noticed in time for routers that follow this one.
-	storeWait    = 1200 * time.Millisecond
-	answerMargin = 400 * time.Millisecond
-	// listTimeout bounds one list.
-	listTimeout = 2 * time.Second
 	// firstPause and lastPause bound the pause after a failed call; it
 	// doubles in between.
 	firstPause = 100 * time.Millisecond
@@ -40,6 +33,8 @@
 type Follower[T any] struct {
 	Feed   slipwick.Feed
 	Mirror *Mirror
+	// Rhythm is how long to wait; the zero value stands for the default.
+	Rhythm Rhythm
 	// Decode reads one object.
 	Decode func(name string, value []byte) (T, error)
 	// OnChange takes the changes of each answer, with none when the first
@@ -74,6 +69,7 @@
 // Run follows the feed until ctx ends.
 func (f *Follower[T]) Run(ctx context.Context) {
 	defer close(f.done)
+	f.Rhythm = f.Rhythm.orDefault()
 	revision, listed := uint64(0), false
 	pause := firstPause
 	for ctx.Err() == nil {
@@ -98,7 +94,7 @@
 			pause = nextPause(pause, revision)
 			continue
 		}
-		isCurrent := batch.Age <= relayAge
+		isCurrent := batch.Age <= f.Rhythm.Age
 		if isCurrent {
 			pause = firstPause
 			f.OnAnswer()
@@ -128,7 +124,7 @@
 	if !listed {
 		return f.Feed.List(ctx)
 	}
-	return f.Feed.Watch(ctx, revision, storeWait)
+	return f.Feed.Watch(ctx, revision, f.Rhythm.Watch)
 }
 
 func (f *Follower[T]) decode(entries []slipwick.FeedEntry) []Change[T] {
--- a/directory/relay.go
+++ b/directory/relay.go
@@ -37,7 +37,7 @@
 			http.Error(w, "after is no revision or wait is no time", http.StatusBadRequest)
 			return
 		}
-		batch, err = mirror.Watch(r.Context(), after, min(wait, relayWait))
+		batch, err = mirror.Watch(r.Context(), after, min(wait, longestRelay))
 	} else {
 		batch, err = mirror.List(r.Context())
 	}
--- /dev/null
+++ b/directory/rhythm_test.go
@@ -0,0 +1,49 @@
+package directory
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/slipwick/slipwick/balance"
+)
+
+// TestRhythmFitsTheTimeAllowed has a router on the way fall silent: what remains
+// has to suffice for one call more.
+func TestRhythmFitsTheTimeAllowed(t *testing.T) {
+	for _, within := range []time.Duration{600 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second} {
+		r := RhythmWithin(within)
+		rest := within / 10
+		if got := r.Watch + r.Margin + rest; got > within {
+			t.Errorf("within %v: got %v for a silent store, want less", within, got)
+		}
+		if got := r.Relay + r.RelayMargin + rest; got > within {
+			t.Errorf("within %v: got %v for a silent router, want less", within, got)
+		}
+		if r.Age < r.Watch+r.Margin {
+			t.Errorf("within %v: got %v for the age of a copy, want the wait of its watch at least", within, r.Age)
+		}
+	}
+	if got, want := RhythmWithin(0), RhythmWithin(DefaultWithin); got != want {
+		t.Errorf("without a bound: got %v, want %v", got, want)
+	}
+}
+
+// TestBackendsFollowTheBounds has entries lapse in a fleet with short bounds:
+// those of servers that do not come back are gone before the time is over.
+func TestBackendsFollowTheBounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log listLog
+		b := NewBackends(log.take)
+		b.Heartbeat, b.Leave = 600*time.Millisecond, time.Second
+		b.Answered()
+		b.Change([]Change[balance.Listed]{entry("a", false), entry("b", false)})
+		time.Sleep(900 * time.Millisecond)
+		b.Failed()
+		b.Answered()
+		b.Change([]Change[balance.Listed]{entry("b", true)})
+		log.expect(t, "on return after more than a heartbeat", "a", "b")
+		time.Sleep(960 * time.Millisecond)
+		log.expect(t, "before the time allowed", "a")
+	})
+}
--- a/directory/shared.go
+++ b/directory/shared.go
@@ -10,14 +10,6 @@
 )
 
 const (
-	// relayWait is how long a watch through another router waits, and
-	// relayMargin how long after that it may be answered: together with a call
-	// to the store they stay below the time in which changes are in force.
-	relayWait   = time.Second
-	relayMargin = 300 * time.Millisecond
-	// relayAge is how old another router's knowledge may be: the wait of its
-	// own watch and what it takes to notice that the store is silent.
-	relayAge = storeWait + answerMargin + 300*time.Millisecond
 	// storePatience is how long a list from the store may take before another
 	// router is asked: some tens of its usual answers.
 	storePatience = 300 * time.Millisecond
@@ -29,8 +21,6 @@
 	// it has not answered: a store that had fallen silent never answers what it
 	// was asked then, while a slow one needs its time.
 	askAgain = 500 * time.Millisecond
-	// relayOuting is how long a router that failed is not asked again.
-	relayOuting = 3 * time.Second
 )
 
 // Peers gives the routers to follow, in the order in which to ask them.
@@ -53,6 +43,8 @@
 	Name  string
 	Store slipwick.Feed
 	Peers Peers
+	// Rhythm is how long to wait; the zero value stands for the default.
+	Rhythm Rhythm
 
 	mu     sync.Mutex
 	failed map[string]time.Time
@@ -70,9 +62,10 @@
 // List lists from the store, or from another router if the store fails or lets
 // it wait.
 func (s *Shared) List(ctx context.Context) (slipwick.FeedBatch, error) {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	within := s.Rhythm.orDefault().List
+	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
-	fromStore := make(chan listed, listTimeout/askAgain+1)
+	fromStore := make(chan listed, within/askAgain+1)
 	pending := 0
 	ask := func() {
 		pending++
@@ -144,9 +137,10 @@
 		}
 	}
 	if relay := s.choose(); relay != "" && ctx.Err() == nil && !slipwick.IsKind(err, slipwick.KindHistoryLost) {
-		batch, ok := s.relayed(ctx, relay, relayWait+relayMargin,
+		rhythm := s.Rhythm.orDefault()
+		batch, ok := s.relayed(ctx, relay, rhythm.Relay+rhythm.RelayMargin,
 			func(ctx context.Context, f slipwick.Feed) (slipwick.FeedBatch, error) {
-				return f.Watch(ctx, after, relayWait)
+				return f.Watch(ctx, after, rhythm.Relay)
 			})
 		if ok {
 			return batch, nil
@@ -165,13 +159,13 @@
 // a watch brings every version since then, which a slow link may not carry in
 // time when versions come in quick succession; a list brings the newest alone.
 func (s *Shared) catchUp(ctx context.Context) (slipwick.FeedBatch, error) {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.Rhythm.orDefault().List)
 	defer cancel()
 	return s.Store.List(ctx)
 }
 
 func (s *Shared) watchStore(ctx context.Context, after uint64, wait time.Duration) (slipwick.FeedBatch, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+answerMargin)
+	ctx, cancel := context.WithTimeout(ctx, wait+s.Rhythm.orDefault().Margin)
 	defer cancel()
 	return s.Store.Watch(ctx, after, wait)
 }
@@ -183,7 +177,7 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	batch, err := call(ctx, s.Peers.Relay(id, s.Name))
-	if err == nil && batch.Age <= relayAge {
+	if err == nil && batch.Age <= s.Rhythm.orDefault().Age {
 		return batch, true
 	}
 	s.mu.Lock()
@@ -203,7 +197,7 @@
 	for range relays {
 		s.turn++
 		id := relays[s.turn%len(relays)]
-		if failed, ok := s.failed[id]; !ok || time.Since(failed) > relayOuting {
+		if failed, ok := s.failed[id]; !ok || time.Since(failed) > s.Rhythm.orDefault().Outing {
 			return id
 		}
 	}
--- a/directory/shared_test.go
+++ b/directory/shared_test.go
@@ -30,7 +30,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		shared, store, peers := newShared()
 		for range 10 {
-			if _, err := shared.Watch(t.Context(), 1, storeWait); err != nil {
+			if _, err := shared.Watch(t.Context(), 1, rhythm.Watch); err != nil {
 				t.Fatal(err)
 			}
 			for _, f := range peers.relays {
@@ -50,7 +50,7 @@
 	for name, fail := range map[string]func(*fakeFeed){
 		"hang":       func(f *fakeFeed) { f.hangs = true },
 		"refuse":     func(f *fakeFeed) { f.err = errors.New("refused") },
-		"lag":        func(f *fakeFeed) { f.age = relayAge },
+		"lag":        func(f *fakeFeed) { f.age = rhythm.Age },
 		"are unsure": func(f *fakeFeed) { f.Fail() },
 	} {
 		synctest.Test(t, func(t *testing.T) {
@@ -61,7 +61,7 @@
 			started := time.Now()
 			store.Apply(batch(2, false, "a2"))
 			for after := uint64(1); after == 1; {
-				got, err := shared.Watch(t.Context(), 1, storeWait)
+				got, err := shared.Watch(t.Context(), 1, rhythm.Watch)
 				if err != nil {
 					t.Fatalf("%s: %v", name, err)
 				}
@@ -81,7 +81,7 @@
 		store.fail(errors.New("503"))
 		peers.relays["r1"].Apply(batch(3, false, "a3"))
 		peers.relays["r2"].Apply(batch(3, false, "a3"))
-		got, err := shared.Watch(t.Context(), 1, storeWait)
+		got, err := shared.Watch(t.Context(), 1, rhythm.Watch)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -124,7 +124,7 @@
 			t.Fatal(err)
 		}
 		expectNames(t, "list", got.Entries, "a1")
-		if _, err := shared.Watch(t.Context(), got.Revision, storeWait); err == nil {
+		if _, err := shared.Watch(t.Context(), got.Revision, rhythm.Watch); err == nil {
 			t.Error("watch of old copies: got no error, want the store tried again")
 		}
 	})
@@ -137,7 +137,7 @@
 		store.fail(&slipwick.Error{
 			Kind: slipwick.KindHistoryLost,
 		})
-		if _, err := shared.Watch(t.Context(), 1, storeWait); !slipwick.IsKind(err, slipwick.KindHistoryLost) {
+		if _, err := shared.Watch(t.Context(), 1, rhythm.Watch); !slipwick.IsKind(err, slipwick.KindHistoryLost) {
 			t.Errorf("got %v, want history lost, so that the store is listed", err)
 		}
 	})
