Learn the pace of pools from their requests

Cause: what stood for the pace of engines and services were constants: 100 tokens a ms of reading and 80 ms to the first token, 8,000 tokens for a long prompt, a lead of 1,500, 500 ms of silence, twice the objective or 400 ms of patience, 1.2 s of pause, 30 ms for another send.

Now package pace learns, per pool, the time to the first token and the tokens read a millisecond (low quantiles, so that waiting behind others does not count), and by how much longer requests take than that; start values, floors and ceilings are constants there. Patience is twice what 99 in 100 take, and leaves half of the time to the next send; silence four times, 0.5 to 4 s; the pause of streams follows from what the route allows between events, which is read from the configuration now.

Ruled out: one time for each route: the few requests of a route at one router take a minute to tell anything. Slowness kept as it was when seen: after a start with wrong values 99 in 100 stayed ten times too high for 256 requests (TestPatienceAllowsForReading failed).

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -25,9 +25,6 @@
 	farCost = 1.5
 )
 
-// longRead is how many tokens make a long prompt: some 60 ms of reading.
-const longRead = 8000
-
 // Balancer chooses among the backend servers of all pools. It is safe for
 // concurrent use. Set the exported fields before the first call.
 type Balancer struct {
@@ -58,6 +55,8 @@
 	reads []Read
 	// readings are the prompts that are read for the first time.
 	readings readings
+	// paces are what the pools' requests showed.
+	paces map[string]*poolPace
 }
 
 // New makes a balancer without backend servers.
@@ -73,6 +72,7 @@
 		homes:      newHomes(),
 		heard:      make(map[string]heard),
 		readings:   make(readings),
+		paces:      make(map[string]*poolPace),
 	}
 }
 
@@ -108,7 +108,7 @@
 	defer b.mu.Unlock()
 	now := time.Now()
 	pool := b.pools[ask.Pool]
-	usable := usableOf(pool, ask, now)
+	usable := b.usableLocked(pool, ask, now)
 	if len(usable) == 0 {
 		return nil, noBackend(ask.Pool)
 	}
@@ -123,7 +123,7 @@
 	}
 	lease.server.inFlight++
 	lease.server.reading += lease.reading
-	if lease.reading >= longRead {
+	if lease.hasPrompt && lease.reading >= b.paceLocked(ask.Pool).reading.Tokens(longReadTime) {
 		b.OnLongRead()
 	}
 	return lease, nil
@@ -145,15 +145,15 @@
 	}
 }
 
-// usableOf gives the backend servers that may get the request; those that are
+// usableLocked gives the backend servers that may get the request; those that are
 // left out count when no other is left.
-func usableOf(pool []*server, ask *Ask, now time.Time) []*server {
+func (b *Balancer) usableLocked(pool []*server, ask *Ask, now time.Time) []*server {
 	usable := make([]*server, 0, len(pool))
 	var out []*server
 	for _, s := range pool {
 		switch {
 		case s.Leaving || slices.Contains(ask.Avoid, s.ID):
-		case s.isOut(now):
+		case b.isOutLocked(s, now):
 			out = append(out, s)
 		default:
 			usable = append(usable, s)
--- a/balance/errors_test.go
+++ b/balance/errors_test.go
@@ -23,7 +23,7 @@
 	defer b.mu.Unlock()
 	out := 0
 	for _, s := range b.servers {
-		if s.isOut(time.Now()) {
+		if b.isOutLocked(s, time.Now()) {
 			out++
 		}
 	}
@@ -36,9 +36,9 @@
 		id := home(7, 3)
 		waiting := acquire(t, b, prompt(7))
 		b.Began(waiting)
-		time.Sleep(silenceLimit)
+		time.Sleep(leastSilence)
 		if got := acquire(t, b, prompt(7)).Backend.ID; got != id {
-			t.Errorf("after %v: got %s, want %s still", silenceLimit, got, id)
+			t.Errorf("after %v: got %s, want %s still", leastSilence, got, id)
 		}
 		time.Sleep(time.Millisecond)
 		lease := acquire(t, b, prompt(7))
--- a/balance/lease.go
+++ b/balance/lease.go
@@ -18,6 +18,11 @@
 	Read <-chan struct{}
 
 	server *server
+	// hasPrompt says that the request has one, toRead how many of its tokens the
+	// engine had to read when it was chosen, sentAt when it was sent.
+	hasPrompt bool
+	toRead    int
+	sentAt    time.Time
 	// part and begun are the reading that this request is the first of.
 	part  uint64
 	begun *reading
--- /dev/null
+++ b/balance/pace.go
@@ -0,0 +1,143 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/slipwick/slipwick/pace"
+)
+
+// The figures of what a backend server is expected to take.
+const (
+	// slownessLeast requests have to be seen before the times of a pool count.
+	slownessLeast = 32
+	// lateShare of the requests begin to be answered within the time that one
+	// may take; usualShare is the middle.
+	lateShare  = 0.99
+	usualShare = 0.5
+	// patienceFactor times that is how long a request waits before it goes on
+	// elsewhere, silenceFactor times it how long a backend server with requests
+	// in flight may say nothing before new ones go elsewhere.
+	patienceFactor = 2
+	silenceFactor  = 4
+	// leastPatience is some round trips and a pause of a busy server;
+	// leastSilence and mostSilence bound the silence: engines say something with
+	// every step, and callers leave within some seconds.
+	leastPatience = 100 * time.Millisecond
+	leastSilence  = 500 * time.Millisecond
+	mostSilence   = 4 * time.Second
+	// longReadTime of reading makes a prompt long, and rankLeadTime of it is by
+	// how much an engine may be behind the next in a prompt's ranks.
+	longReadTime = 80 * time.Millisecond
+	rankLeadTime = 15 * time.Millisecond
+	// toldReadTime of reading is expected of a prompt that is read for another
+	// router.
+	toldReadTime = 2 * longReadTime
+	// baseMargin and readingMargin times what was learnt is how long a prompt is
+	// waited for that an engine reads, mostReadingWait bounds it.
+	baseMargin      = 1.5
+	readingMargin   = 1.2
+	mostReadingWait = 2 * time.Second
+)
+
+// poolPace is what a pool's requests showed of its pace.
+type poolPace struct {
+	// isEngines says that the pool's requests have prompts.
+	isEngines bool
+	reading   *pace.Reading
+	// slowness has the times until answers began.
+	slowness *pace.Slowness
+}
+
+// paceLocked gives a pool's pace.
+func (b *Balancer) paceLocked(pool string) *poolPace {
+	p := b.paces[pool]
+	if p == nil {
+		p = newPoolPace()
+		b.paces[pool] = p
+	}
+	return p
+}
+
+func newPoolPace() *poolPace {
+	p := &poolPace{
+		reading: pace.NewReading(),
+	}
+	p.slowness = &pace.Slowness{
+		Undisturbed: p.undisturbed,
+	}
+	return p
+}
+
+// undisturbed is what an engine takes alone; plain services have no measure of
+// their requests, so that all count alike.
+func (p *poolPace) undisturbed(tokens int) time.Duration {
+	if !p.isEngines {
+		return time.Millisecond
+	}
+	return p.reading.Time(tokens)
+}
+
+// within is the time in which a share of such requests begin to be answered; 0
+// while too little is known.
+func (p *poolPace) within(share float64, tokens int) time.Duration {
+	if p.slowness.Len() < slownessLeast {
+		return 0
+	}
+	return p.slowness.Within(share, tokens)
+}
+
+// readBy is how long an engine reads a prompt at most.
+func (p *poolPace) readBy(tokens int) time.Duration {
+	base := p.reading.Base()
+	wait := baseMargin*float64(base) + readingMargin*float64(p.reading.Time(tokens)-base)
+	return min(time.Duration(wait), mostReadingWait)
+}
+
+// silence is how long a server with so much to read may say nothing.
+func (p *poolPace) silence(tokens int) time.Duration {
+	limit := silenceFactor * p.within(lateShare, tokens)
+	return min(max(limit, leastSilence), mostSilence)
+}
+
+// Sent notes that the lease's request is about to be sent.
+func (b *Balancer) Sent(lease *Lease) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	lease.sentAt = time.Now()
+}
+
+// LearnPace takes the time in which the lease's request began to be answered,
+// now, with a success.
+func (b *Balancer) LearnPace(lease *Lease) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if lease.sentAt.IsZero() {
+		return
+	}
+	took, p := time.Since(lease.sentAt), b.paceLocked(lease.server.Pool)
+	p.isEngines = p.isEngines || lease.hasPrompt
+	p.slowness.Seen(lease.toRead, took)
+	if lease.hasPrompt && lease.FetchFrom == "" {
+		p.reading.Seen(lease.toRead, took)
+	}
+}
+
+// Patience is how long the lease's request should wait for the first byte of its
+// answer, by what the pool's took lately; 0 while too little is known.
+func (b *Balancer) Patience(lease *Lease) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	late := b.paceLocked(lease.server.Pool).within(lateShare, lease.toRead)
+	if late == 0 {
+		return 0
+	}
+	return max(patienceFactor*late, leastPatience)
+}
+
+// Usual is how long such a request of the pool usually takes until its answer
+// begins; 0 while too little is known.
+func (b *Balancer) Usual(ask *Ask) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.paceLocked(ask.Pool).within(usualShare, ask.Own)
+}
--- /dev/null
+++ b/balance/pace_test.go
@@ -0,0 +1,155 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/slipwick/slipwick"
+)
+
+// serve has the pool answer a request after the time.
+func serve(t *testing.T, b *Balancer, ask *Ask, took time.Duration) {
+	t.Helper()
+	lease := acquire(t, b, ask)
+	b.Sent(lease)
+	time.Sleep(took)
+	b.Began(lease)
+	b.LearnPace(lease)
+	b.Release(lease, slipwick.EvidenceGood)
+}
+
+// patienceOf is the patience with the pool's next request.
+func patienceOf(t *testing.T, b *Balancer, ask *Ask) time.Duration {
+	t.Helper()
+	lease := acquire(t, b, ask)
+	defer b.Abandon(lease)
+	return b.Patience(lease)
+}
+
+func expectBetween(t *testing.T, what string, got, least, most time.Duration) {
+	t.Helper()
+	if got < least || got > most {
+		t.Errorf("%s: got %v, want %v to %v", what, got, least, most)
+	}
+}
+
+func TestPatienceIsUnknownAtTheStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBalancer(3)
+		for range slownessLeast - 1 {
+			serve(t, b, plain, 10*time.Millisecond)
+		}
+		if got := patienceOf(t, b, plain); got != 0 {
+			t.Errorf("got a patience of %v after too few requests, want 0", got)
+		}
+	})
+}
+
+// TestPatienceFollowsThePool has a plain service become slow, and fast again.
+func TestPatienceFollowsThePool(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBalancer(3)
+		for _, took := range []time.Duration{80 * time.Millisecond, 400 * time.Millisecond, 80 * time.Millisecond} {
+			for range 512 {
+				serve(t, b, plain, took)
+			}
+			expectBetween(t, fmt.Sprintf("answers after %v", took), patienceOf(t, b, plain), 2*took, 5*took/2)
+		}
+		for range 512 {
+			serve(t, b, plain, time.Millisecond)
+		}
+		if got := patienceOf(t, b, plain); got != leastPatience {
+			t.Errorf("got %v for a fast service, want the floor, %v", got, leastPatience)
+		}
+	})
+}
+
+// TestPatienceAllowsForReading has engines read at a tenth of the usual pace.
+func TestPatienceAllowsForReading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBalancer(3)
+		const base, each = 500 * time.Millisecond, 100 * time.Microsecond
+		key := uint64(0)
+		read := func(tokens int) {
+			key++
+			ask := prompt(key)
+			ask.Prompt[0].Tokens, ask.Own = tokens, 0
+			serve(t, b, ask, base+time.Duration(tokens)*each)
+		}
+		for i := range 300 {
+			read(100 + i%100)
+			if i%5 == 0 {
+				read(10000)
+			}
+		}
+		expectBetween(t, "a short prompt", patienceOf(t, b, shared(1, 100)), time.Second, 1500*time.Millisecond)
+		expectBetween(t, "a long prompt", patienceOf(t, b, shared(2, 20000)), 4*time.Second, 6500*time.Millisecond)
+		if got := b.paces["p"].reading.Tokens(longReadTime); got > 1200 {
+			t.Errorf("got %d tokens for a long prompt, want about 800", got)
+		}
+	})
+}
+
+// shared is an ask for a prompt that nobody has read.
+func shared(key uint64, tokens int) *Ask {
+	ask := prompt(key + 1<<40)
+	ask.Prompt[0].Tokens, ask.Own = tokens, 0
+	return ask
+}
+
+// TestOneSlowServerDoesNotSpoilThePatience has one of eight servers hang before
+// it answers.
+func TestOneSlowServerDoesNotSpoilThePatience(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBalancer(8)
+		for i := range 512 {
+			took := 40 * time.Millisecond
+			if i%200 == 0 {
+				took = 3 * time.Second
+			}
+			serve(t, b, plain, took)
+		}
+		expectBetween(t, "with few late answers", patienceOf(t, b, plain), 80*time.Millisecond, 200*time.Millisecond)
+	})
+}
+
+// TestSlowPoolIsNotSilent has engines that take 900 ms to their first token: one
+// that says nothing for so long still gets requests.
+func TestSlowPoolIsNotSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBalancer(3)
+		for range 2 * slownessLeast {
+			serve(t, b, prompt(7), 900*time.Millisecond)
+		}
+		id := home(7, 3)
+		waiting := acquire(t, b, prompt(7))
+		time.Sleep(2 * time.Second)
+		if got := acquire(t, b, prompt(7)).Backend.ID; got != id {
+			t.Errorf("after 2 s: got %s, want %s still", got, id)
+		}
+		time.Sleep(mostSilence)
+		if got := acquire(t, b, prompt(7)).Backend.ID; got == id {
+			t.Errorf("after %v: got %s, want another", 2*time.Second+mostSilence, got)
+		}
+		b.Release(waiting, slipwick.EvidenceNone)
+	})
+}
+
+func TestUsualTimeIsTheMiddle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBalancer(3)
+		if got := b.Usual(plain); got != 0 {
+			t.Errorf("got %v at the start, want 0", got)
+		}
+		for i := range 512 {
+			took := 40 * time.Millisecond
+			if i%4 == 0 {
+				took = time.Second
+			}
+			serve(t, b, plain, took)
+		}
+		expectBetween(t, "usual", b.Usual(plain), 40*time.Millisecond, 45*time.Millisecond)
+	})
+}
--- a/balance/prompt.go
+++ b/balance/prompt.go
@@ -42,11 +42,13 @@
 		chosen = b.leastReadingLocked(prompt, usable, each, bound)
 	}
 	lease := leaseOf(chosen)
+	lease.hasPrompt = true
 	lease.reading = ask.Own
 	has := b.homes.has(prompt, chosen)
 	if !has {
 		lease.reading = ask.tokens()
 	}
+	lease.toRead = lease.reading
 	holder := b.holderLocked(parts, pool, chosen, now)
 	if holder != nil {
 		lease.FetchFrom = holder.Address
@@ -60,14 +62,11 @@
 	return lease
 }
 
-// rankLead is by how many tokens to read an engine may be behind the next in
-// the prompt's ranks and still get a prompt that it does not have: some 10 ms of
-// reading. It keeps routers, which know of each other's readings late, from
-// choosing the same engine for all prompts.
-const rankLead = 1500
-
 // leastReadingLocked gives the engine, below the bound, that has the least to
-// read before it, with a lead by the prompt's ranks.
+// read before it, with a lead by the prompt's ranks: by so much an engine may be
+// behind the next and still get a prompt that it does not have. It keeps routers,
+// which know of each other's readings late, from choosing the same engine for
+// all prompts.
 func (b *Balancer) leastReadingLocked(prompt uint64, usable []*server, each []float64, bound float64) *server {
 	var below []*server
 	for i, s := range usable {
@@ -80,6 +79,7 @@
 	})
 	var best *server
 	bestCost := 0
+	rankLead := b.paceLocked(usable[0].Pool).reading.Tokens(rankLeadTime)
 	for rank, s := range below {
 		cost := rank*rankLead + s.reading + b.readingToldLocked(s)
 		if best == nil || cost < bestCost {
@@ -128,7 +128,7 @@
 // its cache is not known; one that is known to keep the first parts.
 func (b *Balancer) holderLocked(parts []uint64, pool []*server, chosen *server, now time.Time) *server {
 	usable := func(engine uint64) *server {
-		if s := b.hashes[engine]; s != nil && s.isReachable(now) {
+		if s := b.hashes[engine]; s != nil && b.isReachableLocked(s, now) {
 			return s
 		}
 		return nil
@@ -139,7 +139,7 @@
 	}
 	var home *server
 	for _, s := range pool {
-		if s.isOut(now) || s != chosen && s.since.After(chosen.since) {
+		if b.isOutLocked(s, now) || s != chosen && s.since.After(chosen.since) {
 			continue
 		}
 		if s == chosen && now.Sub(s.since) < settledAfter {
--- a/balance/reading.go
+++ b/balance/reading.go
@@ -2,17 +2,8 @@
 
 import "time"
 
-const (
-	// readingBase and readingPace bound how long an engine reads a prompt: its
-	// first token comes after some 60 ms, and a quarter less than the 140
-	// tokens a millisecond that it reads alone.
-	readingBase = 80 * time.Millisecond
-	readingPace = 100
-	// maxReadingWait bounds how long a request waits for another's reading.
-	maxReadingWait = 250 * time.Millisecond
-	// readingsKept bounds the readings that are remembered.
-	readingsKept = 512
-)
+// readingsKept bounds the readings that are remembered.
+const readingsKept = 512
 
 // reading is a prompt that an engine reads for the first time. Requests for
 // the same prompt that come meanwhile would have it read again, at this engine
@@ -20,22 +11,19 @@
 type reading struct {
 	engine uint64
 	began  time.Time
+	// until is when the prompt is read at the latest.
+	until time.Time
 	// done is closed when the engine has begun to answer; nil for readings of
 	// other routers.
 	done chan struct{}
 }
 
-// until is when a prompt of so many tokens is read at the latest.
-func (r *reading) until(tokens int) time.Time {
-	return r.began.Add(readingBase + time.Duration(tokens/readingPace)*time.Millisecond)
-}
-
 // readings are those of the last moments, by the last shared part.
 type readings map[uint64]*reading
 
 // begin notes a reading, unless the prompt is being read already.
 func (r readings) begin(part uint64, begun *reading) bool {
-	if known := r[part]; known != nil && begun.began.Before(known.began.Add(maxReadingWait)) {
+	if known := r[part]; known != nil && begun.began.Before(known.until) {
 		return false
 	}
 	if len(r) >= readingsKept {
@@ -51,7 +39,7 @@
 // forget drops readings that nobody waits for any more.
 func (r readings) forget(now time.Time) {
 	for part, known := range r {
-		if now.Sub(known.began) > maxReadingWait {
+		if now.After(known.until) {
 			delete(r, part)
 		}
 	}
@@ -62,6 +50,7 @@
 	begun := &reading{
 		engine: lease.server.hash,
 		began:  now,
+		until:  now.Add(b.paceLocked(lease.server.Pool).readBy(lease.toRead)),
 		done:   make(chan struct{}),
 	}
 	if b.readings.begin(part, begun) {
@@ -84,12 +73,12 @@
 // awaitReadingLocked has the lease wait if the prompt is being read for the
 // first time. An engine other than the one that reads it fetches it from there.
 func (b *Balancer) awaitReadingLocked(part uint64, tokens int, lease *Lease, now time.Time) {
-	known := b.readings[part]
-	if known == nil || known.done == nil && tokens < longRead {
+	known, p := b.readings[part], b.paceLocked(lease.server.Pool)
+	if known == nil || known.done == nil && tokens < p.reading.Tokens(longReadTime) {
 		// Other routers tell of short readings when these are over.
 		return
 	}
-	wait := min(known.until(tokens).Sub(now), maxReadingWait)
+	wait := known.began.Add(p.readBy(tokens)).Sub(now)
 	if wait <= 0 {
 		return
 	}
--- a/balance/reading_test.go
+++ b/balance/reading_test.go
@@ -25,6 +25,13 @@
 	}
 }
 
+const (
+	// startReading is how long a long prompt is waited for, by the start values
+	// of the pace: 1.5 times the base and 1.2 times the reading of 10,000 tokens.
+	startReading = 82500*time.Microsecond + 120*time.Millisecond
+	longestWait  = 250 * time.Millisecond
+)
+
 func TestRequestsWaitWhileTheirPromptIsReadForAnother(t *testing.T) {
 	for _, test := range []struct {
 		name string
@@ -44,8 +51,8 @@
 				// that fetch from it.
 				for range 5 {
 					lease := acquire(t, b, longPrompt(7))
-					if lease.Wait <= 0 || lease.Wait > maxReadingWait || isOver(lease) {
-						t.Errorf("%s: got a wait of %v, want one of up to %v", lease.Backend.ID, lease.Wait, maxReadingWait)
+					if lease.Wait <= 0 || lease.Wait > longestWait || isOver(lease) {
+						t.Errorf("%s: got a wait of %v, want one of up to %v", lease.Backend.ID, lease.Wait, longestWait)
 					}
 					defer func() {
 						if !isOver(lease) {
@@ -73,13 +80,13 @@
 		}
 		b.HearReadings(reads)
 		lease := acquire(t, b, longPrompt(7))
-		if want := readingBase + 100*time.Millisecond; lease.Backend.ID != "p-2" || lease.Wait != want || lease.Read != nil {
+		if want := startReading; lease.Backend.ID != "p-2" || lease.Wait != want || lease.Read != nil {
 			t.Errorf("got %s and a wait of %v, want p-2 and %v", lease.Backend.ID, lease.Wait, want)
 		}
 		if lease := acquire(t, b, prompt(7)); lease.Wait > 0 {
 			t.Errorf("a short prompt: got a wait of %v, want none", lease.Wait)
 		}
-		time.Sleep(readingBase + 100*time.Millisecond)
+		time.Sleep(startReading)
 		b.HearReadings(reads)
 		if lease := acquire(t, b, longPrompt(7)); lease.Wait > 0 {
 			t.Errorf("when it is read: got a wait of %v, want none", lease.Wait)
@@ -97,7 +104,7 @@
 		if got := len(b.readings); got > readingsKept {
 			t.Errorf("got %d readings, want at most %d", got, readingsKept)
 		}
-		time.Sleep(maxReadingWait + time.Millisecond)
+		time.Sleep(longestWait + time.Millisecond)
 		acquire(t, b, longPrompt(1<<40))
 		if got := len(b.readings); got > 1 {
 			t.Errorf("got %d readings later, want the newest alone", got)
--- a/balance/server.go
+++ b/balance/server.go
@@ -10,10 +10,6 @@
 	// reportLife is how long a report of load is believed: at the rates
 	// designed for, a router hears from each engine about once a second.
 	reportLife = 1500 * time.Millisecond
-	// silenceLimit is how long a backend server with requests in flight may
-	// say nothing before new ones go elsewhere: engines say something with
-	// every step, plain services answer most requests within 100 ms.
-	silenceLimit = 500 * time.Millisecond
 	// shortOuting and longOuting bound how long one is left out.
 	shortOuting = 500 * time.Millisecond
 	longOuting  = 4 * time.Second
@@ -71,22 +67,25 @@
 	return max(s.reported-s.reportedOwn, 0), true
 }
 
-// isOut tells whether it gets nothing new for now: it is left out for its
-// failures, or says nothing though it has requests to answer.
-func (s *server) isOut(now time.Time) bool {
-	return now.Before(s.outUntil) || s.isSilent(now)
+// isOutLocked tells whether the server gets nothing new for now: it is left out
+// for its failures, or says nothing though it has requests to answer.
+func (b *Balancer) isOutLocked(s *server, now time.Time) bool {
+	return now.Before(s.outUntil) || b.isSilentLocked(s, now)
 }
 
-// isReachable tells whether another engine may fetch from it.
-func (s *server) isReachable(now time.Time) bool {
-	return !s.isSilent(now) && (s.failing || !now.Before(s.outUntil))
+// isReachableLocked tells whether another engine may fetch from the server.
+func (b *Balancer) isReachableLocked(s *server, now time.Time) bool {
+	return !b.isSilentLocked(s, now) && (s.failing || !now.Before(s.outUntil))
 }
 
-func (s *server) isSilent(now time.Time) bool {
-	if s.inFlight == 0 || now.Sub(s.waitingSince) <= silenceLimit {
+// isSilentLocked tells whether the server has said nothing for longer than its
+// pool's do, with as much to read.
+func (b *Balancer) isSilentLocked(s *server, now time.Time) bool {
+	quiet := min(now.Sub(s.waitingSince), now.Sub(s.heardAt))
+	if s.inFlight == 0 || quiet <= leastSilence {
 		return false
 	}
-	return now.Sub(s.heardAt) > silenceLimit
+	return quiet > b.paceLocked(s.Pool).silence(s.reading)
 }
 
 // leaveOut leaves it out, for longer each time in a row; false if it is out.
--- a/balance/state.go
+++ b/balance/state.go
@@ -39,7 +39,7 @@
 			DataCentre: s.DataCentre,
 			Leaving:    s.Leaving,
 			Out:        now.Before(s.outUntil),
-			Silent:     s.isSilent(now),
+			Silent:     b.isSilentLocked(s, now),
 			InFlight:   s.inFlight,
 			ErrorRate:  s.errors.rate,
 		}
--- a/balance/told.go
+++ b/balance/told.go
@@ -112,12 +112,17 @@
 	b.mu.Lock()
 	now := time.Now()
 	for _, read := range reads {
-		if known, _ := b.homes.holders.Peek(read.Part); len(known) == 0 {
-			b.readings.begin(read.Part, &reading{
-				engine: read.Server,
-				began:  now,
-			})
+		s := b.hashes[read.Server]
+		if known, _ := b.homes.holders.Peek(read.Part); len(known) > 0 || s == nil {
+			continue
 		}
+		// How much is read is not told.
+		p := b.paceLocked(s.Pool)
+		b.readings.begin(read.Part, &reading{
+			engine: read.Server,
+			began:  now,
+			until:  now.Add(p.readBy(p.reading.Tokens(toldReadTime))),
+		})
 	}
 	b.mu.Unlock()
 	b.HearReads(reads)
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -36,6 +36,9 @@
 	if succeeded && !c.isGenuine(answer) {
 		return resultBroken, slipwick.EvidenceError, errSpoilt
 	}
+	if succeeded {
+		c.gateway.Balancer.LearnPace(lease)
+	}
 	if succeeded && c.route.Kind == routing.KindStream {
 		return c.passEvents(lease, answer)
 	}
--- a/gateway/patience.go
+++ b/gateway/patience.go
@@ -8,15 +8,19 @@
 )
 
 const (
-	// patienceFactor times the route's objective is how long a backend server
-	// may say nothing before the request goes on elsewhere: an answer that
-	// takes longer is late in any case.
-	patienceFactor = 2
-	// leastPatience is for routes with a very short objective or none.
-	leastPatience = 400 * time.Millisecond
-	// pausePatience is how long a stream that has begun may pause: callers
-	// give up after 2 s.
-	pausePatience = 1200 * time.Millisecond
+	// startFactor times the route's objective, and startPatience at least, is
+	// how long a backend server may say nothing before the request goes on
+	// elsewhere, until the pool's own times are known: an answer that takes
+	// longer is late in any case.
+	startFactor   = 2
+	startPatience = 400 * time.Millisecond
+	// nextShare of the time left is kept for the next send, if there may be one.
+	nextShare = 0.5
+	// pauseFactor times the pause that the route allows between events, and
+	// startPause without one, is how long a stream that has begun may say
+	// nothing: callers give up after some seconds.
+	pauseFactor = 4
+	startPause  = 1200 * time.Millisecond
 	// askNextEvery is how often a send that hangs asks for the next one, while
 	// none is granted.
 	askNextEvery = 100 * time.Millisecond
@@ -43,11 +47,19 @@
 		mayGoOn: c.route.MayRepeat() && c.runs+1 < c.route.MaxAttempts,
 	}
 	bounds := upstream.Patience{
-		First:   max(patienceFactor*c.route.Objective, leastPatience),
+		First:   c.gateway.Balancer.Patience(lease),
 		Overdue: p.overdue,
 	}
+	if bounds.First == 0 {
+		bounds.First = max(startFactor*c.route.Objective, startPatience)
+	}
 	if p.mayGoOn {
-		bounds.Pause = pausePatience
+		left := time.Duration((1 - nextShare) * float64(time.Until(c.deadline)))
+		bounds.First = max(min(bounds.First, left), time.Millisecond)
+		bounds.Pause = pauseFactor * c.route.Pause
+		if bounds.Pause == 0 {
+			bounds.Pause = startPause
+		}
 	}
 	return bounds
 }
@@ -59,7 +71,7 @@
 		p.told = true
 		c.gateway.Balancer.Overdue(p.lease)
 	}
-	if !p.mayGoOn || time.Until(c.deadline) < leastTime {
+	if !p.mayGoOn || time.Until(c.deadline) < c.leastTime() {
 		return upstream.Forever
 	}
 	if c.next = c.grantNext(); c.next == nil {
--- a/gateway/patience_test.go
+++ b/gateway/patience_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -21,7 +22,7 @@
 func TestSlowSendIsNotGivenUpWithoutAnother(t *testing.T) {
 	for _, path := range []string{"/repeatable/x", "/resumable/x"} {
 		second := newBackend(t, "b2", answers(http.StatusOK, event("1")))
-		f := newFixture(t, newBackend(t, "b1", answersAfter(leastPatience+200*time.Millisecond, event("1"))), second)
+		f := newFixture(t, newBackend(t, "b1", answersAfter(startPatience+200*time.Millisecond, event("1"))), second)
 		f.gateway.Budget.Ratio, f.gateway.Budget.Extra = 0, 0
 		got := f.post(t, path)
 		if got.status != http.StatusOK || got.body != event("1") || got.header.Get("Slipwick-Stamp") != "b1" {
@@ -35,7 +36,7 @@
 
 // TestSlowSendIsNotGivenUpWithoutAnotherServer has no other backend server.
 func TestSlowSendIsNotGivenUpWithoutAnotherServer(t *testing.T) {
-	f := newFixture(t, newBackend(t, "b1", answersAfter(leastPatience+200*time.Millisecond, "answer")))
+	f := newFixture(t, newBackend(t, "b1", answersAfter(startPatience+200*time.Millisecond, "answer")))
 	if got := f.post(t, "/repeatable/x"); got.status != http.StatusOK || got.body != "answer" {
 		t.Errorf("got %d %q, want the late answer", got.status, got.body)
 	}
@@ -50,7 +51,7 @@
 		w.Header().Set("Slipwick-Stamp", b.id)
 		w.WriteHeader(http.StatusOK)
 		_ = http.NewResponseController(w).Flush()
-		time.Sleep(leastPatience + 200*time.Millisecond)
+		time.Sleep(startPatience + 200*time.Millisecond)
 		_, _ = io.WriteString(w, event("1"))
 	})
 	f := newFixture(t, first, second)
@@ -67,7 +68,7 @@
 // each request has to be served, by the first backend server or the second.
 func TestAnswerAtTheMomentOfGivingUp(t *testing.T) {
 	for _, budget := range []float64{0, 1000} {
-		first := newBackend(t, "b1", answersAfter(leastPatience, event("1")))
+		first := newBackend(t, "b1", answersAfter(startPatience, event("1")))
 		f := newFixture(t, first, newBackend(t, "b2", answers(http.StatusOK, event("1"))))
 		f.gateway.Budget.Ratio, f.gateway.Budget.Extra = 0, budget
 		var all sync.WaitGroup
@@ -82,3 +83,41 @@
 		all.Wait()
 	}
 }
+
+// TestPatienceIsLearnt has the first backend server hang after many quick
+// answers: the request goes on long before the start value would let it.
+func TestPatienceIsLearnt(t *testing.T) {
+	var hangs atomic.Bool
+	release := make(chan struct{})
+	defer close(release)
+	first := newBackend(t, "b1", func(b *backend, w http.ResponseWriter, r *http.Request) {
+		if hangs.Load() {
+			<-release
+		}
+		answers(http.StatusOK, "answer")(b, w, r)
+	})
+	f := newFixture(t, first, newBackend(t, "b2", answers(http.StatusOK, "answer")))
+	for range 40 {
+		f.post(t, "/repeatable/x")
+	}
+	hangs.Store(true)
+	started := time.Now()
+	got := f.post(t, "/repeatable/x")
+	if took := time.Since(started); got.body != "answer" || took > startPatience*3/4 {
+		t.Errorf("got %q after %v, want the second backend server's answer before %v", got.body, took, startPatience*3/4)
+	}
+}
+
+// TestPatienceLeavesTimeForTheNextSend has the first backend server hang before
+// anything was learnt, and a caller with little time.
+func TestPatienceLeavesTimeForTheNextSend(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	f := newFixture(t, newBackend(t, "b1", func(*backend, http.ResponseWriter, *http.Request) { <-release }),
+		newBackend(t, "b2", answersAfter(50*time.Millisecond, "answer")))
+	r := f.request(t, "/repeatable/x", "question")
+	r.Header.Set("Slipwick-Deadline-Ms", "400")
+	if got := send(t, r); got.status != http.StatusOK || got.body != "answer" {
+		t.Errorf("got %d %q, want the second backend server's answer", got.status, got.body)
+	}
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -14,8 +14,11 @@
 	// extraSends is how often a request may be sent beyond the runs it is
 	// allowed, after sends that were certainly not run.
 	extraSends = 2
-	// leastTime is the time that has to be left for another send.
-	leastTime = 30 * time.Millisecond
+	// startLeastTime is the time that has to be left for another send, until the
+	// pool's own times are known; then a usual answer takes leastFactor times
+	// what has to be left.
+	startLeastTime = 30 * time.Millisecond
+	leastFactor    = 2
 )
 
 // serve sends the request until it has an answer or may not be sent again.
@@ -83,7 +86,7 @@
 	switch {
 	case c.request.Context().Err() != nil:
 		return "left"
-	case time.Until(c.deadline) < leastTime:
+	case time.Until(c.deadline) < c.leastTime():
 		return "timeout"
 	case last != resultNotRun && !c.route.MayRepeat():
 		return "may-not-repeat"
@@ -95,6 +98,14 @@
 	return ""
 }
 
+// leastTime is the time that has to be left for another send.
+func (c *call) leastTime() time.Duration {
+	if usual := c.gateway.Balancer.Usual(&c.ask); usual > 0 {
+		return usual / leastFactor
+	}
+	return startLeastTime
+}
+
 // giveUp gives the final answer to a request that has none.
 func (c *call) giveUp(reason string) {
 	switch {
@@ -152,6 +163,7 @@
 	c.sends++
 	c.ask.Avoid = append(c.ask.Avoid, lease.Backend.ID)
 	request := c.upstreamRequest(lease)
+	c.gateway.Balancer.Sent(lease)
 	answer, err := c.gateway.Client.Do(c.ctx, lease.Backend.ID, lease.Backend.Address, request)
 	attempt := &Attempt{
 		Request: c.id,
--- a/gateway/waiting_test.go
+++ b/gateway/waiting_test.go
@@ -49,7 +49,7 @@
 	for range 3 {
 		hanging.Go(func() { f.post(t, "/single/x") })
 	}
-	time.Sleep(leastPatience + 200*time.Millisecond)
+	time.Sleep(startPatience + 200*time.Millisecond)
 	told := f.gateway.Balancer.Tell().Outcomes
 	close(release)
 	hanging.Wait()
--- a/routing/route.go
+++ b/routing/route.go
@@ -14,6 +14,9 @@
 	// Objective is the time to the answer, or its first event, that counts
 	// as good.
 	Objective time.Duration
+	// Pause is the longest pause between events of a stream that counts as in
+	// time; 0 where none is named.
+	Pause time.Duration
 	// Priority ranks requests, 0 first.
 	Priority int
 	// MaxAttempts bounds the backend servers that may run one request.
--- a/tablefile/file.go
+++ b/tablefile/file.go
@@ -34,6 +34,7 @@
 	Kind        string            `json:"kind" validate:"oneof=repeatable single stream"`
 	Timeout     jsonfile.Duration `json:"timeout" validate:"min=0"`
 	Objective   jsonfile.Duration `json:"objective" validate:"min=0"`
+	Pause       jsonfile.Duration `json:"pause" validate:"min=0"`
 	Priority    int               `json:"priority" validate:"min=0,max=9"`
 	MaxAttempts int               `json:"max_attempts" validate:"min=0"`
 	Anonymous   bool              `json:"anonymous"`
@@ -150,6 +151,7 @@
 		Kind:        routing.Kind(r.Kind),
 		Timeout:     time.Duration(r.Timeout),
 		Objective:   time.Duration(r.Objective),
+		Pause:       time.Duration(r.Pause),
 		Priority:    r.Priority,
 		MaxAttempts: max(r.MaxAttempts, 1),
 		Anonymous:   r.Anonymous,
