Learn the caches of engines whose entries come back after a start

Now engines that are listed within 4 s of a router's first list count as there before; the recovery goes on for them after it has let requests through.

Ruled out: lists that fail (none did), copies of other routers (all had lost power).

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -57,6 +57,10 @@
 	readings readings
 	// paces are what the pools' requests showed.
 	paces map[string]*poolPace
+	// firstListed is when the first list came; empty says that engines keep
+	// nothing at the router's start.
+	firstListed time.Time
+	empty       bool
 }
 
 // New makes a balancer without backend servers.
@@ -81,8 +85,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	since := time.Now()
-	if len(b.servers) == 0 {
-		// Those of the first list were there before this router.
+	if b.firstListed.IsZero() {
+		b.firstListed = since
+	}
+	if since.Sub(b.firstListed) < LateListing {
+		// They were there before this router.
 		since = time.Time{}
 	}
 	servers := make(map[string]*server, len(list))
@@ -92,6 +99,7 @@
 		s := b.servers[listed.ID]
 		if s == nil {
 			s = newServer(listed, since)
+			s.covered = s.covered || b.empty
 		}
 		s.Listed = listed
 		servers[listed.ID] = s
--- a/balance/knowledge.go
+++ b/balance/knowledge.go
@@ -109,6 +109,7 @@
 func (b *Balancer) CoverAll() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.empty = true
 	for _, s := range b.servers {
 		s.covered = true
 	}
--- a/balance/server.go
+++ b/balance/server.go
@@ -15,11 +15,17 @@
 	longOuting  = 4 * time.Second
 )
 
+// LateListing is how long after a router's first list backend servers turn up
+// that were there before: entries that lapsed while the store was away come back
+// within about 2 s of its return.
+const LateListing = 4 * time.Second
+
 // server is one backend server as the balancer knows it.
 type server struct {
 	Listed
 	hash uint64
-	// since is when it was first listed; zero if it was when the router began.
+	// since is when it was first listed; zero if it was there when the router
+	// began.
 	since time.Time
 	// covered says that the router knows what it has cached: it was listed
 	// empty, or its cache was learnt after a start.
--- a/cmd/internal/gatewayd/homes.go
+++ b/cmd/internal/gatewayd/homes.go
@@ -18,7 +18,14 @@
 
 // recoverHomes learns where prompts are cached after a start.
 func (p *Process) recoverHomes(ctx context.Context) {
-	defer close(p.learnt)
+	p.learnHomes(ctx)
+	close(p.learnt)
+	if !p.Settings.FirstStart {
+		p.recovery.Follow(ctx)
+	}
+}
+
+func (p *Process) learnHomes(ctx context.Context) {
 	for !p.listed.Load() || p.gateway.Table() == nil {
 		if !sleep(ctx, listedPoll) {
 			return
--- a/exchange/recovery.go
+++ b/exchange/recovery.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,6 +37,10 @@
 	patientRounds = 16
 	// recoveryRounds bounds the whole.
 	recoveryRounds = 40
+	// followPause is how often a router looks for engines that are listed late,
+	// followMargin how long after the last of them can come.
+	followPause  = 50 * time.Millisecond
+	followMargin = 500 * time.Millisecond
 )
 
 // Recovery teaches a router that starts which engines have which parts of
@@ -81,6 +86,28 @@
 // be learnt, or with ctx.
 func (r *Recovery) Run(ctx context.Context) {
 	defer close(r.done)
+	r.learn(ctx)
+}
+
+// Follow learns the caches of engines that are listed late, after Run. It ends
+// when those that turn up are new, or with ctx.
+func (r *Recovery) Follow(ctx context.Context) {
+	for end := time.Now().Add(balance.LateListing + followMargin); time.Now().Before(end); {
+		timer := time.NewTimer(followPause)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+		if missing := r.missing(); slices.ContainsFunc(missing, func(e slipwick.Backend) bool { return !r.asked[e.ID] }) {
+			r.learn(ctx)
+		}
+	}
+}
+
+// learn asks round after round.
+func (r *Recovery) learn(ctx context.Context) {
 	for round := range recoveryRounds {
 		questions := 1
 		if round == 0 {
--- a/exchange/recovery_test.go
+++ b/exchange/recovery_test.go
@@ -45,13 +45,10 @@
 
 var errSilent = errors.New("silent")
 
-// add makes a router that knows the engines and none of their caches.
-func (f *recoveringFleet) add(id string) *Recovery {
-	r := NewRecovery(id)
-	r.DataCentre = dataCentreOf(len(f.routers))
-	r.Balancer = balance.New(r.DataCentre)
+// testBackends lists the first engines.
+func testBackends(n int) []balance.Listed {
 	var backends []balance.Listed
-	for i := range testEngines {
+	for i := range n {
 		backends = append(backends, balance.Listed{
 			Backend: slipwick.Backend{
 				ID:         fmt.Sprintf("engine-%d", i),
@@ -60,7 +57,15 @@
 			Pool: "p",
 		})
 	}
-	r.Balancer.SetBackends(backends)
+	return backends
+}
+
+// add makes a router that knows the engines and none of their caches.
+func (f *recoveringFleet) add(id string) *Recovery {
+	r := NewRecovery(id)
+	r.DataCentre = dataCentreOf(len(f.routers))
+	r.Balancer = balance.New(r.DataCentre)
+	r.Balancer.SetBackends(testBackends(testEngines))
 	r.Pools = func() []string { return []string{"p"} }
 	r.Routers = func() []slipwick.Router {
 		f.mu.Lock()
@@ -174,6 +179,46 @@
 	})
 }
 
+// TestEnginesThatComeBackLateKeepTheirCaches has routers start when the store has
+// just returned, and half of the engines enter themselves a second later.
+func TestEnginesThatComeBackLateKeepTheirCaches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRecoveringFleet()
+		var started []*Recovery
+		for i := range 4 {
+			r := f.add(fmt.Sprint("r", i))
+			r.Balancer = balance.New(r.DataCentre)
+			r.Balancer.SetBackends(testBackends(testEngines / 2))
+			started = append(started, r)
+		}
+		for _, r := range started {
+			go func() {
+				r.Run(t.Context())
+				r.Follow(t.Context())
+			}()
+		}
+		time.Sleep(time.Second)
+		for _, r := range started {
+			r.Balancer.SetBackends(testBackends(testEngines))
+		}
+		time.Sleep(time.Second)
+		for _, r := range started {
+			if got, want := r.Balancer.KnownParts(), testEngines*testParts; got != want || r.Missing() > 0 {
+				t.Errorf("router %s: got %d parts and %d engines missing, want %d and none", r.Self, got, r.Missing(), want)
+			}
+		}
+		time.Sleep(balance.LateListing)
+		lists := len(f.lists)
+		for _, r := range started {
+			r.Balancer.SetBackends(testBackends(testEngines + 1))
+		}
+		time.Sleep(time.Second)
+		if got := len(f.lists); got != lists {
+			t.Errorf("an engine that comes later: got %d engines asked, want %d as before: it is new", got, lists)
+		}
+	})
+}
+
 // TestSilentEnginesAndRoutersEndInTime has one engine and one router that
 // answer nothing: all else has to be learnt, soon.
 func TestSilentEnginesAndRoutersEndInTime(t *testing.T) {
