Wait for paused streams by what the pool's streams pause

Cause: a stream that may be resumed went on elsewhere after four times the pause that its route allows.

Now the longest pauses of the pool's whole streams are remembered; the wait is twice what 99 in 100 stay below, at least the former, at most 4 s. TestPausePatienceFollowsThePool.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -258,7 +258,8 @@
 	defer b.mu.Unlock()
 	lease.server.reading -= lease.reading
 	lease.reading = 0
-	lease.server.heardAt = time.Now()
+	lease.heardAt = time.Now()
+	lease.server.heardAt = lease.heardAt
 	b.endReadingLocked(lease)
 }
 
@@ -266,6 +267,9 @@
 func (b *Balancer) Release(lease *Lease, evidence slipwick.Evidence) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if evidence == slipwick.EvidenceGood && lease.longestPause > 0 {
+		b.paceLocked(lease.server.Pool).pauses.Add(float64(lease.longestPause))
+	}
 	lease.server.inFlight--
 	lease.server.reading -= lease.reading
 	lease.reading = 0
@@ -282,5 +286,7 @@
 func (b *Balancer) Heard(lease *Lease) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	lease.server.heardAt = time.Now()
+	now := time.Now()
+	lease.longestPause = max(lease.longestPause, now.Sub(lease.heardAt))
+	lease.heardAt, lease.server.heardAt = now, now
 }
--- a/balance/lease.go
+++ b/balance/lease.go
@@ -23,6 +23,10 @@
 	hasPrompt bool
 	toRead    int
 	sentAt    time.Time
+	// heardAt is when the answer began or went on last, longestPause the longest
+	// time in between.
+	heardAt      time.Time
+	longestPause time.Duration
 	// part and begun are the reading that this request is the first of.
 	part  uint64
 	begun *reading
--- a/balance/pace.go
+++ b/balance/pace.go
@@ -10,6 +10,10 @@
 const (
 	// slownessLeast requests have to be seen before the times of a pool count.
 	slownessLeast = 32
+	// pausesWindow is how many streams are remembered by their longest pause,
+	// pausesLeast how many have to be seen before it counts.
+	pausesWindow = 256
+	pausesLeast  = 32
 	// lateShare of the requests begin to be answered within the time that one
 	// may take; usualShare is the middle.
 	lateShare  = 0.99
@@ -46,6 +50,8 @@
 	reading   *pace.Reading
 	// slowness has the times until answers began.
 	slowness *pace.Slowness
+	// pauses are the longest pauses of streams that came whole, in nanoseconds.
+	pauses *pace.Window
 }
 
 // paceLocked gives a pool's pace.
@@ -61,6 +67,7 @@
 func newPoolPace() *poolPace {
 	p := &poolPace{
 		reading: pace.NewReading(),
+		pauses:  pace.NewWindow(pausesWindow),
 	}
 	p.slowness = &pace.Slowness{
 		Undisturbed: p.undisturbed,
@@ -134,6 +141,19 @@
 	return max(patienceFactor*late, leastPatience)
 }
 
+// PausePatience is how long a stream of the lease's pool should be waited for that
+// has begun and says nothing, by what the pool's paused lately; 0 while too little
+// is known.
+func (b *Balancer) PausePatience(lease *Lease) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	pauses := b.paceLocked(lease.server.Pool).pauses
+	if pauses.Len() < pausesLeast {
+		return 0
+	}
+	return time.Duration(patienceFactor * pauses.Quantile(lateShare))
+}
+
 // Usual is how long such a request of the pool usually takes until its answer
 // begins; 0 while too little is known.
 func (b *Balancer) Usual(ask *Ask) time.Duration {
--- a/balance/pace_test.go
+++ b/balance/pace_test.go
@@ -153,3 +153,32 @@
 		expectBetween(t, "usual", b.Usual(plain), 40*time.Millisecond, 45*time.Millisecond)
 	})
 }
+
+// TestPausePatienceFollowsThePool has streams of a pool begin to pause for long,
+// and cease to.
+func TestPausePatienceFollowsThePool(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBalancer(3)
+		stream := func(pause time.Duration) {
+			lease := acquire(t, b, prompt(7))
+			b.Began(lease)
+			for i := range 4 {
+				time.Sleep(time.Duration(i+1) * pause / 4)
+				b.Heard(lease)
+			}
+			b.Release(lease, slipwick.EvidenceGood)
+		}
+		lease := acquire(t, b, prompt(7))
+		if got := b.PausePatience(lease); got != 0 {
+			t.Errorf("got %v at the start, want 0", got)
+		}
+		for _, pause := range []time.Duration{40 * time.Millisecond, 900 * time.Millisecond, 40 * time.Millisecond} {
+			for range 2 * pausesWindow {
+				stream(pause)
+			}
+			if got, want := b.PausePatience(lease), patienceFactor*pause; got != want {
+				t.Errorf("pauses of %v: got %v, want %v", pause, got, want)
+			}
+		}
+	})
+}
--- a/gateway/patience.go
+++ b/gateway/patience.go
@@ -21,6 +21,9 @@
 	// nothing: callers give up after some seconds.
 	pauseFactor = 4
 	startPause  = 1200 * time.Millisecond
+	// mostPause bounds what the pauses of a slow pool make of it: callers do not
+	// wait for longer.
+	mostPause = 4 * time.Second
 	// askNextEvery is how often a send that hangs asks for the next one, while
 	// none is granted.
 	askNextEvery = 100 * time.Millisecond
@@ -56,14 +59,20 @@
 	if p.mayGoOn {
 		left := time.Duration((1 - nextShare) * float64(time.Until(c.deadline)))
 		bounds.First = max(min(bounds.First, left), time.Millisecond)
-		bounds.Pause = pauseFactor * c.route.Pause
-		if bounds.Pause == 0 {
-			bounds.Pause = startPause
-		}
+		bounds.Pause = c.pausePatience(lease)
 	}
 	return bounds
 }
 
+// pausePatience is how long the rest of a stream may take to come.
+func (c *call) pausePatience(lease *balance.Lease) time.Duration {
+	wait := pauseFactor * c.route.Pause
+	if wait == 0 {
+		wait = startPause
+	}
+	return min(max(wait, c.gateway.Balancer.PausePatience(lease)), max(wait, mostPause))
+}
+
 // overdue tells how long to wait on for a backend server that says nothing.
 func (p *patience) overdue() time.Duration {
 	c := p.call
