--- /dev/null
+++ b/constants_test.go
@@ -0,0 +1,73 @@
+package slipwick
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// decidingPackages are those whose constants docs/CONSTANTS.md accounts for.
+var decidingPackages = []string{
+	"balance", "gateway", "upstream", "exchange", "directory", "retry", "pace", "cmd/internal/gatewayd",
+}
+
+// numericConstants gives the names of a file's constants with a numeric value.
+func numericConstants(file *ast.File) []string {
+	var names []string
+	ast.Inspect(file, func(n ast.Node) bool {
+		spec, ok := n.(*ast.ValueSpec)
+		if !ok || len(spec.Values) != len(spec.Names) {
+			return true
+		}
+		for i, value := range spec.Values {
+			numeric := false
+			ast.Inspect(value, func(n ast.Node) bool {
+				literal, ok := n.(*ast.BasicLit)
+				numeric = numeric || ok && (literal.Kind == token.INT || literal.Kind == token.FLOAT)
+				return true
+			})
+			if numeric {
+				names = append(names, spec.Names[i].Name)
+			}
+		}
+		return true
+	})
+	return names
+}
+
+func TestConstantsPageNamesAll(t *testing.T) {
+	page, err := os.ReadFile("docs/CONSTANTS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, folder := range decidingPackages {
+		paths, err := filepath.Glob(folder + "/*.go")
+		if err != nil || len(paths) == 0 {
+			t.Fatalf("%s: got %d files, %v; want its sources", folder, len(paths), err)
+		}
+		for _, path := range paths {
+			if strings.HasSuffix(path, "_test.go") {
+				continue
+			}
+			file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.SkipObjectResolution)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, decl := range file.Decls {
+				general, ok := decl.(*ast.GenDecl)
+				if !ok || general.Tok != token.CONST {
+					continue
+				}
+				for _, name := range numericConstants(&ast.File{Decls: []ast.Decl{general}, Name: file.Name}) {
+					if !strings.Contains(string(page), "`"+name+"`") {
+						t.Errorf("%s: got no word of %s, want it in docs/CONSTANTS.md", path, name)
+					}
+				}
+			}
+		}
+	}
+}
--- a/directory/relay.go
+++ b/directory/relay.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"io"
@@ -9,50 +10,12 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/httpclient"
 )
 
-// RelayPath is where a router serves its copies to other routers, by name.
-const RelayPath = "/feeds/"
-
-// RelayServer serves copies of feeds to other routers. Set Mirrors before use.
-type RelayServer struct {
-	Mirrors map[string]*Mirror
-}
-
-// ServeHTTP answers a list, or with the query after a watch.
-func (s *RelayServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	mirror := s.Mirrors[r.URL.Path[min(len(RelayPath), len(r.URL.Path)):]]
-	if mirror == nil {
-		http.Error(w, "no such feed; ask for one that this router follows", http.StatusNotFound)
-		return
-	}
-	var batch slipwick.FeedBatch
-	var err error
-	if query := r.URL.Query(); query.Has("after") {
-		after, parseErr := strconv.ParseUint(query.Get("after"), 10, 64)
-		wait, waitErr := time.ParseDuration(query.Get("wait"))
-		if parseErr != nil || waitErr != nil {
-			http.Error(w, "after is no revision or wait is no time", http.StatusBadRequest)
-			return
-		}
-		batch, err = mirror.Watch(r.Context(), after, min(wait, longestRelay))
-	} else {
-		batch, err = mirror.List(r.Context())
-	}
-	switch {
-	case slipwick.IsKind(err, slipwick.KindHistoryLost):
-		http.Error(w, err.Error(), http.StatusGone)
-	case err != nil:
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
-	default:
-		w.Header().Set("Content-Type", "application/json")
-		// A router that has left needs no answer.
-		_ = json.NewEncoder(w).Encode(&batch)
-	}
-}
-
 // Relay is the copy of a feed at another router.
 type Relay struct {
 	// Address is host:port of the router's peers' interface.
@@ -92,15 +55,12 @@
 	if err != nil {
 		return slipwick.FeedBatch{}, err
 	}
+	request.Header.Set("Accept-Encoding", "gzip")
 	response, err := r.HTTP.Do(request)
 	if err != nil {
 		return slipwick.FeedBatch{}, unavailable(r.Address, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	if err != nil {
-		return slipwick.FeedBatch{}, unavailable(r.Address, err)
-	}
 	switch response.StatusCode {
 	case http.StatusOK:
 	case http.StatusGone:
@@ -112,13 +72,35 @@
 	default:
 		return slipwick.FeedBatch{}, unavailable(r.Address, nil)
 	}
-	var batch slipwick.FeedBatch
-	if err := json.Unmarshal(body, &batch); err != nil {
+	batch, err := readBatch(response)
+	if err != nil {
 		return slipwick.FeedBatch{}, unavailable(r.Address, err)
 	}
 	return batch, nil
 }
 
+// maxCopyBytes bounds what is read of a copy: some times the largest that the
+// size designed for needs.
+const maxCopyBytes = 64 << 20
+
+func readBatch(response *http.Response) (slipwick.FeedBatch, error) {
+	reader, err := gzip.NewReader(response.Body)
+	if err != nil {
+		return slipwick.FeedBatch{}, err
+	}
+	var wire wireBatch
+	if err := json.NewDecoder(io.LimitReader(reader, maxCopyBytes)).Decode(&wire); err != nil {
+		return slipwick.FeedBatch{}, err
+	}
+	age, err := strconv.ParseInt(response.Header.Get(ageHeader), 10, 64)
+	if err != nil {
+		return slipwick.FeedBatch{}, errors.Wrap(err, "a copy without its age")
+	}
+	batch := wire.batch()
+	batch.Age = time.Duration(age) * time.Millisecond
+	return batch, nil
+}
+
 func unavailable(address string, cause error) error {
 	return &slipwick.Error{
 		Kind:    slipwick.KindUnavailable,
--- /dev/null
+++ b/directory/relayserver_test.go
@@ -0,0 +1,122 @@
+package directory
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/slipwick/slipwick"
+)
+
+// largeBatch is a configuration of many routes.
+func largeBatch(revision uint64) *slipwick.FeedBatch {
+	var text strings.Builder
+	text.WriteString(`{"routes":[`)
+	for i := range 500 {
+		fmt.Fprintf(&text, `{"name":"route-%d","host":"a%d.example","path_prefix":"/p%d/",`, i, i%7, i)
+		fmt.Fprintf(&text, `"kind":"repeatable","timeout_ms":%d,"max_attempts":2},`, 600+i%3)
+	}
+	text.WriteString(`{}]}`)
+	return &slipwick.FeedBatch{
+		Whole:    true,
+		Revision: revision,
+		Entries: []slipwick.FeedEntry{
+			{
+				Name:  "main",
+				Value: []byte(text.String()),
+			},
+			{
+				Name:  "binary",
+				Value: []byte{0xff, 0xfe, 0},
+			},
+		},
+	}
+}
+
+// TestCopiesAreSmall has 29 routers list a large configuration at once: what
+// goes over the wire has to pass a link of 10 Mbit/s in half a second.
+func TestCopiesAreSmall(t *testing.T) {
+	const routers, most = 29, 10_000_000 / 8 / 2
+	mirror := NewMirror()
+	want := largeBatch(3)
+	mirror.Apply(want)
+	relays := &RelayServer{
+		Mirrors: map[string]*Mirror{
+			"f": mirror,
+		},
+	}
+	var mu sync.Mutex
+	sent := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		recorder := httptest.NewRecorder()
+		relays.ServeHTTP(recorder, r)
+		mu.Lock()
+		sent += recorder.Body.Len()
+		mu.Unlock()
+		for name, values := range recorder.Header() {
+			w.Header()[name] = values
+		}
+		w.WriteHeader(recorder.Code)
+		_, _ = w.Write(recorder.Body.Bytes())
+	}))
+	defer server.Close()
+	var all sync.WaitGroup
+	for range routers {
+		all.Go(func() {
+			relay := &Relay{
+				Address: strings.TrimPrefix(server.URL, "http://"),
+				Name:    "f",
+				HTTP:    http.DefaultClient,
+			}
+			got, err := relay.List(t.Context())
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			values := make(map[string]string)
+			for _, e := range got.Entries {
+				values[e.Name] = string(e.Value)
+			}
+			for _, e := range want.Entries {
+				if values[e.Name] != string(e.Value) {
+					t.Errorf("%s: got %d bytes, want the %d of the copy", e.Name, len(values[e.Name]), len(e.Value))
+				}
+			}
+		})
+	}
+	all.Wait()
+	if sent > most {
+		t.Errorf("got %d bytes to %d routers, want at most %d", sent, routers, most)
+	}
+	if got := len(relays.encoded); got != 1 {
+		t.Errorf("got %d encodings, want 1 for all routers", got)
+	}
+}
+
+// TestAgeIsToldAnew has a router ask twice for the same copy.
+func TestAgeIsToldAnew(t *testing.T) {
+	mirror := NewMirror()
+	mirror.Apply(batch(3, true, "a1"))
+	server := httptest.NewServer(&RelayServer{
+		Mirrors: map[string]*Mirror{
+			"f": mirror,
+		},
+	})
+	defer server.Close()
+	relay := &Relay{
+		Address: strings.TrimPrefix(server.URL, "http://"),
+		Name:    "f",
+		HTTP:    http.DefaultClient,
+	}
+	for _, least := range []time.Duration{0, 30 * time.Millisecond} {
+		time.Sleep(least)
+		got, err := relay.List(t.Context())
+		if err != nil || got.Age < least-time.Millisecond || got.Age > time.Second {
+			t.Errorf("got age %v (%v), want %v at least", got.Age, err, least)
+		}
+	}
+}
--- a/directory/shared.go
+++ b/directory/shared.go
@@ -155,10 +155,20 @@
 	return s.watchStore(ctx, after, wait)
 }
 
-// catchUp lists from the store after another router failed. Time was lost, and
-// a watch brings every version since then, which a slow link may not carry in
-// time when versions come in quick succession; a list brings the newest alone.
+// catchUp lists after another router failed, from the next one if its copy is
+// current and comes soon, else from the store. Time was lost, and a watch brings
+// every version since then, which a slow link may not carry in time when versions
+// come in quick succession; a list brings the newest alone.
 func (s *Shared) catchUp(ctx context.Context) (slipwick.FeedBatch, error) {
+	if relay := s.choose(); relay != "" {
+		batch, ok := s.relayed(ctx, relay, s.Rhythm.orDefault().RelayMargin,
+			func(ctx context.Context, f slipwick.Feed) (slipwick.FeedBatch, error) {
+				return f.List(ctx)
+			})
+		if ok {
+			return batch, nil
+		}
+	}
 	ctx, cancel := context.WithTimeout(ctx, s.Rhythm.orDefault().List)
 	defer cancel()
 	return s.Store.List(ctx)
--- a/directory/shared_test.go
+++ b/directory/shared_test.go
@@ -142,3 +142,28 @@
 		}
 	})
 }
+
+// TestSharedAsksAnotherRouterBeforeTheStore has the router that is followed fall
+// silent: the next one has a current copy.
+func TestSharedAsksAnotherRouterBeforeTheStore(t *testing.T) {
+	for _, first := range []string{"r1", "r2"} {
+		synctest.Test(t, func(t *testing.T) {
+			shared, store, peers := newShared()
+			for _, f := range peers.relays {
+				f.Apply(batch(3, false, "a3"))
+			}
+			peers.relays[first].hang(true)
+			called := store.called()
+			for range 4 {
+				got, err := shared.Watch(t.Context(), 1, rhythm.Watch)
+				if err != nil {
+					t.Fatal(err)
+				}
+				expectNames(t, "from a router", got.Entries, "a3")
+			}
+			if got := store.called() - called; got > 0 {
+				t.Errorf("%s silent: got %d calls to the store, want none while another router has a current copy", first, got)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/directory/wirebatch.go
@@ -0,0 +1,62 @@
+package directory
+
+import (
+	"unicode/utf8"
+
+	"github.com/slipwick/slipwick"
+)
+
+// wireBatch is a FeedBatch as routers pass it on. Values that are text go as
+// text, which compresses well.
+type wireBatch struct {
+	Entries  []wireEntry `json:"entries"`
+	Whole    bool        `json:"whole,omitempty"`
+	Revision uint64      `json:"revision"`
+}
+
+type wireEntry struct {
+	Name  string `json:"name"`
+	Gone  bool   `json:"gone,omitempty"`
+	Text  string `json:"text,omitempty"`
+	Bytes []byte `json:"bytes,omitempty"`
+}
+
+func wireBatchOf(batch *slipwick.FeedBatch) *wireBatch {
+	wire := &wireBatch{
+		Entries:  make([]wireEntry, 0, len(batch.Entries)),
+		Whole:    batch.Whole,
+		Revision: batch.Revision,
+	}
+	for _, e := range batch.Entries {
+		entry := wireEntry{
+			Name: e.Name,
+			Gone: e.Gone,
+		}
+		if utf8.Valid(e.Value) {
+			entry.Text = string(e.Value)
+		} else {
+			entry.Bytes = e.Value
+		}
+		wire.Entries = append(wire.Entries, entry)
+	}
+	return wire
+}
+
+func (w *wireBatch) batch() slipwick.FeedBatch {
+	batch := slipwick.FeedBatch{
+		Whole:    w.Whole,
+		Revision: w.Revision,
+	}
+	for _, e := range w.Entries {
+		entry := slipwick.FeedEntry{
+			Name:  e.Name,
+			Gone:  e.Gone,
+			Value: e.Bytes,
+		}
+		if e.Text != "" {
+			entry.Value = []byte(e.Text)
+		}
+		batch.Entries = append(batch.Entries, entry)
+	}
+	return batch
+}
--- a/fleet/storewatchers.go
+++ b/fleet/storewatchers.go
@@ -13,8 +13,9 @@
 	// case it is cut off.
 	leastWatchers = 2
 	// routersPerWatcher bounds the routers that follow one watcher, so that a
-	// large configuration reaches all of them over a slow link in time.
-	routersPerWatcher = 8
+	// large configuration, compressed, reaches all of them over a link of 10
+	// Mbit/s within half a second.
+	routersPerWatcher = 29
 	// nearWatchers is how many watchers of its own data centre a router has
 	// to have to follow these alone.
 	nearWatchers = 2
--- /dev/null
+++ b/fleet/storewatchers_test.go
@@ -0,0 +1,42 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/slipwick/slipwick"
+)
+
+func testRouters(n int) []slipwick.Router {
+	var routers []slipwick.Router
+	for i := range n {
+		routers = append(routers, slipwick.Router{
+			ID:         fmt.Sprint("r", i),
+			DataCentre: fmt.Sprint("dc-", i%4),
+		})
+	}
+	return routers
+}
+
+// TestStoreWatchersAreFew counts the routers that follow the store themselves.
+func TestStoreWatchersAreFew(t *testing.T) {
+	for size, want := range map[int]int{
+		1:   1,
+		8:   2,
+		87:  3,
+		330: 11,
+	} {
+		routers := testRouters(size)
+		watchers := 0
+		for _, r := range routers {
+			for _, id := range StoreWatchers(r, routers) {
+				if id == r.ID {
+					watchers++
+				}
+			}
+		}
+		if watchers != want {
+			t.Errorf("%d routers: got %d that follow the store, want %d", size, watchers, want)
+		}
+	}
+}
