Gather changes of the store before the next call

Now a follower pauses for 0.04 of the time allowed (80 ms of 2 s) after an answer with changes. TestFollowerGathersChanges: 40 calls for 40 changes in a second before, at most 20 now.

--- a/directory/follower.go
+++ b/directory/follower.go
@@ -104,6 +104,9 @@
 			f.OnChange(changes)
 		}
 		revision, listed = batch.Revision, isCurrent
+		if isCurrent && len(changes) > 0 {
+			sleep(ctx, f.Rhythm.Gather)
+		}
 		if !isCurrent {
 			// Another router's old copy: the store is away, and is not to be
 			// called more often for it. On its return a list answers at once.
@@ -153,7 +156,12 @@
 
 // rest waits for about the pause, so that routers do not call all at once.
 func rest(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause/2 + time.Duration(rand.Int64N(int64(pause))))
+	sleep(ctx, pause/2+time.Duration(rand.Int64N(int64(pause))))
+}
+
+// sleep waits, or until ctx ends.
+func sleep(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -243,3 +243,27 @@
 		}
 	})
 }
+
+// TestFollowerGathersChanges has a store change forty times in a second, as when
+// many backend servers are replaced: the last change is known soon, with few
+// calls.
+func TestFollowerGathersChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeFeed(batch(1, true, "a1"))
+		state, stop := follow(t, store)
+		defer stop()
+		time.Sleep(time.Second)
+		called := store.called()
+		for i := range 40 {
+			store.Apply(batch(uint64(2+i), false, "a"+string(rune('A'+i))))
+			time.Sleep(25 * time.Millisecond)
+		}
+		if got := store.called() - called; got > 20 {
+			t.Errorf("got %d calls for 40 changes in a second, want at most 20", got)
+		}
+		time.Sleep(rhythm.Gather)
+		if got, want := state(), []string{"a" + string(rune('A'+39))}; !slices.Equal(got, want) {
+			t.Errorf("got %v, want %v", got, want)
+		}
+	})
+}
--- a/directory/rhythm.go
+++ b/directory/rhythm.go
@@ -17,6 +17,9 @@
 	// Age is how old another router's knowledge may be: the wait of its own
 	// watch and what it takes to notice that the store is silent.
 	Age time.Duration
+	// Gather is the pause after an answer with changes: more that come soon are
+	// told together.
+	Gather time.Duration
 	// Outing is how long a router that failed is not asked again.
 	Outing time.Duration
 	// List bounds one list.
@@ -31,6 +34,7 @@
 	relayShare       = 0.5
 	relayMarginShare = 0.15
 	noticeShare      = 0.15
+	gatherShare      = 0.04
 	outingShare      = 1.5
 	listShare        = 1
 )
@@ -61,6 +65,7 @@
 		Relay:       share(relayShare),
 		RelayMargin: share(relayMarginShare),
 		Age:         share(watchShare + marginShare + noticeShare),
+		Gather:      share(gatherShare),
 		Outing:      share(outingShare),
 		List:        share(listShare),
 	}
