Send spills to the data centre of an engine that has the prompt

Cause: when the engine of a prompt is at its bound, the next one fetches the prompt; a copy between data centres takes twice as long, and where it goes was decided by what engines have to read alone.

Now those near an engine that has the prompt and can be reached go first, if any of them is below the bound. TestSpillGoesToTheDataCentreOfAHolder. A first form counted holders that are silent; TestSilentBackendGetsNothingNew found it.

--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -280,3 +280,24 @@
 		}
 	})
 }
+
+// TestSpillGoesToTheDataCentreOfAHolder has one prompt alone fill its engine: the
+// next one is near that.
+func TestSpillGoesToTheDataCentreOfAHolder(t *testing.T) {
+	for key := range uint64(20) {
+		b := newTestBalancer(8)
+		first := acquire(t, b, prompt(key))
+		b.Began(first)
+		for range 20 {
+			lease := acquire(t, b, prompt(key))
+			b.Began(lease)
+			if lease.Backend.ID == first.Backend.ID {
+				continue
+			}
+			if got, want := lease.Backend.DataCentre, first.Backend.DataCentre; got != want {
+				t.Errorf("key %d: got a spill to %s, want it in %s", key, got, want)
+			}
+			break
+		}
+	}
+}
--- a/balance/prompt.go
+++ b/balance/prompt.go
@@ -39,7 +39,7 @@
 	case chosen == nil:
 		chosen = usable[least]
 	case !best.has:
-		chosen = b.leastReadingLocked(prompt, usable, each, bound)
+		chosen = b.leastReadingLocked(prompt, usable, each, bound, now)
 	}
 	lease := leaseOf(chosen)
 	lease.hasPrompt = true
@@ -67,13 +67,18 @@
 // behind the next and still get a prompt that it does not have. It keeps routers,
 // which know of each other's readings late, from choosing the same engine for
 // all prompts.
-func (b *Balancer) leastReadingLocked(prompt uint64, usable []*server, each []float64, bound float64) *server {
+func (b *Balancer) leastReadingLocked(
+	prompt uint64, usable []*server, each []float64, bound float64, now time.Time,
+) *server {
 	var below []*server
 	for i, s := range usable {
 		if each[i] < bound {
 			below = append(below, s)
 		}
 	}
+	if near := b.nearHoldersLocked(prompt, below, now); len(near) > 0 {
+		below = near
+	}
 	slices.SortFunc(below, func(x, y *server) int {
 		return cmp.Compare(placement.Score(prompt, y.hash), placement.Score(prompt, x.hash))
 	})
@@ -89,6 +94,25 @@
 	return best
 }
 
+// nearHoldersLocked gives those of the engines that are in the data centre of one
+// that has the prompt and can be reached: they fetch it in half of the time.
+func (b *Balancer) nearHoldersLocked(prompt uint64, engines []*server, now time.Time) []*server {
+	known, _ := b.homes.holders.Peek(prompt)
+	holds := make(map[string]bool, len(known))
+	for _, hash := range known {
+		if holder := b.hashes[hash]; holder != nil && b.isReachableLocked(holder, now) {
+			holds[holder.DataCentre] = true
+		}
+	}
+	var near []*server
+	for _, e := range engines {
+		if holds[e.DataCentre] {
+			near = append(near, e)
+		}
+	}
+	return near
+}
+
 // candidate is an engine that a prompt could go to.
 type candidate struct {
 	server *server
