Spread requests by what routers have not told each other yet

By the log, sheds came in turns from server to server: 62 routers each sent to the least loaded, and all to the same one until the next telling. 597 times in 10 s a router left one out as failing, as its late answers came by chance above twice the others'.

Now a plain service's request goes to a server by chance, so that what is not told yet (own sends of the last 200 ms, as far as they still run, times the routers) fills the cheapest servers to one level; with little unheard that is the least loaded, as before. The same where all engines are above the bound. How many routers there are is told to the balancer: in a fleet with hubs one peer speaks for all, and the surge counted one. A server is left out for its failures only above what it would show by chance (4 deviations of the error rate beside the others').

TestHubsCountEveryRequestOnce found that the surge must not count as in flight. SetPeers has a second argument in the tests that call it.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -1,8 +1,6 @@
 package balance
 
 import (
-	"math"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -48,11 +46,12 @@
 	homes   *homes
 	// hashes finds backend servers by the hash of their ID.
 	hashes map[uint64]*server
-	// peers are the other routers that live, heard what they told last, and
-	// reads what is to be told them.
-	peers []string
-	heard map[string]heard
-	reads []Read
+	// peers are those that tell this router, others counts the routers that they
+	// speak for, heard is what they told last, and reads what is to be told them.
+	peers  []string
+	others int
+	heard  map[string]heard
+	reads  []Read
 	// readings are the prompts that are read for the first time.
 	readings readings
 	// paces are what the pools' requests showed.
@@ -177,22 +176,32 @@
 // loadsLocked gives the load of each backend server: this router's requests and
 // those of the others, as they told, else as the backend server reported, else
 // the mean of what others report.
-func (b *Balancer) loadsLocked(servers []*server, now time.Time) (each []float64, mean float64) {
+func (b *Balancer) loadsLocked(servers []*server, now time.Time) []float64 {
 	told, complete := b.othersToldLocked(now)
 	usual := usualReport(servers, now)
-	each = make([]float64, len(servers))
-	usualSends := usualSends(servers, now)
+	each := make([]float64, len(servers))
 	for i, s := range servers {
 		others := usual
 		if complete {
-			others = max(float64(told[s.hash])+float64(len(b.peers))*s.surge(usualSends, now), 0)
+			others = float64(told[s.hash])
 		} else if reported, ok := s.others(now); ok {
 			others = float64(reported)
 		}
 		each[i] = float64(s.inFlight) + others
-		mean += each[i] / float64(len(servers))
 	}
-	return each, mean
+	return each
+}
+
+// expectedLocked gives the loads with what the other routers probably sent since
+// they told.
+func (b *Balancer) expectedLocked(servers []*server, now time.Time) (each []float64, mean float64) {
+	known := b.loadsLocked(servers, now)
+	usual := usualSends(servers, now)
+	for i, s := range servers {
+		known[i] = max(known[i]+float64(b.others)*s.surge(usual, now), float64(s.inFlight))
+		mean += known[i] / float64(len(servers))
+	}
+	return known, mean
 }
 
 // usualReport is the mean of what backend servers reported lately of other
@@ -224,23 +233,15 @@
 	return (1+loadShare*(b.LoadFactor-1))*mean + max(b.LoadSlack-slackMargin, 0)
 }
 
-// leastLoadedLocked gives the least loaded, near ones before far ones. Equals
-// are taken by chance: in one order, all routers would choose the same first.
+// leastLoadedLocked gives one of the least loaded, near ones before far ones.
 func (b *Balancer) leastLoadedLocked(usable []*server, now time.Time) *server {
-	each, _ := b.loadsLocked(usable, now)
-	best, bestCost := 0, math.Inf(1)
-	offset := rand.IntN(len(usable))
-	for n := range usable {
-		i := (n + offset) % len(usable)
-		cost := each[i]
-		if usable[i].DataCentre != b.DataCentre {
-			cost += farCost
-		}
-		if cost < bestCost {
-			best, bestCost = i, cost
+	costs, _ := b.expectedLocked(usable, now)
+	for i, s := range usable {
+		if s.DataCentre != b.DataCentre {
+			costs[i] += farCost
 		}
 	}
-	return usable[best]
+	return usable[spread(costs, b.unheardLocked(usable, now))]
 }
 
 // Reported takes the load that a backend server told with an answer.
--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -253,7 +253,7 @@
 		b.Reported(lease, Load{
 			Running: 50,
 		})
-		b.SetPeers([]string{"r2"})
+		b.SetPeers([]string{"r2"}, 1)
 		b.Hear("r2", 5, []InFlight{
 			{
 				Server: placement.IDHash(lease.Backend.ID),
--- a/balance/errors.go
+++ b/balance/errors.go
@@ -16,6 +16,8 @@
 	// everywhere is no reason to avoid one.
 	errorLimit  = 0.2
 	errorFactor = 2
+	// chanceDeviations more than the others' is what no server fails by chance.
+	chanceDeviations = 4
 	// trialRate is the error rate that it comes back with: a few failures more
 	// have it left out again, for longer.
 	trialRate = 0.12
@@ -90,7 +92,7 @@
 	if s.errors.rate < soundRate {
 		s.outings = 0
 	}
-	if s.errors.rate <= errorLimit || s.errors.rate <= errorFactor*b.othersRateLocked(s) || b.tooManyOutLocked(s, now) {
+	if s.errors.rate <= b.errorBoundLocked(s) || b.tooManyOutLocked(s, now) {
 		return
 	}
 	if s.leaveOut(now, errorOuting) {
@@ -99,6 +101,15 @@
 	}
 }
 
+// errorBoundLocked is the error rate that a backend server may have, by that of
+// the others of its pool.
+func (b *Balancer) errorBoundLocked(s *server) float64 {
+	others := b.othersRateLocked(s)
+	// The rate of a server that fails like the others deviates by so much.
+	deviation := math.Sqrt(others * (1 - others) * outcomeWeight / (2 - outcomeWeight))
+	return max(errorLimit, errorFactor*others, others+chanceDeviations*deviation)
+}
+
 // tooManyOutLocked tells whether the pool can spare no more of its servers.
 func (b *Balancer) tooManyOutLocked(s *server, now time.Time) bool {
 	pool := b.pools[s.Pool]
--- a/balance/errors_test.go
+++ b/balance/errors_test.go
@@ -200,3 +200,58 @@
 		t.Error("got p-3 not left out after 20 requests, want it found")
 	}
 }
+
+// TestFailuresByChanceLeaveNobodyOut has all servers of a pool fail alike, as in
+// an overload that makes many answers late.
+func TestFailuresByChanceLeaveNobodyOut(t *testing.T) {
+	for _, share := range []float64{0.05, 0.15, 0.3} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newTestBalancer(7)
+			outings := 0
+			b.OnOut = func(slipwick.Backend, time.Duration) { outings++ }
+			random := rand.New(rand.NewPCG(1, 2))
+			const outcomes = 10000
+			for range outcomes {
+				lease := acquire(t, b, plain)
+				evidence := slipwick.EvidenceGood
+				if random.Float64() < share {
+					evidence = slipwick.EvidenceError
+				}
+				b.Release(lease, evidence)
+				time.Sleep(3 * time.Millisecond)
+			}
+			if got, most := outings, outcomes/500; got > most {
+				t.Errorf("%v fail: got %d times one left out in %d outcomes, want %d at most", share, got, outcomes, most)
+			}
+		})
+	}
+}
+
+// TestServerThatFailsMoreIsStillLeftOut has one of seven servers fail as grey ones
+// do while the others fail now and then.
+func TestServerThatFailsMoreIsStillLeftOut(t *testing.T) {
+	for _, share := range []float64{0.04, 0.14} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newTestBalancer(7)
+			out := make(map[string]int)
+			b.OnOut = func(backend slipwick.Backend, _ time.Duration) { out[backend.ID]++ }
+			random := rand.New(rand.NewPCG(3, 4))
+			for range 1400 {
+				lease := acquire(t, b, plain)
+				limit := share
+				if lease.Backend.ID == "p-3" {
+					limit = 0.6
+				}
+				evidence := slipwick.EvidenceGood
+				if random.Float64() < limit {
+					evidence = slipwick.EvidenceError
+				}
+				b.Release(lease, evidence)
+				time.Sleep(5 * time.Millisecond)
+			}
+			if out["p-3"] < 2 {
+				t.Errorf("others fail %v: got the failing server out %d times, want it again and again", share, out["p-3"])
+			}
+		})
+	}
+}
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -37,7 +37,7 @@
 				others = append(others, fmt.Sprint("r", j))
 			}
 		}
-		b.SetPeers(others)
+		b.SetPeers(others, len(others))
 	}
 	return f
 }
@@ -114,3 +114,65 @@
 		}
 	}
 }
+
+// TestPlainServicesGetTheirShares has sixty routers share four servers that take
+// six requests at once and queue a few: none may get so many that it sheds.
+func TestPlainServicesGetTheirShares(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const perSecond, places, work = 320, 30, 60 * time.Millisecond
+		f := newTestFleet(60, 4, 2)
+		random := rand.New(rand.NewPCG(1, 2))
+		told := time.Now()
+		var sequence uint64
+		shed, sent := 0, 0
+		for range 6 * perSecond {
+			time.Sleep(time.Duration(random.ExpFloat64() * float64(time.Second) / perSecond))
+			synctest.Wait()
+			b := f.routers[random.IntN(len(f.routers))]
+			lease := acquire(t, b, plain)
+			b.Sent(lease)
+			f.mu.Lock()
+			ahead := f.load[lease.Backend.ID]
+			f.load[lease.Backend.ID]++
+			f.mu.Unlock()
+			sent++
+			if ahead >= places {
+				shed++
+			}
+			// Those beyond the six wait for their turn.
+			time.AfterFunc(work+time.Duration(ahead/6)*work, func() {
+				f.mu.Lock()
+				f.load[lease.Backend.ID]--
+				f.mu.Unlock()
+				b.Began(lease)
+				b.LearnPace(lease)
+				b.Release(lease, slipwick.EvidenceGood)
+			})
+			if time.Since(told) > 200*time.Millisecond {
+				sequence++
+				told = time.Now()
+				f.tell(sequence)
+			}
+		}
+		if share := float64(shed) / float64(sent); share > 0.01 {
+			t.Errorf("got %.3f of the requests at servers without a place, want less than 0.01", share)
+		}
+		time.Sleep(5 * time.Second)
+	})
+}
+
+func TestFillLevel(t *testing.T) {
+	for _, test := range []struct {
+		costs        []float64
+		amount, want float64
+	}{
+		{[]float64{3}, 2, 5},
+		{[]float64{0, 4}, 2, 2},
+		{[]float64{4, 0}, 6, 5},
+		{[]float64{1, 1, 1}, 3, 2},
+	} {
+		if got := fillLevel(test.costs, test.amount); got != test.want {
+			t.Errorf("%v filled with %v: got a level of %v, want %v", test.costs, test.amount, got, test.want)
+		}
+	}
+}
--- a/balance/prompt.go
+++ b/balance/prompt.go
@@ -14,13 +14,10 @@
 func (b *Balancer) byPromptLocked(ask *Ask, pool, usable []*server, now time.Time) *Lease {
 	parts := ask.keys()
 	prompt := parts[len(parts)-1]
-	each, mean := b.loadsLocked(usable, now)
+	each, mean := b.expectedLocked(usable, now)
 	bound := b.loadBound(mean)
-	best, least := candidate{}, 0
+	best := candidate{}
 	for i, s := range usable {
-		if each[i] < each[least] {
-			least = i
-		}
 		if each[i] >= bound {
 			continue
 		}
@@ -37,7 +34,7 @@
 	chosen := best.server
 	switch {
 	case chosen == nil:
-		chosen = usable[least]
+		chosen = usable[spread(each, b.unheardLocked(usable, now))]
 	case !best.has:
 		chosen = b.leastReadingLocked(prompt, usable, each, bound, now)
 	}
--- a/balance/told.go
+++ b/balance/told.go
@@ -141,7 +141,7 @@
 func (b *Balancer) InFlight(pool string) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	each, _ := b.loadsLocked(b.pools[pool], time.Now())
+	each := b.loadsLocked(b.pools[pool], time.Now())
 	sum := 0.0
 	for _, load := range each {
 		sum += load
@@ -149,12 +149,13 @@
 	return sum
 }
 
-// SetPeers takes the IDs of the other routers that live. Only when all of them
-// have told their counts do these stand for the fleet's.
-func (b *Balancer) SetPeers(ids []string) {
+// SetPeers takes the IDs of those that tell this router, and how many other
+// routers they speak for. Only when all of them have told their counts do these
+// stand for the fleet's.
+func (b *Balancer) SetPeers(ids []string, others int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.peers = ids
+	b.peers, b.others = ids, others
 	live := make(map[string]heard, len(ids))
 	for _, id := range ids {
 		if h, ok := b.heard[id]; ok {
--- a/exchange/teller.go
+++ b/exchange/teller.go
@@ -110,6 +110,7 @@
 // tell tells those that this router tells in a fleet of this size.
 func (t *Teller) tell() {
 	hubs := chooseHubs(t.Routers())
+	others := len(without(hubs.routers, t.Self))
 	t.size.Store(int64(len(hubs.routers)))
 	told := t.Balancer.Tell()
 	t.mu.Lock()
@@ -117,25 +118,25 @@
 	t.mu.Unlock()
 	switch {
 	case len(hubs.chosen) == 0:
-		others := without(hubs.routers, t.Self)
-		t.Balancer.SetPeers(idsOf(others))
-		t.send(others, t.encode(exchangepb.Scope_SCOPE_OWN, told))
+		peers := without(hubs.routers, t.Self)
+		t.Balancer.SetPeers(idsOf(peers), others)
+		t.send(peers, t.encode(exchangepb.Scope_SCOPE_OWN, told))
 	case hubs.has(t.Self):
-		t.tellAsHub(hubs, told)
+		t.tellAsHub(hubs, told, others)
 	default:
 		t.mu.Lock()
 		t.fromGroup, t.fromHubs = balance.Told{}, balance.Told{}
 		t.mu.Unlock()
 		hub, _ := hubs.of(t.Self)
-		t.Balancer.SetPeers([]string{fleetSource})
+		t.Balancer.SetPeers([]string{fleetSource}, others)
 		t.send([]slipwick.Router{hub}, t.encode(exchangepb.Scope_SCOPE_OWN, told))
 	}
 }
 
 // tellAsHub tells the other hubs of the group, and the group of the fleet.
-func (t *Teller) tellAsHub(hubs *hubs, own balance.Told) {
+func (t *Teller) tellAsHub(hubs *hubs, own balance.Told, fleet int) {
 	group, others := hubs.group(t.Self), without(hubs.chosen, t.Self)
-	t.Balancer.SetPeers(slices.Concat(idsOf(group), idsOf(others)))
+	t.Balancer.SetPeers(slices.Concat(idsOf(group), idsOf(others)), fleet)
 	ofGroup, ofHubs := t.sums(idsOf(group), idsOf(others))
 	t.mu.Lock()
 	news, fromHubs := t.fromGroup, t.fromHubs
