--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -264,7 +264,7 @@
 		load := func() float64 {
 			b.mu.Lock()
 			defer b.mu.Unlock()
-			each, _ := b.loadsLocked([]*server{lease.server}, time.Now())
+			each := b.loadsLocked([]*server{lease.server}, time.Now())
 			return each[0]
 		}
 		if got := load(); got != 2 {
