Give back a granted place that is not used

Cause: found by reading: a send given up at the bound of sends had its next place granted and never sent there; the place stayed counted as in flight for good, and the caller got 502 while the answer was on its way.

Now a send is not given up when none may follow, and a granted place is given back at the end whatever happens. TestSendIsNotGivenUpWhenNoneMayFollow failed first (502, one request in flight for ever); TestGrantedPlaceIsGivenBack holds.

With it, without effect: the load bound stands in a file of its own, defaults stand once, the recovery waits in one way.

--- /dev/null
+++ b/balance/loads.go
@@ -0,0 +1,78 @@
+package balance
+
+import "time"
+
+// The promised bound on an engine's load where no settings name one: factor * mean +
+// slack.
+const (
+	DefaultLoadFactor = 2
+	DefaultLoadSlack  = 3
+)
+
+const (
+	// loadShare of what the promise allows beyond the mean is used, and
+	// slackMargin of its slack is not: the rest is for what other routers send
+	// meanwhile.
+	loadShare   = 0.6
+	slackMargin = 1
+)
+
+// loadsLocked gives the load of each backend server: this router's requests and
+// those of the others, as they told, else as the backend server reported, else
+// the mean of what others report.
+func (b *Balancer) loadsLocked(servers []*server, now time.Time) []float64 {
+	told, complete := b.othersToldLocked(now)
+	usual := usualReport(servers, now)
+	each := make([]float64, len(servers))
+	for i, s := range servers {
+		others := usual
+		if complete {
+			others = float64(told[s.hash])
+		} else if reported, ok := s.others(now); ok {
+			others = float64(reported)
+		}
+		each[i] = float64(s.inFlight) + others
+	}
+	return each
+}
+
+// expectedLocked gives the loads with what the other routers probably sent since
+// they told.
+func (b *Balancer) expectedLocked(servers []*server, now time.Time) (each []float64, mean float64) {
+	known := b.loadsLocked(servers, now)
+	usual := usualSends(servers, now)
+	for i, s := range servers {
+		known[i] = max(known[i]+float64(b.others)*s.surge(usual, now), float64(s.inFlight))
+		mean += known[i] / float64(len(servers))
+	}
+	return known, mean
+}
+
+// usualReport is the mean of what backend servers reported lately of other
+// routers' requests.
+func usualReport(servers []*server, now time.Time) float64 {
+	known, sum := 0, 0
+	for _, s := range servers {
+		if others, ok := s.others(now); ok {
+			known++
+			sum += others
+		}
+	}
+	if known == 0 {
+		return 0
+	}
+	return float64(sum) / float64(known)
+}
+
+// SetLoadBound changes the promise on an engine's load.
+func (b *Balancer) SetLoadBound(factor, slack float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.LoadFactor, b.LoadSlack = factor, slack
+}
+
+// loadBound is the load from which on an engine gets no more while others are
+// below it.
+func (b *Balancer) loadBound(mean float64) float64 {
+	return (1+loadShare*(b.LoadFactor-1))*mean + max(b.LoadSlack-slackMargin, 0)
+}
--- a/cmd/internal/gatewayd/bounds.go
+++ b/cmd/internal/gatewayd/bounds.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/slipwick/slipwick/balance"
 	"github.com/slipwick/slipwick/directory"
 )
 
@@ -22,20 +23,16 @@
 	ReadyEvery time.Duration
 }
 
-// Defaults of Bounds.
-const (
-	defaultLoadFactor = 2
-	defaultLoadSlack  = 3
-	defaultReadyEvery = time.Second
-)
+// defaultReadyEvery is taken where no settings name a rhythm.
+const defaultReadyEvery = time.Second
 
 // orDefaults fills zero fields.
 func (b Bounds) orDefaults() Bounds {
 	if b.LoadFactor == 0 {
-		b.LoadFactor = defaultLoadFactor
+		b.LoadFactor = balance.DefaultLoadFactor
 	}
 	if b.LoadSlack == 0 {
-		b.LoadSlack = defaultLoadSlack
+		b.LoadSlack = balance.DefaultLoadSlack
 	}
 	if b.Apply == 0 {
 		b.Apply = directory.DefaultWithin
--- a/exchange/recovery.go
+++ b/exchange/recovery.go
@@ -93,12 +93,8 @@
 // when those that turn up are new, or with ctx.
 func (r *Recovery) Follow(ctx context.Context) {
 	for end := time.Now().Add(balance.LateListing + followMargin); time.Now().Before(end); {
-		timer := time.NewTimer(followPause)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !sleep(ctx, followPause) {
 			return
-		case <-timer.C:
 		}
 		if missing := r.missing(); slices.ContainsFunc(missing, func(e slipwick.Backend) bool { return !r.asked[e.ID] }) {
 			r.learn(ctx)
@@ -121,12 +117,8 @@
 		if round >= lonelyRounds || len(without(r.Routers(), r.Self)) > 0 {
 			r.listEngines(ctx, missing, round >= patientRounds)
 		}
-		timer := time.NewTimer(roundPause)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !sleep(ctx, roundPause) {
 			return
-		case <-timer.C:
 		}
 	}
 }
@@ -229,3 +221,15 @@
 	}
 	return routers[placement.Choose(placement.IDHash(engine.ID), routers)].ID == r.Self
 }
+
+// sleep waits; false if ctx ended first.
+func sleep(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/gateway/patience.go
+++ b/gateway/patience.go
@@ -47,7 +47,7 @@
 	p := &patience{
 		call:    c,
 		lease:   lease,
-		mayGoOn: c.route.MayRepeat() && c.runs+1 < c.route.MaxAttempts,
+		mayGoOn: c.route.MayRepeat() && c.runs+1 < c.route.MaxAttempts && c.sends < c.mostSends(),
 	}
 	bounds := upstream.Patience{
 		First:   c.gateway.Balancer.Patience(lease),
--- a/gateway/patience_test.go
+++ b/gateway/patience_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"sync"
@@ -121,3 +122,61 @@
 		t.Errorf("got %d %q, want the second backend server's answer", got.status, got.body)
 	}
 }
+
+// TestSendIsNotGivenUpWhenNoneMayFollow has three backend servers refuse and the
+// fourth answer late: a fifth send is not allowed any more, though it could be.
+func TestSendIsNotGivenUpWhenNoneMayFollow(t *testing.T) {
+	late := answersAfter(startPatience+200*time.Millisecond, "late")
+	var mu sync.Mutex
+	asked := 0
+	handle := func(b *backend, w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		asked++
+		n := asked
+		mu.Unlock()
+		if n < 4 {
+			refuses(b, w, r)
+			return
+		}
+		late(b, w, r)
+	}
+	var backends []*backend
+	for _, id := range []string{"b1", "b2", "b3", "b4", "b5"} {
+		backends = append(backends, newBackend(t, id, handle))
+	}
+	f := newFixture(t, backends...)
+	if got := f.post(t, "/repeatable/x"); got.status != http.StatusOK || got.body != "late" {
+		t.Errorf("got %d %q, want the late answer", got.status, got.body)
+	}
+	if got := f.gateway.Balancer.InFlight("p"); got != 0 {
+		t.Errorf("got %v requests in flight afterwards, want 0", got)
+	}
+}
+
+// TestGrantedPlaceIsGivenBack has callers leave while their send hangs and the
+// next place is granted.
+func TestGrantedPlaceIsGivenBack(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	hangs := func(*backend, http.ResponseWriter, *http.Request) { <-release }
+	f := newFixture(t, newBackend(t, "b1", hangs), newBackend(t, "b2", hangs), newBackend(t, "b3", hangs))
+	var all sync.WaitGroup
+	for i := range 40 {
+		all.Go(func() {
+			r := f.request(t, "/repeatable/x", "question")
+			ctx, cancel := context.WithTimeout(r.Context(), startPatience-10*time.Millisecond+time.Duration(i)*time.Millisecond)
+			defer cancel()
+			response, err := http.DefaultClient.Do(r.WithContext(ctx))
+			if err == nil {
+				_ = response.Body.Close()
+			}
+		})
+	}
+	all.Wait()
+	deadline := time.Now().Add(3 * time.Second)
+	for ; f.gateway.Balancer.InFlight("p") > 0; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("got %v requests in flight after all have left, want 0", f.gateway.Balancer.InFlight("p"))
+		}
+	}
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -24,6 +24,7 @@
 // serve sends the request until it has an answer or may not be sent again.
 func (c *call) serve() {
 	c.gateway.Budget.Requested(c.pool)
+	defer c.dropNext()
 	var last result
 	reason := ""
 	for {
@@ -92,12 +93,17 @@
 		return "may-not-repeat"
 	case c.runs >= c.route.MaxAttempts && last != resultNotRun:
 		return "attempts"
-	case c.sends >= c.route.MaxAttempts+extraSends:
+	case c.sends >= c.mostSends():
 		return "sends"
 	}
 	return ""
 }
 
+// mostSends is how often the request may be sent, runs or not.
+func (c *call) mostSends() int {
+	return c.route.MaxAttempts + extraSends
+}
+
 // leastTime is the time that has to be left for another send.
 func (c *call) leastTime() time.Duration {
 	if usual := c.gateway.Balancer.Usual(&c.ask); usual > 0 {
