Ask the budget before a place is taken for the next send

Cause: found by reading: a send that hangs asked for the next place ten times a second and gave it back while the budget was empty; each place taken notes that its engine has the prompt, and tells the other routers so. Now the budget is asked first. TestPlaceThatIsNotGrantedLeavesNoTrace failed first (two engines for a prompt that one had read). Ruled out: undoing the note, which others have heard by then.

--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -147,6 +147,13 @@
 		Affinity:    true,
 		MaxAttempts: 1,
 	},
+	{
+		Name:        "affine-again",
+		Prefix:      "/affine-again/",
+		Kind:        routing.KindRepeatable,
+		Affinity:    true,
+		MaxAttempts: 2,
+	},
 	{
 		Name:        "open",
 		Prefix:      "/open/",
--- a/gateway/patience.go
+++ b/gateway/patience.go
@@ -92,6 +92,10 @@
 // grantNext grants another send while one runs; nil if there is no sound backend
 // server for it, or no budget.
 func (c *call) grantNext() *balance.Lease {
+	if !c.gateway.Budget.Allows(c.pool) {
+		// A place that is given back again would count as one that was used.
+		return nil
+	}
 	ask := c.ask
 	ask.Sound = true
 	lease, err := c.gateway.Balancer.Acquire(&ask)
--- a/gateway/patience_test.go
+++ b/gateway/patience_test.go
@@ -180,3 +180,19 @@
 		}
 	}
 }
+
+// TestPlaceThatIsNotGrantedLeavesNoTrace has a prompt's send hang while the budget is
+// empty: no other engine counts as having the prompt.
+func TestPlaceThatIsNotGrantedLeavesNoTrace(t *testing.T) {
+	late := answersAfter(startPatience+300*time.Millisecond, "late")
+	f := newFixture(t, newBackend(t, "b1", late), newBackend(t, "b2", late))
+	f.gateway.Budget.Ratio, f.gateway.Budget.Extra = 0, 0
+	r := f.request(t, "/affine-again/x", "question")
+	r.Header.Set("Slipwick-Prompt", "ab:2000,cd:10")
+	if got := send(t, r); got.body != "late" {
+		t.Errorf("got %d %q, want the late answer", got.status, got.body)
+	}
+	if got := f.gateway.Balancer.Tell().Reads; len(got) != 1 {
+		t.Errorf("got %v, want the one engine that read the prompt", got)
+	}
+}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -64,14 +64,25 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.windowLocked(pool)
-	allowed := ratioShare*b.Ratio*float64(w.requests.sum) + b.extraLocked(w.step)
-	if float64(w.repeats.sum+1) > allowed {
+	if !b.allowsLocked(w) {
 		return false
 	}
 	w.repeats.add(1)
 	return true
 }
 
+// Allows tells whether Take would grant a send now.
+func (b *Budget) Allows(pool string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.allowsLocked(b.windowLocked(pool))
+}
+
+func (b *Budget) allowsLocked(w *window) bool {
+	allowed := ratioShare*b.Ratio*float64(w.requests.sum) + b.extraLocked(w.step)
+	return float64(w.repeats.sum+1) <= allowed
+}
+
 // extraLocked is what this router may use of Extra. Routers that were there
 // within the window may have used their part.
 func (b *Budget) extraLocked(step int64) float64 {
