Have a test of granted places fail without its mend

Cause: looked at once more: TestGrantedPlaceIsGivenBack passed with the mend taken out, as callers left by time and never between grant and send. Now the caller leaves at that moment: one request stays in flight without the mend, none with it; and the second server runs nothing. Conclusion: the test is stricter.

--- a/gateway/patience_test.go
+++ b/gateway/patience_test.go
@@ -153,32 +153,46 @@
 	}
 }
 
-// TestGrantedPlaceIsGivenBack has callers leave while their send hangs and the
-// next place is granted.
+// leavingObserver has the caller leave when a send was given up, before the next
+// one is made.
+type leavingObserver struct {
+	observed
+	leave context.CancelFunc
+}
+
+func (o *leavingObserver) Attempted(*Attempt) {
+	o.leave()
+	// The server has to notice that the caller's connection is gone.
+	time.Sleep(200 * time.Millisecond)
+}
+
+// TestGrantedPlaceIsGivenBack has a caller leave between the grant of the next
+// send and the send.
 func TestGrantedPlaceIsGivenBack(t *testing.T) {
 	release := make(chan struct{})
 	defer close(release)
-	hangs := func(*backend, http.ResponseWriter, *http.Request) { <-release }
-	f := newFixture(t, newBackend(t, "b1", hangs), newBackend(t, "b2", hangs), newBackend(t, "b3", hangs))
-	var all sync.WaitGroup
-	for i := range 40 {
-		all.Go(func() {
-			r := f.request(t, "/repeatable/x", "question")
-			ctx, cancel := context.WithTimeout(r.Context(), startPatience-10*time.Millisecond+time.Duration(i)*time.Millisecond)
-			defer cancel()
-			response, err := http.DefaultClient.Do(r.WithContext(ctx))
-			if err == nil {
-				_ = response.Body.Close()
-			}
-		})
-	}
-	all.Wait()
-	deadline := time.Now().Add(3 * time.Second)
+	second := newBackend(t, "b2", answers(http.StatusOK, "answer"))
+	f := newFixture(t, newBackend(t, "b1", func(*backend, http.ResponseWriter, *http.Request) { <-release }), second)
+	r := f.request(t, "/repeatable/x", "question")
+	ctx, leave := context.WithCancel(r.Context())
+	defer leave()
+	f.gateway.Observer = &leavingObserver{
+		leave: leave,
+	}
+	response, err := http.DefaultClient.Do(r.WithContext(ctx))
+	if err == nil {
+		_ = response.Body.Close()
+		t.Fatal("got an answer, want the caller to have left")
+	}
+	deadline := time.Now().Add(2 * time.Second)
 	for ; f.gateway.Balancer.InFlight("p") > 0; time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(deadline) {
-			t.Fatalf("got %v requests in flight after all have left, want 0", f.gateway.Balancer.InFlight("p"))
+			t.Fatalf("got %v requests in flight after the caller has left, want 0", f.gateway.Balancer.InFlight("p"))
 		}
 	}
+	if got := second.runs.Load(); got != 0 {
+		t.Errorf("got %d runs for a caller that has left, want 0", got)
+	}
 }
 
 // TestPlaceThatIsNotGrantedLeavesNoTrace has a prompt's send hang while the budget is
