Charge the budget for nothing that reached no backend server

And each router found each dead engine for itself: a refused connection kept an engine out at the router that met it alone. Change: a send without a connection is `unsent`: it needs no budget and counts among the sends only up to six. A refused connection (nothing listens there, for anyone) counts as a failure that other routers are told of; one that did not come up in time still says nothing to others, as it may be the router's own way that is cut. Tests: TestUnreachableBackendsCostNoBudget, TestRefusedConnectionsAreToldToAllRouters.

--- a/balance/errors.go
+++ b/balance/errors.go
@@ -80,6 +80,13 @@
 		if s.leaveOut(now, shortOuting) {
 			b.OnOut(s.Backend, s.outUntil.Sub(now))
 		}
+	case slipwick.EvidenceRefused:
+		// Other routers are told: each sends there so seldom that all would find
+		// out for themselves. Of a way that is cut, routers tell nothing.
+		s.errors.note(true)
+		if s.leaveOut(now, shortOuting) {
+			b.OnOut(s.Backend, s.outUntil.Sub(now))
+		}
 	case slipwick.EvidenceGood, slipwick.EvidenceError:
 		s.heardAt = now
 		s.errors.note(evidence == slipwick.EvidenceError)
--- a/balance/errors_test.go
+++ b/balance/errors_test.go
@@ -255,3 +255,35 @@
 		})
 	}
 }
+
+// TestRefusedConnectionsAreToldToAllRouters has three routers meet a backend
+// server at which nothing listens: a fourth that never tried it leaves it out.
+func TestRefusedConnectionsAreToldToAllRouters(t *testing.T) {
+	for evidence, want := range map[slipwick.Evidence]int{
+		slipwick.EvidenceRefused: 0,
+		// The way of one router says nothing of the others'.
+		slipwick.EvidenceUnreachable: 1,
+	} {
+		other := newTestBalancer(4)
+		for range 3 {
+			b := newTestBalancer(4)
+			var lease *Lease
+			for lease == nil || lease.Backend.ID != "p-0" {
+				lease = acquire(t, b, &Ask{
+					Pool: "p",
+				})
+			}
+			b.Release(lease, evidence)
+			other.HearOutcomes(b.Tell().Outcomes)
+		}
+		counts := make(map[string]int)
+		for range 40 {
+			counts[acquire(t, other, &Ask{
+				Pool: "p",
+			}).Backend.ID]++
+		}
+		if got := min(counts["p-0"], 1); got != want {
+			t.Errorf("evidence %d: got %v by backend server, want p-0 used: %v", evidence, counts, want == 1)
+		}
+	}
+}
--- a/evidence.go
+++ b/evidence.go
@@ -14,13 +14,21 @@
 	EvidenceError
 	// EvidenceTimeout is a time limit passed: a hang.
 	EvidenceTimeout
-	// EvidenceUnreachable is a refused connection.
+	// EvidenceUnreachable is a connection that did not come up.
 	EvidenceUnreachable
+	// EvidenceRefused is a connection that the backend server's box refused:
+	// nothing listens there, for any router.
+	EvidenceRefused
 	// EvidenceLeaving is a backend server that says it takes no new work.
 	EvidenceLeaving
 )
 
 // Bad tells whether the evidence speaks against the backend server.
 func (e Evidence) Bad() bool {
-	return e == EvidenceError || e == EvidenceTimeout || e == EvidenceUnreachable
+	switch e {
+	case EvidenceError, EvidenceTimeout, EvidenceUnreachable, EvidenceRefused:
+		return true
+	default:
+		return false
+	}
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -32,9 +32,9 @@
 	ask balance.Ask
 	// next is the place that was granted for the next send while one ran.
 	next *balance.Lease
-	// sends counts the requests sent to backend servers, runs those that may
-	// have run there.
-	sends, runs int
+	// sends counts the requests sent to backend servers, unsent those that did
+	// not reach one, runs those that may have run there.
+	sends, unsent, runs int
 	// stream is what has been passed on of a stream.
 	stream passedOn
 	// failure is the latest answer that a backend server failed with.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -283,6 +284,28 @@
 	}
 }
 
+// TestUnreachableBackendsCostNoBudget has most of a pool dead and the budget for
+// repeats spent: what reached no backend server is no repeat.
+func TestUnreachableBackendsCostNoBudget(t *testing.T) {
+	var backends []*backend
+	for i := range 5 {
+		b := newBackend(t, fmt.Sprintf("i%d", i), answers(http.StatusOK, "answer"))
+		if i < 4 {
+			b.server.Close()
+		}
+		backends = append(backends, b)
+	}
+	f := newFixture(t, backends...)
+	f.gateway.Budget.Ratio, f.gateway.Budget.Extra = 0, 0
+	got := send(t, f.request(t, "/single/x", "body"))
+	if got.status != http.StatusOK || got.body != "answer" {
+		t.Errorf("got %d %q, want the answer of the one that lives", got.status, got.body)
+	}
+	if runs := backends[4].runs.Load(); runs != 1 {
+		t.Errorf("got %d runs, want 1", runs)
+	}
+}
+
 func TestRetryBudgetEndsRepeats(t *testing.T) {
 	second := newBackend(t, "b2", answers(http.StatusOK, "answer"))
 	f := newFixture(t, newBackend(t, "b1", refuses), second)
--- a/gateway/result.go
+++ b/gateway/result.go
@@ -6,8 +6,10 @@
 const (
 	// resultDelivered is an answer that the caller has whole.
 	resultDelivered result = iota
-	// resultNotRun is a send that the backend server did not run.
+	// resultNotRun is a send that the backend server did not run, resultUnsent
+	// one that did not reach it: there was no connection.
 	resultNotRun
+	resultUnsent
 	// resultFailed is a whole answer that tells of a failure.
 	resultFailed
 	// resultBroken is an exchange that broke; the request may have run.
@@ -26,6 +28,8 @@
 		return "delivered"
 	case resultNotRun:
 		return "not-run"
+	case resultUnsent:
+		return "unsent"
 	case resultFailed:
 		return "failed"
 	case resultBroken:
@@ -36,3 +40,8 @@
 		return "left"
 	}
 }
+
+// isNotRun tells whether the request certainly did not run.
+func (r result) isNotRun() bool {
+	return r == resultNotRun || r == resultUnsent
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -12,8 +12,12 @@
 
 const (
 	// extraSends is how often a request may be sent beyond the runs it is
-	// allowed, after sends that were certainly not run.
+	// allowed, after sends that were certainly not run. mostUnsent bounds those
+	// that did not reach a backend server: they cost it nothing and the caller a
+	// round trip, and when a third of a pool has just died, two in a thousand
+	// requests meet that many dead servers in a row.
 	extraSends = 2
+	mostUnsent = 6
 	// startLeastTime is the time that has to be left for another send, until the
 	// pool's own times are known; then a usual answer takes leastFactor times
 	// what has to be left.
@@ -42,7 +46,7 @@
 		if reason = c.whyNoMore(last); reason != "" {
 			break
 		}
-		if c.next == nil && !c.gateway.Budget.Take(c.pool) {
+		if !c.mayRepeat(last) {
 			reason = "retry-budget"
 			break
 		}
@@ -50,6 +54,12 @@
 	c.giveUp(reason)
 }
 
+// mayRepeat asks the fleet's budget for another send. What did not reach a backend
+// server is none of its arrivals, and the next send may be the first.
+func (c *call) mayRepeat(last result) bool {
+	return c.next != nil || last == resultUnsent || c.gateway.Budget.Take(c.pool)
+}
+
 // acquire gives the place that was granted while the last send ran, or a new
 // one.
 func (c *call) acquire() (*balance.Lease, error) {
@@ -89,11 +99,11 @@
 		return "left"
 	case time.Until(c.deadline) < c.leastTime():
 		return "timeout"
-	case last != resultNotRun && !c.route.MayRepeat():
+	case !last.isNotRun() && !c.route.MayRepeat():
 		return "may-not-repeat"
-	case c.runs >= c.route.MaxAttempts && last != resultNotRun:
+	case c.runs >= c.route.MaxAttempts && !last.isNotRun():
 		return "attempts"
-	case c.sends >= c.mostSends():
+	case c.sends-c.unsent >= c.mostSends() || c.unsent >= mostUnsent:
 		return "sends"
 	}
 	return ""
@@ -208,7 +218,11 @@
 		if c.ctx.Err() != nil {
 			return resultNotRun, slipwick.EvidenceNone
 		}
-		return resultNotRun, slipwick.EvidenceUnreachable
+		c.unsent++
+		if upstream.IsRefused(err) {
+			return resultUnsent, slipwick.EvidenceRefused
+		}
+		return resultUnsent, slipwick.EvidenceUnreachable
 	}
 	c.runs++
 	if c.ctx.Err() == context.DeadlineExceeded || upstream.IsGivenUp(err) {
--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"syscall"
 
 	"github.com/slipwick/slipwick"
 )
@@ -38,3 +39,9 @@
 	}
 	return err
 }
+
+// IsRefused tells whether the error is of a connection that the backend server's
+// box refused: nothing listens there.
+func IsRefused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
