Tell of long readings at once through hubs, and choose hubs near

A prompt of 10,000 tokens is read in 70 ms, but other routers heard of it after up to 400 ms: the router told its hub at once, the hub passed it on with its next telling, five times a second, and the other hubs did the same. With 225 such requests a second over 766 prompts every sixth reading has a second request in that time. Ruled out: telling everything more often: counts of all engines are most of the bytes. Change: news of long readings are marked urgent; a hub passes them on within 15 ms, without counts, and tells them again with the rest, as datagrams get lost. What is long is 40 ms of reading, no longer 80 ms, as others hear of it within 60 ms. Hubs are chosen in each data centre, as many as its share of the fleet. Tests: TestLongReadingsAreKnownBeforeTheyAreOver (all known after 60 ms, each of 50 routers as the reader, one and four data centres), TestHubsAreNear.

--- a/balance/pace.go
+++ b/balance/pace.go
@@ -29,13 +29,14 @@
 	leastPatience = 100 * time.Millisecond
 	leastSilence  = 500 * time.Millisecond
 	mostSilence   = 4 * time.Second
-	// longReadTime of reading makes a prompt long, and rankLeadTime of it is by
-	// how much an engine may be behind the next in a prompt's ranks.
-	longReadTime = 80 * time.Millisecond
+	// longReadTime of reading makes a prompt long: other routers hear of it
+	// before it is over. rankLeadTime of reading is by how much an engine may be
+	// behind the next in a prompt's ranks.
+	longReadTime = 40 * time.Millisecond
 	rankLeadTime = 15 * time.Millisecond
 	// toldReadTime of reading is expected of a prompt that is read for another
 	// router.
-	toldReadTime = 2 * longReadTime
+	toldReadTime = 160 * time.Millisecond
 	// baseMargin and readingMargin times what was learnt is how long a prompt is
 	// waited for that an engine reads, mostReadingWait bounds it.
 	baseMargin      = 1.5
--- a/balance/told.go
+++ b/balance/told.go
@@ -75,6 +75,15 @@
 	return told
 }
 
+// TellReads gives what engines read since it was told last, and nothing else.
+func (b *Balancer) TellReads() []Read {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	reads := b.reads
+	b.reads = nil
+	return reads
+}
+
 // Hear takes the counts that another router told; those that were overtaken
 // are dropped.
 func (b *Balancer) Hear(router string, sequence uint64, list []InFlight) {
--- a/exchange/codec.go
+++ b/exchange/codec.go
@@ -18,7 +18,7 @@
 )
 
 // encode makes the datagrams of what is told; those of one call share a round.
-func (t *Teller) encode(scope exchangepb.Scope, told balance.Told) [][]byte {
+func (t *Teller) encode(scope exchangepb.Scope, urgent bool, told balance.Told) [][]byte {
 	round := t.sequence.Add(1)
 	var packets [][]byte
 	for first := true; first || len(told.InFlight)+len(told.Reads)+len(told.Outcomes) > 0; first = false {
@@ -26,7 +26,7 @@
 			message: t.message(scope),
 			place:   make(map[uint64]uint32),
 		}
-		e.message.Round = round
+		e.message.Round, e.message.Urgent = round, urgent
 		n := min(len(told.InFlight), maxCounts)
 		e.addCounts(told.InFlight[:n])
 		told.InFlight = told.InFlight[n:]
--- a/exchange/hubs.go
+++ b/exchange/hubs.go
@@ -13,27 +13,53 @@
 const meshSize = 16
 
 // hubs are the routers that pass on what others tell, in a fleet too large for
-// all to tell all: about as many as each then has routers that tell it.
+// all to tell all: about as many as each then has routers that tell it. Routers
+// tell a hub of their own data centre: bytes between data centres are dear, and
+// what a hub tells its group is most of what is told.
 type hubs struct {
 	routers []slipwick.Router
 	// chosen are the hubs; without any, every router tells every other.
 	chosen []slipwick.Router
+	// near are the hubs by data centre.
+	near map[string][]slipwick.Router
+	ids  map[string]bool
 }
 
 func chooseHubs(routers []slipwick.Router) *hubs {
 	h := &hubs{
 		routers: routers,
+		near:    make(map[string][]slipwick.Router),
+		ids:     make(map[string]bool),
 	}
 	if len(routers) <= meshSize {
 		return h
 	}
+	groups := make(map[string][]slipwick.Router)
+	for _, r := range routers {
+		groups[r.DataCentre] = append(groups[r.DataCentre], r)
+	}
+	size := math.Sqrt(float64(len(routers)))
+	for dataCentre, group := range groups {
+		count := int(math.Ceil(float64(len(group)) / size))
+		h.near[dataCentre] = bestRanked(group, count)
+		h.chosen = append(h.chosen, h.near[dataCentre]...)
+	}
+	for _, r := range h.chosen {
+		h.ids[r.ID] = true
+	}
+	return h
+}
+
+// bestRanked gives the first of the routers by their rank as hubs.
+func bestRanked(routers []slipwick.Router, count int) []slipwick.Router {
 	key := placement.IDHash("hub")
+	scores := make(map[string]uint64, len(routers))
+	for _, r := range routers {
+		scores[r.ID] = placement.Score(key, placement.IDHash(r.ID))
+	}
 	sorted := slices.Clone(routers)
-	slices.SortFunc(sorted, func(a, b slipwick.Router) int {
-		return cmp.Compare(placement.Score(key, placement.IDHash(b.ID)), placement.Score(key, placement.IDHash(a.ID)))
-	})
-	h.chosen = sorted[:int(math.Ceil(math.Sqrt(float64(len(sorted)))))]
-	return h
+	slices.SortFunc(sorted, func(a, b slipwick.Router) int { return cmp.Compare(scores[b.ID], scores[a.ID]) })
+	return sorted[:count]
 }
 
 // of gives the hub that a router tells; ok is false if it is one itself.
@@ -41,18 +67,26 @@
 	if h.has(id) {
 		return slipwick.Router{}, false
 	}
-	return h.chosen[placement.Choose(placement.IDHash(id), h.chosen)], true
+	near := h.chosen
+	if i := slices.IndexFunc(h.routers, func(r slipwick.Router) bool { return r.ID == id }); i >= 0 {
+		near = h.near[h.routers[i].DataCentre]
+	}
+	return near[placement.Choose(placement.IDHash(id), near)], true
 }
 
 func (h *hubs) has(id string) bool {
-	return slices.ContainsFunc(h.chosen, func(r slipwick.Router) bool { return r.ID == id })
+	return h.ids[id]
 }
 
 // group gives the routers that tell a hub.
 func (h *hubs) group(id string) []slipwick.Router {
 	var group []slipwick.Router
 	for _, r := range h.routers {
-		if hub, ok := h.of(r.ID); ok && hub.ID == id {
+		if h.has(r.ID) {
+			continue
+		}
+		near := h.near[r.DataCentre]
+		if near[placement.Choose(placement.IDHash(r.ID), near)].ID == id {
 			group = append(group, r)
 		}
 	}
--- a/exchange/teller.go
+++ b/exchange/teller.go
@@ -18,8 +18,11 @@
 	// pause lies between two tellings: shorter than a request runs, long
 	// enough to cost a router little.
 	pause = 200 * time.Millisecond
-	// leastPause lies between tellings that cannot wait.
+	// leastPause lies between tellings that cannot wait, passPause between those
+	// of a hub that passes such news on: together with a telling they take less
+	// than the shortest reading that is urgent.
 	leastPause = 10 * time.Millisecond
+	passPause  = 15 * time.Millisecond
 	// sequenceBits leave room for the datagrams of a millisecond.
 	sequenceBits = 16
 	// fleetSource names what a hub tells of the whole fleet.
@@ -47,6 +50,10 @@
 
 	sequence atomic.Uint64
 	soon     chan struct{}
+	// passSoon says that a hub has urgent news to pass on.
+	passSoon chan struct{}
+	// hubs are those of the telling before; they belong to Run.
+	hubs *hubs
 	// size is that of the fleet when this router told last; 0 before.
 	size atomic.Int64
 
@@ -59,6 +66,9 @@
 	// tells a hub gets its own outcomes back with those of the fleet, and
 	// counts them twice.
 	fromGroup, fromHubs balance.Told
+	// urgentGroup and urgentHubs are the reads among these that are passed on at
+	// once. They are told with the others as well, as datagrams get lost.
+	urgentGroup, urgentHubs []balance.Read
 
 	done chan struct{}
 }
@@ -70,6 +80,10 @@
 		told: make(map[string]*counts),
 		own:  newCounts(nil),
 		soon: make(chan struct{}, 1),
+
+		passSoon: make(chan struct{}, 1),
+		hubs:     chooseHubs(nil),
+
 		done: make(chan struct{}),
 	}
 	// What a restarted router tells is newer than what it told before.
@@ -84,8 +98,13 @@
 
 // Soon has the next telling come without a pause, but for leastPause.
 func (t *Teller) Soon() {
+	signal(t.soon)
+}
+
+// signal has whoever waits for the channel wake up, now or when it waits next.
+func signal(channel chan struct{}) {
 	select {
-	case t.soon <- struct{}{}:
+	case channel <- struct{}{}:
 	default:
 	}
 }
@@ -95,21 +114,64 @@
 	defer close(t.done)
 	ticker := time.NewTicker(pause)
 	defer ticker.Stop()
+	t.tell(false)
 	for {
-		t.tell()
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			t.tell(false)
 		case <-t.soon:
 			time.Sleep(leastPause)
+			t.tellUrgent()
+		case <-t.passSoon:
+			time.Sleep(passPause)
+			t.passOn()
 		}
 	}
 }
 
+// tellUrgent tells what this router's requests have just begun to read: a hub
+// the news alone, as its counts are many.
+func (t *Teller) tellUrgent() {
+	if !t.hubs.has(t.Self) {
+		t.tell(true)
+		return
+	}
+	news := balance.Told{
+		Reads: t.Balancer.TellReads(),
+	}
+	t.mu.Lock()
+	addNews(&t.fromGroup, news)
+	t.urgentGroup = append(t.urgentGroup, news.Reads...)
+	t.mu.Unlock()
+	t.passOn()
+}
+
+// passOn passes urgent news on as a hub: those of its group to the other hubs,
+// and all to its group.
+func (t *Teller) passOn() {
+	t.mu.Lock()
+	ofGroup, ofHubs := t.urgentGroup, t.urgentHubs
+	t.urgentGroup, t.urgentHubs = nil, nil
+	t.mu.Unlock()
+	if !t.hubs.has(t.Self) || len(ofGroup)+len(ofHubs) == 0 {
+		return
+	}
+	if len(ofGroup) > 0 {
+		t.send(without(t.hubs.chosen, t.Self), t.encode(exchangepb.Scope_SCOPE_NEWS, true, balance.Told{
+			Reads: ofGroup,
+		}))
+	}
+	t.send(t.hubs.group(t.Self), t.encode(exchangepb.Scope_SCOPE_NONE, true, balance.Told{
+		Reads: slices.Concat(ofGroup, ofHubs),
+	}))
+}
+
 // tell tells those that this router tells in a fleet of this size.
-func (t *Teller) tell() {
+func (t *Teller) tell(urgent bool) {
 	hubs := chooseHubs(t.Routers())
+	t.hubs = hubs
 	others := len(without(hubs.routers, t.Self))
 	t.size.Store(int64(len(hubs.routers)))
 	told := t.Balancer.Tell()
@@ -120,16 +182,17 @@
 	case len(hubs.chosen) == 0:
 		peers := without(hubs.routers, t.Self)
 		t.Balancer.SetPeers(idsOf(peers), others)
-		t.send(peers, t.encode(exchangepb.Scope_SCOPE_OWN, told))
+		t.send(peers, t.encode(exchangepb.Scope_SCOPE_OWN, urgent, told))
 	case hubs.has(t.Self):
 		t.tellAsHub(hubs, told, others)
 	default:
 		t.mu.Lock()
 		t.fromGroup, t.fromHubs = balance.Told{}, balance.Told{}
+		t.urgentGroup, t.urgentHubs = nil, nil
 		t.mu.Unlock()
 		hub, _ := hubs.of(t.Self)
 		t.Balancer.SetPeers([]string{fleetSource}, others)
-		t.send([]slipwick.Router{hub}, t.encode(exchangepb.Scope_SCOPE_OWN, told))
+		t.send([]slipwick.Router{hub}, t.encode(exchangepb.Scope_SCOPE_OWN, urgent, told))
 	}
 }
 
@@ -144,11 +207,11 @@
 	t.mu.Unlock()
 	addNews(&news, own)
 	news.InFlight = ofGroup.list()
-	t.send(others, t.encode(exchangepb.Scope_SCOPE_GROUP, news))
+	t.send(others, t.encode(exchangepb.Scope_SCOPE_GROUP, false, news))
 	ofGroup.add(ofHubs, 1)
 	addNews(&news, fromHubs)
 	news.InFlight = ofGroup.list()
-	t.send(group, t.encode(exchangepb.Scope_SCOPE_FLEET, news))
+	t.send(group, t.encode(exchangepb.Scope_SCOPE_FLEET, false, news))
 }
 
 // addNews adds what is told once, as far as there is room.
@@ -204,20 +267,25 @@
 		return
 	}
 	told := decode(message)
-	t.passLater(message.GetScope(), told)
+	t.passLater(message.GetScope(), message.GetUrgent(), told)
 	source, list := message.GetFrom(), t.collect(message, told.InFlight)
 	if message.GetScope() == exchangepb.Scope_SCOPE_FLEET {
 		source = fleetSource
 	}
-	if message.GetScope() != exchangepb.Scope_SCOPE_NONE {
+	if hasCounts(message) {
 		t.Balancer.Hear(source, message.GetSequence(), list)
 	}
 	t.Balancer.HearReadings(told.Reads)
 	t.Balancer.HearOutcomes(told.Outcomes)
 }
 
+// hasCounts tells whether a datagram counts requests.
+func hasCounts(message *exchangepb.Told) bool {
+	return message.GetScope() != exchangepb.Scope_SCOPE_NONE && message.GetScope() != exchangepb.Scope_SCOPE_NEWS
+}
+
 // passLater keeps news to pass on, in case this router is a hub.
-func (t *Teller) passLater(scope exchangepb.Scope, news balance.Told) {
+func (t *Teller) passLater(scope exchangepb.Scope, urgent bool, news balance.Told) {
 	size := t.size.Load()
 	if len(news.Reads)+len(news.Outcomes) == 0 || size > 0 && size <= meshSize {
 		return
@@ -227,16 +295,28 @@
 	switch scope {
 	case exchangepb.Scope_SCOPE_OWN:
 		addNews(&t.fromGroup, news)
+		t.urgentLocked(&t.urgentGroup, urgent, news.Reads)
 	case exchangepb.Scope_SCOPE_GROUP:
 		addNews(&t.fromHubs, news)
+	case exchangepb.Scope_SCOPE_NEWS:
+		t.urgentLocked(&t.urgentHubs, urgent, news.Reads)
 	default:
 	}
 }
 
+// urgentLocked keeps reads that are to be passed on at once.
+func (t *Teller) urgentLocked(kept *[]balance.Read, urgent bool, reads []balance.Read) {
+	if !urgent || len(reads) == 0 || len(*kept) >= maxPassed {
+		return
+	}
+	*kept = append(*kept, reads...)
+	signal(t.passSoon)
+}
+
 // collect joins the counts of a round's datagrams, and gives them without this
 // router's own, as far as they hold these.
 func (t *Teller) collect(message *exchangepb.Told, list []balance.InFlight) []balance.InFlight {
-	if message.GetScope() == exchangepb.Scope_SCOPE_NONE {
+	if !hasCounts(message) {
 		return nil
 	}
 	t.mu.Lock()
--- a/exchange/teller_test.go
+++ b/exchange/teller_test.go
@@ -19,6 +19,8 @@
 
 	mu      sync.Mutex
 	longest int
+	// far counts the bytes told between data centres, near the others.
+	far, near int
 }
 
 // port is one router's way into the switchboard.
@@ -30,20 +32,32 @@
 func (p *port) Send(address string, packet []byte) {
 	p.board.mu.Lock()
 	p.board.longest = max(p.board.longest, len(packet))
+	to := p.board.tellers[address]
+	if to != nil && to.Balancer.DataCentre == p.board.tellers[p.from].Balancer.DataCentre {
+		p.board.near += len(packet)
+	} else {
+		p.board.far += len(packet)
+	}
 	p.board.mu.Unlock()
-	if to := p.board.tellers[address]; to != nil {
+	if to != nil {
 		to.Receive(p.from, packet)
 	}
 }
 
 func newRouters(n int) ([]*Teller, *switchboard) {
+	return newRoutersIn(1, n)
+}
+
+// newRoutersIn makes routers of several data centres.
+func newRoutersIn(dataCentres, n int) ([]*Teller, *switchboard) {
 	board := &switchboard{
 		tellers: make(map[string]*Teller),
 	}
 	var routers []slipwick.Router
 	for i := range n {
 		routers = append(routers, slipwick.Router{
-			ID: fmt.Sprint(i),
+			ID:         fmt.Sprint(i),
+			DataCentre: fmt.Sprint(i % dataCentres),
 		})
 	}
 	var backends []balance.Listed
@@ -59,7 +73,8 @@
 	var tellers []*Teller
 	for i := range n {
 		t := NewTeller(fmt.Sprint(i))
-		t.Balancer = balance.New("")
+		t.Balancer = balance.New(routers[i].DataCentre)
+		t.Balancer.OnLongRead = t.Soon
 		t.Balancer.SetBackends(backends)
 		t.Routers = func() []slipwick.Router { return routers }
 		t.Address = func(r slipwick.Router) string { return r.ID }
@@ -235,7 +250,7 @@
 	if got != 500 || missing > 0 {
 		t.Errorf("got %d parts and %d engines missing, want 500 and none", got, missing)
 	}
-	tellers[0].tell()
+	tellers[0].tell(false)
 	if board.longest > 1400 {
 		t.Errorf("got a datagram of %d bytes, want all within one packet", board.longest)
 	}
@@ -250,3 +265,84 @@
 		t.Errorf("got %d parts from garbage, want 0", got)
 	}
 }
+
+// longAsk is a request whose prompt takes an engine some 100 ms to read.
+func longAsk(t *testing.T, b *balance.Balancer) *balance.Lease {
+	t.Helper()
+	lease, err := b.Acquire(&balance.Ask{
+		Pool: "p",
+		Prompt: []balance.Part{
+			{
+				Key:    7,
+				Tokens: 10000,
+			},
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return lease
+}
+
+// TestLongReadingsAreKnownBeforeTheyAreOver has one router of a large fleet send
+// a long prompt that no engine has: 60 ms later all others have to know where it
+// is being read, so that they do not have it read again.
+func TestLongReadingsAreKnownBeforeTheyAreOver(t *testing.T) {
+	const size = 50
+	for _, dataCentres := range []int{1, 4} {
+		for reader := range size {
+			synctest.Test(t, func(t *testing.T) {
+				tellers, _ := newRoutersIn(dataCentres, size)
+				ctx, cancel := context.WithCancel(t.Context())
+				for _, teller := range tellers {
+					go teller.Run(ctx)
+				}
+				time.Sleep(6*pause + pause/10)
+				read := longAsk(t, tellers[reader].Balancer)
+				time.Sleep(60 * time.Millisecond)
+				synctest.Wait()
+				for _, teller := range tellers {
+					if teller == tellers[reader] {
+						continue
+					}
+					lease := longAsk(t, teller.Balancer)
+					if lease.Wait <= 0 || lease.Backend.ID != read.Backend.ID && lease.FetchFrom != read.Backend.Address {
+						t.Errorf("%d data centres, read for %d: router %s got %+v, want it to wait for the reading at %s",
+							dataCentres, reader, teller.Self, lease, read.Backend.ID)
+					}
+				}
+				cancel()
+				for _, teller := range tellers {
+					<-teller.Done()
+				}
+			})
+		}
+	}
+}
+
+// TestHubsAreNear has a fleet of several data centres tell: a router's hub is in
+// its own, so that the counts of all, which are most of what is told, stay there.
+func TestHubsAreNear(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size = 120
+		tellers, board := newRoutersIn(6, size)
+		ctx, cancel := context.WithCancel(t.Context())
+		for i, teller := range tellers {
+			for key := range uint64(10) {
+				ask(t, teller.Balancer, uint64(i)*10+key)
+			}
+			go teller.Run(ctx)
+		}
+		time.Sleep(20 * pause)
+		cancel()
+		for _, teller := range tellers {
+			<-teller.Done()
+			if got := teller.Balancer.InFlight("p"); got != 10*size {
+				t.Errorf("router %s: got %v requests in the fleet, want %d", teller.Self, got, 10*size)
+			}
+		}
+		if board.far > board.near {
+			t.Errorf("got %d bytes between data centres and %d within, want less between", board.far, board.near)
+		}
+	})
+}
