--- a/cmd/internal/gatewayd/follow.go
+++ b/cmd/internal/gatewayd/follow.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/slipwick/slipwick"
@@ -148,24 +150,36 @@
 
 const (
 	// joinSoon is how often a router that has just started and knows no other
-	// tries its seeds, for the first joinsSoon times: whole fleets start at
-	// once, in any order. joinEvery is how often it does later.
-	joinSoon  = 50 * time.Millisecond
-	joinsSoon = 20
+	// tries one of its seeds, for the first joinsSoon times: whole fleets start
+	// at once, in any order. joinEvery is how often it does later.
+	joinSoon  = 20 * time.Millisecond
+	joinsSoon = 50
 	joinEvery = time.Second
+	// Each seed is tried joinRounds times, one every joinPause, also when others
+	// are known: routers that each met another seed would else be two fleets.
+	joinRounds = 3
+	joinPause  = 80 * time.Millisecond
 )
 
 // join finds the other routers through the seeds.
 func (p *Process) join(ctx context.Context) {
+	if p.hasNoSeeds() {
+		p.node.Alone()
+	}
+	first := rand.IntN(math.MaxInt16)
 	for tries := 0; ; tries++ {
-		if len(p.node.Routers()) == 1 {
-			for _, seed := range *p.seeds.Load() {
-				p.node.Join(seed)
-			}
+		seeds := *p.seeds.Load()
+		alone := len(p.node.Routers()) == 1
+		early := tries < joinRounds*len(seeds)
+		if len(seeds) > 0 && (alone || early) {
+			p.node.Join(seeds[(first+tries)%len(seeds)])
 		}
 		pause := joinEvery
-		if tries < joinsSoon {
+		switch {
+		case alone && tries < joinsSoon:
 			pause = joinSoon
+		case early:
+			pause = joinPause
 		}
 		if !sleep(ctx, pause) {
 			return
@@ -173,6 +187,12 @@
 	}
 }
 
+// hasNoSeeds tells whether no seed is another router.
+func (p *Process) hasNoSeeds() bool {
+	isOther := func(seed string) bool { return seed != p.Settings.Listen.Peers }
+	return !slices.ContainsFunc(*p.seeds.Load(), isOther)
+}
+
 // watchSettings takes changed settings: seeds, grace period, and the bounds on
 // load and repeats. What a process listens on, and its rhythm, are fixed for its
 // life.
--- a/membership/member.go
+++ b/membership/member.go
@@ -65,13 +65,18 @@
 	m.penaltyAt = now
 }
 
-// digest hashes what matters of the box; a suspect counts as live, and a dead
-// router as unknown, since it is forgotten sooner or later.
+// digest hashes what matters of the box; a dead router counts as unknown, since
+// it is forgotten sooner or later.
 func (m *member) digest() uint64 {
-	state := m.news.GetState()
-	if state == memberpb.State_STATE_DEAD {
+	if m.dead() {
 		return 0
 	}
+	return m.fingerprint()
+}
+
+// fingerprint hashes the box's state; a suspect counts as live.
+func (m *member) fingerprint() uint64 {
+	state := m.news.GetState()
 	if state == memberpb.State_STATE_SUSPECT {
 		state = memberpb.State_STATE_LIVE
 	}
--- a/membership/node.go
+++ b/membership/node.go
@@ -50,7 +50,15 @@
 	changed, stale bool
 	// eligible lists the routers that OnChange was told of last.
 	eligible string
-	done     chan struct{}
+	// startedAt is when Run began. questions counts those to other routers, same
+	// and quiet the answers since news came last: from routers that know just
+	// the same, and from others that know nothing more.
+	startedAt   time.Time
+	askedBackAt time.Time
+	questions   uint64
+	same, quiet int
+	settled     chan struct{}
+	done        chan struct{}
 }
 
 // NewNode makes a node that knows itself alone.
@@ -66,6 +74,8 @@
 		backends:  make(map[string]*member),
 		probes:    make(map[uint64]*probe),
 		listed:    make(map[string]slipwick.BoxState),
+		startedAt: time.Now(),
+		settled:   make(chan struct{}),
 		done:      make(chan struct{}),
 	}
 	news := newsOf(self)
@@ -88,8 +98,12 @@
 // Run probes until ctx ends.
 func (n *Node) Run(ctx context.Context) {
 	defer close(n.done)
+	var parts sync.WaitGroup
+	parts.Go(func() { n.catchUp(ctx) })
+	defer parts.Wait()
 	var wait time.Duration
 	n.locked(func() {
+		n.startedAt = time.Now()
 		n.changed = true
 		n.spread(n.self().news)
 		// Routers that start together do not probe together.
--- a/membership/packet.go
+++ b/membership/packet.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -57,8 +56,11 @@
 		n.compare(address, packet)
 	case memberpb.Kind_KIND_PROBE_FOR:
 		n.probeFor(address, packet)
+	case memberpb.Kind_KIND_NEWS:
+		n.answered(packet)
 	case memberpb.Kind_KIND_SYNC:
-		n.sendAll(address)
+		n.answer(address, packet)
+		n.askBack(address, packet)
 	}
 }
 
@@ -74,7 +76,7 @@
 		return
 	}
 	n.metAt = now
-	n.join(address)
+	n.ask(address, n.wanted())
 }
 
 // accuse tells a router that probes, though it counts as dead or suspect here,
@@ -125,44 +127,10 @@
 		return
 	}
 	n.differed, n.syncedAt = 0, now
-	n.send(address, n.packet(memberpb.Kind_KIND_SYNC, 0))
+	n.ask(address, n.wanted())
 }
 
-// Join asks a router at the address for all that it knows.
+// Join asks a router at the address for what it knows.
 func (n *Node) Join(address string) {
-	n.locked(func() { n.join(address) })
-}
-
-func (n *Node) join(address string) {
-	packet := n.packet(memberpb.Kind_KIND_SYNC, 0)
-	packet.News = append(packet.News, n.self().news)
-	n.send(address, packet)
-}
-
-// sendAll tells all that this router knows, in packets of bounded size.
-func (n *Node) sendAll(address string) {
-	const newsPerPacket = 16
-	var all []*memberpb.News
-	for _, known := range []map[string]*member{n.members, n.backends} {
-		for _, id := range sortedIDs(known) {
-			all = append(all, known[id].news)
-		}
-	}
-	for news := range slices.Chunk(all, newsPerPacket) {
-		n.send(address, &memberpb.Packet{
-			Kind:   memberpb.Kind_KIND_NEWS,
-			From:   n.Self.ID,
-			Digest: n.digest,
-			News:   news,
-		})
-	}
-}
-
-func sortedIDs(members map[string]*member) []string {
-	ids := make([]string, 0, len(members))
-	for id := range members {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
+	n.locked(func() { n.ask(address, earlyPackets) })
 }
