Follow the store at three routers and pass its changes down a tree

Each starting router listed both feeds from the store, one router in 29 watched, and a router whose relay failed went back to the store: an outage had the whole fleet call. Ruled out: three watchers with 98 followers each: a large configuration takes 0.4 s of a link of 20 Mbit/s; gossip of data (docs/design/dissemination.md weighs the ways). Change: fleet.PlaceOf gives each router its place: two or three watchers a region, below them as few levels as links carry. Copies that are confirmed anew are told like changes, so that ages do not add up. A router whose relay fails asks others, hedged; it asks the store only if nobody answers, or in its turn if nobody has a current copy. A router that starts asks its relays, once it knows the members. The waits of a rhythm are 0.4 (store) and 0.45 (relay) of the time allowed, 0.5 and 0.4 before, the last pause after failures 0.5 s, 0.8 before. A copy that is not current has a kind of its own. Figures (directory/fleet_test.go, 295 routers, virtual time): at most 9 calls at a start of all, 60 in 20 s of rest, 250 in 9 s without a store; a change is known in time with one, two or all watchers silent or cut off, or every seventh router silent.

--- a/cmd/internal/gatewayd/peers.go
+++ b/cmd/internal/gatewayd/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"slices"
 
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/directory"
@@ -19,17 +18,14 @@
 
 var _ directory.Peers = (*peers)(nil)
 
-// Watches tells whether this router follows the store itself.
-func (p *peers) Watches() bool {
-	watchers := p.watchers()
-	return len(watchers) == 0 || slices.Contains(watchers, p.self.ID)
+// Settled is closed once this router knows the others.
+func (p *peers) Settled() <-chan struct{} {
+	return p.node.Settled()
 }
 
-// Relays gives the watchers, those of the own data centre first if there are
-// two of them.
-func (p *peers) Relays() []string {
-	watchers := p.watchers()
-	return slices.DeleteFunc(watchers, func(id string) bool { return id == p.self.ID })
+// Place gives whom this router follows.
+func (p *peers) Place() fleet.Place {
+	return fleet.PlaceOf(p.self, p.node.Routers())
 }
 
 // Others gives all other routers that live.
@@ -43,10 +39,6 @@
 	return others
 }
 
-func (p *peers) watchers() []string {
-	return fleet.StoreWatchers(p.self, p.node.Routers())
-}
-
 // Relay gives another router's copy of a feed.
 func (p *peers) Relay(id, feed string) slipwick.Feed {
 	return &directory.Relay{
--- a/cmd/internal/gatewayd/status.go
+++ b/cmd/internal/gatewayd/status.go
@@ -37,7 +37,7 @@
 		DataCentre:    p.Settings.DataCentre,
 		Ready:         p.isReady(),
 		Draining:      p.draining.Load(),
-		WatchesStore:  p.Feeds.Private || p.peers.Watches(),
+		WatchesStore:  p.Feeds.Private || p.peers.Place().Watches,
 		InFlight:      p.gateway.InFlight(),
 		KnownParts:    p.balancer.KnownParts(),
 		MissingCaches: p.recovery.Missing(),
--- /dev/null
+++ b/directory/fleet_test.go
@@ -0,0 +1,404 @@
+package directory
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/fleet"
+)
+
+// fleetWithin is the time that the fleet of the tests has for a change.
+const fleetWithin = 4 * time.Second
+
+// following is a fleet whose routers follow one store.
+type following struct {
+	store   *Mirror
+	calls   atomic.Int64
+	routers []*followingRouter
+	members []slipwick.Router
+	byID    map[string]*followingRouter
+	// revision is the store's.
+	revision uint64
+}
+
+// followingRouter is one router, and what is wrong with it.
+type followingRouter struct {
+	fleet    *following
+	self     slipwick.Router
+	follower *Follower[string]
+	settled  chan struct{}
+
+	mu sync.Mutex
+	// silent has nothing get an answer from it, cut has the store give it none,
+	// refused has the store refuse it.
+	silent, cut, refused bool
+	// values are the values known here.
+	values map[string]string
+}
+
+var errRefused = errors.New("refused")
+
+func newFollowing(n int) *following {
+	f := &following{
+		store: NewMirror(),
+		byID:  make(map[string]*followingRouter),
+	}
+	f.change("0")
+	for i := range n {
+		r := &followingRouter{
+			fleet: f,
+			self: slipwick.Router{
+				ID:         fmt.Sprint("r", i),
+				DataCentre: fmt.Sprint("dc-", i%6),
+			},
+			settled: make(chan struct{}),
+			values:  make(map[string]string),
+		}
+		f.routers = append(f.routers, r)
+		f.members = append(f.members, r.self)
+		f.byID[r.self.ID] = r
+		shared := &Shared{
+			Name:   "feed",
+			Store:  &storeOf{r},
+			Peers:  r,
+			Rhythm: RhythmWithin(fleetWithin),
+		}
+		r.follower = NewFollower[string](shared, NewMirror())
+		r.follower.Rhythm = shared.Rhythm
+		r.follower.Decode = func(_ string, value []byte) (string, error) { return string(value), nil }
+		r.follower.OnChange = func(changes []Change[string]) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			for _, c := range changes {
+				r.values[c.Name] = c.Value
+			}
+		}
+	}
+	return f
+}
+
+// change changes the one object of the store.
+func (f *following) change(value string) {
+	f.revision++
+	f.store.Apply(&slipwick.FeedBatch{
+		Whole:    f.revision == 1,
+		Revision: f.revision,
+		Entries: []slipwick.FeedEntry{
+			{
+				Name:  "a",
+				Value: []byte(value),
+			},
+		},
+	})
+}
+
+// start starts all routers within 0.3 s; each knows the others 0.2 s later. It
+// gives what ends them.
+func (f *following) start(t *testing.T) (stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	// The store's state is always known.
+	go func() {
+		ticker := time.NewTicker(10 * time.Millisecond)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				f.store.mu.Lock()
+				f.store.confirmed = time.Now()
+				f.store.mu.Unlock()
+			}
+		}
+	}()
+	random := rand.New(rand.NewPCG(1, 2))
+	for _, r := range f.routers {
+		wait := time.Duration(random.Int64N(int64(300 * time.Millisecond)))
+		go func() {
+			time.Sleep(wait)
+			time.AfterFunc(200*time.Millisecond, func() { close(r.settled) })
+			r.follower.Run(ctx)
+		}()
+	}
+	return func() {
+		cancel()
+		for _, r := range f.routers {
+			<-r.follower.Done()
+		}
+		time.Sleep(10 * time.Second)
+	}
+}
+
+// watchers gives the routers that follow the store.
+func (f *following) watchers() []*followingRouter {
+	var watchers []*followingRouter
+	for _, r := range f.routers {
+		if r.Place().Watches {
+			watchers = append(watchers, r)
+		}
+	}
+	return watchers
+}
+
+// lagging counts the sound routers that do not know the value.
+func (f *following) lagging(value string) int {
+	n := 0
+	for _, r := range f.routers {
+		r.mu.Lock()
+		if !r.silent && !r.cut && r.values["a"] != value {
+			n++
+		}
+		r.mu.Unlock()
+	}
+	return n
+}
+
+func (r *followingRouter) set(change func(*followingRouter)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change(r)
+}
+
+func (r *followingRouter) Settled() <-chan struct{} { return r.settled }
+
+func (r *followingRouter) Place() fleet.Place {
+	select {
+	case <-r.settled:
+		return fleet.PlaceOf(r.self, r.fleet.members)
+	default:
+		return fleet.PlaceOf(r.self, nil)
+	}
+}
+
+func (r *followingRouter) Others() []string {
+	var ids []string
+	for _, other := range r.fleet.members {
+		ids = append(ids, other.ID)
+	}
+	return ids
+}
+
+func (r *followingRouter) Relay(id, _ string) slipwick.Feed {
+	return &copyOf{
+		from: r,
+		to:   r.fleet.byID[id],
+	}
+}
+
+// copyOf is another router's copy, a millisecond away.
+type copyOf struct {
+	from, to *followingRouter
+}
+
+// reach waits as long as the way takes, or for ever.
+func (c *copyOf) reach(ctx context.Context) error {
+	for _, r := range []*followingRouter{c.from, c.to} {
+		r.mu.Lock()
+		silent := r.silent
+		r.mu.Unlock()
+		if silent {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+	}
+	time.Sleep(time.Millisecond)
+	return ctx.Err()
+}
+
+func (c *copyOf) List(ctx context.Context) (slipwick.FeedBatch, error) {
+	if err := c.reach(ctx); err != nil {
+		return slipwick.FeedBatch{}, err
+	}
+	batch, err := c.to.follower.Mirror.AwaitList(ctx, firstWait)
+	batch.Hops++
+	return batch, err
+}
+
+func (c *copyOf) Watch(ctx context.Context, after uint64, wait time.Duration) (slipwick.FeedBatch, error) {
+	if err := c.reach(ctx); err != nil {
+		return slipwick.FeedBatch{}, err
+	}
+	batch, err := c.to.follower.Mirror.Watch(ctx, after, wait)
+	batch.Hops++
+	if failed := c.reach(ctx); failed != nil {
+		return slipwick.FeedBatch{}, failed
+	}
+	return batch, err
+}
+
+// storeOf is the store as one router reaches it.
+type storeOf struct {
+	router *followingRouter
+}
+
+func (s *storeOf) reach(ctx context.Context) error {
+	s.router.fleet.calls.Add(1)
+	time.Sleep(4 * time.Millisecond)
+	return s.back(ctx)
+}
+
+// back is the way of an answer.
+func (s *storeOf) back(ctx context.Context) error {
+	s.router.mu.Lock()
+	hangs, refused := s.router.cut || s.router.silent, s.router.refused
+	s.router.mu.Unlock()
+	if hangs {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if refused {
+		return errRefused
+	}
+	return ctx.Err()
+}
+
+func (s *storeOf) List(ctx context.Context) (slipwick.FeedBatch, error) {
+	if err := s.reach(ctx); err != nil {
+		return slipwick.FeedBatch{}, err
+	}
+	return s.router.fleet.store.List(ctx)
+}
+
+func (s *storeOf) Watch(ctx context.Context, after uint64, wait time.Duration) (slipwick.FeedBatch, error) {
+	if err := s.reach(ctx); err != nil {
+		return slipwick.FeedBatch{}, err
+	}
+	batch, err := s.router.fleet.store.Watch(ctx, after, wait)
+	if failed := s.back(ctx); failed != nil {
+		return slipwick.FeedBatch{}, failed
+	}
+	return batch, err
+}
+
+// TestFleetStartsAndRestsWithFewCalls counts the calls to the store of fleets
+// that start at once and of those at rest: they must not grow with the fleet.
+func TestFleetStartsAndRestsWithFewCalls(t *testing.T) {
+	for _, size := range []int{1, 8, 62, 295} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFollowing(size)
+			stop := f.start(t)
+			time.Sleep(time.Second)
+			if got := f.lagging("0"); got > 0 {
+				t.Errorf("%d routers: got %d without a copy after a second, want none", size, got)
+			}
+			if got := f.calls.Load(); got > 9 {
+				t.Errorf("%d routers: got %d calls at the start, want at most 9", size, got)
+			}
+			f.calls.Store(0)
+			time.Sleep(20 * time.Second)
+			if got := f.calls.Load(); got > 60 {
+				t.Errorf("%d routers: got %d calls in 20 s of rest, want at most 60", size, got)
+			}
+			stop()
+		})
+	}
+}
+
+// TestChangesReachTheFleetThoughRoutersFail has the store change while routers
+// on the way are silent or cut off from the store: all others have to know in
+// time.
+func TestChangesReachTheFleetThoughRoutersFail(t *testing.T) {
+	for name, fail := range map[string]func(f *following){
+		"nobody": func(*following) {},
+		"a watcher is silent": func(f *following) {
+			f.watchers()[0].set(func(r *followingRouter) { r.silent = true })
+		},
+		"two watchers are silent": func(f *following) {
+			for _, w := range f.watchers()[:min(2, len(f.watchers()))] {
+				w.set(func(r *followingRouter) { r.silent = true })
+			}
+		},
+		"a watcher is cut off from the store": func(f *following) {
+			f.watchers()[0].set(func(r *followingRouter) { r.cut = true })
+		},
+		"all watchers are cut off from the store": func(f *following) {
+			for _, w := range f.watchers() {
+				w.set(func(r *followingRouter) { r.cut = true })
+			}
+		},
+		"a seventh of the routers is silent": func(f *following) {
+			for i, r := range f.routers {
+				if i%7 == 3 {
+					r.set(func(r *followingRouter) { r.silent = true })
+				}
+			}
+		},
+	} {
+		for _, size := range []int{8, 62, 295} {
+			for seed := range 5 {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFollowing(size)
+					stop := f.start(t)
+					// At any moment between two confirmations.
+					time.Sleep(5*time.Second + time.Duration(seed)*371*time.Millisecond)
+					fail(f)
+					time.Sleep(time.Duration(seed%2) * 50 * time.Millisecond)
+					f.change("1")
+					time.Sleep(fleetWithin - 100*time.Millisecond)
+					if got := f.lagging("1"); got > 0 {
+						t.Errorf("%d routers, %s, seed %d: got %d that do not know the change in time, want none", size, name, seed, got)
+					}
+					stop()
+				})
+			}
+		}
+	}
+}
+
+// TestOutageCostsFewCalls has the store refuse everyone for a while, then a third
+// of the routers, those that follow it among them.
+func TestOutageCostsFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFollowing(295)
+		stop := f.start(t)
+		time.Sleep(5 * time.Second)
+		refuse := func(refused func(i int, r *followingRouter) bool) {
+			for i, r := range f.routers {
+				is := refused(i, r)
+				r.set(func(r *followingRouter) { r.refused = is })
+			}
+		}
+		refuse(func(int, *followingRouter) bool { return true })
+		f.calls.Store(0)
+		time.Sleep(9 * time.Second)
+		if got := f.calls.Load(); got > 250 {
+			t.Errorf("got %d calls in 9 s of outage, want at most 250", got)
+		}
+		refuse(func(int, *followingRouter) bool { return false })
+		f.change("1")
+		time.Sleep(2 * time.Second)
+		if got := f.lagging("1"); got > 0 {
+			t.Errorf("got %d routers that do not know the change 2 s after the store's return, want none", got)
+		}
+		time.Sleep(5 * time.Second)
+		refuse(func(i int, r *followingRouter) bool { return i%3 == 0 || r.Place().Watches })
+		f.calls.Store(0)
+		time.Sleep(time.Second)
+		f.change("2")
+		time.Sleep(fleetWithin)
+		if got := f.lagging("2"); got > 0 {
+			t.Errorf("watchers refused: got %d routers that do not know the change in time, want none", got)
+		}
+		for i := range 5 {
+			value := strings.Repeat("3", i+1)
+			f.change(value)
+			time.Sleep(fleetWithin)
+			if got := f.lagging(value); got > 0 {
+				t.Errorf("watchers refused, change %d: got %d routers that do not know it in time, want none", i, got)
+			}
+		}
+		if got := f.calls.Load(); got > 400 {
+			t.Errorf("watchers refused: got %d calls in 25 s, want at most 400", got)
+		}
+		stop()
+	})
+}
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -14,10 +14,11 @@
 	// firstPause and lastPause bound the pause after a failed call; it
 	// doubles in between.
 	firstPause = 100 * time.Millisecond
-	lastPause  = 800 * time.Millisecond
+	lastPause  = 500 * time.Millisecond
 	// startPause bounds it at a router that knows nothing yet, and so serves
-	// nobody.
-	startPause = 250 * time.Millisecond
+	// nobody, and at one that may still learn in time of what changed since its
+	// last answer.
+	startPause = 200 * time.Millisecond
 )
 
 // Change is one decoded object that changed.
@@ -71,7 +72,7 @@
 	defer close(f.done)
 	f.Rhythm = f.Rhythm.orDefault()
 	revision, listed := uint64(0), false
-	pause := firstPause
+	pause, answered := firstPause, time.Now()
 	for ctx.Err() == nil {
 		batch, err := f.call(ctx, listed, revision)
 		if ctx.Err() != nil {
@@ -91,12 +92,12 @@
 			// in time.
 			listed = false
 			rest(ctx, pause)
-			pause = nextPause(pause, revision)
+			pause = f.nextPause(pause, time.Since(answered))
 			continue
 		}
 		isCurrent := batch.Age <= f.Rhythm.Age
 		if isCurrent {
-			pause = firstPause
+			pause, answered = firstPause, time.Now()
 			f.OnAnswer()
 		}
 		changes := f.decode(f.Mirror.Apply(&batch))
@@ -111,13 +112,15 @@
 			// Another router's old copy: the store is away, and is not to be
 			// called more often for it. On its return a list answers at once.
 			rest(ctx, pause)
-			pause = nextPause(pause, revision)
+			pause = f.nextPause(pause, time.Since(answered))
 		}
 	}
 }
 
-func nextPause(pause time.Duration, revision uint64) time.Duration {
-	if revision == 0 {
+// nextPause gives the pause after the next failure, by how long ago the latest
+// answer came.
+func (f *Follower[T]) nextPause(pause, since time.Duration) time.Duration {
+	if since < f.Rhythm.List {
 		return min(2*pause, startPause)
 	}
 	return min(2*pause, lastPause)
--- a/directory/mirror.go
+++ b/directory/mirror.go
@@ -13,6 +13,9 @@
 // follow this one.
 const keptRemovals = 1024
 
+// anewShare of a watch's wait has to be over for a confirmation to end it.
+const anewShare = 0.5
+
 // Mirror is a copy of a feed's objects, and a feed itself for other routers.
 type Mirror struct {
 	mu      sync.Mutex
@@ -26,6 +29,8 @@
 	// that the latest call did not confirm it.
 	confirmed time.Time
 	failing   bool
+	// hops counts the routers between the store and this copy.
+	hops int
 	// changed is closed at the next change of all that is above.
 	changed chan struct{}
 }
@@ -70,11 +75,9 @@
 		m.forgotten = batch.Revision
 	}
 	m.revision = max(m.revision, batch.Revision)
-	m.confirmed = time.Now().Add(-batch.Age)
-	if len(differing) > 0 || m.failing {
-		m.failing = false
-		m.wakeLocked()
-	}
+	m.confirmed, m.hops = time.Now().Add(-batch.Age), batch.Hops
+	m.failing = false
+	m.wakeLocked()
 	return differing
 }
 
@@ -165,17 +168,40 @@
 		Whole:    whole,
 		Revision: m.revision,
 		Age:      time.Since(m.confirmed),
+		Hops:     m.hops,
+	}
+}
+
+// AwaitList is List for a router that starts: it waits for the first copy.
+func (m *Mirror) AwaitList(ctx context.Context, wait time.Duration) (slipwick.FeedBatch, error) {
+	m.mu.Lock()
+	isEmpty, changed := m.confirmed.IsZero(), m.changed
+	m.mu.Unlock()
+	if isEmpty {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-changed:
+		}
 	}
+	return m.List(ctx)
 }
 
-// Watch waits for changes after the revision, and ends at once when the copy
-// is no longer confirmed.
+// Watch waits for changes after the revision, or until the copy is confirmed
+// anew: those that follow this router then know the same without asking the
+// store. A copy that was confirmed just before does not end it, so that a router
+// that follows several is not told the same by each. It ends at once when the
+// copy is no longer confirmed.
 func (m *Mirror) Watch(ctx context.Context, after uint64, wait time.Duration) (slipwick.FeedBatch, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	anew := time.Now().Add(time.Duration(anewShare * float64(wait)))
 	for ended := false; ; {
 		batch, changed, err := m.since(after)
-		if err != nil || ended || len(batch.Entries) > 0 {
+		isAnew := time.Now().Add(-batch.Age).After(anew)
+		if err != nil || ended || isAnew || len(batch.Entries) > 0 {
 			return batch, err
 		}
 		select {
@@ -225,7 +251,7 @@
 
 func notCurrent() error {
 	return &slipwick.Error{
-		Kind:    slipwick.KindUnavailable,
+		Kind:    slipwick.KindNotCurrent,
 		Message: "this router's copy is not current",
 		Remedy:  "ask another router, or the store",
 	}
--- a/directory/relay.go
+++ b/directory/relay.go
@@ -26,9 +26,14 @@
 
 var _ slipwick.Feed = (*Relay)(nil)
 
+// firstWait is how long a router that starts too may take to have a copy at all.
+const firstWait = 150 * time.Millisecond
+
 // List gives the whole copy.
 func (r *Relay) List(ctx context.Context) (slipwick.FeedBatch, error) {
-	return r.get(ctx, nil)
+	return r.get(ctx, url.Values{
+		"wait": {firstWait.String()},
+	})
 }
 
 // Watch waits for changes of the copy, and lists it when the other router has
@@ -69,6 +74,8 @@
 			Message: "router " + r.Address + " does not remember the changes since the revision",
 			Remedy:  "list again",
 		}
+	case http.StatusServiceUnavailable:
+		return slipwick.FeedBatch{}, notCurrent()
 	default:
 		return slipwick.FeedBatch{}, unavailable(r.Address, nil)
 	}
@@ -96,8 +103,12 @@
 	if err != nil {
 		return slipwick.FeedBatch{}, errors.Wrap(err, "a copy without its age")
 	}
+	hops, err := strconv.Atoi(response.Header.Get(hopsHeader))
+	if err != nil {
+		return slipwick.FeedBatch{}, errors.Wrap(err, "a copy without its hops")
+	}
 	batch := wire.batch()
-	batch.Age = time.Duration(age) * time.Millisecond
+	batch.Age, batch.Hops = time.Duration(age)*time.Millisecond, hops+1
 	return batch, nil
 }
 
--- /dev/null
+++ b/directory/relayed.go
@@ -0,0 +1,145 @@
+package directory
+
+import (
+	"context"
+	"time"
+
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/fleet"
+)
+
+// found is what other routers answered.
+type found struct {
+	batch slipwick.FeedBatch
+	// any says that there is a copy, current that it is a current one, answered
+	// that some router answered at all.
+	any, current, answered bool
+}
+
+// candidates gives the routers to ask, in order: those that this one follows, by
+// turns, then those in reserve; without those that failed lately, unless all did.
+func (s *Shared) candidates(place *fleet.Place) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.stays {
+		s.turn++
+	}
+	s.stays = false
+	var all []string
+	for i := range place.Relays {
+		all = append(all, place.Relays[(s.turn+i)%len(place.Relays)])
+	}
+	known := make(map[string]bool, len(all))
+	for _, id := range all {
+		known[id] = true
+	}
+	for _, id := range place.Reserves {
+		if !known[id] {
+			all = append(all, id)
+		}
+	}
+	var sound []string
+	for _, id := range all {
+		if failed, ok := s.failed[id]; !ok || time.Since(failed) > s.Rhythm.orDefault().Outing {
+			sound = append(sound, id)
+		}
+	}
+	if len(sound) == 0 {
+		sound = all
+	}
+	return sound[:min(len(sound), othersAsked)]
+}
+
+// hedgeShare of the patience with a router is how long it is waited for before
+// the next is asked beside it, allFactor times the patience how long all may take.
+const (
+	hedgeShare = 0.15
+	allFactor  = 1.25
+)
+
+// listRouters lists from one router after the other, each for so long at most,
+// until one has a current copy; else it gives an old one if there is any.
+func (s *Shared) listRouters(ctx context.Context, ids []string, patience time.Duration) found {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(allFactor*float64(patience)))
+	defer cancel()
+	answers := make(chan found, len(ids))
+	asked := 0
+	askNext := func() {
+		if asked == len(ids) {
+			return
+		}
+		id := ids[asked]
+		asked++
+		go func() {
+			answers <- s.relayed(ctx, id, patience, func(ctx context.Context, f slipwick.Feed) (slipwick.FeedBatch, error) {
+				return f.List(ctx)
+			})
+		}()
+	}
+	hedge := time.NewTicker(time.Duration(hedgeShare * float64(patience)))
+	defer hedge.Stop()
+	askNext()
+	var best found
+	for answered := 0; answered < asked; {
+		select {
+		case f := <-answers:
+			answered++
+			if f.current {
+				return f
+			}
+			best = best.or(&f)
+			askNext()
+		case <-hedge.C:
+			askNext()
+		}
+	}
+	return best
+}
+
+// or joins two answers, neither of them current.
+func (f *found) or(other *found) found {
+	joined := found{
+		batch:    f.batch,
+		any:      f.any || other.any,
+		answered: f.answered || other.answered,
+	}
+	if other.any && (!f.any || other.batch.Revision > f.batch.Revision) {
+		joined.batch = other.batch
+	}
+	return joined
+}
+
+// relayed calls another router's copy.
+func (s *Shared) relayed(ctx context.Context, id string, limit time.Duration,
+	call func(context.Context, slipwick.Feed) (slipwick.FeedBatch, error),
+) found {
+	limited, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	batch, err := call(limited, s.Peers.Relay(id, s.Name))
+	if err == nil && batch.Age <= s.Rhythm.orDefault().Age {
+		return found{
+			batch:    batch,
+			any:      true,
+			current:  true,
+			answered: true,
+		}
+	}
+	if ctx.Err() == nil {
+		s.noteFailed(id)
+	}
+	return found{
+		batch:    batch,
+		any:      err == nil,
+		answered: err == nil || slipwick.IsKind(err, slipwick.KindNotCurrent),
+	}
+}
+
+// noteFailed has a router not asked for a while if there are others.
+func (s *Shared) noteFailed(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failed == nil {
+		s.failed = make(map[string]time.Time)
+	}
+	s.failed[id] = time.Now()
+}
--- a/directory/relayserver.go
+++ b/directory/relayserver.go
@@ -16,10 +16,13 @@
 // RelayPath is where a router serves its copies to other routers, by name.
 const RelayPath = "/copies/"
 
-// ageHeader tells the age of a copy in milliseconds: it is the only part of an
-// answer that differs between routers that ask for the same.
+// ageHeader tells the age of a copy in milliseconds: it differs between routers
+// that ask for the same, so that it is not in the body.
 const ageHeader = "Slipwick-Age-Ms"
 
+// hopsHeader tells how many routers lie between the store and the copy.
+const hopsHeader = "Slipwick-Hops"
+
 // RelayServer serves copies of feeds to other routers. Most ask for the same
 // changes at the same moment, so that an answer is encoded and compressed once.
 // Set Mirrors before use.
@@ -44,7 +47,8 @@
 // lists and since some revisions. Each is some times smaller than the copy.
 const encodedKept = 16
 
-// ServeHTTP answers a list, or with the query after a watch.
+// ServeHTTP answers a list, or with the query after a watch; either waits as the
+// query says.
 func (s *RelayServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	feed := r.URL.Path[min(len(RelayPath), len(r.URL.Path)):]
 	mirror := s.Mirrors[feed]
@@ -77,26 +81,25 @@
 
 func readQuestion(r *http.Request) (question, error) {
 	query := r.URL.Query()
-	if !query.Has("after") {
-		return question{}, nil
-	}
-	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
+	wait, err := time.ParseDuration(query.Get("wait"))
 	if err != nil {
 		return question{}, err
 	}
-	wait, err := time.ParseDuration(query.Get("wait"))
-	return question{
-		watch: true,
-		after: after,
+	q := question{
+		watch: query.Has("after"),
 		wait:  min(wait, longestRelay),
-	}, err
+	}
+	if q.watch {
+		q.after, err = strconv.ParseUint(query.Get("after"), 10, 64)
+	}
+	return q, err
 }
 
 func (q question) ask(ctx context.Context, mirror *Mirror) (slipwick.FeedBatch, error) {
 	if q.watch {
 		return mirror.Watch(ctx, q.after, q.wait)
 	}
-	return mirror.List(ctx)
+	return mirror.AwaitList(ctx, q.wait)
 }
 
 func (s *RelayServer) answer(w http.ResponseWriter, feed string, after uint64, batch *slipwick.FeedBatch) {
@@ -114,6 +117,7 @@
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Encoding", "gzip")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.Header().Set(hopsHeader, strconv.Itoa(batch.Hops))
 	w.Header().Set(ageHeader, strconv.FormatInt(batch.Age.Milliseconds(), 10))
 	// A router that has left needs no answer.
 	_, _ = w.Write(body)
--- a/directory/rhythm.go
+++ b/directory/rhythm.go
@@ -10,13 +10,15 @@
 	// it may be answered: a store that has fallen silent is noticed in time
 	// for routers that follow this one.
 	Watch, Margin time.Duration
-	// Relay is how long a watch through another router waits, RelayMargin how
-	// long after that it may be answered: together with a call to the store
-	// they stay below the time allowed.
+	// Relay is how long a watch through another router waits, somewhat longer
+	// than one of the store, whose end it is told of. RelayMargin is how long
+	// after that it may be answered, and how long a list may take: together with
+	// a few lists and a call to the store they stay below the time allowed.
 	Relay, RelayMargin time.Duration
 	// Age is how old another router's knowledge may be: the wait of its own
-	// watch and what it takes to notice that the store is silent.
-	Age time.Duration
+	// watch and what it takes to notice that the store is silent. TurnStep is how
+	// much later each turn of the routers asks the store themselves.
+	Age, TurnStep time.Duration
 	// Gather is the pause after an answer with changes: more that come soon are
 	// told together.
 	Gather time.Duration
@@ -30,10 +32,11 @@
 // silence, or the age of a copy that counts as current, and a list from the store
 // over a slow link fit into it.
 const (
-	watchShare       = 0.5
+	watchShare       = 0.4
 	marginShare      = 0.15
-	relayShare       = 0.4
+	relayShare       = 0.45
 	relayMarginShare = 0.15
+	turnShare        = 0.08
 	noticeShare      = 0.1
 	gatherShare      = 0.04
 	outingShare      = 1.5
@@ -66,6 +69,7 @@
 		Relay:       share(relayShare),
 		RelayMargin: share(relayMarginShare),
 		Age:         share(watchShare + marginShare + noticeShare),
+		TurnStep:    share(turnShare),
 		Gather:      share(gatherShare),
 		Outing:      share(outingShare),
 		List:        share(listShare),
--- a/directory/shared.go
+++ b/directory/shared.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/fleet"
 )
 
 const (
@@ -21,24 +22,19 @@
 	// it has not answered: a store that had fallen silent never answers what it
 	// was asked then, while a slow one needs its time.
 	askAgain = 500 * time.Millisecond
+	// settleTime bounds how long a router that starts waits until it knows the
+	// others: whom it follows depends on them.
+	settleTime = 300 * time.Millisecond
+	// newsShare of the wait of a watch is by how much a copy has to be confirmed
+	// later than what is known here to be news: those of one round differ by less.
+	newsShare = 0.25
 )
 
-// Peers gives the routers to follow, in the order in which to ask them.
-type Peers interface {
-	// Watches tells whether this router is one of those that follow the store
-	// itself.
-	Watches() bool
-	// Relays gives the IDs of routers to follow instead of the store.
-	Relays() []string
-	// Others gives the IDs of all other routers that live.
-	Others() []string
-	// Relay gives another router's copy of the feed.
-	Relay(id, feed string) slipwick.Feed
-}
-
 // Shared follows the store at a few routers of the fleet, and at the others
 // the copies of these: calls to the store do not grow with the fleet. A router
-// that cannot use one way takes the other. Set the exported fields before use.
+// whose way fails asks others; it takes the place of those that follow the store
+// when nobody else has a current copy and its turn has come, or when nobody
+// answers it. Set the exported fields before use.
 type Shared struct {
 	Name  string
 	Store slipwick.Feed
@@ -48,7 +44,25 @@
 
 	mu     sync.Mutex
 	failed map[string]time.Time
-	turn   int
+	// turn chooses among the routers that are followed; stays says that it does
+	// not go on to the next.
+	turn  int
+	stays bool
+	// started is when the first list was asked for, confirmed when the store was
+	// known to be in the state known here; zero before.
+	started, confirmed time.Time
+	// revision is the highest that was told, reusedAt when another router's copy
+	// was gone on with last that said nothing new.
+	revision uint64
+	reusedAt time.Time
+	// acting says that this router follows the store in the place of those that
+	// should, checkedAt when it looked last whether they do again, triedAt when it
+	// asked the store last in their place.
+	acting             bool
+	checkedAt, triedAt time.Time
+	// avoidUntil is until when a router that should follow the store, and is
+	// refused, follows others that reach it.
+	avoidUntil time.Time
 }
 
 var _ slipwick.Feed = (*Shared)(nil)
@@ -59,12 +73,79 @@
 	err   error
 }
 
-// List lists from the store, or from another router if the store fails or lets
-// it wait.
+// List lists from the store if this router follows it, else from the routers
+// that it follows.
 func (s *Shared) List(ctx context.Context) (slipwick.FeedBatch, error) {
-	within := s.Rhythm.orDefault().List
-	ctx, cancel := context.WithTimeout(ctx, within)
+	ctx, cancel := context.WithTimeout(ctx, s.Rhythm.orDefault().List)
 	defer cancel()
+	s.settle(ctx)
+	place := s.Peers.Place()
+	if s.usesStore(ctx, &place) {
+		batch, err := s.listStore(ctx)
+		return s.noted(batch, err)
+	}
+	found := s.listRouters(ctx, s.candidates(&place), otherPatience)
+	switch {
+	case s.isOfUse(&found):
+		return s.noted(found.batch, nil)
+	case s.mayTakeOver(&place, found.answered):
+		batch, err := s.takeOver(ctx)
+		if err == nil || !found.any {
+			return s.noted(batch, err)
+		}
+	case !found.any || !s.isEmpty():
+		return slipwick.FeedBatch{}, notCurrent()
+	}
+	// To a router that has none an old copy will do: what changed since comes with
+	// a watch.
+	return s.noted(found.batch, nil)
+}
+
+// isEmpty tells whether this router has had no copy yet.
+func (s *Shared) isEmpty() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision == 0
+}
+
+// settle waits, at the first list, until this router knows the others.
+func (s *Shared) settle(ctx context.Context) {
+	s.mu.Lock()
+	isFirst := s.started.IsZero()
+	if isFirst {
+		s.started = time.Now()
+	}
+	s.mu.Unlock()
+	if !isFirst {
+		return
+	}
+	timer := time.NewTimer(settleTime)
+	defer timer.Stop()
+	select {
+	case <-s.Peers.Settled():
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// noted remembers when the store was known to be in the state of the answer.
+func (s *Shared) noted(batch slipwick.FeedBatch, err error) (slipwick.FeedBatch, error) {
+	if err != nil {
+		return slipwick.FeedBatch{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at := time.Now().Add(-batch.Age); at.After(s.confirmed) {
+		s.confirmed = at
+	}
+	s.revision = max(s.revision, batch.Revision)
+	return batch, nil
+}
+
+// listStore lists from the store, or from another router if the store fails or
+// lets it wait.
+func (s *Shared) listStore(ctx context.Context) (slipwick.FeedBatch, error) {
+	within := s.Rhythm.orDefault().List
 	fromStore := make(chan listed, within/askAgain+1)
 	pending := 0
 	ask := func() {
@@ -98,8 +179,8 @@
 		}
 		if !askedOthers {
 			askedOthers = true
-			if batch, ok := s.listOthers(ctx); ok {
-				return batch, nil
+			if found := s.listRouters(ctx, s.someOthers(), otherPatience); found.any {
+				return found.batch, nil
 			}
 		}
 		if failure != nil && pending == 0 {
@@ -108,108 +189,107 @@
 	}
 }
 
-// listOthers lists from a few of the other routers, one after the other. An old
-// copy will do: what changed since comes with a watch.
-func (s *Shared) listOthers(ctx context.Context) (slipwick.FeedBatch, bool) {
+// someOthers gives the routers to ask when the store fails: those that follow it
+// in this router's place first, and a few of all by chance.
+func (s *Shared) someOthers() []string {
+	place := s.Peers.Place()
+	ids := s.candidates(&place)
 	others := s.Peers.Others()
-	order := rand.Perm(len(others))
-	for _, i := range order[:min(len(order), othersAsked)] {
-		if ctx.Err() != nil {
+	for _, i := range rand.Perm(len(others)) {
+		if len(ids) >= othersAsked {
 			break
 		}
-		limited, cancel := context.WithTimeout(ctx, otherPatience)
-		batch, err := s.Peers.Relay(others[i], s.Name).List(limited)
-		cancel()
-		if err == nil {
-			return batch, true
-		}
+		ids = append(ids, others[i])
 	}
-	return slipwick.FeedBatch{}, false
+	return ids
 }
 
 // Watch waits for changes at another router or the store.
 func (s *Shared) Watch(ctx context.Context, after uint64, wait time.Duration) (slipwick.FeedBatch, error) {
-	var err error
-	if s.Peers.Watches() {
-		var batch slipwick.FeedBatch
-		if batch, err = s.watchStore(ctx, after, wait); err == nil {
-			return batch, nil
-		}
+	place := s.Peers.Place()
+	if !s.usesStore(ctx, &place) {
+		return s.watchRouters(ctx, &place, after)
 	}
-	if relay := s.choose(); relay != "" && ctx.Err() == nil && !slipwick.IsKind(err, slipwick.KindHistoryLost) {
-		rhythm := s.Rhythm.orDefault()
-		batch, ok := s.relayed(ctx, relay, rhythm.Relay+rhythm.RelayMargin,
-			func(ctx context.Context, f slipwick.Feed) (slipwick.FeedBatch, error) {
-				return f.Watch(ctx, after, rhythm.Relay)
-			})
-		if ok {
-			return batch, nil
-		}
-		if err == nil {
-			return s.catchUp(ctx)
-		}
+	batch, err := s.watchStore(ctx, after, wait)
+	if err == nil || ctx.Err() != nil || slipwick.IsKind(err, slipwick.KindHistoryLost) {
+		return s.noted(batch, err)
 	}
-	if err != nil {
+	found := s.listRouters(ctx, s.candidates(&place), s.Rhythm.orDefault().RelayMargin)
+	if !s.isOfUse(&found) {
 		return slipwick.FeedBatch{}, err
 	}
-	return s.watchStore(ctx, after, wait)
+	s.avoidStore()
+	return s.noted(found.batch, nil)
 }
 
-// catchUp lists after another router failed, from the next one if its copy is
-// current and comes soon, else from the store. Time was lost, and a watch brings
-// every version since then, which a slow link may not carry in time when versions
-// come in quick succession; a list brings the newest alone.
-func (s *Shared) catchUp(ctx context.Context) (slipwick.FeedBatch, error) {
-	if relay := s.choose(); relay != "" {
-		batch, ok := s.relayed(ctx, relay, s.Rhythm.orDefault().RelayMargin,
+// watchRouters waits at the router whose turn it is; when it fails, the others
+// are asked for lists. Time was lost then, and a watch brings every version since,
+// which a slow link may not carry in time when versions come in quick succession;
+// a list brings the newest alone.
+func (s *Shared) watchRouters(ctx context.Context, place *fleet.Place, after uint64) (slipwick.FeedBatch, error) {
+	rhythm := s.Rhythm.orDefault()
+	candidates := s.candidates(place)
+	answered := false
+	if len(candidates) > 0 {
+		watched := s.relayed(ctx, candidates[0], rhythm.Relay+rhythm.RelayMargin,
 			func(ctx context.Context, f slipwick.Feed) (slipwick.FeedBatch, error) {
-				return f.List(ctx)
+				return f.Watch(ctx, after, rhythm.Relay)
 			})
-		if ok {
-			return batch, nil
+		if watched.current {
+			s.stay(watched.batch.Age > rhythm.Watch)
+			return s.noted(watched.batch, nil)
 		}
+		others := s.listRouters(ctx, candidates[1:], rhythm.RelayMargin)
+		if s.isOfUse(&others) {
+			return s.noted(others.batch, nil)
+		}
+		answered = watched.answered || others.answered
 	}
-	ctx, cancel := context.WithTimeout(ctx, s.Rhythm.orDefault().List)
-	defer cancel()
-	return s.Store.List(ctx)
+	if ctx.Err() == nil && s.mayTakeOver(place, answered) {
+		return s.noted(s.takeOver(ctx))
+	}
+	s.useStoreAgain()
+	return slipwick.FeedBatch{}, notCurrent()
 }
 
-func (s *Shared) watchStore(ctx context.Context, after uint64, wait time.Duration) (slipwick.FeedBatch, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+s.Rhythm.orDefault().Margin)
-	defer cancel()
-	return s.Store.Watch(ctx, after, wait)
+// stay has the router that was watched last watched once more, if it is overdue:
+// it waits itself for a router that is silent, and will soon have found another.
+// The next one by turns may be that silent router.
+func (s *Shared) stay(overdue bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stays = overdue
 }
 
-// relayed calls another router's copy; ok is false unless it is current.
-func (s *Shared) relayed(ctx context.Context, id string, limit time.Duration,
-	call func(context.Context, slipwick.Feed) (slipwick.FeedBatch, error),
-) (batch slipwick.FeedBatch, ok bool) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	batch, err := call(ctx, s.Peers.Relay(id, s.Name))
-	if err == nil && batch.Age <= s.Rhythm.orDefault().Age {
-		return batch, true
+// isOfUse tells whether a current copy of a router that this one does not follow is
+// to be gone on with. Copies are confirmed with every round of watches: one that is
+// older waits itself for a router that is silent. Others know for a while what they
+// knew when the store fell silent: to be told it again is of use, but not without a
+// pause.
+func (s *Shared) isOfUse(f *found) bool {
+	if !f.current {
+		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.failed == nil {
-		s.failed = make(map[string]time.Time)
+	watch, now := s.Rhythm.orDefault().Watch, time.Now()
+	margin := time.Duration(newsShare * float64(watch))
+	switch {
+	case f.batch.Revision > s.revision:
+		return true
+	case f.batch.Age > watch:
+		return false
+	case now.Add(-f.batch.Age).After(s.confirmed.Add(margin)):
+		return true
+	case now.Sub(s.reusedAt) < firstPause:
+		return false
 	}
-	s.failed[id] = time.Now()
-	return slipwick.FeedBatch{}, false
+	s.reusedAt = now
+	return true
 }
 
-// choose gives the next router to follow, by turns; empty if there is none.
-func (s *Shared) choose() string {
-	relays := s.Peers.Relays()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for range relays {
-		s.turn++
-		id := relays[s.turn%len(relays)]
-		if failed, ok := s.failed[id]; !ok || time.Since(failed) > s.Rhythm.orDefault().Outing {
-			return id
-		}
-	}
-	return ""
+func (s *Shared) watchStore(ctx context.Context, after uint64, wait time.Duration) (slipwick.FeedBatch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+s.Rhythm.orDefault().Margin)
+	defer cancel()
+	return s.Store.Watch(ctx, after, wait)
 }
--- /dev/null
+++ b/directory/takeover.go
@@ -0,0 +1,100 @@
+package directory
+
+import (
+	"context"
+	"time"
+
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/fleet"
+)
+
+const (
+	// startTurn is when the first routers beyond those that follow the store ask
+	// it at a start, if nobody has a copy by then, and startStep how much later
+	// the next are.
+	startTurn = 500 * time.Millisecond
+	startStep = 250 * time.Millisecond
+	// checkFactor times the age of a copy that counts as current is how long a
+	// router stays in the place of those that follow the store, or they out of it,
+	// before it looks again.
+	checkFactor = 1.5
+)
+
+// mayTakeOver tells whether this router, to which no other gave a current copy,
+// may ask the store instead. Without any answer it is cut off from the others,
+// and goes at once. With answers the others lack a copy too, and routers go by
+// turns: the store may be away for all of them.
+func (s *Shared) mayTakeOver(place *fleet.Place, answered bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rhythm := s.Rhythm.orDefault()
+	since, first, step := s.confirmed, rhythm.Watch+rhythm.Margin, rhythm.TurnStep
+	if since.IsZero() {
+		since, first, step = s.started, startTurn, startStep
+	}
+	now := time.Now()
+	if !answered {
+		return !s.confirmed.IsZero() || now.Sub(since) >= first
+	}
+	if place.Turn < 0 || now.Sub(s.triedAt) < rhythm.Age {
+		return false
+	}
+	return now.Sub(since) >= first+time.Duration(place.Turn)*step
+}
+
+// takeOver lists from the store in the place of the routers that should.
+func (s *Shared) takeOver(ctx context.Context) (slipwick.FeedBatch, error) {
+	rhythm := s.Rhythm.orDefault()
+	s.mu.Lock()
+	s.triedAt = time.Now()
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, rhythm.List)
+	defer cancel()
+	batch, err := s.Store.List(ctx)
+	if err != nil {
+		return slipwick.FeedBatch{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.acting, s.checkedAt = true, time.Now()
+	return batch, nil
+}
+
+// usesStore tells whether this router asks the store itself. One that does in the
+// place of others looks now and then whether these do again.
+func (s *Shared) usesStore(ctx context.Context, place *fleet.Place) bool {
+	s.mu.Lock()
+	now := time.Now()
+	watches, acting := place.Watches && now.After(s.avoidUntil), s.acting
+	isDue := now.Sub(s.checkedAt) > time.Duration(checkFactor*float64(s.Rhythm.orDefault().Age))
+	if acting && isDue {
+		s.checkedAt = now
+	}
+	s.mu.Unlock()
+	if watches || !acting || !isDue {
+		return watches || acting
+	}
+	found := s.listRouters(ctx, place.Relays, otherPatience)
+	if found.current && found.batch.Hops <= 1 {
+		s.mu.Lock()
+		s.acting = false
+		s.mu.Unlock()
+		return false
+	}
+	return true
+}
+
+// avoidStore has a router that the store refuses follow others that reach it.
+func (s *Shared) avoidStore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.acting = false
+	s.avoidUntil = time.Now().Add(time.Duration(checkFactor * float64(s.Rhythm.orDefault().Age)))
+}
+
+// useStoreAgain ends that: the others have no current copy either.
+func (s *Shared) useStoreAgain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.avoidUntil = time.Time{}
+}
--- a/feed.go
+++ b/feed.go
@@ -23,6 +23,9 @@
 	Revision uint64 `json:"revision"`
 	// Age is how long ago the store is known to have been in this state.
 	Age time.Duration `json:"age,omitempty"`
+	// Hops counts the routers between the store and this answer; the store's own
+	// has none.
+	Hops int `json:"hops,omitempty"`
 }
 
 // Feed is a kind of object in a store that remembers recent changes. Errors
--- a/kind.go
+++ b/kind.go
@@ -48,6 +48,8 @@
 	// KindHistoryLost is a watch from a version that the store has forgotten
 	// the changes since.
 	KindHistoryLost Kind = "history_lost"
+	// KindNotCurrent is a copy of the store's state that was not confirmed lately.
+	KindNotCurrent Kind = "not_current"
 	// KindInvalidConfiguration is a file or setting with mistakes.
 	KindInvalidConfiguration Kind = "invalid_configuration"
 )
