Have each engine asked for its cache by turns of routers

Engines were left to their routers for 16 rounds, then each of 295 routers asked for itself, three a round; before, each shared the engines over the routers that it knew, a part of the fleet. Ruled out: more rounds of patience alone: an engine whose router died would be asked by nobody. Change: lists begin once the members are known. The first router of an engine's rendezvous asks it, the second 400 ms later, the third after that, nobody else. Test: TestLargeFleetThatRestartsAsksEachEngineAboutOnce: 295 routers with 153 engines and 330 with 930 know all caches within 1.5 s, with at most two lists an engine.

--- a/cmd/internal/gatewayd/homes.go
+++ b/cmd/internal/gatewayd/homes.go
@@ -49,6 +49,7 @@
 	r.Routers = p.node.Routers
 	r.Pools = p.enginePools
 	r.DataCentre = p.Settings.DataCentre
+	r.Settled = p.node.Settled()
 	r.Ask = func(ctx context.Context, router slipwick.Router, known []uint64) (*balance.Knowledge, error) {
 		return exchange.FetchKnowledge(ctx, p.peers.http, router.Address, known)
 	}
--- a/exchange/recovery.go
+++ b/exchange/recovery.go
@@ -31,12 +31,16 @@
 	// listsARound bounds the engines that a router asks in a round: one that
 	// knows few others yet takes too many for its own.
 	listsARound = 3
-	// patientRounds is for how many rounds engines are left to the routers
-	// that the rendezvous gives them to; then the router asks them itself.
-	// Knowledge that routers pull from each other doubles with each round.
-	patientRounds = 16
+	// turnRounds is for how many rounds an engine is left to the router whose
+	// turn it is, until the next one asks too: some more than a list takes at
+	// most and than its knowledge needs to reach all, which doubles with each
+	// round. Only the first turns of an engine ask it at all: were all routers
+	// to ask what they miss, a start of the whole fleet would have each engine
+	// tell its cache to all of them.
+	turnRounds = 16
+	turns      = 3
 	// recoveryRounds bounds the whole.
-	recoveryRounds = 40
+	recoveryRounds = turnRounds * turns
 	// followPause is how often a router looks for engines that are listed late,
 	// followMargin how long after the last of them can come.
 	followPause  = 50 * time.Millisecond
@@ -61,6 +65,9 @@
 	Ask func(ctx context.Context, router slipwick.Router, known []uint64) (*balance.Knowledge, error)
 	// List asks an engine for the parts that it keeps; nil asks none.
 	List func(context.Context, slipwick.Backend) ([]uint64, error)
+	// Settled is closed once this router knows the others: only then does it
+	// know which engines are its to ask. Nil waits for nothing.
+	Settled <-chan struct{}
 
 	// asked are the engines asked so far, questions counts those to routers.
 	asked     map[string]bool
@@ -114,8 +121,8 @@
 		if len(missing) == 0 || ctx.Err() != nil {
 			return
 		}
-		if round >= lonelyRounds || len(without(r.Routers(), r.Self)) > 0 {
-			r.listEngines(ctx, missing, round >= patientRounds)
+		if r.knowsFleet(round) {
+			r.listEngines(ctx, missing, round/turnRounds)
 		}
 		if !sleep(ctx, roundPause) {
 			return
@@ -123,6 +130,19 @@
 	}
 }
 
+// knowsFleet tells whether this router knows which engines are its to ask.
+func (r *Recovery) knowsFleet(round int) bool {
+	if r.Settled != nil {
+		select {
+		case <-r.Settled:
+			return true
+		default:
+			return round >= turnRounds
+		}
+	}
+	return round >= lonelyRounds || len(without(r.Routers(), r.Self)) > 0
+}
+
 // Missing counts the engines whose caches are not known.
 func (r *Recovery) Missing() int {
 	return len(r.missing())
@@ -181,21 +201,21 @@
 	return near
 }
 
-// listEngines asks some of the engines that are this router's to ask, or of all,
+// listEngines asks some of the engines that are this router's to ask by this turn,
 // at once.
-func (r *Recovery) listEngines(ctx context.Context, engines []slipwick.Backend, all bool) {
+func (r *Recovery) listEngines(ctx context.Context, engines []slipwick.Backend, turn int) {
 	if r.List == nil {
 		return
 	}
-	routers := append(without(r.Routers(), r.Self), slipwick.Router{
-		ID:         r.Self,
-		DataCentre: r.DataCentre,
-	})
+	askers := r.askers()
 	var lists sync.WaitGroup
 	begun := 0
 	for _, i := range rand.Perm(len(engines)) {
 		engine := engines[i]
-		if begun == listsARound || r.asked[engine.ID] || !all && !r.isOwn(engine, routers) {
+		if begun == listsARound {
+			break
+		}
+		if r.asked[engine.ID] || turnOf(engine, askers) > turn {
 			continue
 		}
 		begun++
@@ -213,13 +233,42 @@
 	lists.Wait()
 }
 
-// isOwn tells whether an engine is this router's to ask: one of the routers in
-// the engine's data centre asks it, if there are any.
-func (r *Recovery) isOwn(engine slipwick.Backend, routers []slipwick.Router) bool {
-	if near := inDataCentre(routers, engine.DataCentre); len(near) > 0 {
-		routers = near
+// asker is a router among those that share the engines.
+type asker struct {
+	hash       uint64
+	dataCentre string
+}
+
+// askers gives all routers with this one last.
+func (r *Recovery) askers() []asker {
+	var all []asker
+	for _, router := range without(r.Routers(), r.Self) {
+		all = append(all, asker{
+			hash:       placement.IDHash(router.ID),
+			dataCentre: router.DataCentre,
+		})
+	}
+	return append(all, asker{
+		hash:       placement.IDHash(r.Self),
+		dataCentre: r.DataCentre,
+	})
+}
+
+// turnOf tells how many of the routers ask an engine before the last of them:
+// those of the engine's data centre come first, by the rendezvous, then the
+// others.
+func turnOf(engine slipwick.Backend, askers []asker) int {
+	key, last := placement.IDHash(engine.ID), len(askers)-1
+	self := askers[last]
+	own, selfNear := placement.Score(key, self.hash), self.dataCentre == engine.DataCentre
+	before := 0
+	for _, other := range askers[:last] {
+		isNear := other.dataCentre == engine.DataCentre
+		if isNear && !selfNear || isNear == selfNear && placement.Score(key, other.hash) > own {
+			before++
+		}
 	}
-	return routers[placement.Choose(placement.IDHash(engine.ID), routers)].ID == r.Self
+	return before
 }
 
 // sleep waits; false if ctx ended first.
--- a/exchange/recovery_test.go
+++ b/exchange/recovery_test.go
@@ -31,6 +31,10 @@
 	told int
 	// silent are engines that give none.
 	silent map[string]bool
+	// engines and parts are how many engines there are and how many parts each
+	// keeps; settleAfter is how long a router takes to know the others.
+	engines, parts int
+	settleAfter    time.Duration
 }
 
 func newRecoveringFleet() *recoveringFleet {
@@ -38,6 +42,8 @@
 		routers: make(map[string]*Recovery),
 		lists:   make(map[string]int),
 		silent:  make(map[string]bool),
+		engines: testEngines,
+		parts:   testParts,
 	}
 }
 
@@ -65,7 +71,12 @@
 	r := NewRecovery(id)
 	r.DataCentre = dataCentreOf(len(f.routers))
 	r.Balancer = balance.New(r.DataCentre)
-	r.Balancer.SetBackends(testBackends(testEngines))
+	r.Balancer.SetBackends(testBackends(f.engines))
+	if f.settleAfter > 0 {
+		settled := make(chan struct{})
+		time.AfterFunc(f.settleAfter, func() { close(settled) })
+		r.Settled = settled
+	}
 	r.Pools = func() []string { return []string{"p"} }
 	r.Routers = func() []slipwick.Router {
 		f.mu.Lock()
@@ -99,8 +110,8 @@
 		var number uint64
 		_, _ = fmt.Sscanf(engine.ID, "engine-%d", &number)
 		var parts []uint64
-		for i := range uint64(testParts) {
-			parts = append(parts, number*testParts+i)
+		for i := range uint64(f.parts) {
+			parts = append(parts, number*uint64(f.parts)+i)
 		}
 		return parts, nil
 	}
@@ -166,6 +177,39 @@
 	}
 }
 
+// TestLargeFleetThatRestartsAsksEachEngineAboutOnce has a whole large fleet start
+// at once: all routers know all caches soon, and engines, whose work a list holds
+// up, are hardly asked more often than there are engines.
+func TestLargeFleetThatRestartsAsksEachEngineAboutOnce(t *testing.T) {
+	for _, test := range []struct {
+		routers, engines, parts int
+	}{
+		{295, 153, 30},
+		{330, 930, 8},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newRecoveringFleet()
+			f.engines, f.parts, f.settleAfter = test.engines, test.parts, 200*time.Millisecond
+			started := time.Now()
+			for _, r := range f.startAll(t, test.routers, time.Millisecond) {
+				if got, want := r.Balancer.KnownParts(), test.engines*test.parts; got != want || r.Missing() > 0 {
+					t.Errorf("router %s: got %d parts and %d engines missing, want %d and none", r.Self, got, r.Missing(), want)
+				}
+			}
+			if took := time.Since(started); took > 1500*time.Millisecond {
+				t.Errorf("%d routers: got all caches after %v, want them within 1.5 s", test.routers, took)
+			}
+			sum := 0
+			for _, n := range f.lists {
+				sum += n
+			}
+			if sum > 2*test.engines {
+				t.Errorf("%d routers: got %d lists from %d engines, want at most twice as many", test.routers, sum, test.engines)
+			}
+		})
+	}
+}
+
 func TestRouterThatRestartsAloneAsksNoEngine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newRecoveringFleet()
