Choose an engine without allocating for each of the pool

Cause: Balancer.Acquire went through maps of what each peer told, sorted the pool for each new prompt and took an exponential for each server three times, under one lock. Ruled out: an index of ranks: loads change with each request, and the bound is over all of them. Change: what others told is summed by server when it is heard; sends decay by one factor for all; ranks are gone through only as far as one may be cheaper; slices are used again. What a router that does not tell this one once told no longer counts as reading; a case that tellings do not bring about.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -49,6 +49,9 @@
 	// nothing at the router's start.
 	firstListed time.Time
 	empty       bool
+	// sendsFrom is the moment that the servers' sends are counted for.
+	sendsFrom time.Time
+	scratch   scratch
 }
 
 // New makes a balancer without backend servers.
@@ -95,6 +98,7 @@
 		pools[listed.Pool] = append(pools[listed.Pool], s)
 	}
 	b.servers, b.pools, b.hashes = servers, pools, hashes
+	b.sumToldLocked()
 }
 
 // Acquire chooses a backend server and counts the request there. The error is
@@ -103,6 +107,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
+	decay := b.decayLocked(now)
 	pool := b.pools[ask.Pool]
 	usable := b.usableLocked(pool, ask, now)
 	if len(usable) == 0 {
@@ -110,15 +115,15 @@
 	}
 	var lease *Lease
 	if len(ask.Prompt) > 0 {
-		lease = b.byPromptLocked(ask, pool, usable, now)
+		lease = b.byPromptLocked(ask, pool, usable, now, decay)
 	} else {
-		lease = leaseOf(b.leastLoadedLocked(usable, now))
+		lease = leaseOf(b.leastLoadedLocked(usable, now, decay))
 	}
 	if lease.server.inFlight == 0 {
 		lease.server.waitingSince = now
 	}
 	lease.server.inFlight++
-	lease.server.noteSend(now)
+	lease.server.noteSend(decay)
 	lease.server.reading += lease.reading
 	if lease.hasPrompt && lease.reading >= b.paceLocked(ask.Pool).reading.Tokens(longReadTime) {
 		b.OnLongRead()
@@ -145,8 +150,7 @@
 // usableLocked gives the backend servers that may get the request; those that are
 // left out count when no other is left.
 func (b *Balancer) usableLocked(pool []*server, ask *Ask, now time.Time) []*server {
-	usable := make([]*server, 0, len(pool))
-	var out []*server
+	usable, out := b.scratch.usable[:0], b.scratch.out[:0]
 	for _, s := range pool {
 		switch {
 		case s.Leaving || slices.Contains(ask.Avoid, s.ID):
@@ -156,6 +160,7 @@
 			usable = append(usable, s)
 		}
 	}
+	b.scratch.usable, b.scratch.out = usable, out
 	if len(usable) == 0 && !ask.Sound {
 		return out
 	}
@@ -163,14 +168,14 @@
 }
 
 // leastLoadedLocked gives one of the least loaded, near ones before far ones.
-func (b *Balancer) leastLoadedLocked(usable []*server, now time.Time) *server {
-	costs, _ := b.expectedLocked(usable, now)
+func (b *Balancer) leastLoadedLocked(usable []*server, now time.Time, decay float64) *server {
+	costs, _ := b.expectedLocked(usable, now, decay)
 	for i, s := range usable {
 		if s.DataCentre != b.DataCentre {
 			costs[i] += farCost
 		}
 	}
-	return usable[spread(costs, b.unheardLocked(usable, now))]
+	return usable[spread(costs, b.unheardLocked(usable, decay))]
 }
 
 // Reported takes the load that a backend server told with an answer.
--- a/balance/loads.go
+++ b/balance/loads.go
@@ -17,35 +17,40 @@
 	slackMargin = 1
 )
 
-// loadsLocked gives the load of each backend server: this router's requests and
+// loadsLocked gives, until it is called again, the load of each backend server: this router's requests and
 // those of the others, as they told, else as the backend server reported, else
 // the mean of what others report.
 func (b *Balancer) loadsLocked(servers []*server, now time.Time) []float64 {
-	told, complete := b.othersToldLocked(now)
-	usual := usualReport(servers, now)
-	each := make([]float64, len(servers))
-	for i, s := range servers {
+	each := b.scratch.costs[:0]
+	complete, usual := b.allToldLocked(now), 0.0
+	if !complete {
+		usual = usualReport(servers, now)
+	}
+	for _, s := range servers {
 		others := usual
 		if complete {
-			others = float64(told[s.hash])
+			others = float64(s.told)
 		} else if reported, ok := s.others(now); ok {
 			others = float64(reported)
 		}
-		each[i] = float64(s.inFlight) + others
+		each = append(each, float64(s.inFlight)+others)
 	}
+	b.scratch.costs = each
 	return each
 }
 
 // expectedLocked gives the loads with what the other routers probably sent since
 // they told.
-func (b *Balancer) expectedLocked(servers []*server, now time.Time) (each []float64, mean float64) {
+func (b *Balancer) expectedLocked(
+	servers []*server, now time.Time, decay float64,
+) (each []float64, mean float64) {
 	known := b.loadsLocked(servers, now)
-	usual := usualSends(servers, now)
+	usual, others := usualSends(servers, decay), float64(b.others)
 	for i, s := range servers {
-		known[i] = max(known[i]+float64(b.others)*s.surge(usual, now), float64(s.inFlight))
-		mean += known[i] / float64(len(servers))
+		known[i] = max(known[i]+others*surge(s.sends*decay, usual), float64(s.inFlight))
+		mean += known[i]
 	}
-	return known, mean
+	return known, mean / float64(max(len(servers), 1))
 }
 
 // usualReport is the mean of what backend servers reported lately of other
--- a/balance/prompt.go
+++ b/balance/prompt.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -11,11 +10,12 @@
 // byPromptLocked takes an engine that has the prompt cached and is not loaded
 // above the bound; without one, the engine below the bound that has the least to
 // read; and when all are above it, the least loaded.
-func (b *Balancer) byPromptLocked(ask *Ask, pool, usable []*server, now time.Time) *Lease {
+func (b *Balancer) byPromptLocked(ask *Ask, pool, usable []*server, now time.Time, decay float64) *Lease {
 	parts := ask.keys()
 	prompt := parts[len(parts)-1]
-	each, mean := b.expectedLocked(usable, now)
+	each, mean := b.expectedLocked(usable, now, decay)
 	bound := b.loadBound(mean)
+	holders, _ := b.homes.holders.Peek(prompt)
 	best := candidate{}
 	for i, s := range usable {
 		if each[i] >= bound {
@@ -23,7 +23,7 @@
 		}
 		c := candidate{
 			server: s,
-			has:    b.homes.has(prompt, s),
+			has:    slices.Contains(holders, s.hash),
 			near:   s.DataCentre == b.DataCentre,
 			score:  placement.Score(prompt, s.hash),
 		}
@@ -34,7 +34,7 @@
 	chosen := best.server
 	switch {
 	case chosen == nil:
-		chosen = usable[spread(each, b.unheardLocked(usable, now))]
+		chosen = usable[spread(each, b.unheardLocked(usable, decay))]
 	case !best.has:
 		chosen = b.leastReadingLocked(prompt, usable, each, bound, now)
 	}
@@ -67,47 +67,67 @@
 func (b *Balancer) leastReadingLocked(
 	prompt uint64, usable []*server, each []float64, bound float64, now time.Time,
 ) *server {
-	var below []*server
+	below := b.scratch.below[:0]
 	for i, s := range usable {
 		if each[i] < bound {
 			below = append(below, s)
 		}
 	}
-	if near := b.nearHoldersLocked(prompt, below, now); len(near) > 0 {
-		below = near
+	b.scratch.below = below
+	below = b.nearHoldersLocked(prompt, below, now)
+	scores := b.scratch.scores[:0]
+	for _, s := range below {
+		scores = append(scores, placement.Score(prompt, s.hash))
 	}
-	slices.SortFunc(below, func(x, y *server) int {
-		return cmp.Compare(placement.Score(prompt, y.hash), placement.Score(prompt, x.hash))
-	})
+	b.scratch.scores = scores
+	rankLead := b.paceLocked(usable[0].Pool).reading.Tokens(rankLeadTime)
 	var best *server
 	bestCost := 0
-	rankLead := b.paceLocked(usable[0].Pool).reading.Tokens(rankLeadTime)
-	for rank, s := range below {
-		cost := rank*rankLead + s.reading + b.readingToldLocked(s)
-		if best == nil || cost < bestCost {
+	// The ranks are gone through only as far as one may cost less.
+	for rank := 0; rank < len(below) && (best == nil || rank*rankLead < bestCost); rank++ {
+		i := indexOfMax(scores)
+		s := below[i]
+		scores[i] = 0
+		if cost := rank*rankLead + max(s.reading+s.toldReading, 0); best == nil || cost < bestCost {
 			best, bestCost = s, cost
 		}
 	}
 	return best
 }
 
-// nearHoldersLocked gives those of the engines that are in the data centre of one
-// that has the prompt and can be reached: they fetch it in half of the time.
+// indexOfMax gives the index of the highest score.
+func indexOfMax(scores []uint64) int {
+	best := 0
+	for i, score := range scores {
+		if score > scores[best] {
+			best = i
+		}
+	}
+	return best
+}
+
+// nearHoldersLocked moves those of the engines to the front, and gives them, that
+// are in the data centre of one that has the prompt and can be reached: they fetch
+// it in half of the time. Without any it gives all.
 func (b *Balancer) nearHoldersLocked(prompt uint64, engines []*server, now time.Time) []*server {
 	known, _ := b.homes.holders.Peek(prompt)
-	holds := make(map[string]bool, len(known))
+	var holds []string
 	for _, hash := range known {
 		if holder := b.hashes[hash]; holder != nil && b.isReachableLocked(holder, now) {
-			holds[holder.DataCentre] = true
+			holds = append(holds, holder.DataCentre)
 		}
 	}
-	var near []*server
-	for _, e := range engines {
-		if holds[e.DataCentre] {
-			near = append(near, e)
+	near := 0
+	for i, e := range engines {
+		if slices.Contains(holds, e.DataCentre) {
+			engines[near], engines[i] = engines[i], engines[near]
+			near++
 		}
 	}
-	return near
+	if near == 0 {
+		return engines
+	}
+	return engines[:near]
 }
 
 // candidate is an engine that a prompt could go to.
@@ -159,6 +179,7 @@
 		return holder
 	}
 	var home *server
+	var homeScore uint64
 	for _, s := range pool {
 		if b.isOutLocked(s, now) || s != chosen && s.since.After(chosen.since) {
 			continue
@@ -166,8 +187,8 @@
 		if s == chosen && now.Sub(s.since) < settledAfter {
 			continue
 		}
-		if home == nil || placement.Score(prompt, s.hash) > placement.Score(prompt, home.hash) {
-			home = s
+		if score := placement.Score(prompt, s.hash); home == nil || score > homeScore {
+			home, homeScore = s, score
 		}
 	}
 	if home != nil && home != chosen && !home.covered {
--- a/balance/server.go
+++ b/balance/server.go
@@ -47,9 +47,13 @@
 	heardAt      time.Time
 	waitingSince time.Time
 
-	// sends are this router's of the last moment, as of sentAt.
-	sends  float64
-	sentAt time.Time
+	// sends are this router's of the last moment, as counted for the balancer's
+	// sendsFrom.
+	sends float64
+
+	// told counts the requests that the others told, toldReading the tokens that
+	// it has to read for them yet.
+	told, toldReading int
 
 	errors errorRate
 	// outings counts the times in a row that it was left out. failing says that
@@ -91,11 +95,11 @@
 // isSilentLocked tells whether the server has said nothing for longer than its
 // pool's do, with as much to read.
 func (b *Balancer) isSilentLocked(s *server, now time.Time) bool {
-	quiet := min(now.Sub(s.waitingSince), now.Sub(s.heardAt))
-	if s.inFlight == 0 || quiet <= leastSilence {
+	if s.inFlight == 0 {
 		return false
 	}
-	return quiet > b.paceLocked(s.Pool).silence(s.reading)
+	quiet := min(now.Sub(s.waitingSince), now.Sub(s.heardAt))
+	return quiet > leastSilence && quiet > b.paceLocked(s.Pool).silence(s.reading)
 }
 
 // leaveOut leaves it out, for longer each time in a row; false if it is out.
--- a/balance/spread.go
+++ b/balance/spread.go
@@ -4,17 +4,16 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"time"
 )
 
 // unheardLocked is how many requests all routers have at the servers that none
 // has told of yet: those of the last moment that still run. Each router sends
 // about as many as this one.
-func (b *Balancer) unheardLocked(servers []*server, now time.Time) float64 {
+func (b *Balancer) unheardLocked(servers []*server, decay float64) float64 {
 	if len(servers) == 0 {
 		return 0
 	}
-	each := usualSends(servers, now)
+	each := usualSends(servers, decay)
 	usual := b.paceLocked(servers[0].Pool).within(usualShare, 0)
 	if usual > 0 && usual < unheardTime {
 		each *= float64(usual) / float64(unheardTime)
--- a/balance/told.go
+++ b/balance/told.go
@@ -1,6 +1,9 @@
 package balance
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Told is what one router tells the others of the backend servers it uses, by
 // the hash of their ID: its requests there, what engines read for it, and how
@@ -43,8 +46,7 @@
 type heard struct {
 	at       time.Time
 	sequence uint64
-	counts   map[uint64]int
-	reading  map[uint64]int
+	inFlight []InFlight
 }
 
 // Tell gives what there is to tell the other routers. Reads and outcomes are
@@ -92,17 +94,35 @@
 	if sequence <= b.heard[router].sequence {
 		return
 	}
-	h := heard{
+	if slices.Contains(b.peers, router) {
+		b.addToldLocked(b.heard[router].inFlight, -1)
+		b.addToldLocked(list, 1)
+	}
+	b.heard[router] = heard{
 		at:       time.Now(),
 		sequence: sequence,
-		counts:   make(map[uint64]int, len(list)),
-		reading:  make(map[uint64]int, len(list)),
+		inFlight: list,
 	}
+}
+
+// addToldLocked adds counts, times the sign, to the servers' sums.
+func (b *Balancer) addToldLocked(list []InFlight, sign int) {
 	for _, in := range list {
-		h.counts[in.Server] = in.Count
-		h.reading[in.Server] = in.Reading
+		if s := b.hashes[in.Server]; s != nil {
+			s.told += sign * in.Count
+			s.toldReading += sign * in.Reading
+		}
+	}
+}
+
+// sumToldLocked sums what those that tell this router told.
+func (b *Balancer) sumToldLocked() {
+	for _, s := range b.servers {
+		s.told, s.toldReading = 0, 0
+	}
+	for _, id := range b.peers {
+		b.addToldLocked(b.heard[id].inFlight, 1)
 	}
-	b.heard[router] = h
 }
 
 // HearReads takes what engines read for other routers.
@@ -137,15 +157,6 @@
 	b.HearReads(reads)
 }
 
-// readingToldLocked sums what an engine has to read for the other routers.
-func (b *Balancer) readingToldLocked(s *server) int {
-	sum := 0
-	for _, h := range b.heard {
-		sum += h.reading[s.hash]
-	}
-	return sum
-}
-
 // InFlight counts the requests of all routers at a pool, as far as known.
 func (b *Balancer) InFlight(pool string) float64 {
 	b.mu.Lock()
@@ -172,23 +183,17 @@
 		}
 	}
 	b.heard = live
+	b.sumToldLocked()
 }
 
-// othersToldLocked sums what the other routers have at each backend server; ok
-// is false unless all of them told it lately.
-func (b *Balancer) othersToldLocked(now time.Time) (sums map[uint64]int, ok bool) {
-	if len(b.peers) == 0 {
-		return nil, false
-	}
-	sums = make(map[uint64]int, len(b.servers))
+// allToldLocked tells whether all that tell this router did lately: the servers'
+// sums then stand for the fleet.
+func (b *Balancer) allToldLocked(now time.Time) bool {
 	for _, id := range b.peers {
 		h, known := b.heard[id]
 		if !known || now.Sub(h.at) > toldLife {
-			return nil, false
-		}
-		for server, count := range h.counts {
-			sums[server] += count
+			return false
 		}
 	}
-	return sums, true
+	return len(b.peers) > 0
 }
