Have routers in the watchers' place stop when the store refuses them too

Cause: found by reading. A router that had taken the watchers' place went on asking the store twice a second when that failed for it as well, as its turn was asked for only before it began; and one of the tree's lower level that had been cut off from the others never left that place: it waited for a copy one hop from the store, which those that it follows do not have. Change: a failure ends it, and it waits for its turn; the first turn alone waits for a watcher.

--- a/directory/fleet_test.go
+++ b/directory/fleet_test.go
@@ -35,7 +35,9 @@
 	fleet    *following
 	self     slipwick.Router
 	follower *Follower[string]
-	settled  chan struct{}
+	// started is when it started; it is settled knowTime later.
+	started time.Time
+	settled chan struct{}
 
 	mu sync.Mutex
 	// silent has nothing get an answer from it, cut has the store give it none,
@@ -101,8 +103,11 @@
 	})
 }
 
-// start starts all routers within 0.3 s; each knows the others 0.2 s later. It
-// gives what ends them.
+// knowTime is how long a router takes to know the others.
+const knowTime = 200 * time.Millisecond
+
+// start starts all routers within 0.3 s; each comes to know the others. It gives
+// what ends them.
 func (f *following) start(t *testing.T) (stop func()) {
 	ctx, cancel := context.WithCancel(t.Context())
 	// The store's state is always known.
@@ -125,7 +130,8 @@
 		wait := time.Duration(random.Int64N(int64(300 * time.Millisecond)))
 		go func() {
 			time.Sleep(wait)
-			time.AfterFunc(200*time.Millisecond, func() { close(r.settled) })
+			r.started = time.Now()
+			time.AfterFunc(knowTime, func() { close(r.settled) })
 			r.follower.Run(ctx)
 		}()
 	}
@@ -171,18 +177,27 @@
 func (r *followingRouter) Settled() <-chan struct{} { return r.settled }
 
 func (r *followingRouter) Place() fleet.Place {
-	select {
-	case <-r.settled:
-		return fleet.PlaceOf(r.self, r.fleet.members)
-	default:
-		return fleet.PlaceOf(r.self, nil)
+	return fleet.PlaceOf(r.self, r.known())
+}
+
+// known gives the members that the router knows by now: it learns of them one
+// after the other, in an order of its own.
+func (r *followingRouter) known() []slipwick.Router {
+	members := r.fleet.members
+	share := min(time.Since(r.started).Seconds()/knowTime.Seconds(), 1)
+	var known []slipwick.Router
+	for i := range int(share * float64(len(members))) {
+		known = append(known, members[(i*7+len(r.self.ID)+int(r.started.UnixNano()))%len(members)])
 	}
+	return known
 }
 
 func (r *followingRouter) Others() []string {
 	var ids []string
-	for _, other := range r.fleet.members {
-		ids = append(ids, other.ID)
+	for _, other := range r.known() {
+		if other.ID != r.self.ID {
+			ids = append(ids, other.ID)
+		}
 	}
 	return ids
 }
--- a/directory/shared.go
+++ b/directory/shared.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -11,17 +10,10 @@
 )
 
 const (
-	// storePatience is how long a list from the store may take before another
-	// router is asked: some tens of its usual answers.
-	storePatience = 300 * time.Millisecond
 	// othersAsked is how many other routers are asked for a list at most, and
 	// otherPatience how long each may take.
 	othersAsked   = 4
 	otherPatience = 200 * time.Millisecond
-	// askAgain is the pause until the store is asked for a list once more while
-	// it has not answered: a store that had fallen silent never answers what it
-	// was asked then, while a slow one needs its time.
-	askAgain = 500 * time.Millisecond
 	// settleTime is how long a router that starts waits until it knows the others:
 	// whom it follows depends on them. It waits for loneTime until it knows any.
 	settleTime = 100 * time.Millisecond
@@ -68,12 +60,6 @@
 
 var _ slipwick.Feed = (*Shared)(nil)
 
-// listed is how one list ended.
-type listed struct {
-	batch slipwick.FeedBatch
-	err   error
-}
-
 // List lists from the store if this router follows it, else from the routers
 // that it follows.
 func (s *Shared) List(ctx context.Context) (slipwick.FeedBatch, error) {
@@ -83,6 +69,7 @@
 	place := s.Peers.Place()
 	if s.usesStore(ctx, &place) {
 		batch, err := s.listStore(ctx)
+		s.stopActing(err)
 		return s.noted(batch, err)
 	}
 	found := s.listRouters(ctx, s.candidates(&place), otherPatience)
@@ -150,68 +137,6 @@
 	return batch, nil
 }
 
-// listStore lists from the store, or from another router if the store fails or
-// lets it wait.
-func (s *Shared) listStore(ctx context.Context) (slipwick.FeedBatch, error) {
-	within := s.Rhythm.orDefault().List
-	fromStore := make(chan listed, within/askAgain+1)
-	pending := 0
-	ask := func() {
-		pending++
-		go func() {
-			batch, err := s.Store.List(ctx)
-			fromStore <- listed{
-				batch: batch,
-				err:   err,
-			}
-		}()
-	}
-	ask()
-	patience := time.NewTimer(storePatience)
-	defer patience.Stop()
-	again := time.NewTicker(askAgain)
-	defer again.Stop()
-	for askedOthers := false; ; {
-		var failure error
-		select {
-		case <-again.C:
-			ask()
-			continue
-		case <-patience.C:
-		case a := <-fromStore:
-			if a.err == nil {
-				return a.batch, nil
-			}
-			pending--
-			failure = a.err
-		}
-		if !askedOthers {
-			askedOthers = true
-			if found := s.listRouters(ctx, s.someOthers(), otherPatience); found.any {
-				return found.batch, nil
-			}
-		}
-		if failure != nil && pending == 0 {
-			return slipwick.FeedBatch{}, failure
-		}
-	}
-}
-
-// someOthers gives the routers to ask when the store fails: those that follow it
-// in this router's place first, and a few of all by chance.
-func (s *Shared) someOthers() []string {
-	place := s.Peers.Place()
-	ids := s.candidates(&place)
-	others := s.Peers.Others()
-	for _, i := range rand.Perm(len(others)) {
-		if len(ids) >= othersAsked {
-			break
-		}
-		ids = append(ids, others[i])
-	}
-	return ids
-}
-
 // Watch waits for changes at another router or the store.
 func (s *Shared) Watch(ctx context.Context, after uint64, wait time.Duration) (slipwick.FeedBatch, error) {
 	place := s.Peers.Place()
@@ -222,6 +147,7 @@
 	if err == nil || ctx.Err() != nil || slipwick.IsKind(err, slipwick.KindHistoryLost) {
 		return s.noted(batch, err)
 	}
+	s.stopActing(err)
 	found := s.listRouters(ctx, s.candidates(&place), s.Rhythm.orDefault().RelayMargin)
 	if !s.isOfUse(&found) {
 		return slipwick.FeedBatch{}, err
@@ -295,9 +221,3 @@
 	s.reusedAt = now
 	return true
 }
-
-func (s *Shared) watchStore(ctx context.Context, after uint64, wait time.Duration) (slipwick.FeedBatch, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+s.Rhythm.orDefault().Margin)
-	defer cancel()
-	return s.Store.Watch(ctx, after, wait)
-}
--- a/directory/takeover.go
+++ b/directory/takeover.go
@@ -75,13 +75,26 @@
 		return watches || acting
 	}
 	found := s.listRouters(ctx, place.Relays, otherPatience)
-	if found.current && found.batch.Hops <= 1 {
-		s.mu.Lock()
-		s.acting = false
-		s.mu.Unlock()
-		return false
+	// The first that take the watchers' place stay there until a watcher follows
+	// the store again; the others may follow these.
+	if !found.current || place.Turn == 0 && found.batch.Hops > 1 {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.acting = false
+	return false
+}
+
+// stopActing has a router no longer ask the store in the place of others when the
+// store does not answer it: it waits for its turn again.
+func (s *Shared) stopActing(failure error) {
+	if failure == nil {
+		return
 	}
-	return true
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.acting = false
 }
 
 // avoidStore has a router that the store refuses follow others that reach it.
