--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -28,6 +29,8 @@
 	// OnOut is told of each backend server that is left out for a while, and
 	// for how long. It must not call back.
 	OnOut func(backend slipwick.Backend, wait time.Duration)
+	// Draw gives a number from 0 to 1 by chance. New sets the default.
+	Draw func() float64
 
 	mu      sync.Mutex
 	servers map[string]*server
@@ -62,6 +65,7 @@
 		LoadSlack:  DefaultLoadSlack,
 		OnLongRead: func() {},
 		OnOut:      func(slipwick.Backend, time.Duration) {},
+		Draw:       rand.Float64,
 		servers:    make(map[string]*server),
 		pools:      make(map[string][]*server),
 		homes:      newHomes(),
@@ -175,7 +179,7 @@
 			costs[i] += farCost
 		}
 	}
-	return usable[spread(costs, b.unheardLocked(usable, decay))]
+	return usable[spread(costs, b.unheardLocked(usable, decay), b.Draw())]
 }
 
 // Reported takes the load that a backend server told with an answer.
--- a/balance/prompt.go
+++ b/balance/prompt.go
@@ -34,7 +34,7 @@
 	chosen := best.server
 	switch {
 	case chosen == nil:
-		chosen = usable[spread(each, b.unheardLocked(usable, decay))]
+		chosen = usable[spread(each, b.unheardLocked(usable, decay), b.Draw())]
 	case !best.has:
 		chosen = b.leastReadingLocked(prompt, usable, each, bound, now)
 	}
--- a/balance/spread.go
+++ b/balance/spread.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"slices"
 )
 
@@ -27,14 +26,14 @@
 // spread chooses a server for a request, by what its choice costs, so that what
 // the routers have not told each other yet fills the cheapest servers to one
 // level: were all to choose the cheapest, it would get everything until the next
-// telling. It gives an index.
-func spread(costs []float64, unheard float64) int {
+// telling. It gives an index; draw is a number from 0 to 1 by chance.
+func spread(costs []float64, unheard, draw float64) int {
 	level := fillLevel(costs, max(unheard, leastUnheard))
 	sum := 0.0
 	for _, cost := range costs {
 		sum += max(level-cost, 0)
 	}
-	draw := rand.Float64() * sum
+	draw *= sum
 	for i, cost := range costs {
 		draw -= max(level-cost, 0)
 		if draw < 0 {
--- a/cmd/internal/events/catalogue.go
+++ b/cmd/internal/events/catalogue.go
@@ -77,7 +77,7 @@
 		Number:  204,
 		Name:    "attempt-failed",
 		Level:   zerolog.InfoLevel,
-		Meaning: "A backend server did not bring the answer: not-run, unsent (no connection), failed, broken, or the caller left.",
+		Meaning: "A backend server did not bring the answer: not-run, unsent, failed, broken, or the caller left.",
 		Remedy:  "Follow the request by its ID; look at the backend server if many of its attempts fail.",
 	}
 	RequestUnserved = Event{
--- a/membership/node.go
+++ b/membership/node.go
@@ -98,9 +98,6 @@
 // Run probes until ctx ends.
 func (n *Node) Run(ctx context.Context) {
 	defer close(n.done)
-	var parts sync.WaitGroup
-	parts.Go(func() { n.catchUp(ctx) })
-	defer parts.Wait()
 	var wait time.Duration
 	n.locked(func() {
 		n.startedAt = time.Now()
@@ -109,6 +106,9 @@
 		// Routers that start together do not probe together.
 		wait = time.Duration(n.Random.Int64N(int64(n.Policy.Period)))
 	})
+	var parts sync.WaitGroup
+	parts.Go(func() { n.catchUp(ctx) })
+	defer parts.Wait()
 	first := time.NewTimer(wait)
 	defer first.Stop()
 	select {
