Carry news with questions for what a router lacks

Questions for what the other knows had carried rumours as all packets do, and no longer did since they hold fingerprints: after a cut of 5 s news spread with fewer packets. Change: questions of up to 120 fingerprints carry rumours again. Test: the same one, TestFailures/two_owners_at_once.

--- a/membership/catchup.go
+++ b/membership/catchup.go
@@ -29,8 +29,10 @@
 	quietAnswers = 3
 	quietTime    = 200 * time.Millisecond
 	// knownInPacket is how many fingerprints fit into one packet beside the
-	// rest; with more the boxes are asked for by shards.
-	knownInPacket = 300
+	// rest; with more the boxes are asked for by shards. Beside knownBesideNews
+	// there is room for news as in other packets.
+	knownInPacket   = 300
+	knownBesideNews = 120
 	// newsInAnswer is how many boxes are told in one packet, packetsInAnswer how
 	// many packets an answer has at most: enough for the fleet designed for. A
 	// router that starts wants earlyPackets alone and asks elsewhere for the rest:
@@ -147,6 +149,9 @@
 	for _, m := range n.shard(packet) {
 		packet.Known = append(packet.Known, uint32(m.fingerprint()))
 	}
+	if len(packet.Known) <= knownBesideNews {
+		packet.News = append(packet.News, n.rumours.take(n.Policy.NewsPerPacket, len(n.members))...)
+	}
 	return packet
 }
 
