--- a/directory/fleet_test.go
+++ b/directory/fleet_test.go
@@ -40,9 +40,11 @@
 	settled chan struct{}
 
 	mu sync.Mutex
-	// silent has nothing get an answer from it, cut has the store give it none,
-	// refused has the store refuse it.
-	silent, cut, refused bool
+	// silent has nothing get an answer from it, alone no other router, cut has the
+	// store give it none, refused has the store refuse it.
+	silent, alone, cut, refused bool
+	// calls counts its own to the store.
+	calls int
 	// values are the values known here.
 	values map[string]string
 }
@@ -218,7 +220,7 @@
 func (c *copyOf) reach(ctx context.Context) error {
 	for _, r := range []*followingRouter{c.from, c.to} {
 		r.mu.Lock()
-		silent := r.silent
+		silent := r.silent || r.alone
 		r.mu.Unlock()
 		if silent {
 			<-ctx.Done()
@@ -257,6 +259,7 @@
 
 func (s *storeOf) reach(ctx context.Context) error {
 	s.router.fleet.calls.Add(1)
+	s.router.set(func(r *followingRouter) { r.calls++ })
 	time.Sleep(4 * time.Millisecond)
 	return s.back(ctx)
 }
@@ -417,3 +420,40 @@
 		stop()
 	})
 }
+
+// TestRouterGivesTheWatchersPlaceBack has a router of the lowest level cut off from
+// the others for a while: it follows the store itself, and the others again
+// afterwards.
+func TestRouterGivesTheWatchersPlaceBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFollowing(295)
+		stop := f.start(t)
+		time.Sleep(5 * time.Second)
+		var lowest *followingRouter
+		for _, r := range f.routers {
+			if r.Place().Turn < 0 {
+				lowest = r
+			}
+		}
+		calls := func() int {
+			lowest.mu.Lock()
+			defer lowest.mu.Unlock()
+			return lowest.calls
+		}
+		lowest.set(func(r *followingRouter) { r.alone = true })
+		before := calls()
+		time.Sleep(10 * time.Second)
+		if got := calls() - before; got == 0 {
+			t.Error("cut off from the others: got no call to the store, want some")
+		}
+		lowest.set(func(r *followingRouter) { r.alone = false })
+		// It looks whether others follow the store again every few seconds.
+		time.Sleep(15 * time.Second)
+		before = calls()
+		time.Sleep(10 * time.Second)
+		if got := calls() - before; got > 0 {
+			t.Errorf("back among the others: got %d calls to the store in 10 s, want none", got)
+		}
+		stop()
+	})
+}
