--- /dev/null
+++ b/directory/following_test.go
@@ -0,0 +1,296 @@
+package directory
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/fleet"
+)
+
+// fleetWithin is the time that the fleet of the tests has for a change.
+const fleetWithin = 4 * time.Second
+
+// following is a fleet whose routers follow one store.
+type following struct {
+	store   *Mirror
+	calls   atomic.Int64
+	routers []*followingRouter
+	members []slipwick.Router
+	byID    map[string]*followingRouter
+	// revision is the store's.
+	revision uint64
+}
+
+// followingRouter is one router, and what is wrong with it.
+type followingRouter struct {
+	fleet    *following
+	self     slipwick.Router
+	follower *Follower[string]
+	// started is when it starts; it is settled knowTime later.
+	started time.Time
+	settled chan struct{}
+
+	mu sync.Mutex
+	// silent has nothing get an answer from it, alone no other router, cut has the
+	// store give it none, refused has the store refuse it.
+	silent, alone, cut, refused bool
+	// calls counts its own to the store.
+	calls int
+	// values are the values known here.
+	values map[string]string
+}
+
+var errRefused = errors.New("refused")
+
+func newFollowing(n int) *following {
+	f := &following{
+		store: NewMirror(),
+		byID:  make(map[string]*followingRouter),
+	}
+	f.change("0")
+	for i := range n {
+		r := &followingRouter{
+			fleet: f,
+			self: slipwick.Router{
+				ID:         fmt.Sprint("r", i),
+				DataCentre: fmt.Sprint("dc-", i%6),
+			},
+			settled: make(chan struct{}),
+			values:  make(map[string]string),
+		}
+		f.routers = append(f.routers, r)
+		f.members = append(f.members, r.self)
+		f.byID[r.self.ID] = r
+		shared := &Shared{
+			Name:   "feed",
+			Store:  &storeOf{r},
+			Peers:  r,
+			Rhythm: RhythmWithin(fleetWithin),
+		}
+		r.follower = NewFollower[string](shared, NewMirror())
+		r.follower.Rhythm = shared.Rhythm
+		r.follower.Decode = func(_ string, value []byte) (string, error) { return string(value), nil }
+		r.follower.OnChange = func(changes []Change[string]) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			for _, c := range changes {
+				r.values[c.Name] = c.Value
+			}
+		}
+	}
+	return f
+}
+
+// change changes the one object of the store.
+func (f *following) change(value string) {
+	f.revision++
+	f.store.Apply(&slipwick.FeedBatch{
+		Whole:    f.revision == 1,
+		Revision: f.revision,
+		Entries: []slipwick.FeedEntry{
+			{
+				Name:  "a",
+				Value: []byte(value),
+			},
+		},
+	})
+}
+
+// knowTime is how long a router takes to know the others.
+const knowTime = 200 * time.Millisecond
+
+// start starts all routers within 0.3 s; each comes to know the others. It gives
+// what ends them.
+func (f *following) start(t *testing.T) (stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	// The store's state is always known.
+	go func() {
+		ticker := time.NewTicker(10 * time.Millisecond)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				f.store.mu.Lock()
+				f.store.confirmed = time.Now()
+				f.store.mu.Unlock()
+			}
+		}
+	}()
+	random := rand.New(rand.NewPCG(1, 2))
+	for _, r := range f.routers {
+		wait := time.Duration(random.Int64N(int64(300 * time.Millisecond)))
+		r.started = time.Now().Add(wait)
+		go func() {
+			time.Sleep(wait)
+			time.AfterFunc(knowTime, func() { close(r.settled) })
+			r.follower.Run(ctx)
+		}()
+	}
+	return func() {
+		cancel()
+		for _, r := range f.routers {
+			<-r.follower.Done()
+		}
+		time.Sleep(10 * time.Second)
+	}
+}
+
+// watchers gives the routers that follow the store.
+func (f *following) watchers() []*followingRouter {
+	var watchers []*followingRouter
+	for _, r := range f.routers {
+		if r.Place().Watches {
+			watchers = append(watchers, r)
+		}
+	}
+	return watchers
+}
+
+// lagging counts the sound routers that do not know the value.
+func (f *following) lagging(value string) int {
+	n := 0
+	for _, r := range f.routers {
+		r.mu.Lock()
+		if !r.silent && !r.cut && r.values["a"] != value {
+			n++
+		}
+		r.mu.Unlock()
+	}
+	return n
+}
+
+func (r *followingRouter) set(change func(*followingRouter)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change(r)
+}
+
+func (r *followingRouter) Settled() <-chan struct{} { return r.settled }
+
+func (r *followingRouter) Place() fleet.Place {
+	return fleet.PlaceOf(r.self, r.known())
+}
+
+// known gives the members that the router knows by now: it learns of them one
+// after the other, in an order of its own.
+func (r *followingRouter) known() []slipwick.Router {
+	members := r.fleet.members
+	share := min(time.Since(r.started).Seconds()/knowTime.Seconds(), 1)
+	var known []slipwick.Router
+	for i := range int(share * float64(len(members))) {
+		known = append(known, members[(i*7+len(r.self.ID)+int(r.started.UnixNano()))%len(members)])
+	}
+	return known
+}
+
+func (r *followingRouter) Others() []string {
+	var ids []string
+	for _, other := range r.known() {
+		if other.ID != r.self.ID {
+			ids = append(ids, other.ID)
+		}
+	}
+	return ids
+}
+
+func (r *followingRouter) Relay(id, _ string) slipwick.Feed {
+	return &copyOf{
+		from: r,
+		to:   r.fleet.byID[id],
+	}
+}
+
+// copyOf is another router's copy, a millisecond away.
+type copyOf struct {
+	from, to *followingRouter
+}
+
+// reach waits as long as the way takes, or for ever.
+func (c *copyOf) reach(ctx context.Context) error {
+	for _, r := range []*followingRouter{c.from, c.to} {
+		r.mu.Lock()
+		silent := r.silent || r.alone
+		r.mu.Unlock()
+		if silent {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+	}
+	time.Sleep(time.Millisecond)
+	return ctx.Err()
+}
+
+func (c *copyOf) List(ctx context.Context) (slipwick.FeedBatch, error) {
+	if err := c.reach(ctx); err != nil {
+		return slipwick.FeedBatch{}, err
+	}
+	batch, err := c.to.follower.Mirror.AwaitList(ctx, firstWait)
+	batch.Hops++
+	return batch, err
+}
+
+func (c *copyOf) Watch(ctx context.Context, after uint64, wait time.Duration) (slipwick.FeedBatch, error) {
+	if err := c.reach(ctx); err != nil {
+		return slipwick.FeedBatch{}, err
+	}
+	batch, err := c.to.follower.Mirror.Watch(ctx, after, wait)
+	batch.Hops++
+	if failed := c.reach(ctx); failed != nil {
+		return slipwick.FeedBatch{}, failed
+	}
+	return batch, err
+}
+
+// storeOf is the store as one router reaches it.
+type storeOf struct {
+	router *followingRouter
+}
+
+func (s *storeOf) reach(ctx context.Context) error {
+	s.router.fleet.calls.Add(1)
+	s.router.set(func(r *followingRouter) { r.calls++ })
+	time.Sleep(4 * time.Millisecond)
+	return s.back(ctx)
+}
+
+// back is the way of an answer.
+func (s *storeOf) back(ctx context.Context) error {
+	s.router.mu.Lock()
+	hangs, refused := s.router.cut || s.router.silent, s.router.refused
+	s.router.mu.Unlock()
+	if hangs {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if refused {
+		return errRefused
+	}
+	return ctx.Err()
+}
+
+func (s *storeOf) List(ctx context.Context) (slipwick.FeedBatch, error) {
+	if err := s.reach(ctx); err != nil {
+		return slipwick.FeedBatch{}, err
+	}
+	return s.router.fleet.store.List(ctx)
+}
+
+func (s *storeOf) Watch(ctx context.Context, after uint64, wait time.Duration) (slipwick.FeedBatch, error) {
+	if err := s.reach(ctx); err != nil {
+		return slipwick.FeedBatch{}, err
+	}
+	batch, err := s.router.fleet.store.Watch(ctx, after, wait)
+	if failed := s.back(ctx); failed != nil {
+		return slipwick.FeedBatch{}, failed
+	}
+	return batch, err
+}
