Understand routers of before the tree during an upgrade

Cause: found by reading the diff: a router of before asks for a list without a wait, which was answered 400, and tells no hops, which made its copies unreadable to newer ones. Both would have gone to the store, as long as an upgrade lasts. Change: a missing wait is none, missing hops stand for a router that follows a watcher. Test: TestRoutersOfBeforeAreUnderstood. Ruled out: –.

--- a/directory/relay.go
+++ b/directory/relay.go
@@ -103,9 +103,11 @@
 	if err != nil {
 		return slipwick.FeedBatch{}, errors.Wrap(err, "a copy without its age")
 	}
+	// Routers of before do not tell their hops; they follow the store or one that
+	// does.
 	hops, err := strconv.Atoi(response.Header.Get(hopsHeader))
 	if err != nil {
-		return slipwick.FeedBatch{}, errors.Wrap(err, "a copy without its hops")
+		hops = 1
 	}
 	batch := wire.batch()
 	batch.Age, batch.Hops = time.Duration(age)*time.Millisecond, hops+1
--- a/directory/relayserver.go
+++ b/directory/relayserver.go
@@ -81,14 +81,18 @@
 
 func readQuestion(r *http.Request) (question, error) {
 	query := r.URL.Query()
-	wait, err := time.ParseDuration(query.Get("wait"))
-	if err != nil {
-		return question{}, err
-	}
 	q := question{
 		watch: query.Has("after"),
-		wait:  min(wait, longestRelay),
 	}
+	// Routers of before ask for a list without a wait.
+	if query.Has("wait") {
+		wait, err := time.ParseDuration(query.Get("wait"))
+		if err != nil {
+			return question{}, err
+		}
+		q.wait = min(wait, longestRelay)
+	}
+	var err error
 	if q.watch {
 		q.after, err = strconv.ParseUint(query.Get("after"), 10, 64)
 	}
--- a/directory/relayserver_test.go
+++ b/directory/relayserver_test.go
@@ -120,3 +120,42 @@
 		}
 	}
 }
+
+// TestRoutersOfBeforeAreUnderstood has a question and an answer as routers ask and
+// give that do not know of waits for lists and of hops: they run beside newer ones
+// during an upgrade.
+func TestRoutersOfBeforeAreUnderstood(t *testing.T) {
+	mirror := NewMirror()
+	mirror.Apply(batch(3, true, "a1"))
+	relays := &RelayServer{
+		Mirrors: map[string]*Mirror{
+			"f": mirror,
+		},
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.URL.RawQuery = ""
+		recorder := httptest.NewRecorder()
+		relays.ServeHTTP(recorder, r)
+		for name, values := range recorder.Header() {
+			if name != hopsHeader {
+				w.Header()[name] = values
+			}
+		}
+		w.WriteHeader(recorder.Code)
+		_, _ = w.Write(recorder.Body.Bytes())
+	}))
+	defer server.Close()
+	relay := &Relay{
+		Address: server.Listener.Addr().String(),
+		Name:    "f",
+		HTTP:    server.Client(),
+	}
+	got, err := relay.List(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	expectNames(t, "list", got.Entries, "a1")
+	if got.Hops != 2 {
+		t.Errorf("got %d hops, want 2 for a router that may follow a watcher", got.Hops)
+	}
+}
