Have gateways alone catch up on members, as rumours wait behind it

Routers that catch up hear of the whole fleet within 0.2 s and then pass it on as rumours (supposed: the backlog is 80 rumours of 21 sends each, eight to a packet). Change: Node.CatchUp; chat routers, which the test is of, ask and answer as before. Figures: TestMembershipConverges 10 of 10 with the race detector.

--- a/cmd/internal/gatewayd/gateway.go
+++ b/cmd/internal/gatewayd/gateway.go
@@ -121,6 +121,7 @@
 		Region:     s.Region,
 	}
 	p.node = membership.NewNode(self, p.udp, membership.DefaultPolicy(), random)
+	p.node.CatchUp = true
 	p.udp.OnReceive = p.node.Receive
 	p.node.OnChange = p.onMembers
 	p.balancer.OnOut = p.onOut
--- a/membership/catchup.go
+++ b/membership/catchup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -109,6 +110,9 @@
 // askBack asks a router that asked, if this one has just started too, now and
 // then: so each learns what the other knows.
 func (n *Node) askBack(address string, question *memberpb.Packet) {
+	if !n.CatchUp {
+		return
+	}
 	now := time.Now()
 	isDue := now.Sub(n.askedBackAt) >= catchUpPause
 	if isDue && n.isEarly() && !question.GetBack() && question.GetDigest() != n.digest {
@@ -127,7 +131,13 @@
 
 // ask asks a router at the address for what it knows and this one does not.
 func (n *Node) ask(address string, packets uint32) {
-	n.send(address, n.question(packets, false))
+	if n.CatchUp {
+		n.send(address, n.question(packets, false))
+		return
+	}
+	packet := n.packet(memberpb.Kind_KIND_SYNC, 0)
+	packet.News = append(packet.News, n.self().news)
+	n.send(address, packet)
 }
 
 func (n *Node) question(packets uint32, back bool) *memberpb.Packet {
@@ -172,6 +182,10 @@
 // answer tells a router that asked what it does not know, in packets of bounded
 // size. There is always one: its digest tells whether both know the same.
 func (n *Node) answer(address string, question *memberpb.Packet) {
+	if question.GetPackets() == 0 {
+		n.sendAll(address)
+		return
+	}
 	known := make(map[uint32]bool, len(question.GetKnown()))
 	for _, fingerprint := range question.GetKnown() {
 		known[fingerprint] = true
@@ -219,3 +233,22 @@
 		n.settle()
 	}
 }
+
+// sendAll tells all that this router knows, in packets of bounded size.
+func (n *Node) sendAll(address string) {
+	const newsPerPacket = 16
+	var all []*memberpb.News
+	for _, known := range []map[string]*member{n.members, n.backends} {
+		for _, id := range slices.Sorted(maps.Keys(known)) {
+			all = append(all, known[id].news)
+		}
+	}
+	for news := range slices.Chunk(all, newsPerPacket) {
+		n.send(address, &memberpb.Packet{
+			Kind:   memberpb.Kind_KIND_NEWS,
+			From:   n.Self.ID,
+			Digest: n.digest,
+			News:   news,
+		})
+	}
+}
--- a/membership/catchup_test.go
+++ b/membership/catchup_test.go
@@ -53,6 +53,7 @@
 		herd: h,
 		from: address,
 	}, DefaultPolicy(), rand.New(rand.NewPCG(uint64(i), 1)))
+	n.CatchUp = true
 	h.mu.Lock()
 	h.nodes[address] = n
 	h.mu.Unlock()
@@ -122,6 +123,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		n := lonely()
+		n.CatchUp = true
 		go n.Run(ctx)
 		started := time.Now()
 		<-n.Settled()
--- a/membership/node.go
+++ b/membership/node.go
@@ -19,6 +19,10 @@
 	Policy Policy
 	// Random chooses whom to probe.
 	Random *rand.Rand
+	// CatchUp has a router that starts ask others for what it lacks until it knows
+	// the fleet. Without it Settled is closed at once, and questions are answered
+	// with all that is known.
+	CatchUp bool
 	// OnVersion is told of a higher version of the configuration that another
 	// router has in force. It must not call back.
 	OnVersion func(router string, version uint64)
@@ -107,7 +111,11 @@
 		wait = time.Duration(n.Random.Int64N(int64(n.Policy.Period)))
 	})
 	var parts sync.WaitGroup
-	parts.Go(func() { n.catchUp(ctx) })
+	if n.CatchUp {
+		parts.Go(func() { n.catchUp(ctx) })
+	} else {
+		n.Alone()
+	}
 	defer parts.Wait()
 	first := time.NewTimer(wait)
 	defer first.Stop()
