Wait for a prompt's home no longer than it takes to read it again

Changed tests: those of starting routers waited for 400 ms with any prompt; they now name how long each may wait, a very long one 400 ms as before.

--- a/balance/pace.go
+++ b/balance/pace.go
@@ -164,6 +164,15 @@
 	return b.paceLocked(ask.Pool).readBy(ask.tokens())
 }
 
+// ReadingTime is how long an engine of the pool reads the whole prompt, beside what
+// it takes for any request.
+func (b *Balancer) ReadingTime(ask *Ask) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	reading := b.paceLocked(ask.Pool).reading
+	return reading.Time(ask.tokens()) - reading.Base()
+}
+
 // Usual is how long such a request of the pool usually takes until its answer
 // begins; 0 while too little is known.
 func (b *Balancer) Usual(ask *Ask) time.Duration {
--- a/balance/switches.go
+++ b/balance/switches.go
@@ -14,6 +14,9 @@
 	// ColdAsOthers has cold engines be chosen like the others, within their limit,
 	// and not only while these are pressed.
 	ColdAsOthers bool
+	// WaitForHomes has requests that meet a router that has just started wait for
+	// their prompt's home for as long as they can still be in time.
+	WaitForHomes bool
 	// ForgetEvacuated has prompts be read again that only evacuated engines keep, and
 	// not fetched from there.
 	ForgetEvacuated bool
@@ -24,6 +27,7 @@
 	return map[string]*bool{
 		"cold-as-others":   &s.ColdAsOthers,
 		"forget-evacuated": &s.ForgetEvacuated,
+		"wait-for-homes":   &s.WaitForHomes,
 	}
 }
 
--- a/gateway/start.go
+++ b/gateway/start.go
@@ -53,13 +53,17 @@
 }
 
 // homeWait is how long after its arrival the request may wait for its prompt's
-// home: not so long that it is late in any case, as it would be in time if its
-// prompt were read again at once.
+// home: no longer than an engine takes to read the prompt again, which would have
+// been the quicker way, nor so long that it is late in any case.
 func (c *call) homeWait() time.Duration {
-	if c.route.Objective <= 0 {
-		return startWait
+	balancer, wait := c.gateway.Balancer, startWait
+	if !balancer.Switches.WaitForHomes {
+		wait = min(wait, balancer.ReadingTime(&c.ask))
 	}
-	return min(startWait, c.route.Objective-c.gateway.Balancer.ReadTime(&c.ask))
+	if c.route.Objective > 0 {
+		wait = min(wait, c.route.Objective-balancer.ReadTime(&c.ask))
+	}
+	return wait
 }
 
 func isClosed(done <-chan struct{}) bool {
--- a/gateway/start_test.go
+++ b/gateway/start_test.go
@@ -15,10 +15,13 @@
 	}{
 		{"no prompt", "/affine/x", "", 0},
 		{"a prompt with a home", "/affine/x", "ab:100,cd:10", 0},
-		{"a prompt without one", "/affine/x", "ef:100,cd:10", startWait},
-		// Read again, the prompt takes 85 ms at the start values: a wait beyond
-		// 115 ms would have the answer late.
-		{"a prompt without one, soon due", "/soon/x", "ef:100,cd:10", 115 * time.Millisecond},
+		// To read them again takes 1, 200 and 900 ms at the start values.
+		{"a short prompt without one", "/affine/x", "ef:100,cd:10", time.Millisecond},
+		{"a long prompt without one", "/affine/x", "ef:20000,cd:10", 200 * time.Millisecond},
+		{"a very long prompt without one", "/affine/x", "ef:90000,cd:10", startWait},
+		// Read again, the prompt takes 179 ms at most: a wait beyond 21 ms would have
+		// the answer late.
+		{"a prompt without one, soon due", "/soon/x", "ef:8000,cd:10", 21 * time.Millisecond},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			f := newFixture(t, newBackend(t, "b1", answers(http.StatusOK, "answer")))
@@ -45,7 +48,7 @@
 	ready, homes := make(chan struct{}), make(chan struct{})
 	f.gateway.Ready, f.gateway.Homes = ready, homes
 	request := f.request(t, "/affine/x", "question")
-	request.Header.Set("Slipwick-Prompt", "ef:100,cd:10")
+	request.Header.Set("Slipwick-Prompt", "ef:90000,cd:10")
 	time.AfterFunc(startWait/8, func() { close(ready) })
 	time.AfterFunc(startWait/4, func() { close(homes) })
 	started := time.Now()
