--- /dev/null
+++ b/balance/cutoff_test.go
@@ -0,0 +1,59 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/slipwick/slipwick"
+)
+
+// tellOutcomes has all routers hear how the others' requests ended.
+func (f *testFleet) tellOutcomes() {
+	for i, b := range f.routers {
+		told := b.Tell()
+		for j, other := range f.routers {
+			if j != i {
+				other.HearOutcomes(told.Outcomes)
+			}
+		}
+	}
+}
+
+// TestOneRouterThatIsCutOffHasNobodyLeftOut has one router reach no engine at all: the
+// others go on using all of them.
+func TestOneRouterThatIsCutOffHasNobodyLeftOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(6, 28, 2)
+		cut := f.routers[0]
+		for range 20 {
+			for range 12 {
+				lease := acquire(t, cut, prompt(uint64(rand.IntN(95))))
+				time.AfterFunc(350*time.Millisecond, func() {
+					cut.Overdue(lease)
+					cut.Release(lease, slipwick.EvidenceNone)
+				})
+				time.Sleep(time.Second / 12)
+			}
+			for _, b := range f.routers[1:] {
+				for range 30 {
+					lease := acquire(t, b, prompt(uint64(rand.IntN(95))))
+					b.Began(lease)
+					b.Release(lease, slipwick.EvidenceGood)
+				}
+			}
+			f.tellOutcomes()
+			out := 0
+			for _, s := range f.routers[1].servers {
+				if f.routers[1].isOutLocked(s, time.Now()) {
+					out++
+				}
+			}
+			if out > 6 {
+				t.Fatalf("got %d of 28 engines left out by what one router says, want at most 6", out)
+			}
+		}
+		time.Sleep(time.Second)
+	})
+}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -18,6 +19,12 @@
 	// defaultDialTimeout bounds the time in which a connection comes up: some
 	// round trips within a region, below one resent packet (1 s).
 	defaultDialTimeout = 400 * time.Millisecond
+	// dialFactor times what a backend server's connections took is what the next may
+	// take, and leastDialTimeout at least: what takes longer meets a box that is dark,
+	// or a lost packet, and the request goes on elsewhere while it can be in time. The
+	// least is many times what a router that is short of processor is late.
+	dialFactor       = 8
+	leastDialTimeout = 120 * time.Millisecond
 	// defaultSilence is how long sent bytes and probes may go unacknowledged
 	// before the path counts as cut.
 	defaultSilence = 2 * time.Second
@@ -43,6 +50,9 @@
 
 	mu      sync.Mutex
 	resting map[string][]*connection
+	// took is how long connections to each backend server took to come up: the
+	// longest lately.
+	took map[string]time.Duration
 	// mostResting is the bound that SetMaxResting gave; 0 stands for
 	// maxResting.
 	mostResting int
@@ -101,7 +111,7 @@
 	for {
 		conn := c.pop(key)
 		if conn == nil {
-			return c.dial(ctx, address)
+			return c.dial(ctx, key, address)
 		}
 		fresh := maxRest == 0 || now.Sub(conn.restingSince) <= maxRest
 		if fresh && now.Before(conn.usableUntil) && conn.isAlive() {
@@ -125,9 +135,33 @@
 	return conn
 }
 
-func (c *Client) dial(ctx context.Context, address string) (*connection, error) {
+// dialTimeout is how long a connection to the backend server may take to come up.
+func (c *Client) dialTimeout(key string) time.Duration {
+	most := orDefault(c.DialTimeout, defaultDialTimeout)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	took, isKnown := c.took[key]
+	if !isKnown {
+		return most
+	}
+	return min(max(dialFactor*took, leastDialTimeout), most)
+}
+
+// reached notes how long a connection took to come up. Of earlier ones less and less
+// counts.
+func (c *Client) reached(key string, took time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.took == nil {
+		c.took = make(map[string]time.Duration)
+	}
+	c.took[key] = max(took, c.took[key]/2)
+}
+
+func (c *Client) dial(ctx context.Context, key, address string) (*connection, error) {
+	started := time.Now()
 	dialer := net.Dialer{
-		Timeout: orDefault(c.DialTimeout, defaultDialTimeout),
+		Timeout: c.dialTimeout(key),
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     probeEvery,
@@ -141,6 +175,7 @@
 		return nil, unreachable(address, err)
 	}
 	c.Opened.Add(1)
+	c.reached(key, time.Since(started))
 	return &connection{
 		Conn:   conn,
 		reader: bufio.NewReaderSize(conn, bufferSize),
@@ -196,6 +231,7 @@
 		}
 		delete(c.resting, key)
 	}
+	maps.DeleteFunc(c.took, func(key string, _ time.Duration) bool { return !known(key) })
 }
 
 // Close closes all resting connections.
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -296,3 +296,46 @@
 		t.Error("the connection is still open")
 	}
 }
+
+// TestDialTimeoutFollowsWhatConnectionsTook has a backend server that is known wait no
+// longer than its connections allow to expect, and one that is far for longer.
+func TestDialTimeoutFollowsWhatConnectionsTook(t *testing.T) {
+	client := &Client{}
+	for _, test := range []struct {
+		took []time.Duration
+		want time.Duration
+	}{
+		{
+			want: defaultDialTimeout,
+		},
+		{
+			took: []time.Duration{time.Millisecond, 2 * time.Millisecond},
+			want: leastDialTimeout,
+		},
+		{
+			took: []time.Duration{30 * time.Millisecond, time.Millisecond},
+			want: dialFactor * 15 * time.Millisecond,
+		},
+		{
+			took: []time.Duration{30 * time.Millisecond},
+			want: dialFactor * 30 * time.Millisecond,
+		},
+		{
+			took: []time.Duration{200 * time.Millisecond},
+			want: defaultDialTimeout,
+		},
+	} {
+		client.took = nil
+		for _, took := range test.took {
+			client.reached("key", took)
+		}
+		if got := client.dialTimeout("key"); got != test.want {
+			t.Errorf("after %v: got a time-out of %v, want %v", test.took, got, test.want)
+		}
+	}
+	client.reached("gone", time.Millisecond)
+	client.Retain(func(key string) bool { return key != "gone" })
+	if _, isKept := client.took["gone"]; isKept {
+		t.Error("got what is known of a server that is gone, want it forgotten")
+	}
+}
