--- a/balance/cold.go
+++ b/balance/cold.go
@@ -103,7 +103,11 @@
 func (b *Balancer) mayGetColdLocked(s *server, now time.Time) bool {
 	limit := b.coldLimits[s.Pool]
 	sharers, part := limit.coldShares(len(b.routers))
-	if b.routers == nil || s.routersBefore >= sharers || now.Sub(s.rankedAt) < coldWindow || now.Sub(b.began) < coldWindow {
+	ranked := s.rankedAt
+	if b.began.After(ranked) {
+		ranked = b.began
+	}
+	if b.routers == nil || s.routersBefore >= sharers || now.Sub(ranked) < coldWindow {
 		return false
 	}
 	for len(s.coldSends) > 0 && now.Sub(s.coldSends[0]) >= coldWindow {
--- a/balance/prompt.go
+++ b/balance/prompt.go
@@ -181,6 +181,16 @@
 	if holder, known := b.homes.holder(parts[len(parts)-1:], chosen, usable); known {
 		return holder
 	}
+	if home := b.likelyHomeLocked(ask, prompt, pool, chosen, now); home != chosen && home != nil && !home.covered {
+		return home
+	}
+	holder, _ := b.homes.holder(parts[:len(parts)-1], chosen, usable)
+	return holder
+}
+
+// likelyHomeLocked gives the best ranked engine for a prompt of those that were listed
+// before the chosen one, or the chosen one if it is that.
+func (b *Balancer) likelyHomeLocked(ask *Ask, prompt uint64, pool []*server, chosen *server, now time.Time) *server {
 	var home *server
 	var homeScore uint64
 	for _, s := range pool {
@@ -194,11 +204,7 @@
 			home, homeScore = s, score
 		}
 	}
-	if home != nil && home != chosen && !home.covered {
-		return home
-	}
-	holder, _ := b.homes.holder(parts[:len(parts)-1], chosen, usable)
-	return holder
+	return home
 }
 
 // settledAfter is how long an engine has to be listed for its prompts to count
--- a/cmd/internal/events/catalogue.go
+++ b/cmd/internal/events/catalogue.go
@@ -112,7 +112,7 @@
 		Number:  406,
 		Name:    "evacuations-changed",
 		Level:   zerolog.InfoLevel,
-		Meaning: "Data centres were evacuated or taken back; the backend servers of those in the field evacuated get nothing new.",
+		Meaning: "Data centres were evacuated or taken back; those in the field evacuated get nothing new.",
 		Remedy:  "None if it was planned; slipwick gateways shows which routers follow.",
 	}
 	EvacuationsUnknown = Event{
--- a/cmd/internal/gatewayd/evacuations.go
+++ b/cmd/internal/gatewayd/evacuations.go
@@ -57,6 +57,14 @@
 	}
 }
 
+// evacuatedNow gives the data centres that are evacuated, as far as known.
+func (p *Process) evacuatedNow() []string {
+	if evacuated := p.evacuated.Load(); evacuated != nil {
+		return *evacuated
+	}
+	return nil
+}
+
 // awaitEvacuations has a starting router wait until it knows which data centres are
 // evacuated: before, it does not send. When nobody can tell it for as long as routers
 // have to follow an evacuation, it goes on, as it serves callers better than nobody;
--- a/cmd/internal/gatewayd/gateway.go
+++ b/cmd/internal/gatewayd/gateway.go
@@ -115,9 +115,7 @@
 	p.observer = newObserver(p.Log, p.metrics, s.Headers.RequestID)
 	p.seeds.Store(&s.Seeds)
 	p.grace.Store(int64(s.Grace))
-	p.balancer = balance.New(s.DataCentre)
-	p.balancer.Switches = p.Switches
-	p.balancer.SetLoadBound(s.Bounds.LoadFactor, s.Bounds.LoadSlack)
+	p.balancer = p.newBalancer()
 	p.client = &upstream.Client{}
 	p.backends = directory.NewBackends(p.onBackends)
 	p.backends.Heartbeat, p.backends.Leave = s.Bounds.Heartbeat, s.Bounds.Leave
@@ -133,7 +131,6 @@
 	p.node.CatchUp = true
 	p.udp.OnReceive = p.node.Receive
 	p.node.OnChange = p.onMembers
-	p.balancer.OnOut = p.onOut
 	p.peers = &peers{
 		self: self,
 		node: p.node,
@@ -173,6 +170,14 @@
 	p.metrics.add(p)
 }
 
+func (p *Process) newBalancer() *balance.Balancer {
+	b := balance.New(p.Settings.DataCentre)
+	b.Switches = p.Switches
+	b.OnOut = p.onOut
+	b.SetLoadBound(p.Settings.Bounds.LoadFactor, p.Settings.Bounds.LoadSlack)
+	return b
+}
+
 // Run serves until ctx ends, then drains.
 func (p *Process) Run(ctx context.Context) error {
 	defer close(p.done)
--- a/cmd/internal/gatewayd/metrics.go
+++ b/cmd/internal/gatewayd/metrics.go
@@ -80,12 +80,7 @@
 		{
 			name: "slipwick_evacuated_data_centres",
 			help: "Data centres whose backend servers get nothing new.",
-			read: func() float64 {
-				if evacuated := p.evacuated.Load(); evacuated != nil {
-					return float64(len(*evacuated))
-				}
-				return 0
-			},
+			read: func() float64 { return float64(len(p.evacuatedNow())) },
 		},
 		{
 			name: "slipwick_members",
--- a/cmd/internal/gatewayd/status.go
+++ b/cmd/internal/gatewayd/status.go
@@ -41,6 +41,7 @@
 		Draining:      p.draining.Load(),
 		WatchesStore:  p.Feeds.Private || p.peers.Place().Watches,
 		InFlight:      p.gateway.InFlight(),
+		Evacuated:     p.evacuatedNow(),
 		KnownParts:    p.balancer.KnownParts(),
 		MissingCaches: p.recovery.Missing(),
 		Backends:      p.balancer.States(),
@@ -48,9 +49,6 @@
 	if table := p.gateway.Table(); table != nil {
 		s.Configuration = table.Version
 	}
-	if evacuated := p.evacuated.Load(); evacuated != nil {
-		s.Evacuated = *evacuated
-	}
 	for _, r := range p.node.Routers() {
 		s.Members = append(s.Members, r.ID)
 	}
