--- /dev/null
+++ b/balance/switches_test.go
@@ -0,0 +1,68 @@
+package balance
+
+import (
+	"os"
+	"strings"
+	"testing"
+)
+
+func TestSwitchesAreReadByName(t *testing.T) {
+	got, err := ParseSwitches([]string{"cold-as-others", "wait-for-homes"})
+	want := Switches{
+		ColdAsOthers: true,
+		WaitForHomes: true,
+	}
+	if err != nil || got != want {
+		t.Errorf("got %+v, %v, want %+v", got, err, want)
+	}
+	if got, err := ParseSwitches(nil); err != nil || got != (Switches{}) {
+		t.Errorf("got %+v, %v for no names, want none on", got, err)
+	}
+	_, err = ParseSwitches([]string{"no-such"})
+	if err == nil || !strings.Contains(err.Error(), "cold-as-others") {
+		t.Errorf("got %v, want an error that names the switches there are", err)
+	}
+}
+
+// TestSwitchesPageNamesAll has the operators' page explain each switch.
+func TestSwitchesPageNamesAll(t *testing.T) {
+	page, err := os.ReadFile("../docs/ABLATION.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var s Switches
+	for name := range s.byName() {
+		if !strings.Contains(string(page), "| `"+name+"` |") {
+			t.Errorf("got no line for the switch %s in docs/ABLATION.md", name)
+		}
+	}
+}
+
+// TestForgetEvacuatedTakesTheOtherWay compares a choice with the switch and without.
+func TestForgetEvacuatedTakesTheOtherWay(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		forgets   bool
+		wantFetch bool
+	}{
+		{
+			name:      "fetch from evacuated engines",
+			wantFetch: true,
+		},
+		{
+			name:    "forget what they keep",
+			forgets: true,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newPlacedBalancer(4, "d", "e")
+			b.Switches.ForgetEvacuated = test.forgets
+			first := acquire(t, b, prompt(7))
+			b.Began(first)
+			b.SetEvacuated([]string{first.Backend.DataCentre})
+			if got := acquire(t, b, prompt(7)).FetchFrom != ""; got != test.wantFetch {
+				t.Errorf("got a fetch: %t, want %t", got, test.wantFetch)
+			}
+		})
+	}
+}
