Say nothing of evacuations where none can be

TestProcessThatFollowsNoEvacuationsAwaitsNone fails without the mend. What is sent where is not touched.

--- a/cmd/internal/gatewayd/evacuations.go
+++ b/cmd/internal/gatewayd/evacuations.go
@@ -20,7 +20,6 @@
 // other feeds, through the same routers; its time is its own.
 func (p *Process) followEvacuations(ctx context.Context) {
 	if !p.followsEvacuations() {
-		close(p.evacuationsKnown)
 		return
 	}
 	rhythm := directory.RhythmWithin(p.Settings.Bounds.Evacuate)
@@ -70,6 +69,9 @@
 // have to follow an evacuation, it goes on, as it serves callers better than nobody;
 // the list is learnt as soon as the store or another router tells it.
 func (p *Process) awaitEvacuations(ctx context.Context) {
+	if !p.followsEvacuations() {
+		return
+	}
 	timer := time.NewTimer(p.Settings.Bounds.Evacuate)
 	defer timer.Stop()
 	select {
--- a/cmd/internal/gatewayd/evacuations_test.go
+++ b/cmd/internal/gatewayd/evacuations_test.go
@@ -1,12 +1,15 @@
 package gatewayd
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/slipwick/slipwick"
 )
 
@@ -107,3 +110,15 @@
 		t.Errorf("got %v evacuated, want %v", got, want)
 	}
 }
+
+// TestProcessThatFollowsNoEvacuationsAwaitsNone starts where none can be: nothing is
+// waited for, and nothing said of it.
+func TestProcessThatFollowsNoEvacuationsAwaitsNone(t *testing.T) {
+	var lines bytes.Buffer
+	p := New(&Settings{}, Feeds{})
+	p.Log = zerolog.New(&lines)
+	p.awaitEvacuations(t.Context())
+	if lines.Len() > 0 {
+		t.Errorf("got the line %s, want none", lines.String())
+	}
+}
