Hold cold servers by the settings read last

Cause, found by reading: after a reload the next table put the bounds of the start in force again. TestColdLimitsFollowTheSettingsReadLast. Nothing else is touched.

--- a/cmd/internal/gatewayd/cold.go
+++ b/cmd/internal/gatewayd/cold.go
@@ -7,9 +7,9 @@
 )
 
 // limitCold has the balancer hold what cold backend servers bear, by the table in
-// force.
-func (p *Process) limitCold(bounds *Bounds) {
-	if table := p.gateway.Table(); table != nil {
+// force and the settings read last.
+func (p *Process) limitCold() {
+	if table, bounds := p.gateway.Table(), p.bounds.Load(); table != nil {
 		p.balancer.SetColdLimits(bounds.coldLimits(table, !p.Feeds.Private))
 	}
 }
--- /dev/null
+++ b/cmd/internal/gatewayd/cold_test.go
@@ -0,0 +1,59 @@
+package gatewayd
+
+import (
+	"testing"
+	"time"
+
+	"github.com/slipwick/slipwick/balance"
+	"github.com/slipwick/slipwick/gateway"
+	"github.com/slipwick/slipwick/retry"
+	"github.com/slipwick/slipwick/routing"
+)
+
+// TestColdLimitsFollowTheSettingsReadLast changes the bounds while a table is in force,
+// and puts a newer table in force after.
+func TestColdLimitsFollowTheSettingsReadLast(t *testing.T) {
+	before := Bounds{
+		ColdFactor: 1.5,
+		ColdSlack:  5,
+	}
+	p := New(&Settings{
+		Bounds: before,
+	}, Feeds{})
+	p.bounds.Store(&before)
+	p.balancer = balance.New("d")
+	p.gateway = &gateway.Gateway{
+		Budget: &retry.Budget{},
+	}
+	p.Reread = func() (*Settings, error) {
+		return &Settings{
+			Bounds: Bounds{
+				ColdFactor: 2,
+				ColdSlack:  1,
+			},
+		}, nil
+	}
+	p.reread()
+	table := routing.NewTable(1, routing.Limits{}, []routing.Pool{
+		{
+			Name: "p",
+			Cold: &routing.Cold{
+				PerSecond: 13,
+				Time:      3 * time.Second,
+			},
+		},
+	}, nil, nil)
+	for entersItself, want := range map[bool]balance.ColdLimit{
+		true: {
+			Most: 27,
+		},
+		false: {
+			Most: 27,
+			New:  3 * time.Second,
+		},
+	} {
+		if got := p.bounds.Load().coldLimits(table, entersItself)["p"]; got != want {
+			t.Errorf("servers that enter themselves: %t: got %+v, want %+v", entersItself, got, want)
+		}
+	}
+}
--- a/cmd/internal/gatewayd/follow.go
+++ b/cmd/internal/gatewayd/follow.go
@@ -51,7 +51,7 @@
 				continue
 			}
 			p.shareConnections(len(p.node.Routers()))
-			p.limitCold(&p.Settings.Bounds)
+			p.limitCold()
 			p.metrics.version.Set(float64(c.Value.Version))
 			events.ConfigurationInForce.On(&p.Log).Uint64("version", c.Value.Version).Send()
 		}
@@ -231,7 +231,8 @@
 	p.grace.Store(int64(settings.Grace))
 	bounds := settings.Bounds.orDefaults()
 	p.balancer.SetLoadBound(bounds.LoadFactor, bounds.LoadSlack)
-	p.limitCold(&bounds)
+	p.bounds.Store(&bounds)
+	p.limitCold()
 	p.gateway.Budget.SetBound(settings.Retries.Ratio, settings.Retries.Extra)
 	events.SettingsReloaded.On(&p.Log).Int("seeds", len(settings.Seeds)).Dur("grace_ms", settings.Grace).
 		Float64("load_factor", bounds.LoadFactor).Float64("retry_ratio", settings.Retries.Ratio).
--- a/cmd/internal/gatewayd/gateway.go
+++ b/cmd/internal/gatewayd/gateway.go
@@ -82,9 +82,10 @@
 	ready, learnt chan struct{}
 
 	draining atomic.Bool
-	// seeds and grace are those of the settings read last.
-	seeds atomic.Pointer[[]string]
-	grace atomic.Int64
+	// seeds, grace and bounds are those of the settings read last.
+	seeds  atomic.Pointer[[]string]
+	grace  atomic.Int64
+	bounds atomic.Pointer[Bounds]
 	done  chan struct{}
 }
 
@@ -115,6 +116,7 @@
 	p.observer = newObserver(p.Log, p.metrics, s.Headers.RequestID)
 	p.seeds.Store(&s.Seeds)
 	p.grace.Store(int64(s.Grace))
+	p.bounds.Store(&s.Bounds)
 	p.balancer = p.newBalancer()
 	p.client = &upstream.Client{}
 	p.backends = directory.NewBackends(p.onBackends)
