--- a/cmd/internal/gatewayd/gateway.go
+++ b/cmd/internal/gatewayd/gateway.go
@@ -86,7 +86,7 @@
 	seeds  atomic.Pointer[[]string]
 	grace  atomic.Int64
 	bounds atomic.Pointer[Bounds]
-	done  chan struct{}
+	done   chan struct{}
 }
 
 // New makes a process that Run starts.
