--- a/balance/loads.go
+++ b/balance/loads.go
@@ -100,24 +100,10 @@
 	return (1+loadShare*(b.LoadFactor-1))*mean + max(b.LoadSlack-slackMargin, 0)
 }
 
-// evacuatedShare of what the promise allows beyond the usable ones' mean is used while a
-// part of the pool is evacuated. There is less of it then, and loads differ by chance as
-// much as ever: with the usual bound 35 to 40 in 1,000 requests came to an engine above
-// the promised load as two of four data centres were evacuated, and one had just come
-// back (65 routers, 112 engines).
-const evacuatedShare = 0.3
-
 // usableBoundLocked is the bound for the usable engines, by the mean of the pool: with
-// those that are evacuated, which hold less and less. The bound leaves each half a
-// request above the usable ones' mean, or none could get any.
+// those that are evacuated, which hold less and less. The bound leaves each a request
+// above the usable ones' mean, or none could get any.
 func (b *Balancer) usableBoundLocked(usable []*server, mean float64, now time.Time) float64 {
-	if len(b.scratch.evacuated) == 0 {
-		return max(b.loadBound(mean), mean+1)
-	}
 	all := b.poolMeanLocked(usable, mean*float64(len(usable)), now)
-	promised := b.LoadFactor*all + b.LoadSlack
-	return max(min(b.loadBound(all), mean+evacuatedShare*(promised-mean)), mean+leastRoom)
+	return max(b.loadBound(all), mean+1)
 }
-
-// leastRoom is what the bound leaves above the usable ones' mean in any case.
-const leastRoom = 0.5
