--- a/balance/cold_test.go
+++ b/balance/cold_test.go
@@ -22,6 +22,8 @@
 type coldFleet struct {
 	routers []*Balancer
 	names   []string
+	// started counts the routers that were started later.
+	started int
 	// arrivals are when requests reached each engine.
 	arrivals map[string][]time.Time
 	// frozenUntil is until when a router stands still: what it was about to send
@@ -134,8 +136,10 @@
 		f.know(f.names[:half], 0, half)
 		f.know(f.names[half:], half, size)
 	case "start":
-		// It knows a part of the fleet, and the others do not know it yet.
-		f.names = append(f.names, fmt.Sprint("r", size))
+		// It knows a part of the fleet, and the others do not know it yet. Its ID is
+		// nobody's else, also after others were killed.
+		f.started++
+		f.names = append(f.names, fmt.Sprint("new", f.started))
 		f.routers = append(f.routers, f.start(3, time.Hour))
 		f.know(f.names[:random.IntN(size)+1], size, size+1)
 	case "kill":
