--- a/cmd/slipwick/evacuate/evacuate.go
+++ b/cmd/slipwick/evacuate/evacuate.go
@@ -24,8 +24,8 @@
 slipwick gateways shows which gateways follow.
 
 Examples:
-  slipwick evacuate kochi-1 --table /etc/slipwick/table.jsonc
-  slipwick evacuate kochi-1 --table /etc/slipwick/table.jsonc --end`
+  slipwick evacuate jekaba --table /etc/slipwick/table.jsonc
+  slipwick evacuate jekaba --table /etc/slipwick/table.jsonc --end`
 
 // Options are the command's settings.
 type Options struct {
