Name requests by what they ask for in the log

Cause: a caller that asks again has a new request ID, so that no line told whether requests that failed one after the other were the same one. 204 and 205 now carry key, a hash of workspace, method, target and body, and 204 the events that a send brought. No decision reads it yet.

Ruled out: the body alone (two callers may ask for the same), the prompt's parts (shared by design).

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/slipwick/slipwick/balance"
+	"github.com/slipwick/slipwick/quarantine"
 	"github.com/slipwick/slipwick/routing"
 	"github.com/slipwick/slipwick/upstream"
 )
@@ -24,7 +25,9 @@
 	workspace *routing.Workspace
 	id        string
 	body      []byte
-	arrived   time.Time
+	// key names what is asked for, whatever the request's ID.
+	key     quarantine.Key
+	arrived time.Time
 	// deadline is when the caller or the route gives up.
 	deadline time.Time
 	ctx      context.Context
@@ -41,6 +44,14 @@
 	failure *wholeAnswer
 }
 
+// workspaceName is empty for anonymous requests.
+func (c *call) workspaceName() string {
+	if c.workspace == nil {
+		return ""
+	}
+	return c.workspace.Name
+}
+
 // upstreamRequest makes the request for the backend server of the lease.
 func (c *call) upstreamRequest(lease *balance.Lease) *upstream.Request {
 	names := &c.gateway.Headers
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/slipwick/slipwick/balance"
+	"github.com/slipwick/slipwick/quarantine"
 	"github.com/slipwick/slipwick/retry"
 	"github.com/slipwick/slipwick/routing"
 	"github.com/slipwick/slipwick/upstream"
@@ -154,6 +155,7 @@
 		arrived:   arrived,
 		deadline:  deadline,
 	}
+	c.key = quarantine.KeyOf(c.workspaceName(), r.Method, r.RequestURI, body)
 	c.ask.Pool = c.pool
 	c.ask.Regions = routing.Regions(route, workspace)
 	if route.Affinity {
--- a/gateway/observer.go
+++ b/gateway/observer.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/slipwick/slipwick/quarantine"
 	"github.com/slipwick/slipwick/routing"
 )
 
@@ -20,12 +21,16 @@
 // Attempt is one send that did not bring the answer.
 type Attempt struct {
 	Request string
+	// Key is the same for requests that ask for the same.
+	Key     quarantine.Key
 	Route   string
 	Backend string
 	Address string
 	// Result is why: not-run, failed, broken, stray or cancelled.
 	Result string
 	Status int
+	// Events are those of a stream that this send brought.
+	Events int
 	Took   time.Duration
 	Err    error
 }
@@ -33,6 +38,7 @@
 // Ending is how an admitted request ended.
 type Ending struct {
 	Request string
+	Key     quarantine.Key
 	Route   *routing.Route
 	Pool    string
 	// Version is that of the table it was routed by.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -173,6 +173,7 @@
 func (c *call) ended(outcome, reason string, status int) {
 	c.gateway.Observer.Ended(&Ending{
 		Request: c.id,
+		Key:     c.key,
 		Route:   c.route,
 		Pool:    c.pool,
 		Version: c.table.Version,
@@ -187,7 +188,7 @@
 
 // send sends the request to one backend server and passes the answer on.
 func (c *call) send(lease *balance.Lease) result {
-	started := time.Now()
+	started, events := time.Now(), c.stream.events
 	c.sends++
 	c.ask.Avoid = append(c.ask.Avoid, lease.Backend.ID)
 	request := c.upstreamRequest(lease)
@@ -195,6 +196,7 @@
 	answer, err := c.gateway.Client.Do(c.ctx, lease.Backend.ID, lease.Backend.Address, request)
 	attempt := &Attempt{
 		Request: c.id,
+		Key:     c.key,
 		Route:   c.route.Name,
 		Backend: lease.Backend.ID,
 		Address: lease.Backend.Address,
@@ -215,6 +217,7 @@
 	}
 	if last != resultDelivered {
 		attempt.Result, attempt.Took = last.String(), time.Since(started)
+		attempt.Events = c.stream.events - events
 		c.gateway.Observer.Attempted(attempt)
 	}
 	return last
--- /dev/null
+++ b/quarantine/doc.go
@@ -0,0 +1,2 @@
+// Package quarantine keeps requests from backend servers that end under them.
+package quarantine
