Quarantine requests under which three backend servers ended

Cause: what a request does to backend servers was remembered for the server alone. A request that ends each server that begins to run it cost two engines a try, at any router, under a new ID each time.

Now each router notes under which requests an engine's life ended (the exchange broke off, the address refuses connections, the server was not about to leave), tells the others at once, and a request under which three lives ended gets none: refused as not run, with when to come back; runs that wait elsewhere are stopped. A run that comes to its end excuses the request. Ten minutes after the last end one router tries again, then after twice the time.

--- a/backend.go
+++ b/backend.go
@@ -14,6 +14,9 @@
 	Slots int `json:"slots" validate:"min=0,max=100000"`
 	// ChecksKeys says that it refuses a request key it has seen before.
 	ChecksKeys bool `json:"checks_keys"`
+	// Born is when this life of it began, in Unix milliseconds, as it says itself; 0
+	// if it does not. One that ended may be back under its ID.
+	Born int64 `json:"-"`
 }
 
 // DefaultSlots bounds requests in flight at a backend server that sets none.
--- a/balance/evacuation.go
+++ b/balance/evacuation.go
@@ -26,6 +26,15 @@
 	return !s.Leaving && !s.evacuated
 }
 
+// Expects tells whether the lease's backend server is listed and not about to leave, so
+// that its end is none that was planned.
+func (b *Balancer) Expects(lease *Lease) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := lease.server
+	return b.servers[s.ID] == s && !s.Leaving
+}
+
 // StillTakes tells whether the lease's backend server may still get the request,
 // which was not sent at once: not if it leaves, is evacuated or became cold meanwhile.
 func (b *Balancer) StillTakes(lease *Lease) bool {
--- a/cmd/internal/events/catalogue.go
+++ b/cmd/internal/events/catalogue.go
@@ -87,6 +87,20 @@
 		Meaning: "A request ended without a whole answer; the field reason says why it was not sent again.",
 		Remedy:  "Read its attempt-failed lines, by the same request ID.",
 	}
+	RequestQuarantined = Event{
+		Number:  206,
+		Name:    "request-quarantined",
+		Level:   zerolog.WarnLevel,
+		Meaning: "Backend servers ended under what the field key names, as many as ends says; it gets no further one.",
+		Remedy:  "Find its caller by the lines 204 with the same key; have the engine mended that ends under it.",
+	}
+	RequestReleased = Event{
+		Number:  207,
+		Name:    "request-released",
+		Level:   zerolog.InfoLevel,
+		Meaning: "A request that was quarantined ran to its end when it was tried again, and is served from now on.",
+		Remedy:  "None.",
+	}
 	ConfigurationInForce = Event{
 		Number:  301,
 		Name:    "configuration-in-force",
@@ -180,6 +194,8 @@
 		RequestRefused,
 		AttemptFailed,
 		RequestUnserved,
+		RequestQuarantined,
+		RequestReleased,
 		ConfigurationInForce,
 		PlatformCallFailed,
 		StoreRegained,
--- a/cmd/internal/gatewayd/gateway.go
+++ b/cmd/internal/gatewayd/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -13,14 +12,12 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
-	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/balance"
 	"github.com/slipwick/slipwick/directory"
 	"github.com/slipwick/slipwick/exchange"
 	"github.com/slipwick/slipwick/gateway"
-	"github.com/slipwick/slipwick/httpclient"
 	"github.com/slipwick/slipwick/membership"
-	"github.com/slipwick/slipwick/retry"
+	"github.com/slipwick/slipwick/quarantine"
 	"github.com/slipwick/slipwick/upstream"
 
 	"github.com/slipwick/slipwick/cmd/internal/events"
@@ -63,6 +60,9 @@
 	udp      *membership.UDP
 	teller   *exchange.Teller
 	recovery *exchange.Recovery
+	// ledger holds requests under which backend servers end, marks tells the others.
+	ledger   *quarantine.Ledger
+	marks    *exchange.MarkTeller
 	peers    *peers
 	mirrors  map[string]*directory.Mirror
 	tellings *membership.UDP
@@ -108,78 +108,6 @@
 	return p.done
 }
 
-// assemble makes the parts and joins them.
-func (p *Process) assemble(open *listeners) {
-	s := p.Settings
-	s.Bounds = s.Bounds.orDefaults()
-	p.metrics = newMetrics()
-	p.observer = newObserver(p.Log, p.metrics, s.Headers.RequestID)
-	p.seeds.Store(&s.Seeds)
-	p.grace.Store(int64(s.Grace))
-	p.bounds.Store(&s.Bounds)
-	p.balancer = p.newBalancer()
-	p.client = &upstream.Client{}
-	p.backends = directory.NewBackends(p.onBackends)
-	p.backends.Heartbeat, p.backends.Leave = s.Bounds.Heartbeat, s.Bounds.Leave
-	p.udp = membership.NewUDP(open.packets)
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	self := slipwick.Router{
-		ID:         s.ID,
-		Address:    s.Listen.Peers,
-		DataCentre: s.DataCentre,
-		Region:     s.Region,
-	}
-	p.node = membership.NewNode(self, p.udp, membership.DefaultPolicy(), random)
-	p.node.CatchUp = true
-	p.udp.OnReceive = p.node.Receive
-	p.node.OnChange = p.onMembers
-	p.peers = &peers{
-		self: self,
-		node: p.node,
-		http: httpclient.New(),
-	}
-	p.mirrors = map[string]*directory.Mirror{
-		feedTables:   directory.NewMirror(),
-		feedBackends: directory.NewMirror(),
-
-		feedEvacuations: directory.NewMirror(),
-	}
-	p.tellings = membership.NewUDP(open.tellings)
-	p.teller = exchange.NewTeller(s.ID)
-	p.teller.Balancer = p.balancer
-	p.balancer.OnLongRead = p.teller.Soon
-	p.teller.Wire = p.tellings
-	p.teller.Routers = p.node.Routers
-	p.teller.Address = tellingsAddress
-	p.tellings.OnReceive = p.teller.Receive
-	p.gateway = &gateway.Gateway{
-		Headers:  s.Headers,
-		Balancer: p.balancer,
-		Client:   p.client,
-		Observer: p.observer,
-		Ready:    p.ready,
-		Homes:    p.learnt,
-		Budget: &retry.Budget{
-			Ratio:   s.Retries.Ratio,
-			Extra:   s.Retries.Extra,
-			Window:  s.Retries.Window,
-			Routers: func() int { return len(p.node.Routers()) },
-
-			Restarted: !s.FirstStart,
-		},
-	}
-	p.recovery = p.newRecovery()
-	p.metrics.add(p)
-}
-
-func (p *Process) newBalancer() *balance.Balancer {
-	b := balance.New(p.Settings.DataCentre)
-	b.Switches = p.Switches
-	b.OnOut = p.onOut
-	b.SetLoadBound(p.Settings.Bounds.LoadFactor, p.Settings.Bounds.LoadSlack)
-	return b
-}
-
 // Run serves until ctx ends, then drains.
 func (p *Process) Run(ctx context.Context) error {
 	defer close(p.done)
@@ -197,7 +125,7 @@
 	failed := make(chan error, 7)
 	for _, part := range []func(context.Context){
 		p.followTables, p.followBackends, p.followEvacuations, p.node.Run, p.tellFirstRouters, p.join, p.teller.Run,
-		p.recoverHomes, p.watchSettings,
+		p.marks.Run, p.recoverHomes, p.watchSettings,
 	} {
 		parts.Go(func() { part(background) })
 	}
--- a/cmd/internal/gatewayd/metrics.go
+++ b/cmd/internal/gatewayd/metrics.go
@@ -44,12 +44,24 @@
 	return m
 }
 
+// figure is one that is read when asked for.
+type figure struct {
+	name, help string
+	read       func() float64
+}
+
 // add adds the figures that are read when asked for.
 func (m *metrics) add(p *Process) {
-	for _, figure := range []struct {
-		name, help string
-		read       func() float64
-	}{
+	for _, f := range p.figures() {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: f.name,
+			Help: f.help,
+		}, f.read))
+	}
+}
+
+func (p *Process) figures() []figure {
+	return []figure{
 		{
 			name: "slipwick_requests_in_flight",
 			help: "Requests that this router has in progress.",
@@ -82,6 +94,11 @@
 			help: "Data centres whose backend servers get nothing new.",
 			read: func() float64 { return float64(len(p.evacuatedNow())) },
 		},
+		{
+			name: "slipwick_quarantined_requests",
+			help: "Requests that get no backend server, as several ended under each.",
+			read: func() float64 { return float64(p.ledger.Count()) },
+		},
 		{
 			name: "slipwick_members",
 			help: "Routers that this router does not count as dead.",
@@ -97,11 +114,6 @@
 			help: "Answers to other requests that were skipped.",
 			read: func() float64 { return float64(p.client.Strays.Load()) },
 		},
-	} {
-		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Name: figure.name,
-			Help: figure.help,
-		}, figure.read))
 	}
 }
 
--- a/cmd/internal/gatewayd/observer.go
+++ b/cmd/internal/gatewayd/observer.go
@@ -50,9 +50,11 @@
 // Attempted notes a send that did not bring the answer.
 func (o *observer) Attempted(attempt *gateway.Attempt) {
 	o.metrics.attempts.WithLabelValues(attempt.Result).Inc()
-	events.AttemptFailed.On(&o.log).Str("request", attempt.Request).Stringer("key", attempt.Key).Str("route", attempt.Route).
-		Str("backend", attempt.Backend).Str("address", attempt.Address).Str("result", attempt.Result).
-		Int("status", attempt.Status).Int("events", attempt.Events).Dur("took_ms", attempt.Took).AnErr("cause", attempt.Err).Send()
+	events.AttemptFailed.On(&o.log).Str("request", attempt.Request).Stringer("key", attempt.Key).
+		Str("route", attempt.Route).Str("backend", attempt.Backend).Str("address", attempt.Address).
+		Str("result", attempt.Result).Int("status", attempt.Status).Int("events", attempt.Events).
+		Dur("took_ms", attempt.Took).
+		AnErr("cause", attempt.Err).Send()
 }
 
 // Ended notes how a request ended; whole answers are only counted.
@@ -62,8 +64,8 @@
 	if ending.Result == "delivered" {
 		return
 	}
-	events.RequestUnserved.On(&o.log).Str("request", ending.Request).Stringer("key", ending.Key).Str("route", ending.Route.Name).
-		Str("pool", ending.Pool).Uint64("version", ending.Version).Str("result", ending.Result).
-		Str("reason", ending.Reason).Int("status", ending.Status).Int("sends", ending.Sends).
+	events.RequestUnserved.On(&o.log).Str("request", ending.Request).Stringer("key", ending.Key).
+		Str("route", ending.Route.Name).Str("pool", ending.Pool).Uint64("version", ending.Version).
+		Str("result", ending.Result).Str("reason", ending.Reason).Int("status", ending.Status).Int("sends", ending.Sends).
 		Int("events", ending.Events).Dur("took_ms", ending.Took).Send()
 }
--- a/cmd/internal/gatewayd/status.go
+++ b/cmd/internal/gatewayd/status.go
@@ -27,9 +27,12 @@
 	Evacuated []string `json:"evacuated"`
 	// KnownParts counts the parts of prompts whose engines it knows,
 	// MissingCaches the engines whose caches it does not know.
-	KnownParts    int             `json:"known_parts"`
-	MissingCaches int             `json:"missing_caches"`
-	Backends      []balance.State `json:"backends"`
+	KnownParts    int `json:"known_parts"`
+	MissingCaches int `json:"missing_caches"`
+	// Quarantined counts the requests that get no backend server, as several ended
+	// under each.
+	Quarantined int             `json:"quarantined"`
+	Backends    []balance.State `json:"backends"`
 }
 
 // status gives the state of this moment.
@@ -44,6 +47,7 @@
 		Evacuated:     p.evacuatedNow(),
 		KnownParts:    p.balancer.KnownParts(),
 		MissingCaches: p.recovery.Missing(),
+		Quarantined:   p.ledger.Count(),
 		Backends:      p.balancer.States(),
 	}
 	if table := p.gateway.Table(); table != nil {
--- a/constants_test.go
+++ b/constants_test.go
@@ -12,7 +12,7 @@
 
 // decidingPackages are those whose constants docs/CONSTANTS.md accounts for.
 var decidingPackages = []string{
-	"balance", "gateway", "upstream", "exchange", "directory", "retry", "pace", "cmd/internal/gatewayd",
+	"balance", "quarantine", "gateway", "upstream", "exchange", "directory", "retry", "pace", "cmd/internal/gatewayd",
 }
 
 // numericConstants gives the names of a file's constants with a numeric value.
--- a/exchange/teller.go
+++ b/exchange/teller.go
@@ -12,6 +12,7 @@
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/balance"
 	"github.com/slipwick/slipwick/exchange/exchangepb"
+	"github.com/slipwick/slipwick/quarantine"
 )
 
 const (
@@ -47,6 +48,8 @@
 	Routers func() []slipwick.Router
 	// Address gives where a router hears what is told.
 	Address func(slipwick.Router) string
+	// OnMarks takes the marks of requests that others tell on the same way.
+	OnMarks func([]quarantine.Mark)
 
 	sequence atomic.Uint64
 	soon     chan struct{}
@@ -76,7 +79,9 @@
 // NewTeller makes a teller; its exported fields are to be set.
 func NewTeller(self string) *Teller {
 	t := &Teller{
-		Self: self,
+		Self:    self,
+		OnMarks: func([]quarantine.Mark) {},
+
 		told: make(map[string]*counts),
 		own:  newCounts(nil),
 		soon: make(chan struct{}, 1),
@@ -229,6 +234,10 @@
 	if proto.Unmarshal(packet, message) != nil || message.GetFrom() == t.Self {
 		return
 	}
+	if marks := decodeMarks(message); len(marks) > 0 {
+		t.OnMarks(marks)
+		return
+	}
 	told := decode(message)
 	t.passLater(message.GetScope(), message.GetUrgent(), told)
 	source, list := message.GetFrom(), t.collect(message, told.InFlight)
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -138,6 +139,9 @@
 		}
 		held = append(held[:0], held[size:]...)
 		if size > 0 {
+			if c.firstEvent.IsZero() {
+				c.firstEvent = time.Now()
+			}
 			c.gateway.Balancer.Heard(lease)
 		}
 		switch {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -40,6 +40,11 @@
 	sends, unsent, runs int
 	// stream is what has been passed on of a stream.
 	stream passedOn
+	// isTrial says that the request is quarantined, and is to show whether it has to be.
+	isTrial bool
+	// firstEvent is when the first event of the send in progress was passed on; zero
+	// before.
+	firstEvent time.Time
 	// failure is the latest answer that a backend server failed with.
 	failure *wholeAnswer
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,6 +26,8 @@
 	Balancer *balance.Balancer
 	Client   *upstream.Client
 	Budget   *retry.Budget
+	// Quarantine keeps requests from backend servers that end under them; nil keeps none.
+	Quarantine *quarantine.Ledger
 	// Ready is closed once the router has a configuration, the list of backend
 	// servers and that of evacuated data centres, Homes once it has learnt which
 	// engines keep which prompts. Requests that come before wait a moment for what
@@ -109,6 +111,11 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	c.ctx = ctx
+	if refusal := c.admitToBackends(); refusal != nil {
+		refusal.write(w)
+		g.Observer.Refused(r, refusal)
+		return
+	}
 	c.awaitHome()
 	c.serve()
 }
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -103,6 +103,15 @@
 	}
 }
 
+func refuseQuarantined(after time.Duration) *Refusal {
+	return &Refusal{
+		Status:     http.StatusServiceUnavailable,
+		Reason:     reasonQuarantined,
+		Message:    "several backend servers ended under this same request; it was not run, look at what it asks for",
+		RetryAfter: after,
+	}
+}
+
 func refuseUnknown(reason string) *Refusal {
 	return &Refusal{
 		Status:     http.StatusBadGateway,
--- a/gateway/result.go
+++ b/gateway/result.go
@@ -17,6 +17,8 @@
 	// resultCut is an answer that broke after a part was passed on, and that
 	// cannot go on.
 	resultCut
+	// resultQuarantined is a request that got no backend server: several ended under it.
+	resultQuarantined
 	// resultLeft is a caller that has left.
 	resultLeft
 )
@@ -36,6 +38,8 @@
 		return "broken"
 	case resultCut:
 		return "cut"
+	case resultQuarantined:
+		return "quarantined"
 	default:
 		return "left"
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -43,6 +43,10 @@
 			continue
 		}
 		last = c.send(lease)
+		if last == resultQuarantined {
+			reason = reasonQuarantined
+			break
+		}
 		if last == resultDelivered || last == resultLeft || last == resultCut {
 			c.end(last, "", 0)
 			return
@@ -115,6 +119,8 @@
 		return "may-not-repeat"
 	case c.runs >= c.route.MaxAttempts && !last.isNotRun():
 		return "attempts"
+	case c.isQuarantined():
+		return reasonQuarantined
 	case c.sends-c.unsent >= c.mostSends() || c.unsent >= mostUnsent:
 		return "sends"
 	}
@@ -147,6 +153,8 @@
 			return
 		}
 		c.end(resultFailed, reason, c.failure.status)
+	case c.runs == 0 && reason == reasonQuarantined:
+		c.refuse(refuseQuarantined(c.gateway.Quarantine.Admit(c.key).RetryAfter))
 	case c.runs == 0:
 		c.refuse(refuseNotRun(reason, comeBack))
 	case time.Now().After(c.deadline):
@@ -189,11 +197,17 @@
 // send sends the request to one backend server and passes the answer on.
 func (c *call) send(lease *balance.Lease) result {
 	started, events := time.Now(), c.stream.events
+	watch, ok := c.watch(lease)
+	if !ok {
+		c.gateway.Balancer.Abandon(lease)
+		return resultQuarantined
+	}
+	defer watch.stop(nil)
 	c.sends++
 	c.ask.Avoid = append(c.ask.Avoid, lease.Backend.ID)
 	request := c.upstreamRequest(lease)
 	c.gateway.Balancer.Sent(lease)
-	answer, err := c.gateway.Client.Do(c.ctx, lease.Backend.ID, lease.Backend.Address, request)
+	answer, err := c.gateway.Client.Do(watch.ctx, lease.Backend.ID, lease.Backend.Address, request)
 	attempt := &Attempt{
 		Request: c.id,
 		Key:     c.key,
@@ -211,7 +225,12 @@
 		last, evidence, attempt.Err = c.judgeAnswer(lease, answer)
 		answer.Close()
 	}
+	if last == resultBroken && watch.wasStopped() {
+		// The end of the exchange is this router's doing.
+		evidence = slipwick.EvidenceNone
+	}
 	c.gateway.Balancer.Release(lease, evidence)
+	watch.end(last, attempt.Err)
 	if !upstream.IsGivenUp(attempt.Err) {
 		c.dropNext()
 	}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -182,6 +182,20 @@
 	}, nil
 }
 
+// IsGone tells whether nothing listens at a backend server's address any more: its box
+// refuses a connection. One that says nothing is not known to be gone. A connection
+// that comes up is kept for later exchanges.
+func (c *Client) IsGone(ctx context.Context, key, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, leastDialTimeout)
+	defer cancel()
+	conn, err := c.dial(ctx, key, address)
+	if err != nil {
+		return IsRefused(err)
+	}
+	c.rest(key, conn, defaultRest)
+	return false
+}
+
 // control has the kernel give up a connection whose path is cut.
 func (c *Client) control(_, _ string, raw syscall.RawConn) error {
 	silence := int(orDefault(c.Silence, defaultSilence).Milliseconds())
