--- a/cmd/internal/gatewayd/crashing_test.go
+++ b/cmd/internal/gatewayd/crashing_test.go
@@ -264,6 +264,7 @@
 	callers.Wait()
 
 	ends, tries := f.triesAfter(crashKnown)
+	t.Logf("%d engines ended, %d tries later than %v after the third", ends, tries, crashKnown)
 	if ends < 3 || tries > crashMore {
 		t.Errorf("got %d engines ended, and %d tries later than %v after the third, want 3 ends and at most %d tries",
 			ends, tries, crashKnown, crashMore)
