Tell the lives of a server apart that is back under its ID

Cause: a server was known by its ID alone; one that started again within a heartbeat kept the prompts, loads, outings and failures of its earlier life, and news of that life that came late counted for the later one. Tests (virtual time, three routers): before, the prompt's home was believed, 3 requests counted in flight, the failures of what ended with the earlier life counted (0.10), an outing went on; after, none of it.

Two ways: the hash of ID and birth for everything, or the ID's for ranks and the life's for what is known and told. Kept: the second, by which routers that do not know of the start yet rank alike. Messages do not grow.

--- a/backend.go
+++ b/backend.go
@@ -1,5 +1,7 @@
 package slipwick
 
+import "strconv"
+
 // Backend is one backend server as the configuration declares it.
 type Backend struct {
 	// ID is unique in the fleet.
@@ -19,6 +21,15 @@
 	Born int64 `json:"-"`
 }
 
+// Life names one life of the backend server, from its start to its end.
+func (b Backend) Life() string {
+	if b.Born == 0 {
+		return b.ID
+	}
+	const base = 10
+	return b.ID + "@" + strconv.FormatInt(b.Born, base)
+}
+
 // DefaultSlots bounds requests in flight at a backend server that sets none.
 const DefaultSlots = 64
 
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -103,14 +103,23 @@
 	hashes := make(map[uint64]*server, len(list))
 	for _, listed := range list {
 		s := b.servers[listed.ID]
-		if s == nil {
-			s = newServer(listed, since)
+		isBack := s != nil && !s.isLifeOf(&listed)
+		if s == nil || isBack {
+			began := since
+			if isBack {
+				// Whatever is known of the router's start: it began since.
+				began = time.Now()
+			}
+			s = newServer(listed, began)
 			s.covered = s.covered || b.empty
 			b.rankNewLocked(s)
-			if !since.IsZero() {
-				s.coldUntil = since.Add(b.coldLimits[listed.Pool].New)
+			if !began.IsZero() {
+				s.coldUntil = began.Add(b.coldLimits[listed.Pool].New)
 			}
 		}
+		if listed.Born == 0 {
+			listed.Born = s.Born
+		}
 		s.Listed = listed
 		s.evacuated = b.evacuated[s.DataCentre]
 		if listed.ColdUntil.After(s.coldUntil) {
--- /dev/null
+++ b/balance/life_test.go
@@ -0,0 +1,175 @@
+package balance
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/slipwick/slipwick"
+)
+
+const lifeEngines = 6
+
+// bornAt lists engines of which one began at another time than the others.
+func bornAt(id string, born int64) []Listed {
+	list := listed(lifeEngines)
+	for i := range list {
+		list[i].Born = 1_000
+		if list[i].ID == id {
+			list[i].Born = born
+		}
+	}
+	return list
+}
+
+// lifeFleet is three routers that tell each other all.
+type lifeFleet struct {
+	routers  []*Balancer
+	sequence uint64
+}
+
+func newLifeFleet() *lifeFleet {
+	f := &lifeFleet{}
+	for range 3 {
+		b := New("dc-0")
+		b.SetBackends(bornAt("", 0))
+		b.CoverAll()
+		b.SetPeers(f.others(len(f.routers)), 2)
+		f.routers = append(f.routers, b)
+	}
+	return f
+}
+
+func (f *lifeFleet) others(self int) []string {
+	var ids []string
+	for i := range 3 {
+		if i != self {
+			ids = append(ids, fmt.Sprint("r", i))
+		}
+	}
+	return ids
+}
+
+// told gives what a router has to tell.
+func (f *lifeFleet) told(router int) Told {
+	return f.routers[router].Tell()
+}
+
+// hear has all others hear what a router told.
+func (f *lifeFleet) hear(from int, told Told) {
+	f.sequence++
+	for i, b := range f.routers {
+		if i != from {
+			b.Hear(fmt.Sprint("r", from), f.sequence, told.InFlight)
+			b.HearReads(told.Reads)
+			b.HearReadings(told.Reads)
+			b.HearOutcomes(told.Outcomes)
+		}
+	}
+}
+
+func (f *lifeFleet) setBackends(list []Listed) {
+	for _, b := range f.routers {
+		b.SetBackends(list)
+	}
+}
+
+func (f *lifeFleet) state(router int, id string) State {
+	states := f.routers[router].States()
+	return states[slices.IndexFunc(states, func(s State) bool { return s.ID == id })]
+}
+
+// TestServerBackUnderItsIDIsAnother has an engine with a prompt, and requests of all
+// routers in flight, start again within a heartbeat: its entry never goes.
+func TestServerBackUnderItsIDIsAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newLifeFleet()
+		time.Sleep(LateListing + time.Second)
+		first := acquire(t, f.routers[0], prompt(7))
+		id := first.Backend.ID
+		f.hear(0, f.told(0))
+		f.routers[0].Began(first)
+		leases := []*Lease{first, acquire(t, f.routers[1], prompt(7)), acquire(t, f.routers[2], prompt(7))}
+		for i, lease := range leases[1:] {
+			if lease.Backend.ID != id {
+				t.Fatalf("router %d: got engine %s, want %s, which has the prompt", i+1, lease.Backend.ID, id)
+			}
+			f.routers[i+1].Began(lease)
+		}
+		late := []Told{f.told(0), f.told(1), f.told(2)}
+		for i, told := range late {
+			f.hear(i, told)
+		}
+
+		f.setBackends(bornAt(id, 9_000))
+		for i, b := range f.routers {
+			if b.HasHome(prompt(7)) {
+				t.Errorf("router %d: got the prompt's home believed, want it unknown", i)
+			}
+			if got := b.InFlight("p"); got != 0 {
+				t.Errorf("router %d: got %v requests in flight, want the new life to begin at none", i, got)
+			}
+		}
+		for i, told := range late {
+			f.hear(i, told)
+		}
+		for i, b := range f.routers {
+			if b.HasHome(prompt(7)) || b.InFlight("p") != 0 {
+				t.Errorf("router %d: got news of the earlier life believed: home %t, %v in flight",
+					i, b.HasHome(prompt(7)), b.InFlight("p"))
+			}
+			// What was in flight at the earlier life ends, and fails.
+			b.Release(leases[i], slipwick.EvidenceError)
+			if got := f.state(i, id); got.InFlight != 0 || got.ErrorRate != 0 || got.Out {
+				t.Errorf("router %d: got %+v after the ends of the earlier life, want a fresh one", i, got)
+			}
+		}
+		again := acquire(t, f.routers[1], prompt(7))
+		if again.FetchFrom != "" {
+			t.Errorf("got a fetch from %s, want the prompt read", again.FetchFrom)
+		}
+	})
+}
+
+// TestOutingsBelongToALife has an engine left out, start again, and get requests.
+func TestOutingsBelongToALife(t *testing.T) {
+	b := New("dc-0")
+	b.SetBackends(bornAt("", 0))
+	lease := acquire(t, b, &Ask{Pool: "p"})
+	b.Release(lease, slipwick.EvidenceRefused)
+	id := lease.Backend.ID
+	isOut := func() bool {
+		states := b.States()
+		return states[slices.IndexFunc(states, func(s State) bool { return s.ID == id })].Out
+	}
+	if !isOut() {
+		t.Fatal("got an engine that refuses connections not left out")
+	}
+	b.SetBackends(bornAt(id, 9_000))
+	if isOut() {
+		t.Error("got the new life left out for what the earlier one did")
+	}
+}
+
+// TestEntryThatSaysNoBirthIsTheSameLife has entries of earlier contracts, and one that
+// leaves the birth out once.
+func TestEntryThatSaysNoBirthIsTheSameLife(t *testing.T) {
+	for _, births := range [][]int64{{0, 0}, {1_000, 0}, {1_000, 0, 1_000}, {1_000, 1_000}} {
+		b := New("dc-0")
+		for i, born := range births {
+			list := listed(lifeEngines)
+			for j := range list {
+				list[j].Born = born
+			}
+			b.SetBackends(list)
+			if i == 0 {
+				b.Began(acquire(t, b, prompt(7)))
+			}
+		}
+		if !b.HasHome(prompt(7)) || b.InFlight("p") != 1 {
+			t.Errorf("births %v: got home %t and %v in flight, want one life", births, b.HasHome(prompt(7)), b.InFlight("p"))
+		}
+	}
+}
--- a/balance/server.go
+++ b/balance/server.go
@@ -23,7 +23,12 @@
 // server is one backend server as the balancer knows it.
 type server struct {
 	Listed
-	hash uint64
+	// hash names this life of it: what routers know and tell of a server belongs to
+	// one, so that nothing of an earlier life is believed of a later one, nor changes
+	// it when it comes late. place is the hash of the ID, by which it ranks for
+	// prompts and for those that share it while it is cold: the next life has the
+	// same rank, also at routers that do not know of it yet.
+	hash, place uint64
 	// since is when it was first listed; zero if it was there when the router
 	// began.
 	since time.Time
@@ -76,13 +81,20 @@
 func newServer(listed Listed, since time.Time) *server {
 	return &server{
 		Listed: listed,
-		hash:   placement.IDHash(listed.ID),
+		hash:   placement.IDHash(listed.Life()),
+		place:  placement.IDHash(listed.ID),
 		since:  since,
 		// One that comes after the router's start has nothing cached yet.
 		covered: !since.IsZero(),
 	}
 }
 
+// isLifeOf tells whether an entry is of the same life. One that leaves out when its
+// server began says nothing of it.
+func (s *server) isLifeOf(listed *Listed) bool {
+	return listed.Born == 0 || listed.Born == s.Born
+}
+
 // others is what the other routers have there; ok says that it is known.
 func (s *server) others(now time.Time) (count int, ok bool) {
 	if s.reportedAt.IsZero() || now.Sub(s.reportedAt) > reportLife {
--- a/cmd/internal/gatewayd/follow.go
+++ b/cmd/internal/gatewayd/follow.go
@@ -114,7 +114,7 @@
 	known := make(map[string]bool, len(list))
 	leaving, cold, now := 0, 0, time.Now()
 	for i := range list {
-		known[list[i].ID] = true
+		known[list[i].Life()] = true
 		if list[i].Leaving {
 			leaving++
 		}
@@ -124,7 +124,7 @@
 	}
 	events.BackendsChanged.On(&p.Log).Int("listed", len(list)).Int("leaving", leaving).
 		Int("cold", cold).Send()
-	p.client.Retain(func(id string) bool { return known[id] })
+	p.client.Retain(func(life string) bool { return known[life] })
 	p.listed.Store(true)
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -207,7 +207,7 @@
 	c.ask.Avoid = append(c.ask.Avoid, lease.Backend.ID)
 	request := c.upstreamRequest(lease)
 	c.gateway.Balancer.Sent(lease)
-	answer, err := c.gateway.Client.Do(watch.ctx, lease.Backend.ID, lease.Backend.Address, request)
+	answer, err := c.gateway.Client.Do(watch.ctx, lease.Backend.Life(), lease.Backend.Address, request)
 	attempt := &Attempt{
 		Request: c.id,
 		Key:     c.key,
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -118,5 +118,5 @@
 func (w *watch) isGone() bool {
 	backend := &w.lease.Backend
 	return w.call.gateway.Balancer.Expects(w.lease) &&
-		w.call.gateway.Client.IsGone(w.call.ctx, backend.ID, backend.Address)
+		w.call.gateway.Client.IsGone(w.call.ctx, backend.Life(), backend.Address)
 }
