Check entries of the store whole, and take those out of use that name no server

Cause: an entry was taken as far as it could be parsed: {"service":"p"}, null, an unknown state, an address without a port, negative slots each gave a server that requests are sent to; one that became unreadable left the earlier one in use and counted as a failure of the store; one object with a number for its revision spoilt the whole list.

Objects of a list are read one by one. What names no server is out of use, logged once for each reason (408) and counted; the store stays healthy, the others serve on, and an entry that is good again is in use again. A version of the configuration that can't be read leaves the one before in force, as it did.

The test of the last readable value looked before the change was read: it waits now, and passes as before.

--- a/cmd/internal/events/catalogue.go
+++ b/cmd/internal/events/catalogue.go
@@ -164,6 +164,13 @@
 		Meaning: "An engine did not tell a starting router which prompts it has cached; they may be read again elsewhere.",
 		Remedy:  "None; look at the engine if it goes on.",
 	}
+	EntryRefused = Event{
+		Number:  408,
+		Name:    "entry-refused",
+		Level:   zerolog.WarnLevel,
+		Meaning: "An object of the store can't be read, for the field and rule in reason; a backend server's is out of use.",
+		Remedy:  "Find who wrote the object that the field entry names; it is in use again when it is good.",
+	}
 	RouterDied = Event{
 		Number:  501,
 		Name:    "router-died",
@@ -206,6 +213,7 @@
 		BackendsChanged,
 		EvacuationsChanged,
 		EvacuationsUnknown,
+		EntryRefused,
 		RouterDied,
 	}
 }
--- a/cmd/internal/gatewayd/evacuations.go
+++ b/cmd/internal/gatewayd/evacuations.go
@@ -27,12 +27,16 @@
 		p.shared(feedEvacuations, p.Feeds.Evacuations, rhythm), p.mirrors[feedEvacuations])
 	follower.Rhythm = rhythm
 	follower.Decode = p.Feeds.DecodeEvacuation
+	follower.OnInvalid = p.foreign.of(feedEvacuations)
 	dependency := p.newDependency(feedEvacuations)
 	follower.OnError, follower.OnAnswer = dependency.failed, dependency.answered
 	evacuated := make(map[string]string)
 	isFirst := true
 	follower.OnChange = func(changes []directory.Change[string]) {
 		for _, c := range changes {
+			if c.Invalid {
+				continue
+			}
 			if c.Gone {
 				delete(evacuated, c.Name)
 			} else {
--- a/cmd/internal/gatewayd/follow.go
+++ b/cmd/internal/gatewayd/follow.go
@@ -43,6 +43,7 @@
 	follower := directory.NewFollower[*routing.Table](p.shared(feedTables, p.Feeds.Tables, rhythm), p.mirrors[feedTables])
 	follower.Rhythm = rhythm
 	follower.Decode = p.Feeds.DecodeTable
+	follower.OnInvalid = p.foreign.of(feedTables)
 	dependency := p.newDependency(feedTables)
 	follower.OnError, follower.OnAnswer = dependency.failed, dependency.answered
 	follower.OnChange = func(changes []directory.Change[*routing.Table]) {
@@ -66,6 +67,7 @@
 		p.shared(feedBackends, p.Feeds.Backends, rhythm), p.mirrors[feedBackends])
 	follower.Rhythm = rhythm
 	follower.Decode = p.Feeds.DecodeBackend
+	follower.OnInvalid = p.foreign.of(feedBackends)
 	follower.OnChange = p.backends.Change
 	dependency := p.newDependency(feedBackends)
 	follower.OnAnswer = func() {
--- a/cmd/internal/gatewayd/gateway.go
+++ b/cmd/internal/gatewayd/gateway.go
@@ -72,6 +72,9 @@
 	// connections counts those of callers.
 	connections atomic.Int64
 
+	// foreign are the objects of the store that can't be read.
+	foreign *foreign
+
 	listed atomic.Bool
 	// evacuated are the data centres known to be; evacuationsKnown is closed when
 	// they are first known.
@@ -91,7 +94,7 @@
 
 // New makes a process that Run starts.
 func New(settings *Settings, feeds Feeds) *Process {
-	return &Process{
+	p := &Process{
 		Settings: settings,
 		Feeds:    feeds,
 		Log:      zerolog.Nop(),
@@ -101,6 +104,8 @@
 
 		evacuationsKnown: make(chan struct{}),
 	}
+	p.foreign = newForeign(p)
+	return p
 }
 
 // Done is closed when the process has stopped.
--- a/cmd/internal/gatewayd/metrics.go
+++ b/cmd/internal/gatewayd/metrics.go
@@ -94,6 +94,11 @@
 			help: "Data centres whose backend servers get nothing new.",
 			read: func() float64 { return float64(len(p.evacuatedNow())) },
 		},
+		{
+			name: "slipwick_refused_entries",
+			help: "Objects of the store that can't be read, and are out of use.",
+			read: func() float64 { return float64(p.foreign.count()) },
+		},
 		{
 			name: "slipwick_quarantined_requests",
 			help: "Requests that get no backend server, as several ended under each.",
--- a/directory/backends.go
+++ b/directory/backends.go
@@ -113,6 +113,10 @@
 	for _, c := range changes {
 		listed, known := b.entries[c.Name]
 		switch {
+		case c.Invalid:
+			// It names no server to use, whatever it did before. What runs there goes on.
+			delete(b.entries, c.Name)
+			delete(b.lapsed, c.Name)
 		case !c.Gone:
 			c.Value.ColdUntil = time.Now().Add(c.Value.ColdTime)
 			b.entries[c.Name] = c.Value
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -24,9 +24,10 @@
 // Change is one decoded object that changed.
 type Change[T any] struct {
 	Name string
-	// Gone says that the object was removed; Value is then empty.
-	Gone  bool
-	Value T
+	// Gone says that the object was removed, Invalid that what it holds can't be read;
+	// Value is then empty.
+	Gone, Invalid bool
+	Value         T
 }
 
 // Follower follows one feed, decodes what changes and keeps a copy for other
@@ -41,8 +42,11 @@
 	// OnChange takes the changes of each answer, with none when the first
 	// list is empty; one call at a time.
 	OnChange func([]Change[T])
-	// OnError is told of failed calls and of what cannot be decoded.
+	// OnError is told of failed calls.
 	OnError func(error)
+	// OnInvalid is told of each object that can't be read, and why; that says nothing of
+	// the store. With nil it is told that the object can be read again, or is gone.
+	OnInvalid func(name string, reason error)
 	// OnAnswer is told of each answer that the store gave lately, itself or
 	// through another router, before its changes.
 	OnAnswer func()
@@ -57,6 +61,9 @@
 		Mirror:   mirror,
 		OnChange: func([]Change[T]) {},
 		OnError:  func(error) {},
+
+		OnInvalid: func(string, error) {},
+
 		OnAnswer: func() {},
 		done:     make(chan struct{}),
 	}
@@ -141,12 +148,12 @@
 			Gone: e.Gone,
 		}
 		if !e.Gone {
-			value, err := f.Decode(e.Name, e.Value)
-			if err != nil {
-				f.OnError(errors.Wrapf(err, "object %s stays out of use until it is mended", e.Name))
-				continue
-			}
-			change.Value = value
+			var err error
+			change.Value, err = f.Decode(e.Name, e.Value)
+			change.Invalid = err != nil
+			f.OnInvalid(e.Name, err)
+		} else {
+			f.OnInvalid(e.Name, nil)
 		}
 		changes = append(changes, change)
 	}
--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -29,9 +29,11 @@
 		mu.Lock()
 		defer mu.Unlock()
 		for _, c := range changes {
-			if c.Gone {
+			switch {
+			case c.Invalid:
+			case c.Gone:
 				delete(have, c.Name)
-			} else {
+			default:
 				have[c.Name] = c.Value
 			}
 		}
@@ -237,7 +239,9 @@
 		state, stop := follow(t, store)
 		defer stop()
 		state()
+		time.Sleep(time.Second)
 		store.Apply(batch(2, false, "abad"))
+		time.Sleep(time.Second)
 		if got, want := state(), []string{"a1"}; !slices.Equal(got, want) {
 			t.Errorf("got %v, want %v", got, want)
 		}
--- /dev/null
+++ b/directory/foreign_test.go
@@ -0,0 +1,141 @@
+package directory
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/balance"
+)
+
+// servers gives entries of backend servers; those whose value is "foreign" can't be read.
+func servers(revision uint64, whole bool, values ...string) *slipwick.FeedBatch {
+	b := &slipwick.FeedBatch{
+		Whole:    whole,
+		Revision: revision,
+	}
+	for _, text := range values {
+		name, value, _ := strings.Cut(text, "=")
+		b.Entries = append(b.Entries, slipwick.FeedEntry{
+			Name:  name,
+			Value: []byte(value),
+		})
+	}
+	return b
+}
+
+// foreignWorld follows a feed of backend servers among which others write.
+type foreignWorld struct {
+	store  *fakeFeed
+	list   []string
+	errors int
+	// reasons are those that objects can't be read for.
+	reasons map[string]error
+}
+
+func (w *foreignWorld) run(ctx context.Context) *Follower[balance.Listed] {
+	backends := NewBackends(func(list []balance.Listed) {
+		w.list = nil
+		for _, listed := range list {
+			w.list = append(w.list, listed.ID)
+		}
+		slices.Sort(w.list)
+	})
+	w.reasons = make(map[string]error)
+	follower := NewFollower[balance.Listed](w.store, NewMirror())
+	follower.Decode = func(name string, value []byte) (balance.Listed, error) {
+		if string(value) == "foreign" {
+			return balance.Listed{}, errors.New("no address")
+		}
+		return balance.Listed{
+			Backend: slipwick.Backend{
+				ID: name,
+			},
+			Leaving: string(value) == "leaving",
+		}, nil
+	}
+	follower.OnChange = backends.Change
+	follower.OnAnswer = backends.Answered
+	follower.OnError = func(error) {
+		w.errors++
+		backends.Failed()
+	}
+	follower.OnInvalid = func(name string, reason error) {
+		if reason == nil {
+			delete(w.reasons, name)
+			return
+		}
+		w.reasons[name] = reason
+	}
+	go follower.Run(ctx)
+	return follower
+}
+
+// TestForeignEntriesNameNoServer has every third entry be of another writer: the others
+// serve on, and the store counts as healthy.
+func TestForeignEntriesNameNoServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var entries, want []string
+		for i := range 30 {
+			if i%3 == 0 {
+				entries = append(entries, fmt.Sprintf("s%02d=foreign", i))
+				continue
+			}
+			entries = append(entries, fmt.Sprintf("s%02d=ready", i))
+			want = append(want, fmt.Sprintf("s%02d", i))
+		}
+		w := &foreignWorld{
+			store: newFakeFeed(servers(1, true, entries...)),
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		follower := w.run(ctx)
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		if !slices.Equal(w.list, want) || w.errors != 0 || len(w.reasons) != 10 {
+			t.Errorf("got %v, %d failures of the store, %d reasons; want %v, none and ten",
+				w.list, w.errors, len(w.reasons), want)
+		}
+		cancel()
+		<-follower.Done()
+	})
+}
+
+// TestEntryThatTurnsForeignIsOutUntilItIsGood changes an entry to something unreadable,
+// in calm and as the store comes back, and back.
+func TestEntryThatTurnsForeignIsOutUntilItIsGood(t *testing.T) {
+	for _, away := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			w := &foreignWorld{
+				store: newFakeFeed(servers(1, true, "a=ready", "b=ready")),
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			follower := w.run(ctx)
+			time.Sleep(time.Second)
+			if away {
+				w.store.fail(errors.New("away"))
+				time.Sleep(10 * time.Second)
+			}
+			w.store.Apply(servers(2, false, "b=foreign"))
+			w.store.fail(nil)
+			time.Sleep(time.Second)
+			synctest.Wait()
+			if got, want := w.list, []string{"a"}; !slices.Equal(got, want) {
+				t.Errorf("away %t: got %v, want %v", away, got, want)
+			}
+			w.store.Apply(servers(3, false, "b=ready"))
+			time.Sleep(time.Second)
+			synctest.Wait()
+			if got, want := w.list, []string{"a", "b"}; !slices.Equal(got, want) || len(w.reasons) > 0 {
+				t.Errorf("away %t: got %v, reasons %v; want %v and none", away, got, w.reasons, want)
+			}
+			cancel()
+			<-follower.Done()
+		})
+	}
+}
