--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 export GOBIN := $(CURDIR)/bin
 PACKAGES := ./... ./cmd/...
 
-.PHONY: test lint fix build generate measure soak
+.PHONY: test lint fix build generate measure soak fuzz
 
 # The tests that KNOWN-RED.txt lists, as go test -skip takes them; empty without any.
 KNOWN_RED = $(shell sed -n 's/^\(Test[A-Za-z0-9_]*\) |.*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
@@ -29,6 +29,16 @@
 soak:
 	go test ./cmd/slipwickd/soak -count 1 -v -soak-seed $(SEED) -soak-for $(FOR) -timeout 1h
 
+# Feeds each decoder of bytes from outside with drawn ones, each for FUZZ_FOR.
+FUZZ_FOR ?= 2s
+fuzz:
+	@for file in $$(grep -rl '^func Fuzz' --include=*_test.go .); do \
+		for target in $$(sed -n 's/^func \(Fuzz[A-Za-z0-9]*\)(.*/\1/p' $$file); do \
+			echo "$$target in $$(dirname $$file)"; \
+			go test $$(dirname $$file) -run '^$$' -fuzz "^$$target$$" -fuzztime $(FUZZ_FOR) || exit 1; \
+		done; \
+	done
+
 build:
 	go build -o bin/ ./cmd/slipwick ./cmd/slipwickd
 
--- a/directory/relay.go
+++ b/directory/relay.go
@@ -86,6 +86,13 @@
 	return batch, nil
 }
 
+// oldestCopy and mostHops bound what another router may say of its copy: one that is
+// older than a year, or came over more routers than a fleet has, is not believed.
+const (
+	oldestCopy = 365 * 24 * time.Hour
+	mostHops   = 10_000
+)
+
 // maxCopyBytes bounds what is read of a copy: some times the largest that the
 // size designed for needs.
 const maxCopyBytes = 64 << 20
@@ -109,6 +116,9 @@
 	if err != nil {
 		hops = 1
 	}
+	if age < 0 || age > oldestCopy.Milliseconds() || hops < 0 || hops > mostHops {
+		return slipwick.FeedBatch{}, errors.Errorf("a copy of %d ms after %d routers can't be", age, hops)
+	}
 	batch := wire.batch()
 	batch.Age, batch.Hops = time.Duration(age)*time.Millisecond, hops+1
 	return batch, nil
--- /dev/null
+++ b/exchange/fuzz_test.go
@@ -0,0 +1,69 @@
+package exchange
+
+import (
+	"bytes"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/slipwick/slipwick/balance"
+	"github.com/slipwick/slipwick/exchange/exchangepb"
+	"github.com/slipwick/slipwick/quarantine"
+)
+
+// FuzzTellerReceive checks that no datagram breaks a router, has it count less than
+// nothing, or remember more than the datagram can hold.
+func FuzzTellerReceive(f *testing.F) {
+	for _, message := range []*exchangepb.Told{
+		{
+			From:     "1",
+			Sequence: 9,
+			Servers:  []uint64{1, 2},
+			InFlight: []uint32{3, 1 << 31},
+			Reading:  []uint32{1, 1 << 31},
+			Parts:    []uint64{7},
+			Readers:  []uint32{9},
+			Ended:    []uint32{1},
+			Good:     []uint32{1 << 31},
+			Failed:   []uint32{1 << 31},
+		},
+		NewMarkTeller("1").encode([]quarantine.Mark{{Key: 1, Server: 2, Life: -1 << 62}, {Key: 1, Server: 2, Life: 1 << 62}}),
+	} {
+		f.Add(marshal(message))
+	}
+	f.Fuzz(func(t *testing.T, packet []byte) {
+		tellers, _ := newRouters(2)
+		ledger := quarantine.NewLedger("0")
+		tellers[0].OnMarks = ledger.Hear
+		tellers[0].Receive("", packet)
+		if got := tellers[0].Balancer.InFlight("p"); got < 0 {
+			t.Errorf("got %v requests in flight", got)
+		}
+		if got := len(ledger.News()); got > len(packet) {
+			t.Errorf("got %d marks of %d bytes", got, len(packet))
+		}
+	})
+}
+
+// FuzzKnowledge checks that no telling of caches breaks its reader.
+func FuzzKnowledge(f *testing.F) {
+	seed, _ := proto.Marshal(encodeKnowledge(&balance.Knowledge{
+		Covered: []uint64{7},
+		Reads: []balance.Read{
+			{
+				Part:   1,
+				Server: 7,
+			},
+		},
+	}))
+	f.Add(seed)
+	f.Fuzz(func(t *testing.T, body []byte) {
+		known, err := readKnowledge(bytes.NewReader(body))
+		if err != nil {
+			return
+		}
+		if len(known.Reads) > len(body) || len(known.Covered) > len(body) {
+			t.Errorf("got %d parts and %d engines of %d bytes", len(known.Reads), len(known.Covered), len(body))
+		}
+	})
+}
