Have the soak end servers under a request, and leave foreign entries

Backend servers of the soak tell when they began, end under one request, refuse connections for 0.7 s and are back under their IDs at their addresses; a caller asks for that request over four connections at any gateway. Other writers leave entries, also in place of one that serves. New check: after the third end and 2 s the request reaches servers at most three times through gateways that were left alone.

--- a/cmd/slipwickd/soak/backend_test.go
+++ b/cmd/slipwickd/soak/backend_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -21,46 +22,105 @@
 	pool   string
 	zone   string
 	ledger *ledger
+	store  *store
 	proxy  *proxy
+
+	mu     sync.Mutex
 	server *http.Server
+	// born is when this life of it began, gone that it has no other.
+	born int64
+	gone bool
+
 	// failing is how many of 100 requests fail after they ran.
 	failing atomic.Int32
 	// leftAt is when the store took that it leaves, in nanoseconds; 0 before.
 	leftAt atomic.Int64
 }
 
-func newBackend(t *testing.T, l *ledger, host, id, pool, zone string) *backend {
+func newBackend(t *testing.T, s *store, l *ledger, host, id, pool, zone string) *backend {
 	t.Helper()
 	b := &backend{
 		id:     id,
 		pool:   pool,
 		zone:   zone,
 		ledger: l,
+		store:  s,
 	}
-	listener, err := net.Listen("tcp4", host+":0")
+	address, err := b.live(host)
 	if err != nil {
 		t.Fatal(err)
 	}
-	b.server = &http.Server{
+	t.Cleanup(b.crash)
+	b.proxy = newProxy(t, host, address)
+	return b
+}
+
+// live begins a life of it, and gives where it listens.
+func (b *backend) live(host string) (string, error) {
+	listener, err := net.Listen("tcp4", host+":0")
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{
 		Handler: b,
 	}
-	go func() { _ = b.server.Serve(listener) }()
-	t.Cleanup(func() { _ = b.server.Close() })
-	b.proxy = newProxy(t, host, listener.Addr().String())
-	return b
+	b.mu.Lock()
+	b.server, b.born = server, time.Now().UnixMilli()
+	b.mu.Unlock()
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr().String(), nil
 }
 
 // specification is what it enters of itself.
 func (b *backend) specification(state string) map[string]any {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	return map[string]any{
-		"service": b.pool, "address": b.proxy.address, "zone": b.zone, "slots": 16, "state": state,
+		"service": b.pool, "address": b.proxy.address, "zone": b.zone, "slots": 16, "state": state, "born": b.born,
 	}
 }
 
-// crash ends it at once, with all connections.
+// crash ends it at once, for good, with all connections.
 func (b *backend) crash() {
+	b.mu.Lock()
+	b.gone = true
+	server := b.server
+	b.mu.Unlock()
 	b.proxy.setMode(pathResets)
-	_ = b.server.Close()
+	_ = server.Close()
+}
+
+// awayTime is for how long a backend server is away that ended under a request.
+const awayTime = 700 * time.Millisecond
+
+// end ends it, with all connections; it is back under its ID, at its address.
+func (b *backend) end() {
+	b.mu.Lock()
+	server, born := b.server, b.born
+	isLate := b.gone || time.Since(time.UnixMilli(born)) < awayTime
+	b.mu.Unlock()
+	if isLate || b.leftAt.Load() != 0 {
+		return
+	}
+	b.proxy.close()
+	_ = server.Close()
+	b.ledger.endedUnder(b)
+	time.Sleep(awayTime)
+	host, _, _ := net.SplitHostPort(b.proxy.address)
+	address, err := b.live(host)
+	if err != nil {
+		return
+	}
+	b.mu.Lock()
+	gone := b.gone
+	b.mu.Unlock()
+	if gone || b.proxy.open(b.proxy.address, address) != nil {
+		return
+	}
+	b.proxy.setMode(pathPasses)
+	if b.leftAt.Load() == 0 {
+		b.store.put("servers", b.id, b.specification("ready"))
+	}
 }
 
 // ServeHTTP runs a request: a stream if it asks for events, else one answer.
@@ -81,8 +141,14 @@
 		return
 	}
 	b.ledger.ran(id, b)
+	if string(body) == endingBody {
+		time.Sleep(10 * time.Millisecond)
+		go b.end()
+		<-r.Context().Done()
+		return
+	}
 	w.Header().Set("Response-Stamp", b.id)
-	if r.Header.Get("Authorization") != "" || string(body) != bodyOf(id) {
+	if r.Header.Get("Authorization") != "" || string(body) != bodyOf(id) && string(body) != endingBody {
 		b.ledger.violated("request %s reached %s with a key, or with another body", id, b.id)
 	}
 	if rand.Int32N(100) < b.failing.Load()+usualFailures {
--- a/cmd/slipwickd/soak/caller_test.go
+++ b/cmd/slipwickd/soak/caller_test.go
@@ -51,17 +51,26 @@
 
 // call makes one request and notes how it ended; true says it was served.
 func (c *caller) call(g *gateway, route string) bool {
+	return c.ask(g, route, "")
+}
+
+// ask does so with a body; an empty one stands for the request's own.
+func (c *caller) ask(g *gateway, route, body string) bool {
 	s := &sent{
 		id:      fmt.Sprintf("%s-%d", c.name, c.requests.Add(1)),
 		route:   route,
 		gateway: g,
 		at:      time.Now(),
+		ends:    body != "",
+	}
+	if body == "" {
+		body = bodyOf(s.id)
 	}
 	c.fleet.ledger.sends(s)
 	ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
 	defer cancel()
 	address := fmt.Sprintf("http://%s:%d/%s/x", g.host, callersPort, route)
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, address, strings.NewReader(bodyOf(s.id)))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, address, strings.NewReader(body))
 	if err != nil {
 		c.fleet.ledger.violated("the soak's own request: %v", err)
 		return false
@@ -82,9 +91,9 @@
 		time.Sleep(20 * time.Millisecond)
 		return false
 	}
-	body, err := io.ReadAll(response.Body)
+	answer, err := io.ReadAll(response.Body)
 	_ = response.Body.Close()
-	c.fleet.ledger.end(s, response.StatusCode, string(body), err)
+	c.fleet.ledger.end(s, response.StatusCode, string(answer), err)
 	if response.StatusCode == http.StatusServiceUnavailable {
 		if response.Header.Get("Retry-After") == "" {
 			c.fleet.ledger.violated("request %s was refused without a time to come back", s.id)
--- a/cmd/slipwickd/soak/fleet_test.go
+++ b/cmd/slipwickd/soak/fleet_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -89,7 +90,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.made++
-	b := newBackend(f.t, f.ledger, loopback.Host(), fmt.Sprintf("b%d", f.made), pool, fmt.Sprintf("zone-%d", f.made%2))
+	b := newBackend(f.t, f.store, f.ledger, loopback.Host(), fmt.Sprintf("b%d", f.made), pool, fmt.Sprintf("zone-%d", f.made%2))
 	f.backends = append(f.backends, b)
 	f.store.put("servers", b.id, b.specification("ready"))
 }
@@ -108,6 +109,13 @@
 	return nil
 }
 
+// isListed tells whether a backend server was not taken out.
+func (f *fleet) isListed(b *backend) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Contains(f.backends, b)
+}
+
 func (f *fleet) countLocked(pool string) int {
 	n := 0
 	for _, b := range f.backends {
--- a/cmd/slipwickd/soak/ledger_test.go
+++ b/cmd/slipwickd/soak/ledger_test.go
@@ -33,6 +33,8 @@
 	id, route string
 	gateway   *gateway
 	at, ended time.Time
+	// ends says that it ends each backend server that runs it.
+	ends bool
 	// status is 0 without an answer.
 	status int
 	// runs counts what the backend servers ran.
@@ -47,6 +49,7 @@
 	requests   map[string]*sent
 	violations []string
 	served     map[string]int
+	endings    endings
 }
 
 func newLedger() *ledger {
@@ -82,6 +85,11 @@
 		l.violated("%s runs request %q, which nobody sent", b.id, id)
 		return
 	}
+	if s.ends && s.gateway.calmFor() > settleTime {
+		l.mu.Lock()
+		l.triedLocked()
+		l.mu.Unlock()
+	}
 	runs := s.runs.Add(1)
 	if runs > 1 && (s.route == routeSingle || s.route == routeStream) {
 		l.violated("%s request %s ran %d times", s.route, id, runs)
--- a/cmd/slipwickd/soak/proxy_test.go
+++ b/cmd/slipwickd/soak/proxy_test.go
@@ -29,28 +29,36 @@
 // proxy stands between gateways and one backend server.
 type proxy struct {
 	address string
-	target  string
 	mode    atomic.Int32
 
-	mu    sync.Mutex
-	conns map[net.Conn]bool
+	mu       sync.Mutex
+	target   string
+	listener net.Listener
+	conns    map[net.Conn]bool
 }
 
 func newProxy(t *testing.T, host, target string) *proxy {
 	t.Helper()
 	p := &proxy{
-		target: target,
-		conns:  make(map[net.Conn]bool),
+		conns: make(map[net.Conn]bool),
 	}
-	listener, err := net.Listen("tcp4", host+":0")
-	if err != nil {
+	if err := p.open(host+":0", target); err != nil {
 		t.Fatal(err)
 	}
-	p.address = listener.Addr().String()
-	t.Cleanup(func() {
-		_ = listener.Close()
-		p.setMode(pathResets)
-	})
+	p.address = p.listener.Addr().String()
+	t.Cleanup(p.close)
+	return p
+}
+
+// open listens, and passes on to the target.
+func (p *proxy) open(address, target string) error {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.listener, p.target = listener, target
+	p.mu.Unlock()
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -60,7 +68,16 @@
 			go p.serve(conn)
 		}
 	}()
-	return p
+	return nil
+}
+
+// close has connections refused from now on, and resets those that are there: the
+// server has ended.
+func (p *proxy) close() {
+	p.mu.Lock()
+	_ = p.listener.Close()
+	p.mu.Unlock()
+	p.setMode(pathResets)
 }
 
 func (p *proxy) setMode(mode pathMode) {
@@ -87,7 +104,10 @@
 		reset(caller)
 		return
 	}
-	server, err := net.Dial("tcp4", p.target)
+	p.mu.Lock()
+	target := p.target
+	p.mu.Unlock()
+	server, err := net.Dial("tcp4", target)
 	if err != nil {
 		reset(caller)
 		return
--- a/cmd/slipwickd/soak/soak_test.go
+++ b/cmd/slipwickd/soak/soak_test.go
@@ -69,6 +69,8 @@
 	close(done)
 	parts.Wait()
 	f.ledger.checkRefusals()
+	ends, late := f.ledger.checkEndings()
+	t.Logf("seed %d: %d backend servers ended under a request, which reached others %d times later", seed, ends, late)
 	served, statuses := f.ledger.totals()
 	t.Logf("seed %d: served %v, by status %v", seed, served, statuses)
 	for _, route := range routes {
@@ -124,6 +126,8 @@
 	{"drain a backend server", drainBackend},
 	{"drain a backend server", drainBackend},
 	{"new versions", newVersions},
+	{"end servers under a request", endServers},
+	{"write foreign entries", writeForeign},
 }
 
 // disturb brings faults about for a time, several at once, and waits until they
@@ -179,6 +183,7 @@
 	for _, g := range f.gateways {
 		g.kill()
 	}
+	f.ledger.forgetEndings()
 	time.Sleep(length / 4)
 	for _, g := range f.gateways {
 		g.start(f.t)
