--- a/cmd/internal/gatewayd/crashing_test.go
+++ b/cmd/internal/gatewayd/crashing_test.go
@@ -272,6 +272,11 @@
 	if got := unserved.Load(); got > 0 {
 		t.Errorf("got %d of %d other requests unserved in the second half, want none", got, got+served.Load())
 	}
+	for _, r := range routers {
+		if got := readStatus(t, r).Quarantined; got != 1 {
+			t.Errorf("router %s: got %d requests quarantined, want that one", r.Settings.ID, got)
+		}
+	}
 	if got := lastStatus.Load(); got != http.StatusServiceUnavailable {
 		t.Errorf("got status %d for the request that ends engines, want a refusal that says it was not run", got)
 	} else if last.Load().Get("Retry-After") == "" {
--- a/cmd/slipwick/gateways/gateways.go
+++ b/cmd/slipwick/gateways/gateways.go
@@ -64,7 +64,7 @@
 	table := cli.Table{
 		Header: []string{
 			"GATEWAY", "DATA CENTRE", "STATE", "CONFIGURATION", "MEMBERS", "WATCHES", "IN FLIGHT", "PARTS", "MISSING CACHES",
-			"EVACUATED",
+			"EVACUATED", "QUARANTINED",
 		},
 	}
 	for i := range statuses {
@@ -72,7 +72,7 @@
 		table.Rows = append(table.Rows, []string{
 			s.Router, s.DataCentre, stateOf(s), strconv.FormatUint(s.Configuration, 10), strconv.Itoa(len(s.Members)),
 			strconv.FormatBool(s.WatchesStore), strconv.FormatInt(s.InFlight, 10), strconv.Itoa(s.KnownParts),
-			strconv.Itoa(s.MissingCaches), strings.Join(s.Evacuated, " "),
+			strconv.Itoa(s.MissingCaches), strings.Join(s.Evacuated, " "), strconv.Itoa(s.Quarantined),
 		})
 	}
 	return table
