--- /dev/null
+++ b/exchange/recoveringfleet_test.go
@@ -0,0 +1,198 @@
+package exchange
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/balance"
+	"github.com/slipwick/slipwick/placement"
+)
+
+const (
+	testEngines = 20
+	// testParts is how many parts each engine keeps.
+	testParts = 30
+)
+
+// recoveringFleet is a fleet of which routers start one after the other.
+type recoveringFleet struct {
+	mu      sync.Mutex
+	live    []slipwick.Router
+	routers map[string]*Recovery
+	// lists counts the lists that each engine gave.
+	lists map[string]int
+	// told counts the parts that routers told each other.
+	told int
+	// silent are engines that give none.
+	silent map[string]bool
+	// engines is how many there are, parts how many parts each keeps in the mean
+	// that requests share; settleAfter is how long a router takes to know the
+	// others.
+	engines, parts int
+	settleAfter    time.Duration
+	// kept are the parts by engine, made when first asked for.
+	kept map[string][]uint64
+}
+
+// keptBy gives what an engine keeps: the parts that rank it first, and as many
+// ends of prompts that were sent there whatever their rank.
+func (f *recoveringFleet) keptBy(engine string) []uint64 {
+	if f.kept != nil {
+		return f.kept[engine]
+	}
+	f.kept = make(map[string][]uint64)
+	listed := testBackends(f.engines)
+	part := uint64(0)
+	for ; part < uint64(f.engines*f.parts); part++ {
+		id := rankedBy(part, listed)[0]
+		f.kept[id] = append(f.kept[id], part)
+	}
+	for _, e := range listed {
+		for ends := 0; ends < f.parts && f.engines > 12; part++ {
+			if slices.Index(rankedBy(part, listed), e.ID) >= 12 {
+				f.kept[e.ID] = append(f.kept[e.ID], part)
+				ends++
+			}
+		}
+	}
+	return f.kept[engine]
+}
+
+// homeless counts the shared parts that a router knows no engine of.
+func (f *recoveringFleet) homeless(r *Recovery) int {
+	n := 0
+	for part := range uint64(f.engines * f.parts) {
+		if !r.Balancer.HasHome(&balance.Ask{
+			Pool: "p",
+			Prompt: []balance.Part{
+				{
+					Key: part,
+				},
+			},
+		}) {
+			n++
+		}
+	}
+	return n
+}
+
+// rankedBy gives the engines' IDs by their rank for a part.
+func rankedBy(part uint64, listed []balance.Listed) []string {
+	ids := make([]string, 0, len(listed))
+	scores := make(map[string]uint64, len(listed))
+	for _, e := range listed {
+		ids = append(ids, e.ID)
+		scores[e.ID] = placement.Score(part, placement.IDHash(e.ID))
+	}
+	slices.SortFunc(ids, func(a, b string) int { return cmp.Compare(scores[b], scores[a]) })
+	return ids
+}
+
+func newRecoveringFleet() *recoveringFleet {
+	return &recoveringFleet{
+		routers: make(map[string]*Recovery),
+		lists:   make(map[string]int),
+		silent:  make(map[string]bool),
+		engines: testEngines,
+		parts:   testParts,
+	}
+}
+
+func dataCentreOf(i int) string { return fmt.Sprint("dc-", i%4) }
+
+var errSilent = errors.New("silent")
+
+// testBackends lists the first engines.
+func testBackends(n int) []balance.Listed {
+	var backends []balance.Listed
+	for i := range n {
+		backends = append(backends, balance.Listed{
+			Backend: slipwick.Backend{
+				ID:         fmt.Sprintf("engine-%d", i),
+				DataCentre: dataCentreOf(i),
+			},
+			Pool: "p",
+		})
+	}
+	return backends
+}
+
+// add makes a router that knows the engines and none of their caches.
+func (f *recoveringFleet) add(id string) *Recovery {
+	r := NewRecovery(id)
+	r.DataCentre = dataCentreOf(len(f.routers))
+	r.Balancer = balance.New(r.DataCentre)
+	r.Balancer.SetBackends(testBackends(f.engines))
+	if f.settleAfter > 0 {
+		settled := make(chan struct{})
+		time.AfterFunc(f.settleAfter, func() { close(settled) })
+		r.Settled = settled
+	}
+	r.Pools = func() []string { return []string{"p"} }
+	r.Routers = func() []slipwick.Router {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.live
+	}
+	r.Ask = func(_ context.Context, router slipwick.Router, known []uint64) (*balance.Knowledge, error) {
+		time.Sleep(3 * time.Millisecond)
+		f.mu.Lock()
+		other := f.routers[router.ID]
+		f.mu.Unlock()
+		if other == nil {
+			return nil, errSilent
+		}
+		k := other.Balancer.Knowledge(known)
+		f.mu.Lock()
+		f.told += len(k.Reads)
+		f.mu.Unlock()
+		return &k, nil
+	}
+	r.List = func(ctx context.Context, engine slipwick.Backend) ([]uint64, error) {
+		f.mu.Lock()
+		f.lists[engine.ID]++
+		silent := f.silent[engine.ID]
+		f.mu.Unlock()
+		if silent {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		time.Sleep(10 * time.Millisecond)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.keptBy(engine.ID), nil
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.routers[id] = r
+	f.live = append(f.live[:len(f.live):len(f.live)], slipwick.Router{
+		ID:         id,
+		DataCentre: r.DataCentre,
+	})
+	return r
+}
+
+// startAll starts routers with a pause between two of them, and waits until all
+// have recovered.
+func (f *recoveringFleet) startAll(t *testing.T, n int, pause time.Duration) []*Recovery {
+	t.Helper()
+	var started []*Recovery
+	for i := range n {
+		r := f.add(fmt.Sprint("r", i))
+		started = append(started, r)
+		go r.Run(t.Context())
+		time.Sleep(pause)
+	}
+	for _, r := range started {
+		<-r.Done()
+	}
+	return started
+}
