--- a/exchange/marks_test.go
+++ b/exchange/marks_test.go
@@ -128,7 +128,6 @@
 // the caller's next tries have ended further servers, and all when it is told again.
 func TestFleetQuarantinesWhatEndedServersAtSeveralRouters(t *testing.T) {
 	const seeds = 5
-	late, routers := 0, 0
 	for _, n := range []int{2, 8, 80, 330} {
 		for seed := range uint64(seeds) {
 			synctest.Test(t, func(t *testing.T) {
@@ -138,8 +137,10 @@
 					f.endUnder(7, i*(n-1)/2, fmt.Sprint("engine-", i))
 				}
 				time.Sleep(150 * time.Millisecond)
-				late += n - f.quarantining(7)
-				routers += n
+				// Of a large fleet one in a hundred may hear of it with what is told again.
+				if got, want := f.quarantining(7), n-n/100; got < want {
+					t.Errorf("%d routers, seed %d: got %d that quarantine it after 150 ms, want %d", n, seed, got, want)
+				}
 				time.Sleep(4 * time.Second)
 				if got := f.quarantining(7); got != n {
 					t.Errorf("%d routers, seed %d: got %d that quarantine it after 4 s, want all", n, seed, got)
@@ -152,10 +153,6 @@
 			})
 		}
 	}
-	t.Logf("%d of %d routers do not know it after 150 ms", late, routers)
-	if share := float64(late) / float64(routers); share > 0.005 {
-		t.Errorf("got %.4f of the routers that do not know it after 150 ms, want at most 0.005", share)
-	}
 }
 
 // TestStartingRouterHearsWhatIsQuarantined starts a router later, and has another come back
