Leave no address open after a failed start, and draw none twice in tests

Cause, by two tests that were red before: the fixture drew a port, closed it, and drew the next, which the system may choose again (twice the same within 99 draws); a process that could not open all its addresses left the first ones open, so that the question whether it is ready connected to one and waited. Ruled out: load, which the failure does not need. The engines of the reproduction open nothing any more once their test is over.

--- a/cmd/internal/gatewayd/crashing_test.go
+++ b/cmd/internal/gatewayd/crashing_test.go
@@ -66,13 +66,13 @@
 
 // begin has an engine live at the address, under an ID of its own.
 func (f *crashingFleet) begin(address string) {
-	listener, err := net.Listen("tcp4", address)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if err != nil || f.closed {
-		if err == nil {
-			_ = listener.Close()
-		}
+	if f.closed {
+		return
+	}
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
 		return
 	}
 	f.lives++
--- a/cmd/internal/gatewayd/fixture_test.go
+++ b/cmd/internal/gatewayd/fixture_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -139,7 +140,11 @@
 	stop context.CancelFunc
 }
 
-// freePorts gives two ports that follow each other.
+// givenPorts are those that freePorts gave: the system may choose a port again that was
+// closed a moment ago and is not in use yet.
+var givenPorts sync.Map
+
+// freePorts gives two ports that follow each other, none of them twice.
 func freePorts(t *testing.T) int {
 	t.Helper()
 	for range 50 {
@@ -150,8 +155,13 @@
 		port := first.Addr().(*net.TCPAddr).Port
 		second, err := net.ListenPacket("udp4", fmt.Sprintf("%s:%d", loopback.Host(), port+1))
 		_ = first.Close()
-		if err == nil {
-			_ = second.Close()
+		if err != nil {
+			continue
+		}
+		_ = second.Close()
+		_, isGiven := givenPorts.LoadOrStore(port, true)
+		_, isNextGiven := givenPorts.LoadOrStore(port+1, true)
+		if !isGiven && !isNextGiven {
 			return port
 		}
 	}
--- a/cmd/internal/gatewayd/listeners.go
+++ b/cmd/internal/gatewayd/listeners.go
@@ -17,8 +17,18 @@
 	packets, tellings *net.UDPConn
 }
 
+// listen opens all addresses or none: one that stayed open after a failed start would
+// take connections that nobody serves.
 func listen(addresses *Listen) (*listeners, error) {
 	l := &listeners{}
+	if err := l.open(addresses); err != nil {
+		l.close()
+		return nil, err
+	}
+	return l, nil
+}
+
+func (l *listeners) open(addresses *Listen) error {
 	for _, open := range []struct {
 		address  string
 		listener *net.Listener
@@ -33,16 +43,30 @@
 		}
 		listener, err := net.Listen("tcp4", open.address)
 		if err != nil {
-			return nil, errors.Wrap(err, "listen; choose a free address")
+			return errors.Wrap(err, "listen; choose a free address")
 		}
 		*open.listener = listener
 	}
 	var err error
 	if l.packets, err = listenPackets(addresses.Peers); err != nil {
-		return nil, err
+		return err
 	}
 	l.tellings, err = listenPackets(nextPort(addresses.Peers))
-	return l, err
+	return err
+}
+
+// close closes what is open.
+func (l *listeners) close() {
+	for _, listener := range []net.Listener{l.callers, l.ready, l.peers, l.metrics} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+	for _, connection := range []*net.UDPConn{l.packets, l.tellings} {
+		if connection != nil {
+			_ = connection.Close()
+		}
+	}
 }
 
 func listenPackets(text string) (*net.UDPConn, error) {
