Show what backend servers say of themselves in answers

Both are now read, kept by the server's life, and shown: fields leaving and rest_ms of 204, event 409 when a router learns of it, two gauges, the state in slipwick gateways. Nothing is decided by them.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -30,6 +30,9 @@
 	// OnOut is told of each backend server that is left out for a while, and
 	// for how long. It must not call back.
 	OnOut func(backend slipwick.Backend, wait time.Duration)
+	// OnNotice is told of what a backend server says of itself that was not known. It
+	// must not call back.
+	OnNotice func(backend slipwick.Backend, notice slipwick.Notice)
 	// Switches are for comparisons.
 	Switches Switches
 	// Draw gives a number from 0 to 1 by chance. New sets the default.
@@ -41,6 +44,8 @@
 	homes   *homes
 	// hashes finds backend servers by the hash of their ID.
 	hashes map[uint64]*server
+	// notices are what backend servers said of themselves, by the hash of their life.
+	notices map[uint64]*notices
 	// peers are those that tell this router, others counts the routers that they
 	// speak for, heard is what they told last, and reads what is to be told them.
 	peers  []string
@@ -76,12 +81,14 @@
 		LoadSlack:  DefaultLoadSlack,
 		OnLongRead: func() {},
 		OnOut:      func(slipwick.Backend, time.Duration) {},
+		OnNotice:   func(slipwick.Backend, slipwick.Notice) {},
 		Draw:       rand.Float64,
 		servers:    make(map[string]*server),
 		pools:      make(map[string][]*server),
 		homes:      newHomes(),
 		heard:      make(map[string]heard),
 		readings:   make(readings),
+		notices:    make(map[uint64]*notices),
 		paces:      make(map[string]*poolPace),
 		began:      clock.Now(),
 	}
@@ -113,6 +120,7 @@
 			}
 			s = newServer(listed, began)
 			s.covered = s.covered || b.empty
+			s.said = b.noticesOfLocked(s.hash)
 			b.rankNewLocked(s)
 			if !began.IsZero() {
 				s.coldUntil = began.Add(b.coldLimits[listed.Pool].New)
--- a/balance/server.go
+++ b/balance/server.go
@@ -70,6 +70,9 @@
 	routersBefore int
 	rankedAt      time.Time
 
+	// said is what this life of it said of itself.
+	said *notices
+
 	errors errorRate
 	// outings counts the times in a row that it was left out. failing says that
 	// it is out for requests that failed, and can still be fetched from.
@@ -83,6 +86,7 @@
 		Listed: listed,
 		hash:   placement.IDHash(listed.Life()),
 		since:  since,
+		said:   &notices{},
 		// One that comes after the router's start has nothing cached yet.
 		covered: !since.IsZero(),
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -21,10 +21,15 @@
 	Evacuated bool  `json:"evacuated"`
 	ColdMS    int64 `json:"cold_ms"`
 
-	Leaving bool  `json:"leaving"`
-	Out     bool  `json:"out"`
-	OutMS   int64 `json:"out_ms"`
-	Silent  bool  `json:"silent"`
+	Leaving bool `json:"leaving"`
+	// SaysLeaving says that it said so in an answer, RestMS for how many milliseconds
+	// yet it wants nothing from this router.
+	SaysLeaving bool  `json:"says_leaving"`
+	RestMS      int64 `json:"rest_ms"`
+
+	Out    bool  `json:"out"`
+	OutMS  int64 `json:"out_ms"`
+	Silent bool  `json:"silent"`
 	// InFlight counts this router's requests there.
 	InFlight int `json:"in_flight"`
 	// ErrorRate is the share of the latest requests of all routers that failed.
@@ -46,10 +51,14 @@
 			Evacuated:  s.evacuated,
 			ColdMS:     max(s.coldUntil.Sub(now).Milliseconds(), 0),
 			Leaving:    s.Leaving,
-			Out:        now.Before(s.outUntil),
-			Silent:     b.isSilentLocked(s, now),
-			InFlight:   s.inFlight,
-			ErrorRate:  s.errors.rate,
+
+			SaysLeaving: s.said.saysLeaving(),
+			RestMS:      max(s.said.restUntil.Sub(now).Milliseconds(), 0),
+
+			Out:       now.Before(s.outUntil),
+			Silent:    b.isSilentLocked(s, now),
+			InFlight:  s.inFlight,
+			ErrorRate: s.errors.rate,
 		}
 		if state.Out {
 			state.OutMS = s.outUntil.Sub(now).Milliseconds()
--- a/cmd/internal/events/catalogue.go
+++ b/cmd/internal/events/catalogue.go
@@ -178,6 +178,13 @@
 		Meaning: "An object of the store can't be read, for the field and rule in reason; a backend server's is out of use.",
 		Remedy:  "Find who wrote the object that the field entry names; it is in use again when it is good.",
 	}
+	BackendNotice = Event{
+		Number:  409,
+		Name:    "backend-notice",
+		Level:   zerolog.InfoLevel,
+		Meaning: "A backend server said in an answer that it leaves, or for how long (rest_ms) it wants nothing from this router.",
+		Remedy:  "None if it was planned; one that often asks for rest has too little room.",
+	}
 	RouterDied = Event{
 		Number:  501,
 		Name:    "router-died",
@@ -222,6 +229,7 @@
 		EvacuationsChanged,
 		EvacuationsUnknown,
 		EntryRefused,
+		BackendNotice,
 		RouterDied,
 	}
 }
--- a/cmd/internal/gatewayd/assemble.go
+++ b/cmd/internal/gatewayd/assemble.go
@@ -46,6 +46,7 @@
 	b := balance.New(p.Settings.DataCentre)
 	b.Switches = p.Switches
 	b.OnOut = p.onOut
+	b.OnNotice = p.onNotice
 	b.SetLoadBound(p.Settings.Bounds.LoadFactor, p.Settings.Bounds.LoadSlack)
 	return b
 }
--- a/cmd/internal/gatewayd/follow.go
+++ b/cmd/internal/gatewayd/follow.go
@@ -162,6 +162,11 @@
 		Dur("wait_ms", wait).Send()
 }
 
+func (p *Process) onNotice(backend slipwick.Backend, notice slipwick.Notice) {
+	events.BackendNotice.On(&p.Log).Str("backend", backend.ID).Str("address", backend.Address).
+		Bool("leaving", notice.Leaving).Dur("rest_ms", notice.Rest).Send()
+}
+
 const (
 	// joinSoon is how often a router that has just started and knows no other
 	// tries one of its seeds, for the first joinsSoon times: whole fleets start
--- a/cmd/internal/gatewayd/metrics.go
+++ b/cmd/internal/gatewayd/metrics.go
@@ -94,6 +94,16 @@
 			help: "Data centres whose backend servers get nothing new.",
 			read: func() float64 { return float64(len(p.evacuatedNow())) },
 		},
+		{
+			name: "slipwick_leaving_backend_servers",
+			help: "Backend servers that leave, by the list or by what they say in answers.",
+			read: func() float64 { leaving, _ := p.balancer.Notices(); return float64(leaving) },
+		},
+		{
+			name: "slipwick_resting_backend_servers",
+			help: "Backend servers that want nothing from this router for a while.",
+			read: func() float64 { _, resting := p.balancer.Notices(); return float64(resting) },
+		},
 		{
 			name: "slipwick_refused_entries",
 			help: "Objects of the store that can't be read, and are out of use.",
--- a/cmd/slipwick/gateways/gateways.go
+++ b/cmd/slipwick/gateways/gateways.go
@@ -109,8 +109,12 @@
 	switch {
 	case b.Leaving:
 		return "leaving"
+	case b.SaysLeaving:
+		return "says that it leaves"
 	case b.Evacuated:
 		return "evacuated"
+	case b.RestMS > 0:
+		return fmt.Sprintf("asked for %d ms more of rest", b.RestMS)
 	case b.Out:
 		return fmt.Sprintf("out for %d ms", b.OutMS)
 	case b.Silent:
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -11,12 +11,25 @@
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/balance"
 	"github.com/slipwick/slipwick/clock"
+	"github.com/slipwick/slipwick/httpclient"
 	"github.com/slipwick/slipwick/routing"
 	"github.com/slipwick/slipwick/upstream"
 )
 
 var errSpoilt = errors.New("the answer is not the backend server's own: stamp or ID are missing, or it is encoded")
 
+// noticeOf reads what the backend server says of itself. The answer of another one than
+// was meant says nothing of that one.
+func (c *call) noticeOf(answer *upstream.Answer) slipwick.Notice {
+	if answer.Status == http.StatusMisdirectedRequest {
+		return slipwick.Notice{}
+	}
+	return slipwick.Notice{
+		Leaving: answer.Header.Get(c.gateway.Headers.Leaving) == "1",
+		Rest:    httpclient.RestAsked(answer.Status, answer.Header),
+	}
+}
+
 // judgeAnswer tells what an answer means, and passes it on if it is one.
 func (c *call) judgeAnswer(lease *balance.Lease, answer *upstream.Answer) (result, slipwick.Evidence, error) {
 	names := &c.gateway.Headers
--- a/gateway/headers.go
+++ b/gateway/headers.go
@@ -19,6 +19,8 @@
 	Load string
 	// NotRun says that the backend server did not and will not run it.
 	NotRun string
+	// Leaving is 1 in all answers of a backend server that has begun a planned stop.
+	Leaving string
 	// Priority ranks a request at an engine, 0 first, 9 last.
 	Priority string
 	// FetchFrom names the engine to take the cached prompt from.
@@ -38,6 +40,7 @@
 		Instance:  "Slipwick-Instance",
 		Load:      "Slipwick-Load",
 		NotRun:    "Slipwick-Not-Run",
+		Leaving:   "Slipwick-Leaving",
 		Priority:  "Slipwick-Priority",
 		FetchFrom: "Slipwick-Fetch-From",
 	}
--- a/gateway/observer.go
+++ b/gateway/observer.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/quarantine"
 	"github.com/slipwick/slipwick/routing"
 )
@@ -29,6 +30,8 @@
 	// Result is why: not-run, failed, broken, stray or cancelled.
 	Result string
 	Status int
+	// Notice is what the backend server said of itself.
+	Notice slipwick.Notice
 	// Events are those of a stream that this send brought.
 	Events int
 	Took   time.Duration
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -224,6 +224,8 @@
 		last, evidence = c.judgeError(err)
 	} else {
 		attempt.Status = answer.Status
+		attempt.Notice = c.noticeOf(answer)
+		c.gateway.Balancer.Noticed(lease, attempt.Notice)
 		last, evidence, attempt.Err = c.judgeAnswer(lease, answer)
 		answer.Close()
 	}
