Compare choices of engines at one moment, and in one order of operations

Cause, by printing both sides: the mean was multiplied and divided by the number of engines on the balancer's way alone, so that an engine whose load is the bound lay above it for one way, and the clock was read once for each way.

The check is as strict as before: any difference fails it.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -147,7 +147,10 @@
 func (b *Balancer) Acquire(ask *Ask) (*Lease, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := clock.Now()
+	return b.acquireLocked(ask, clock.Now())
+}
+
+func (b *Balancer) acquireLocked(ask *Ask, now time.Time) (*Lease, error) {
 	decay := b.decayLocked(now)
 	pool := b.pools[ask.Pool]
 	usable := b.usableLocked(pool, ask, now)
--- a/balance/choice_test.go
+++ b/balance/choice_test.go
@@ -62,8 +62,11 @@
 	}
 	usual := 0.0
 	for _, s := range usable {
-		usual += s.sends * decay / float64(len(usable))
+		usual += s.sends
 	}
+	// In the order of operations that the balancer has: rapid finds loads that are the
+	// bound but for the rounding.
+	usual = usual * decay / float64(len(usable))
 	for _, s := range usable {
 		others := usualReport(usable, now)
 		if complete {
@@ -74,9 +77,9 @@
 		load := float64(s.inFlight) + others + float64(b.others)*surge(s.sends*decay, usual)
 		load = max(load, float64(s.inFlight))
 		each = append(each, load)
-		mean += load / float64(len(usable))
+		mean += load
 	}
-	return each, mean
+	return each, mean / float64(len(usable))
 }
 
 func plainLeastReading(b *Balancer, prompt uint64, below []*server, now time.Time) *server {
@@ -152,7 +155,9 @@
 			default:
 				ask, now := draw(), time.Now()
 				want := plainChoice(b, ask, now, b.decayLocked(now))
-				lease, err := b.Acquire(ask)
+				// Both see the same moment: loads decay, and an engine may pass the
+				// bound between two readings of the clock.
+				lease, err := b.acquireLocked(ask, now)
 				if err != nil {
 					t.Fatal(err)
 				}
--- a/balance/loads.go
+++ b/balance/loads.go
@@ -53,13 +53,16 @@
 	return known, mean / float64(max(len(servers), 1))
 }
 
-// poolMeanLocked is the mean load of the usable servers of a pool, whose sum is given,
-// and the evacuated ones: the promise on an engine's load is by the mean of all that are
+// poolMeanLocked is the mean load of the usable servers of a pool, which is given, and
+// the evacuated ones: the promise on an engine's load is by the mean of all that are
 // sound. Cold ones do not count: when they did, the bound was so low as a quarter of a
 // pool came back that 6.7 M tokens were read again in place of 6.1 M (65 routers, 112
 // engines, played once each).
-func (b *Balancer) poolMeanLocked(usable []*server, sum float64, now time.Time) float64 {
-	complete := b.allToldLocked(now)
+func (b *Balancer) poolMeanLocked(usable []*server, mean float64, now time.Time) float64 {
+	if len(b.scratch.evacuated) == 0 {
+		return mean
+	}
+	sum, complete := mean*float64(len(usable)), b.allToldLocked(now)
 	for _, s := range b.scratch.evacuated {
 		sum += float64(s.inFlight)
 		if complete {
@@ -104,6 +107,6 @@
 // those that are evacuated, which hold less and less. The bound leaves each a request
 // above the usable ones' mean, or none could get any.
 func (b *Balancer) usableBoundLocked(usable []*server, mean float64, now time.Time) float64 {
-	all := b.poolMeanLocked(usable, mean*float64(len(usable)), now)
+	all := b.poolMeanLocked(usable, mean, now)
 	return max(b.loadBound(all), mean+1)
 }
