Heed what backend servers say of themselves in answers

A server that leaves while the store is away went on getting its share; one that sheds looked idle, and got more than the others.

A life that said it leaves gets nothing new, whatever the list says; one that asked for rest gets nothing until it is over, not as the last one left either. Where all that may serve a request rest, the caller is told at once when the first has rested. Both belong to the life of the server: one that began anew under its ID starts without. A list that operators write does not tell lives apart, so there the word lapses after 30 s.

Ruled out by the tests before: late sends of what was chosen earlier, and forgetting; no router had heeded either word at all.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -33,6 +33,9 @@
 	// OnNotice is told of what a backend server says of itself that was not known. It
 	// must not call back.
 	OnNotice func(backend slipwick.Backend, notice slipwick.Notice)
+	// InPlace says that backend servers may be replaced under the same entry, as in a
+	// list that operators write: what one said of its leaving then lapses.
+	InPlace bool
 	// Switches are for comparisons.
 	Switches Switches
 	// Draw gives a number from 0 to 1 by chance. New sets the default.
@@ -139,6 +142,7 @@
 		pools[listed.Pool] = append(pools[listed.Pool], s)
 	}
 	b.servers, b.pools, b.hashes = servers, pools, hashes
+	b.forgetNoticesLocked()
 	b.sumToldLocked()
 }
 
@@ -155,7 +159,7 @@
 	pool := b.pools[ask.Pool]
 	usable := b.usableLocked(pool, ask, now)
 	if len(usable) == 0 {
-		return nil, b.whyNoneLocked(pool, ask)
+		return nil, b.whyNoneLocked(pool, ask, now)
 	}
 	var lease *Lease
 	if len(ask.Prompt) > 0 {
@@ -184,34 +188,44 @@
 // operators' will: that changes seldom, and routers learn of it within about a second.
 const heldBack = time.Second
 
-// whyNoneLocked tells why no backend server may get the request.
-func (b *Balancer) whyNoneLocked(pool []*server, ask *Ask) error {
+// whyNoneLocked tells why no backend server may get the request, and when to come back
+// if what keeps them from it is known to end.
+func (b *Balancer) whyNoneLocked(pool []*server, ask *Ask, now time.Time) error {
 	none := &slipwick.Error{
 		Kind:    slipwick.KindNoBackend,
 		Message: "no backend server of pool " + ask.Pool + " takes requests",
 		Remedy:  "check the pool's backend servers; try again after a moment",
 		Outcome: slipwick.OutcomeNotRun,
 	}
-	evacuated, elsewhere := 0, 0
+	evacuated, elsewhere, resting, rest := 0, 0, 0, time.Duration(0)
 	for _, s := range pool {
 		switch {
 		case !ask.allows(s):
 			elsewhere++
 		case s.evacuated:
 			evacuated++
+		case !s.isLeaving() && s.said.isResting(now):
+			if left := s.said.restUntil.Sub(now); resting == 0 || left < rest {
+				rest = left
+			}
+			resting++
 		}
 	}
-	if len(pool) == 0 || evacuated+elsewhere < len(pool) {
-		return none
-	}
-	none.RetryAfter = heldBack
-	if evacuated > 0 {
+	switch {
+	case len(pool) == 0 || evacuated+elsewhere+resting < len(pool):
+	case resting > 0:
+		none.RetryAfter = rest
+		none.Message = "all backend servers of pool " + ask.Pool + " that may get the request want none for now"
+		none.Remedy = "come back when the first has rested; add backend servers if it happens often"
+	case evacuated > 0:
+		none.RetryAfter = heldBack
 		none.Message = "all data centres with backend servers of pool " + ask.Pool + " are evacuated"
 		none.Remedy = "end an evacuation"
-		return none
+	default:
+		none.RetryAfter = heldBack
+		none.Message = "no backend server of pool " + ask.Pool + " is in a region that the request may go to"
+		none.Remedy = "compare the regions of the route and of the workspace"
 	}
-	none.Message = "no backend server of pool " + ask.Pool + " is in a region that the request may go to"
-	none.Remedy = "compare the regions of the route and of the workspace"
 	return none
 }
 
@@ -223,15 +237,18 @@
 }
 
 // usableLocked gives the backend servers that may get the request. Cold ones that may
-// get it now, and then those that are left out, count when no other is left.
+// get it now, and then those that are left out, count when no other is left; those that
+// leave or asked for rest do not.
 func (b *Balancer) usableLocked(pool []*server, ask *Ask, now time.Time) []*server {
 	usable, cold, out := b.scratch.usable[:0], b.scratch.cold[:0], b.scratch.out[:0]
-	evacuated := b.scratch.evacuated[:0]
+	spared := b.scratch.spared[:0]
 	for _, s := range pool {
 		switch {
 		case s.evacuated:
-			evacuated = append(evacuated, s)
-		case s.Leaving || !ask.allows(s) || slices.Contains(ask.Avoid, s.ID):
+			spared = append(spared, s)
+		case s.isLeaving() || !ask.allows(s) || slices.Contains(ask.Avoid, s.ID):
+		case s.said.isResting(now):
+			spared = append(spared, s)
 		case b.isColdLocked(s, now) && !b.mayGetColdLocked(s, now):
 		case b.isOutLocked(s, now):
 			out = append(out, s)
@@ -241,7 +258,7 @@
 			usable = append(usable, s)
 		}
 	}
-	b.scratch.usable, b.scratch.cold, b.scratch.out, b.scratch.evacuated = usable, cold, out, evacuated
+	b.scratch.usable, b.scratch.cold, b.scratch.out, b.scratch.spared = usable, cold, out, spared
 	switch {
 	case len(usable) > 0:
 		return usable
--- a/balance/errors.go
+++ b/balance/errors.go
@@ -123,7 +123,7 @@
 	pool := b.pools[s.Pool]
 	out := 0
 	for _, other := range pool {
-		if other != s && b.isOutLocked(other, now) {
+		if other != s && (b.isOutLocked(other, now) || other.said.isResting(now)) {
 			out++
 		}
 	}
--- a/balance/evacuation.go
+++ b/balance/evacuation.go
@@ -23,9 +23,9 @@
 	}
 }
 
-// takesNew tells whether the server may get new requests at all.
+// takesNew tells whether the server may get new requests at all, from any router.
 func (s *server) takesNew() bool {
-	return !s.Leaving && !s.evacuated
+	return !s.isLeaving() && !s.evacuated
 }
 
 // Expects tells whether the lease's backend server is listed and not about to leave, so
@@ -34,14 +34,15 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := lease.server
-	return b.servers[s.ID] == s && !s.Leaving
+	return b.servers[s.ID] == s && !s.isLeaving()
 }
 
 // StillTakes tells whether the lease's backend server may still get the request,
-// which was not sent at once: not if it leaves, is evacuated or became cold meanwhile.
+// which was not sent at once: not if it leaves, is evacuated, asked for rest or became
+// cold meanwhile.
 func (b *Balancer) StillTakes(lease *Lease) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := lease.server
-	return b.servers[s.ID] == s && s.takesNew() && (lease.isCold || !b.isColdLocked(s, clock.Now()))
+	s, now := lease.server, clock.Now()
+	return b.servers[s.ID] == s && s.takesNew() && !s.said.isResting(now) && (lease.isCold || !b.isColdLocked(s, now))
 }
--- a/balance/knowledge.go
+++ b/balance/knowledge.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/clock"
 	"github.com/slipwick/slipwick/placement"
 )
 
@@ -109,7 +110,7 @@
 	}
 	prompt := ask.Prompt[len(ask.Prompt)-1].Key
 	for _, s := range b.pools[ask.Pool] {
-		if !s.Leaving && b.homes.has(prompt, s) {
+		if !s.isLeaving() && b.homes.has(prompt, s) {
 			return true
 		}
 	}
@@ -117,13 +118,15 @@
 }
 
 // Uncovered gives the engines of a pool whose caches this router does not
-// know, without those that get nothing new.
+// know, without those that get nothing new, or want nothing for now: to tell a cache is
+// work as well.
 func (b *Balancer) Uncovered(pool string) []slipwick.Backend {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	now := clock.Now()
 	var engines []slipwick.Backend
 	for _, s := range b.pools[pool] {
-		if s.takesNew() && !s.covered {
+		if s.takesNew() && !s.said.isResting(now) && !s.covered {
 			engines = append(engines, s.Backend)
 		}
 	}
--- a/balance/loads.go
+++ b/balance/loads.go
@@ -54,16 +54,16 @@
 }
 
 // poolMeanLocked is the mean load of the usable servers of a pool, which is given, and
-// the evacuated ones: the promise on an engine's load is by the mean of all that are
-// sound. Cold ones do not count: when they did, the bound was so low as a quarter of a
+// those that are evacuated or rest: the promise on an engine's load is by the mean of all
+// that are sound. Cold ones do not count: when they did, the bound was so low as a quarter of a
 // pool came back that 6.7 M tokens were read again in place of 6.1 M (65 routers, 112
 // engines, played once each).
 func (b *Balancer) poolMeanLocked(usable []*server, mean float64, now time.Time) float64 {
-	if len(b.scratch.evacuated) == 0 {
+	if len(b.scratch.spared) == 0 {
 		return mean
 	}
 	sum, complete := mean*float64(len(usable)), b.allToldLocked(now)
-	for _, s := range b.scratch.evacuated {
+	for _, s := range b.scratch.spared {
 		sum += float64(s.inFlight)
 		if complete {
 			sum += float64(s.told)
@@ -71,7 +71,7 @@
 			sum += float64(reported)
 		}
 	}
-	return sum / float64(max(len(usable)+len(b.scratch.evacuated), 1))
+	return sum / float64(max(len(usable)+len(b.scratch.spared), 1))
 }
 
 // usualReport is the mean of what backend servers reported lately of other
@@ -104,7 +104,7 @@
 }
 
 // usableBoundLocked is the bound for the usable engines, by the mean of the pool: with
-// those that are evacuated, which hold less and less. The bound leaves each a request
+// those that are spared, which hold less and less. The bound leaves each a request
 // above the usable ones' mean, or none could get any.
 func (b *Balancer) usableBoundLocked(usable []*server, mean float64, now time.Time) float64 {
 	all := b.poolMeanLocked(usable, mean, now)
--- a/balance/notice.go
+++ b/balance/notice.go
@@ -7,17 +7,37 @@
 	"github.com/slipwick/slipwick/clock"
 )
 
-// notices are what one life of a backend server said of itself in its answers.
+const (
+	// leavingLapse is how long after it last said so a server counts as leaving whose
+	// successor can't be told from it by its entry. What leaves lives on for many
+	// seconds; one that was replaced goes without work for this long.
+	leavingLapse = 30 * time.Second
+	// noticesKept is for how long what a server said is kept after its entry went: an
+	// entry that lapsed as the store was away is back some seconds after its return.
+	noticesKept = 10 * time.Minute
+)
+
+// notices are what one life of a backend server said of itself in its answers. A server
+// says that it leaves, or wants rest, before any list can say so, and also while the
+// list's store is away: its own word binds at once, whatever the list says. It can't be
+// taken back: a life that leaves ends, and the next one has notices of its own.
 type notices struct {
-	// leavingAt is when an answer said last that it leaves; zero if none did.
+	// leavingAt is when an answer said last that it leaves; zero if none did. lapses is
+	// after how long that counts no more; 0 if it always does.
 	leavingAt time.Time
+	lapses    time.Duration
 	// restUntil is until when it wants nothing from this router.
 	restUntil time.Time
 }
 
 // saysLeaving tells whether the server said in an answer that it leaves.
 func (n *notices) saysLeaving() bool {
-	return !n.leavingAt.IsZero()
+	return !n.leavingAt.IsZero() && (n.lapses == 0 || clock.Since(n.leavingAt) < n.lapses)
+}
+
+// isLeaving tells whether the server leaves, by the list or by its own word.
+func (s *server) isLeaving() bool {
+	return s.Leaving || s.said.saysLeaving()
 }
 
 // isResting tells whether it wants nothing from this router for now.
@@ -31,11 +51,24 @@
 	n := b.notices[life]
 	if n == nil {
 		n = &notices{}
+		if b.InPlace {
+			n.lapses = leavingLapse
+		}
 		b.notices[life] = n
 	}
 	return n
 }
 
+// forgetNoticesLocked drops those of lives that are no longer listed, after a while.
+func (b *Balancer) forgetNoticesLocked() {
+	now := clock.Now()
+	for life, n := range b.notices {
+		if b.hashes[life] == nil && !n.isResting(now) && now.Sub(n.leavingAt) > noticesKept {
+			delete(b.notices, life)
+		}
+	}
+}
+
 // Noticed takes what a backend server said of itself in an answer to the lease's request.
 func (b *Balancer) Noticed(lease *Lease, notice slipwick.Notice) {
 	if !notice.Leaving && notice.Rest <= 0 {
@@ -67,7 +100,7 @@
 	defer b.mu.Unlock()
 	now := clock.Now()
 	for _, s := range b.servers {
-		if s.Leaving || s.said.saysLeaving() {
+		if s.isLeaving() {
 			leaving++
 		}
 		if s.said.isResting(now) {
--- a/balance/scratch.go
+++ b/balance/scratch.go
@@ -7,8 +7,8 @@
 	// may get it too, out those that are left out, below the engines below the
 	// bound.
 	usable, cold, out, below []*server
-	// evacuated are those of evacuated data centres.
-	evacuated []*server
+	// spared are those of evacuated data centres, and those that asked for rest.
+	spared []*server
 	// costs are those of the usable servers, scores the ranks of those below.
 	costs  []float64
 	scores []uint64
--- a/cmd/internal/gatewayd/assemble.go
+++ b/cmd/internal/gatewayd/assemble.go
@@ -47,6 +47,7 @@
 	b.Switches = p.Switches
 	b.OnOut = p.onOut
 	b.OnNotice = p.onNotice
+	b.InPlace = p.Feeds.Private
 	b.SetLoadBound(p.Settings.Bounds.LoadFactor, p.Settings.Bounds.LoadSlack)
 	return b
 }
