Tell the fleet of leaving servers, and count refusals for rest as failures

What one router is told helps the others little while each keeps it for itself: a router of a large fleet sends to one server once in half a minute.

Tests of lives, late words, lapsed entries, rests that end or hold for all, every kind of answer and route.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -50,11 +50,13 @@
 	// notices are what backend servers said of themselves, by the hash of their life.
 	notices map[uint64]*notices
 	// peers are those that tell this router, others counts the routers that they
-	// speak for, heard is what they told last, and reads what is to be told them.
-	peers  []string
-	others int
-	heard  map[string]heard
-	reads  []Read
+	// speak for, heard is what they told last, reads and leaving what is to be told
+	// them.
+	peers   []string
+	others  int
+	heard   map[string]heard
+	reads   []Read
+	leaving []uint64
 	// readings are the prompts that are read for the first time.
 	readings readings
 	// paces are what the pools' requests showed.
@@ -197,14 +199,16 @@
 		Remedy:  "check the pool's backend servers; try again after a moment",
 		Outcome: slipwick.OutcomeNotRun,
 	}
-	evacuated, elsewhere, resting, rest := 0, 0, 0, time.Duration(0)
+	leaving, evacuated, elsewhere, resting, rest := 0, 0, 0, 0, time.Duration(0)
 	for _, s := range pool {
 		switch {
 		case !ask.allows(s):
 			elsewhere++
 		case s.evacuated:
 			evacuated++
-		case !s.isLeaving() && s.said.isResting(now):
+		case s.isLeaving():
+			leaving++
+		case s.said.isResting(now):
 			if left := s.said.restUntil.Sub(now); resting == 0 || left < rest {
 				rest = left
 			}
@@ -212,7 +216,7 @@
 		}
 	}
 	switch {
-	case len(pool) == 0 || evacuated+elsewhere+resting < len(pool):
+	case leaving == len(pool) || leaving+evacuated+elsewhere+resting < len(pool):
 	case resting > 0:
 		none.RetryAfter = rest
 		none.Message = "all backend servers of pool " + ask.Pool + " that may get the request want none for now"
--- a/balance/errors.go
+++ b/balance/errors.go
@@ -88,9 +88,9 @@
 		if s.leaveOut(now, shortOuting) {
 			b.OnOut(s.Backend, s.outUntil.Sub(now))
 		}
-	case slipwick.EvidenceGood, slipwick.EvidenceError:
+	case slipwick.EvidenceGood, slipwick.EvidenceError, slipwick.EvidenceShed:
 		s.heardAt = now
-		s.errors.note(evidence == slipwick.EvidenceError)
+		s.errors.note(evidence != slipwick.EvidenceGood)
 		b.judgeLocked(s, now)
 	}
 }
--- a/balance/notice.go
+++ b/balance/notice.go
@@ -76,21 +76,42 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.noticeLocked(lease.server, notice)
+	s := lease.server
+	if b.noticeLocked(s, notice) && notice.Leaving && len(b.leaving) < maxReads {
+		b.leaving = append(b.leaving, s.hash)
+	}
 }
 
-func (b *Balancer) noticeLocked(s *server, notice slipwick.Notice) {
-	now := clock.Now()
-	isNews := notice.Leaving && !s.said.saysLeaving() || notice.Rest > 0 && !s.said.isResting(now)
+// HearLeaving takes which backend servers told other routers that they leave. Each router
+// sends so seldom to one server of a large fleet that without it every router would find
+// out for itself, with a request that the server may not live to answer.
+func (b *Balancer) HearLeaving(servers []uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, hash := range servers {
+		if s := b.hashes[hash]; s != nil {
+			b.noticeLocked(s, slipwick.Notice{
+				Leaving: true,
+			})
+		}
+	}
+}
+
+// noticeLocked tells whether the notice is news.
+func (b *Balancer) noticeLocked(s *server, notice slipwick.Notice) bool {
+	// The entry may have lapsed, and come back, while the request was under way.
+	now, said := clock.Now(), b.noticesOfLocked(s.hash)
+	isNews := notice.Leaving && !said.saysLeaving() || notice.Rest > 0 && !said.isResting(now)
 	if notice.Leaving {
-		s.said.leavingAt = now
+		said.leavingAt = now
 	}
-	if until := now.Add(notice.Rest); notice.Rest > 0 && until.After(s.said.restUntil) {
-		s.said.restUntil = until
+	if until := now.Add(notice.Rest); notice.Rest > 0 && until.After(said.restUntil) {
+		said.restUntil = until
 	}
 	if isNews {
 		b.OnNotice(s.Backend, notice)
 	}
+	return isNews
 }
 
 // Notices counts the listed backend servers that leave, and those that want nothing from
--- /dev/null
+++ b/balance/notice_test.go
@@ -0,0 +1,307 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/slipwick/slipwick"
+)
+
+// say has a backend server answer a request of the router, with a notice.
+func say(t *testing.T, b *Balancer, id string, notice slipwick.Notice) {
+	t.Helper()
+	b.Noticed(leaseAt(t, b, id), notice)
+}
+
+// leaseAt gives a lease that is released already.
+func leaseAt(t *testing.T, b *Balancer, id string) *Lease {
+	t.Helper()
+	s := b.servers[id]
+	if s == nil {
+		t.Fatalf("no backend server %s is listed", id)
+	}
+	return leaseOf(s)
+}
+
+// chosen gives which backend servers requests go to, all of which are still in progress.
+func chosen(t *testing.T, b *Balancer, requests int) map[string]int {
+	t.Helper()
+	counts := make(map[string]int)
+	for range requests {
+		counts[acquire(t, b, plain).Backend.ID]++
+	}
+	return counts
+}
+
+var (
+	leaves = slipwick.Notice{
+		Leaving: true,
+	}
+	restsFor3s = slipwick.Notice{
+		Rest: 3 * time.Second,
+	}
+)
+
+// TestWordOfALifeBindsThatLifeAlone has servers say that they leave, and ask for rest, and
+// then begin anew under their ID, vanish from the list and come back, or both.
+func TestWordOfALifeBindsThatLifeAlone(t *testing.T) {
+	born := func(at int64) []Listed {
+		list := listed(2)
+		list[0].Born = at
+		return list
+	}
+	for name, test := range map[string]struct {
+		lists [][]Listed
+		want  bool
+	}{
+		"same life":                    {[][]Listed{born(1)}, false},
+		"entry without a start":        {[][]Listed{born(0)}, false},
+		"lapsed, back":                 {[][]Listed{born(1)[1:], born(1)}, false},
+		"began anew":                   {[][]Listed{born(2)}, true},
+		"gone, began anew":             {[][]Listed{born(1)[1:], born(2)}, true},
+		"began anew, old entry, newer": {[][]Listed{born(2), born(1), born(2)}, true},
+		"began anew, old entry":        {[][]Listed{born(2), born(1)}, false},
+	} {
+		for what, notice := range map[string]slipwick.Notice{"leaves": leaves, "rests": restsFor3s} {
+			t.Run(name+", "+what, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					b := New("dc-0")
+					b.SetBackends(born(1))
+					say(t, b, "p-0", notice)
+					for _, list := range test.lists {
+						time.Sleep(100 * time.Millisecond)
+						b.SetBackends(list)
+					}
+					if got := chosen(t, b, 20)["p-0"] > 0; got != test.want {
+						t.Errorf("got p-0 in use: %t, want %t", got, test.want)
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestWordOfAnEarlierLifeThatComesLateChangesNothing has answers of a server's earlier life
+// arrive, and other routers tell of it, once the next one is listed.
+func TestWordOfAnEarlierLifeThatComesLateChangesNothing(t *testing.T) {
+	b := New("dc-0")
+	list := listed(2)
+	list[0].Born = 1
+	b.SetBackends(list)
+	before := leaseAt(t, b, "p-0")
+	hash := before.server.hash
+	list = listed(2)
+	list[0].Born = 2
+	b.SetBackends(list)
+	b.Noticed(before, leaves)
+	b.Noticed(before, restsFor3s)
+	b.HearLeaving([]uint64{hash})
+	if got := chosen(t, b, 20)["p-0"]; got == 0 {
+		t.Error("got none of 20 requests at the later life, want some")
+	}
+}
+
+// TestWordThatComesWhileTheEntryIsAwayBinds has the entry lapse while a request is under way
+// whose answer says that the server leaves.
+func TestWordThatComesWhileTheEntryIsAwayBinds(t *testing.T) {
+	for name, between := range map[string]func(b *Balancer, lease *Lease){
+		"before it is back": func(b *Balancer, lease *Lease) {
+			b.Noticed(lease, leaves)
+			b.SetBackends(listed(2))
+		},
+		"after": func(b *Balancer, lease *Lease) {
+			b.SetBackends(listed(2))
+			b.Noticed(lease, leaves)
+		},
+	} {
+		b := newTestBalancer(2)
+		lease := leaseAt(t, b, "p-0")
+		b.SetBackends(listed(2)[1:])
+		between(b, lease)
+		if got := chosen(t, b, 20)["p-0"]; got > 0 {
+			t.Errorf("the answer came %s: got %d of 20 requests there, want none", name, got)
+		}
+	}
+}
+
+// TestRestEnds has a server ask for rest, for more while it rests, and for less.
+func TestRestEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBalancer(2)
+		say(t, b, "p-0", restsFor3s)
+		time.Sleep(time.Second)
+		say(t, b, "p-0", slipwick.Notice{
+			Rest: time.Second,
+		})
+		time.Sleep(1999 * time.Millisecond)
+		if got := chosen(t, b, 20)["p-0"]; got > 0 {
+			t.Errorf("got %d of 20 requests within the rest, want none", got)
+		}
+		time.Sleep(time.Millisecond)
+		if got := chosen(t, b, 20)["p-0"]; got == 0 {
+			t.Error("got none of 20 requests after the rest, want some")
+		}
+	})
+}
+
+// TestRestOfAllIsToldToCallers has all that may serve a request rest: nobody is sent
+// there as the last one left, and callers hear when the first has rested.
+func TestRestOfAllIsToldToCallers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBalancer(3)
+		say(t, b, "p-0", restsFor3s)
+		say(t, b, "p-1", slipwick.Notice{
+			Rest: 2 * time.Second,
+		})
+		say(t, b, "p-2", leaves)
+		time.Sleep(500 * time.Millisecond)
+		_, err := b.Acquire(plain)
+		typed, ok := slipwick.AsError(err)
+		if !ok {
+			t.Fatalf("got error %v, want an *slipwick.Error", err)
+		}
+		if got, want := typed.RetryAfter, 1500*time.Millisecond; got != want {
+			t.Errorf("got %v until callers may come back, want %v", got, want)
+		}
+		if got, want := typed.Outcome, slipwick.OutcomeNotRun; got != want {
+			t.Errorf("got outcome %s, want %s", got, want)
+		}
+	})
+}
+
+// TestWhatWaitsIsNotSentToOneThatLeavesOrRests has the word come between the choice and
+// the send.
+func TestWhatWaitsIsNotSentToOneThatLeavesOrRests(t *testing.T) {
+	for _, notice := range []slipwick.Notice{leaves, restsFor3s} {
+		b := newTestBalancer(1)
+		lease := acquire(t, b, plain)
+		if !b.StillTakes(lease) {
+			t.Error("got the backend server taking nothing before its word, want it in use")
+		}
+		say(t, b, "p-0", notice)
+		if b.StillTakes(lease) {
+			t.Errorf("%+v: got the request sent, want another choice", notice)
+		}
+		if got := b.Uncovered("p"); len(got) > 0 {
+			t.Errorf("%+v: got its cache asked for, want nothing sent there", notice)
+		}
+	}
+}
+
+// TestRestingServersCountAsOut has a third of a pool rest: failures leave out none of the
+// others, which have to carry all.
+func TestRestingServersCountAsOut(t *testing.T) {
+	b := newTestBalancer(6)
+	say(t, b, "p-0", restsFor3s)
+	say(t, b, "p-1", restsFor3s)
+	failing := leaseAt(t, b, "p-2")
+	for range 20 {
+		b.mu.Lock()
+		b.observeLocked(failing.server, slipwick.EvidenceError, time.Now())
+		b.mu.Unlock()
+	}
+	if got := outNow(b); got > 0 {
+		t.Errorf("got %d servers left out beside those that rest, want none", got)
+	}
+}
+
+// TestLeavingLapsesWhereLivesAreNotTold has a server of a list that operators write be
+// replaced in place, and one whose entry is its own.
+func TestLeavingLapsesWhereLivesAreNotTold(t *testing.T) {
+	for _, inPlace := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			b := New("dc-0")
+			b.InPlace = inPlace
+			b.SetBackends(listed(2))
+			say(t, b, "p-0", leaves)
+			time.Sleep(leavingLapse / 2)
+			say(t, b, "p-0", leaves)
+			time.Sleep(leavingLapse - time.Millisecond)
+			if got := chosen(t, b, 20)["p-0"]; got > 0 {
+				t.Errorf("in place %t: got %d of 20 requests before the word lapsed, want none", inPlace, got)
+			}
+			time.Sleep(time.Hour)
+			if got := chosen(t, b, 20)["p-0"] > 0; got != inPlace {
+				t.Errorf("in place %t: got it in use after an hour: %t, want %t", inPlace, got, inPlace)
+			}
+		})
+	}
+}
+
+// TestNoticesAreForgotten has many servers come, say that they leave, and go.
+func TestNoticesAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBalancer(1)
+		for i := range 1000 {
+			list := listed(2)
+			list[1].ID = fmt.Sprint("other-", i)
+			b.SetBackends(list)
+			say(t, b, list[1].ID, leaves)
+			time.Sleep(time.Second)
+		}
+		if got, want := len(b.notices), int(noticesKept/time.Second)+2; got > want {
+			t.Errorf("got %d notices kept, want at most %d", got, want)
+		}
+	})
+}
+
+// runLeaving has one of a pool leave while the list stays, and gives the requests that
+// it gets later than a second after its first answer said so.
+func runLeaving(t *testing.T, routers, engines, perSecond int, isTold bool) (late int) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(routers, engines, 2)
+		random := rand.New(rand.NewPCG(1, uint64(routers)))
+		began, told := time.Time{}, time.Now()
+		for start := time.Now(); time.Since(start) < 10*time.Second; {
+			time.Sleep(time.Duration(random.ExpFloat64() * float64(time.Second) / float64(perSecond)))
+			synctest.Wait()
+			b := f.routers[random.IntN(len(f.routers))]
+			lease := acquire(t, b, prompt(uint64(random.IntN(95))))
+			if lease.Backend.ID == "p-0" {
+				if began.IsZero() {
+					began = time.Now()
+				}
+				if time.Since(began) > time.Second {
+					late++
+				}
+				b.Noticed(lease, leaves)
+			}
+			time.AfterFunc(time.Duration(300+random.IntN(800))*time.Millisecond, func() {
+				b.Release(lease, slipwick.EvidenceGood)
+			})
+			if time.Since(told) > 200*time.Millisecond {
+				told = time.Now()
+				for i, b := range f.routers {
+					news := b.Tell()
+					for j, other := range f.routers {
+						if j != i && isTold {
+							other.HearLeaving(news.Leaving)
+						}
+					}
+				}
+			}
+		}
+		time.Sleep(2 * time.Second)
+	})
+	return late
+}
+
+// TestFleetLearnsOfALeaveFromOneAnswer has one server say to whoever sends to it that it
+// leaves, in fleets of several sizes: the first router that hears it tells the others.
+func TestFleetLearnsOfALeaveFromOneAnswer(t *testing.T) {
+	for _, size := range []struct{ routers, engines, perSecond int }{
+		{8, 18, 260},
+		{80, 89, 800},
+		{295, 153, 1300},
+	} {
+		if got := runLeaving(t, size.routers, size.engines, size.perSecond, true); got > 0 {
+			t.Errorf("%+v: got %d requests at it later than a second after its first answer, want none", size, got)
+		}
+		t.Logf("%+v: %d where routers tell nobody", size,
+			runLeaving(t, size.routers, size.engines, size.perSecond, false))
+	}
+}
--- /dev/null
+++ b/balance/shedding_test.go
@@ -0,0 +1,124 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/slipwick/slipwick"
+)
+
+// sheddingFleet is a fleet of which some engines turn all away and ask for rest.
+type sheddingFleet struct {
+	*testFleet
+	shedding []string
+	// mostSends is how often a request is sent.
+	mostSends int
+	// requests, refused and unserved count requests, sends that were turned away, and
+	// requests that were turned away each time.
+	requests, refused, unserved int
+}
+
+const (
+	shedRest = 3 * time.Second
+	shedFor  = 9 * time.Second
+)
+
+// ask has one router serve a request; evidence is what a refusal is taken for.
+func (f *sheddingFleet) ask(t *testing.T, random *rand.Rand, evidence slipwick.Evidence) {
+	t.Helper()
+	b := f.routers[random.IntN(len(f.routers))]
+	ask := prompt(uint64(random.IntN(95)))
+	f.requests++
+	for range f.mostSends {
+		lease := acquire(t, b, ask)
+		if !slices.Contains(f.shedding, lease.Backend.ID) {
+			b.Began(lease)
+			time.AfterFunc(time.Duration(300+random.IntN(800))*time.Millisecond, func() {
+				b.Release(lease, slipwick.EvidenceGood)
+			})
+			return
+		}
+		f.refused++
+		ask.Avoid = append(ask.Avoid, lease.Backend.ID)
+		b.Noticed(lease, slipwick.Notice{
+			Rest: shedRest,
+		})
+		b.Release(lease, evidence)
+	}
+	f.unserved++
+}
+
+// tell has all routers hear what the others have in flight, and how it ended.
+func (f *sheddingFleet) tell(sequence uint64) {
+	for i, b := range f.routers {
+		told := b.Tell()
+		for j, other := range f.routers {
+			if j != i {
+				other.Hear(fmt.Sprint("r", i), sequence, told.InFlight)
+				other.HearOutcomes(told.Outcomes)
+			}
+		}
+	}
+}
+
+// runShedding has engines shed for a while, and gives the share of sends that were
+// turned away, by requests, and that of requests unserved.
+func runShedding(t *testing.T, routers, engines, shedding, perSecond int, evidence slipwick.Evidence) (refused, unserved float64) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := &sheddingFleet{
+			testFleet: newTestFleet(routers, engines, 2),
+			mostSends: 4,
+		}
+		random := rand.New(rand.NewPCG(1, uint64(routers)))
+		told := time.Now()
+		var sequence uint64
+		press := func(length time.Duration) {
+			for began := time.Now(); time.Since(began) < length; {
+				time.Sleep(time.Duration(random.ExpFloat64() * float64(time.Second) / float64(perSecond)))
+				synctest.Wait()
+				f.ask(t, random, evidence)
+				if time.Since(told) > 200*time.Millisecond {
+					sequence++
+					told = time.Now()
+					f.tell(sequence)
+				}
+			}
+		}
+		press(2 * time.Second)
+		f.requests = 0
+		for i := range shedding {
+			f.shedding = append(f.shedding, fmt.Sprint("p-", i))
+		}
+		press(shedFor)
+		refused = float64(f.refused) / float64(f.requests)
+		unserved = float64(f.unserved) / float64(f.requests)
+		time.Sleep(5 * time.Second)
+	})
+	return refused, unserved
+}
+
+// TestFleetSparesServersThatShed has more than a quarter of a pool shed all for 9 s, in
+// fleets in which each router meets every server, and in one in which a router sends to a
+// server once in half a minute. What is turned away and sent again has to fit the fleet's
+// budget of repeats, which is 0.2 of its requests, and three in four servers have room for
+// all.
+func TestFleetSparesServersThatShed(t *testing.T) {
+	const budget, unservedMost = 0.2, 0.001
+	for _, size := range []struct{ routers, engines, shedding, perSecond int }{
+		{8, 18, 5, 260},
+		{62, 90, 25, 800},
+		{120, 100, 26, 500},
+	} {
+		refused, unserved := runShedding(t, size.routers, size.engines, size.shedding, size.perSecond,
+			slipwick.EvidenceShed)
+		if refused > budget || unserved > unservedMost {
+			t.Errorf("%+v: got %.3f of the requests turned away once more, and %.5f unserved, want at most %v and %v",
+				size, refused, unserved, budget, unservedMost)
+		}
+	}
+}
--- a/balance/told.go
+++ b/balance/told.go
@@ -8,12 +8,13 @@
 )
 
 // Told is what one router tells the others of the backend servers it uses, by
-// the hash of their ID: its requests there, what engines read for it, and how
-// requests ended where some failed.
+// the hash of their ID: its requests there, what engines read for it, how
+// requests ended where some failed, and which ones said that they leave.
 type Told struct {
 	InFlight []InFlight
 	Reads    []Read
 	Outcomes []Outcomes
+	Leaving  []uint64
 }
 
 // Outcomes counts requests that ended since they were told last.
@@ -51,15 +52,16 @@
 	inFlight []InFlight
 }
 
-// Tell gives what there is to tell the other routers. Reads and outcomes are
-// told once.
+// Tell gives what there is to tell the other routers. Reads, outcomes and those that
+// leave are told once.
 func (b *Balancer) Tell() Told {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	told := Told{
-		Reads: b.reads,
+		Reads:   b.reads,
+		Leaving: b.leaving,
 	}
-	b.reads = nil
+	b.reads, b.leaving = nil, nil
 	for _, s := range b.servers {
 		if good, failed := s.errors.untold(); failed > 0 {
 			told.Outcomes = append(told.Outcomes, Outcomes{
--- a/evidence.go
+++ b/evidence.go
@@ -19,6 +19,9 @@
 	// EvidenceRefused is a connection that the backend server's box refused:
 	// nothing listens there, for any router.
 	EvidenceRefused
+	// EvidenceShed is a refusal that asks for rest: the backend server has no room, for
+	// other routers either.
+	EvidenceShed
 	// EvidenceLeaving is a backend server that says it takes no new work.
 	EvidenceLeaving
 )
--- a/exchange/codec.go
+++ b/exchange/codec.go
@@ -10,7 +10,7 @@
 // maxCounts, maxReads and maxOutcomes bound a datagram to what fits one packet
 // of 1,500 bytes: at most 14 bytes a count, 10 a read, 6 a server's outcomes, and
 // 8 for the server of either. Reads and outcomes share a datagram with few counts
-// alone.
+// alone; a server that leaves takes the place of one's outcomes.
 const (
 	maxCounts   = 50
 	maxReads    = 30
@@ -21,7 +21,7 @@
 func (t *Teller) encode(scope exchangepb.Scope, urgent bool, told balance.Told) [][]byte {
 	round := t.sequence.Add(1)
 	var packets [][]byte
-	for first := true; first || len(told.InFlight)+len(told.Reads)+len(told.Outcomes) > 0; first = false {
+	for first := true; first || len(told.InFlight)+newsIn(&told) > 0; first = false {
 		e := &encoder{
 			message: t.message(scope),
 			place:   make(map[uint64]uint32),
@@ -37,12 +37,20 @@
 			n = min(len(told.Outcomes), maxOutcomes)
 			e.addOutcomes(told.Outcomes[:n])
 			told.Outcomes = told.Outcomes[n:]
+			n = min(len(told.Leaving), maxOutcomes-n)
+			e.addLeaving(told.Leaving[:n])
+			told.Leaving = told.Leaving[n:]
 		}
 		packets = append(packets, marshal(e.message))
 	}
 	return packets
 }
 
+// newsIn counts what is told once.
+func newsIn(told *balance.Told) int {
+	return len(told.Reads) + len(told.Outcomes) + len(told.Leaving)
+}
+
 func (t *Teller) message(scope exchangepb.Scope) *exchangepb.Told {
 	return &exchangepb.Told{
 		From:     t.Self,
@@ -98,6 +106,12 @@
 	}
 }
 
+func (e *encoder) addLeaving(servers []uint64) {
+	for _, server := range servers {
+		e.message.Leaving = append(e.message.Leaving, e.at(server))
+	}
+}
+
 // decode reads what a datagram tells; what does not fit together is left out.
 func decode(message *exchangepb.Told) balance.Told {
 	var told balance.Told
@@ -130,6 +144,11 @@
 			Failed: int(min(message.GetFailed()[i], maxOutcomeCount)),
 		})
 	}
+	for _, place := range message.GetLeaving() {
+		if int(place) < len(servers) {
+			told.Leaving = append(told.Leaving, servers[place])
+		}
+	}
 	return told
 }
 
--- a/exchange/fuzz_test.go
+++ b/exchange/fuzz_test.go
@@ -26,6 +26,7 @@
 			Ended:    []uint32{1},
 			Good:     []uint32{1 << 31},
 			Failed:   []uint32{1 << 31},
+			Leaving:  []uint32{1, 9},
 		},
 		NewMarkTeller("1").encode([]quarantine.Mark{{Key: 1, Server: 2, Life: -1 << 62}, {Key: 1, Server: 2, Life: 1 << 62}}),
 	} {
--- a/exchange/teller.go
+++ b/exchange/teller.go
@@ -28,8 +28,8 @@
 	sequenceBits = 16
 	// fleetSource names what a hub tells of the whole fleet.
 	fleetSource = "fleet"
-	// maxPassed bounds the reads, and the outcomes, that a hub has yet to pass
-	// on.
+	// maxPassed bounds the reads, the outcomes and the leaving servers that a hub has
+	// yet to pass on.
 	maxPassed = 4096
 )
 
@@ -190,6 +190,9 @@
 	if len(news.Outcomes) < maxPassed {
 		news.Outcomes = append(news.Outcomes, more.Outcomes...)
 	}
+	if len(news.Leaving) < maxPassed {
+		news.Leaving = append(news.Leaving, more.Leaving...)
+	}
 }
 
 // sums adds what the group and this router, and what the other hubs have, and
@@ -249,6 +252,7 @@
 	}
 	t.Balancer.HearReadings(told.Reads)
 	t.Balancer.HearOutcomes(told.Outcomes)
+	t.Balancer.HearLeaving(told.Leaving)
 }
 
 // hasCounts tells whether a datagram counts requests.
@@ -259,7 +263,7 @@
 // passLater keeps news to pass on, in case this router is a hub.
 func (t *Teller) passLater(scope exchangepb.Scope, urgent bool, news balance.Told) {
 	size := t.size.Load()
-	if len(news.Reads)+len(news.Outcomes) == 0 || size > 0 && size <= meshSize {
+	if newsIn(&news) == 0 || size > 0 && size <= meshSize {
 		return
 	}
 	t.mu.Lock()
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -43,7 +43,7 @@
 		return resultNotRun, slipwick.EvidenceLeaving, nil
 	case answer.Header.Get(names.NotRun) != "":
 		_, _, _ = readWhole(answer)
-		return resultNotRun, slipwick.EvidenceNone, nil
+		return resultNotRun, evidenceOfRefusal(answer), nil
 	}
 	c.runs++
 	succeeded := answer.Status/100 == 2
@@ -59,6 +59,17 @@
 	return c.passWhole(answer)
 }
 
+// evidenceOfRefusal tells what a refusal says of the backend server. One that asks for
+// rest has no room for anybody, and the other routers are to know: each sends there so
+// seldom that all would be refused first. That speaks through the fleet's share of failures,
+// so that one that refuses a single router stays in use for the others.
+func evidenceOfRefusal(answer *upstream.Answer) slipwick.Evidence {
+	if httpclient.RestAsked(answer.Status, answer.Header) > 0 {
+		return slipwick.EvidenceShed
+	}
+	return slipwick.EvidenceNone
+}
+
 // isGenuine tells whether a success is the backend server's own answer to this
 // request.
 func (c *call) isGenuine(answer *upstream.Answer) bool {
