Heed the same words at the chat router

Whoever gets such an answer now tells the server's owner, which grants nothing there meanwhile; for a rest the server is out of the pool that all see, and a caller with nowhere else to go is told when to come back.

--- a/admission/coordinator.go
+++ b/admission/coordinator.go
@@ -134,6 +134,9 @@
 	for _, release := range envelope.GetReleases() {
 		c.onRelease(from, release)
 	}
+	for _, notice := range envelope.GetNotices() {
+		c.onNotice(notice)
+	}
 	for _, placed := range envelope.GetPlaced() {
 		c.remember(placed)
 	}
--- a/admission/grants.go
+++ b/admission/grants.go
@@ -45,6 +45,11 @@
 		c.answer(key, peerpb.Decision_DECISION_MOVE_ON, at)
 		return
 	}
+	if rest := o.restUntil.Sub(now); rest > 0 {
+		// Whoever has nowhere else to go is told when to come back.
+		c.giveUp(o, key, request, rest)
+		return
+	}
 	if !may {
 		c.answer(key, peerpb.Decision_DECISION_MOVE_ON, 0)
 		return
@@ -64,6 +69,9 @@
 // mayGrant tells whether the engine gets new work at all. An ejected one does
 // when the view counts it as usable, because no other is left.
 func (c *Coordinator) mayGrant(o *owned) bool {
+	if time.Now().Before(o.restUntil) {
+		return false
+	}
 	switch o.health.state {
 	case HealthLeaving:
 		return false
--- a/admission/observe.go
+++ b/admission/observe.go
@@ -56,22 +56,34 @@
 	length := o.health.eject(&c.Policy, time.Now())
 	c.clearQueue(o, peerpb.Decision_DECISION_MOVE_ON)
 	c.OnHealth(o.backend.ID, HealthEjected)
+	c.restoreAfter(o, length)
+}
+
+// restoreAfter lets an engine that is out return, if it may by then: one may be ejected
+// and rest for different times.
+func (c *Coordinator) restoreAfter(o *owned, length time.Duration) {
 	time.AfterFunc(length, func() {
 		c.locked(func() {
-			if c.owned[o.engine] != o || o.health.state != HealthEjected {
+			now := time.Now()
+			if c.owned[o.engine] != o || o.health.state != HealthEjected ||
+				now.Before(o.health.until) || now.Before(o.restUntil) {
 				return
 			}
-			o.health.restore(c.Policy.SlowReturn, time.Now())
+			o.health.restore(c.Policy.SlowReturn, now)
 			c.OnHealth(o.backend.ID, HealthGood)
 		})
 	})
 }
 
+// reportsLag is for how long an engine's answers that say that it leaves go before its
+// load reports, which are read every second and may be from before.
+const reportsLag = 3 * time.Second
+
 // Stays takes an owned engine's word that it is not, or no longer, leaving.
 func (c *Coordinator) Stays(backend string) {
 	c.locked(func() {
 		o := c.owned[placement.IDHash(backend)]
-		if o == nil || o.health.state != HealthLeaving {
+		if o == nil || o.health.state != HealthLeaving || time.Since(o.saidLeaving) < reportsLag {
 			return
 		}
 		o.health.restore(c.Policy.SlowReturn, time.Now())
--- a/admission/owned.go
+++ b/admission/owned.go
@@ -25,6 +25,9 @@
 
 	pace   pace
 	health health
+	// restUntil is until when the engine wants nothing, saidLeaving when an answer said
+	// last that it leaves.
+	restUntil, saidLeaving time.Time
 	// reported is the load that others were told last.
 	reported int
 }
--- a/cmd/internal/daemon/assemble.go
+++ b/cmd/internal/daemon/assemble.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/admission"
@@ -112,6 +113,8 @@
 			return &engine.Client{
 				Address: b.Address,
 				HTTP:    shared,
+
+				OnNotice: func(notice slipwick.Notice) { r.coordinator.Noticed(b.ID, notice) },
 			}
 		},
 		Service: func(b slipwick.Backend, repeatable bool) slipwick.Service {
@@ -122,6 +125,8 @@
 			return &service.Client{
 				Address: b.Address,
 				HTTP:    client,
+
+				OnNotice: func(notice slipwick.Notice) { r.coordinator.Noticed(b.ID, asRest(notice)) },
 			}
 		},
 		Quarantine: r.ledger,
@@ -131,3 +136,16 @@
 		Limits: r.Settings.Limits.stream(),
 	}
 }
+
+// serviceLeaves is for how long a plain server that said that it leaves gets nothing. Nobody
+// asks it whether it has been replaced, as engines are asked, so that the word has to
+// lapse: some times what a planned stop takes.
+const serviceLeaves = 30 * time.Second
+
+// asRest takes a plain server's word that it leaves for a rest.
+func asRest(notice slipwick.Notice) slipwick.Notice {
+	if notice.Leaving {
+		notice.Leaving, notice.Rest = false, max(notice.Rest, serviceLeaves)
+	}
+	return notice
+}
--- a/engine/client.go
+++ b/engine/client.go
@@ -22,6 +22,19 @@
 	// Address is host:port.
 	Address string
 	HTTP    *http.Client
+	// OnNotice is told what the engine says of itself in an answer; nil tells nobody.
+	OnNotice func(slipwick.Notice)
+}
+
+// heed passes on what an answer says of the engine.
+func (c *Client) heed(response *http.Response) {
+	if c.OnNotice == nil {
+		return
+	}
+	c.OnNotice(slipwick.Notice{
+		Leaving: response.Header.Get(LeavingHeader) == "true",
+		Rest:    httpclient.RestAsked(response.StatusCode, response.Header),
+	})
 }
 
 // Stream sends the chat turn once.
@@ -55,6 +68,7 @@
 	if err != nil {
 		return nil, unreachable(err)
 	}
+	c.heed(response)
 	if response.StatusCode != http.StatusOK {
 		return nil, answered(response)
 	}
@@ -113,6 +127,7 @@
 		cancel()
 		return nil, unreachable(err)
 	}
+	c.heed(response)
 	if response.StatusCode/100 != 2 {
 		cancel()
 		return nil, answered(response)
--- a/evidence.go
+++ b/evidence.go
@@ -3,7 +3,7 @@
 // Evidence is what one request showed of its backend server's health.
 type Evidence int
 
-// The kinds of evidence.
+// The kinds of evidence. Routers tell each other their numbers: new ones come last.
 const (
 	// EvidenceNone says nothing of the backend server, as when the caller
 	// went away.
@@ -19,11 +19,11 @@
 	// EvidenceRefused is a connection that the backend server's box refused:
 	// nothing listens there, for any router.
 	EvidenceRefused
+	// EvidenceLeaving is a backend server that says it takes no new work.
+	EvidenceLeaving
 	// EvidenceShed is a refusal that asks for rest: the backend server has no room, for
 	// other routers either.
 	EvidenceShed
-	// EvidenceLeaving is a backend server that says it takes no new work.
-	EvidenceLeaving
 )
 
 // Bad tells whether the evidence speaks against the backend server.
--- a/service/client.go
+++ b/service/client.go
@@ -25,6 +25,19 @@
 	// Address is host:port.
 	Address string
 	HTTP    *http.Client
+	// OnNotice is told what the server says of itself in an answer; nil tells nobody.
+	OnNotice func(slipwick.Notice)
+}
+
+// heed passes on what an answer says of the server.
+func (c *Client) heed(response *http.Response) {
+	if c.OnNotice == nil {
+		return
+	}
+	c.OnNotice(slipwick.Notice{
+		Leaving: response.Header.Get("X-Leaving") == "true",
+		Rest:    httpclient.RestAsked(response.StatusCode, response.Header),
+	})
 }
 
 // Call sends the request once. An answer with status 500 or above is an
@@ -41,6 +54,7 @@
 		return slipwick.ServiceResponse{}, noAnswer(httpclient.OutcomeOf(err), err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	c.heed(response)
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
 	if err != nil {
 		return slipwick.ServiceResponse{}, noAnswer(slipwick.OutcomeUnknown, err)
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -121,6 +121,11 @@
 
 // ServeHTTP serves the engine's protocol.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	if e.faults.SaysLeaving {
+		w.Header().Set(engine.LeavingHeader, "true")
+	}
+	e.mu.Unlock()
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+engine.CompletionsPath, e.complete)
 	mux.HandleFunc("GET "+engine.StreamsPath+"{id}", e.resume)
@@ -138,6 +143,9 @@
 	e.mu.Lock()
 	faults := e.faults
 	e.mu.Unlock()
+	if faults.Rest > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(faults.Rest.Seconds(), 'f', -1, 64))
+	}
 	switch {
 	case faults.EndUnder != "" && bytes.Contains(body, []byte(faults.EndUnder)):
 		faults.End()
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -21,6 +21,10 @@
 	Refuse bool
 	// Leaving refuses new work and finishes what runs.
 	Leaving bool
+	// Rest has what is refused ask for so long without requests.
+	Rest time.Duration
+	// SaysLeaving says in all answers that it leaves, and serves on.
+	SaysLeaving bool
 	// EndUnder has a request whose body holds the text end the engine: End is called,
 	// which is to close its server, and nothing is answered.
 	EndUnder string
--- a/standin/service.go
+++ b/standin/service.go
@@ -11,6 +11,8 @@
 type Service struct {
 	// DropAfterBody closes the connection once the body was read.
 	DropAfterBody bool
+	// Before is called with each call that arrives; true says that it answered.
+	Before func(w http.ResponseWriter) bool
 
 	mu   sync.Mutex
 	runs map[string]int
@@ -19,7 +21,7 @@
 // ServeHTTP serves any path.
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
-	if err != nil {
+	if err != nil || s.Before != nil && s.Before(w) {
 		return
 	}
 	s.mu.Lock()
