Heed engines' words when they list their caches, and read them in one place

A list of an engine's cache is asked for by starting routers: its answer says that the engine leaves, or asks for rest, as any other; neither was read there. One function reads both for the gateway, lists of caches, engines and services.

Ruled out: repeated lists at an engine that rests; each router asks an engine once, and none that leaves or rests.

--- a/balance/notice.go
+++ b/balance/notice.go
@@ -76,7 +76,24 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := lease.server
+	b.noticedLocked(lease.server, notice)
+}
+
+// NoticedBy takes what a backend server said of itself in an answer to something else than
+// a request, if the life that was asked is the one listed.
+func (b *Balancer) NoticedBy(backend *slipwick.Backend, notice slipwick.Notice) {
+	if !notice.Leaving && notice.Rest <= 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.servers[backend.ID]; s != nil && s.Life() == backend.Life() {
+		b.noticedLocked(s, notice)
+	}
+}
+
+// noticedLocked takes a notice that this router was given, and has the others told.
+func (b *Balancer) noticedLocked(s *server, notice slipwick.Notice) {
 	if b.noticeLocked(s, notice) && notice.Leaving && len(b.leaving) < maxReads {
 		b.leaving = append(b.leaving, s.hash)
 	}
--- a/balance/notice_test.go
+++ b/balance/notice_test.go
@@ -104,6 +104,23 @@
 	}
 }
 
+// TestWordInOtherAnswersBinds has engines say so as they list their caches, one of a life
+// that is over.
+func TestWordInOtherAnswersBinds(t *testing.T) {
+	b := newTestBalancer(3)
+	first, second := leaseAt(t, b, "p-0").Backend, leaseAt(t, b, "p-1").Backend
+	second.Born = 7
+	b.NoticedBy(&first, leaves)
+	b.NoticedBy(&second, leaves)
+	got := chosen(t, b, 30)
+	if got["p-0"] > 0 || got["p-1"] == 0 {
+		t.Errorf("got requests at %v, want none at p-0 and some at p-1", got)
+	}
+	if told, want := b.Tell().Leaving, 1; len(told) != want {
+		t.Errorf("got %d leaves to tell the others, want %d", len(told), want)
+	}
+}
+
 // TestWordThatComesWhileTheEntryIsAwayBinds has the entry lapse while a request is under way
 // whose answer says that the server leaves.
 func TestWordThatComesWhileTheEntryIsAwayBinds(t *testing.T) {
--- a/engine/client.go
+++ b/engine/client.go
@@ -31,10 +31,7 @@
 	if c.OnNotice == nil {
 		return
 	}
-	c.OnNotice(slipwick.Notice{
-		Leaving: response.Header.Get(LeavingHeader) == "true",
-		Rest:    httpclient.RestAsked(response.StatusCode, response.Header),
-	})
+	c.OnNotice(httpclient.NoticeIn(response.StatusCode, response.Header, LeavingHeader, "true"))
 }
 
 // Stream sends the chat turn once.
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -24,15 +24,15 @@
 	if answer.Status == http.StatusMisdirectedRequest {
 		return slipwick.Notice{}
 	}
-	return slipwick.Notice{
-		Leaving: answer.Header.Get(c.gateway.Headers.Leaving) == "1",
-		Rest:    httpclient.RestAsked(answer.Status, answer.Header),
-	}
+	return httpclient.NoticeIn(answer.Status, answer.Header, c.gateway.Headers.Leaving, "1")
 }
 
 // judgeAnswer tells what an answer means, and passes it on if it is one.
-func (c *call) judgeAnswer(lease *balance.Lease, answer *upstream.Answer) (result, slipwick.Evidence, error) {
+func (c *call) judgeAnswer(
+	lease *balance.Lease, answer *upstream.Answer, notice slipwick.Notice,
+) (result, slipwick.Evidence, error) {
 	names := &c.gateway.Headers
+	c.gateway.Balancer.Noticed(lease, notice)
 	c.gateway.Balancer.Began(lease)
 	if load, ok := parseLoad(answer.Header.Get(names.Load)); ok {
 		c.gateway.Balancer.Reported(lease, load)
@@ -43,7 +43,7 @@
 		return resultNotRun, slipwick.EvidenceLeaving, nil
 	case answer.Header.Get(names.NotRun) != "":
 		_, _, _ = readWhole(answer)
-		return resultNotRun, evidenceOfRefusal(answer), nil
+		return resultNotRun, evidenceOfRefusal(notice), nil
 	}
 	c.runs++
 	succeeded := answer.Status/100 == 2
@@ -63,8 +63,8 @@
 // rest has no room for anybody, and the other routers are to know: each sends there so
 // seldom that all would be refused first. That speaks through the fleet's share of failures,
 // so that one that refuses a single router stays in use for the others.
-func evidenceOfRefusal(answer *upstream.Answer) slipwick.Evidence {
-	if httpclient.RestAsked(answer.Status, answer.Header) > 0 {
+func evidenceOfRefusal(notice slipwick.Notice) slipwick.Evidence {
+	if notice.Rest > 0 {
 		return slipwick.EvidenceShed
 	}
 	return slipwick.EvidenceNone
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -225,8 +225,7 @@
 	} else {
 		attempt.Status = answer.Status
 		attempt.Notice = c.noticeOf(answer)
-		c.gateway.Balancer.Noticed(lease, attempt.Notice)
-		last, evidence, attempt.Err = c.judgeAnswer(lease, answer)
+		last, evidence, attempt.Err = c.judgeAnswer(lease, answer, attempt.Notice)
 		answer.Close()
 	}
 	if last == resultBroken && watch.wasStopped() {
--- a/httpclient/rest.go
+++ b/httpclient/notice.go
@@ -6,16 +6,27 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/slipwick/slipwick"
 )
 
 // mostRest bounds the rest that a backend server may ask for: a mistaken figure leaves it
 // without requests for minutes, not for good. Overload lasts seconds to a few minutes.
 const mostRest = 10 * time.Minute
 
-// RestAsked gives for how long the sender of a refusal wants nothing from this router: the
+// NoticeIn reads what a backend server says of itself in an answer. One that leaves gives
+// the header named leaving the value.
+func NoticeIn(status int, header http.Header, leaving, value string) slipwick.Notice {
+	return slipwick.Notice{
+		Leaving: header.Get(leaving) == value,
+		Rest:    restAsked(status, header),
+	}
+}
+
+// restAsked gives for how long the sender of a refusal wants nothing from this router: the
 // Retry-After of a 503, in seconds, fractions included, or as a date. 0 asks for none. A 429
 // speaks of the caller, not of the server.
-func RestAsked(status int, header http.Header) time.Duration {
+func restAsked(status int, header http.Header) time.Duration {
 	text := strings.TrimSpace(header.Get("Retry-After"))
 	if status != http.StatusServiceUnavailable || text == "" {
 		return 0
--- a/httpclient/rest_test.go
+++ b/httpclient/notice_test.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-func TestRestAsked(t *testing.T) {
+func TestRestOfAnAnswer(t *testing.T) {
 	for _, test := range []struct {
 		status int
 		text   string
@@ -27,8 +27,18 @@
 	} {
 		header := http.Header{}
 		header.Set("Retry-After", test.text)
-		if got := RestAsked(test.status, header); got != test.want {
+		if got := NoticeIn(test.status, header, "Leaving", "1").Rest; got != test.want {
 			t.Errorf("%d with Retry-After %q: got %v, want %v", test.status, test.text, got, test.want)
 		}
 	}
 }
+
+func TestLeaveInAnAnswer(t *testing.T) {
+	for value, want := range map[string]bool{"1": true, "0": false, "true": false, "": false} {
+		header := http.Header{}
+		header.Set("Leaving", value)
+		if got := NoticeIn(http.StatusOK, header, "Leaving", "1").Leaving; got != want {
+			t.Errorf("value %q: got %t, want %t", value, got, want)
+		}
+	}
+}
--- a/service/client.go
+++ b/service/client.go
@@ -34,10 +34,7 @@
 	if c.OnNotice == nil {
 		return
 	}
-	c.OnNotice(slipwick.Notice{
-		Leaving: response.Header.Get("X-Leaving") == "true",
-		Rest:    httpclient.RestAsked(response.StatusCode, response.Header),
-	})
+	c.OnNotice(httpclient.NoticeIn(response.StatusCode, response.Header, "X-Leaving", "true"))
 }
 
 // Call sends the request once. An answer with status 500 or above is an
