Have the soak's servers say that they leave, and ask for rest

Two faults of the soak: a server says in its answers that it leaves before its entry can say so, and one sheds all for a while and asks for rest. Two checks: nothing that callers send later than a second after such an answer reaches it from that gateway, and at most two requests within a rest, half a second aside; both but for what befell the gateway since.

--- a/cmd/slipwickd/soak/backend_test.go
+++ b/cmd/slipwickd/soak/backend_test.go
@@ -31,6 +31,8 @@
 	born int64
 	gone bool
 
+	// words are what this life of it tells the gateways.
+	words atomic.Pointer[words]
 	// failing is how many of 100 requests fail after they ran.
 	failing atomic.Int32
 	// leftAt is when the store took that it leaves, in nanoseconds; 0 before.
@@ -64,6 +66,7 @@
 	server := &http.Server{
 		Handler: b,
 	}
+	b.words.Store(newWords())
 	b.mu.Lock()
 	b.server, b.born = server, time.Now().UnixMilli()
 	b.mu.Unlock()
@@ -97,7 +100,12 @@
 func (b *backend) end() {
 	b.mu.Lock()
 	server, born := b.server, b.born
-	isLate := b.gone || time.Since(time.UnixMilli(born)) < awayTime
+	// One that leaves, or sheds, is not to begin anew meanwhile.
+	words := b.words.Load()
+	words.mu.Lock()
+	isBusy := words.leaves || words.sheds
+	words.mu.Unlock()
+	isLate := isBusy || b.gone || time.Since(time.UnixMilli(born)) < awayTime
 	b.mu.Unlock()
 	if isLate || b.leftAt.Load() != 0 {
 		return
@@ -131,6 +139,14 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	leaves, sheds := b.arrived(b.ledger.find(id))
+	if leaves {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	if sheds {
+		shed(w)
+		return
+	}
 	if rand.IntN(50) == 0 {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/cmd/slipwickd/soak/caller_test.go
+++ b/cmd/slipwickd/soak/caller_test.go
@@ -94,6 +94,9 @@
 	answer, err := io.ReadAll(response.Body)
 	_ = response.Body.Close()
 	c.fleet.ledger.end(s, response.StatusCode, string(answer), err)
+	if response.Header.Get("Server-Leaving") != "" {
+		c.fleet.passedOn(s, response.Header.Get("Response-Stamp"))
+	}
 	if response.StatusCode == http.StatusServiceUnavailable {
 		if response.Header.Get("Retry-After") == "" {
 			c.fleet.ledger.violated("request %s was refused without a time to come back", s.id)
--- a/cmd/slipwickd/soak/fleet_test.go
+++ b/cmd/slipwickd/soak/fleet_test.go
@@ -35,7 +35,9 @@
 	mu       sync.Mutex
 	ready    []*gateway
 	backends []*backend
-	made     int
+	// leavers are those that said in answers that they leave.
+	leavers []*backend
+	made    int
 	// version is the newest configuration, which the store took at took.
 	version int
 	took    time.Time
