--- a/balance/shedding_test.go
+++ b/balance/shedding_test.go
@@ -15,6 +15,8 @@
 type sheddingFleet struct {
 	*testFleet
 	shedding []string
+	// rest is what they ask for; 0 asks for none.
+	rest time.Duration
 	// mostSends is how often a request is sent.
 	mostSends int
 	// requests, refused and unserved count requests, sends that were turned away, and
@@ -45,7 +47,7 @@
 		f.refused++
 		ask.Avoid = append(ask.Avoid, lease.Backend.ID)
 		b.Noticed(lease, slipwick.Notice{
-			Rest: shedRest,
+			Rest: f.rest,
 		})
 		b.Release(lease, evidence)
 	}
@@ -67,12 +69,15 @@
 
 // runShedding has engines shed for a while, and gives the share of sends that were
 // turned away, by requests, and that of requests unserved.
-func runShedding(t *testing.T, routers, engines, shedding, perSecond int, evidence slipwick.Evidence) (refused, unserved float64) {
+func runShedding(
+	t *testing.T, routers, engines, shedding, perSecond int, rest time.Duration, evidence slipwick.Evidence,
+) (refused, unserved float64) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		f := &sheddingFleet{
 			testFleet: newTestFleet(routers, engines, 2),
 			mostSends: 4,
+			rest:      rest,
 		}
 		random := rand.New(rand.NewPCG(1, uint64(routers)))
 		told := time.Now()
@@ -114,11 +119,34 @@
 		{62, 90, 25, 800},
 		{120, 100, 26, 500},
 	} {
-		refused, unserved := runShedding(t, size.routers, size.engines, size.shedding, size.perSecond,
-			slipwick.EvidenceShed)
-		if refused > budget || unserved > unservedMost {
-			t.Errorf("%+v: got %.3f of the requests turned away once more, and %.5f unserved, want at most %v and %v",
-				size, refused, unserved, budget, unservedMost)
+		for _, rest := range []time.Duration{0, shedRest} {
+			refused, unserved := runShedding(t, size.routers, size.engines, size.shedding, size.perSecond,
+				rest, slipwick.EvidenceShed)
+			t.Logf("%+v, rests of %v: %.3f turned away, %.5f unserved", size, rest, refused, unserved)
+			if refused > budget || unserved > unservedMost {
+				t.Errorf("%+v, rests of %v: got %.3f of the requests turned away once more, and %.5f unserved, want at most %v and %v",
+					size, rest, refused, unserved, budget, unservedMost)
+			}
+		}
+	}
+}
+
+// TestFullServersAreNotLeftOutForRefusals has a server refuse with all slots taken, and one
+// with room.
+func TestFullServersAreNotLeftOutForRefusals(t *testing.T) {
+	for _, isFull := range []bool{true, false} {
+		b := newTestBalancer(4)
+		s := b.servers["p-0"]
+		if isFull {
+			s.inFlight = s.EffectiveSlots()
+		}
+		for range 20 {
+			lease := leaseOf(s)
+			s.inFlight++
+			b.Release(lease, slipwick.EvidenceShed)
+		}
+		if got, want := outNow(b) > 0, !isFull; got != want {
+			t.Errorf("full %t: got it left out: %t, want %t", isFull, got, want)
 		}
 	}
 }
--- a/evidence.go
+++ b/evidence.go
@@ -21,8 +21,7 @@
 	EvidenceRefused
 	// EvidenceLeaving is a backend server that says it takes no new work.
 	EvidenceLeaving
-	// EvidenceShed is a refusal that asks for rest: the backend server has no room, for
-	// other routers either.
+	// EvidenceShed is a request turned away for want of room, and not run.
 	EvidenceShed
 )
 
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -43,7 +43,7 @@
 		return resultNotRun, slipwick.EvidenceLeaving, nil
 	case answer.Header.Get(names.NotRun) != "":
 		_, _, _ = readWhole(answer)
-		return resultNotRun, evidenceOfRefusal(notice), nil
+		return resultNotRun, evidenceOfRefusal(answer.Status), nil
 	}
 	c.runs++
 	succeeded := answer.Status/100 == 2
@@ -59,12 +59,10 @@
 	return c.passWhole(answer)
 }
 
-// evidenceOfRefusal tells what a refusal says of the backend server. One that asks for
-// rest has no room for anybody, and the other routers are to know: each sends there so
-// seldom that all would be refused first. That speaks through the fleet's share of failures,
-// so that one that refuses a single router stays in use for the others.
-func evidenceOfRefusal(notice slipwick.Notice) slipwick.Evidence {
-	if notice.Rest > 0 {
+// evidenceOfRefusal tells what a request that the backend server did not run says of it.
+// Only a 503 is about the server; other refusals are about the caller or the request.
+func evidenceOfRefusal(status int) slipwick.Evidence {
+	if status == http.StatusServiceUnavailable {
 		return slipwick.EvidenceShed
 	}
 	return slipwick.EvidenceNone
