--- a/cmd/internal/events/catalogue.go
+++ b/cmd/internal/events/catalogue.go
@@ -182,7 +182,7 @@
 		Number:  409,
 		Name:    "backend-notice",
 		Level:   zerolog.InfoLevel,
-		Meaning: "A backend server said in an answer that it leaves, or for how long (rest_ms) it wants nothing from this router.",
+		Meaning: "A backend server said in an answer, to this router or another, that it leaves; or for how long (rest_ms) it wants nothing from this one.",
 		Remedy:  "None if it was planned; one that often asks for rest has too little room.",
 	}
 	RouterDied = Event{
