--- a/balance/shedding_test.go
+++ b/balance/shedding_test.go
@@ -124,7 +124,7 @@
 				rest, slipwick.EvidenceShed)
 			t.Logf("%+v, rests of %v: %.3f turned away, %.5f unserved", size, rest, refused, unserved)
 			if refused > budget || unserved > unservedMost {
-				t.Errorf("%+v, rests of %v: got %.3f of the requests turned away once more, and %.5f unserved, want at most %v and %v",
+				t.Errorf("%+v, rests of %v: got %.3f of the requests turned away again, %.5f unserved, want at most %v, %v",
 					size, rest, refused, unserved, budget, unservedMost)
 			}
 		}
--- a/cmd/internal/events/catalogue.go
+++ b/cmd/internal/events/catalogue.go
@@ -179,11 +179,12 @@
 		Remedy:  "Find who wrote the object that the field entry names; it is in use again when it is good.",
 	}
 	BackendNotice = Event{
-		Number:  409,
-		Name:    "backend-notice",
-		Level:   zerolog.InfoLevel,
-		Meaning: "A backend server said in an answer, to this router or another, that it leaves; or for how long (rest_ms) it wants nothing from this one.",
-		Remedy:  "None if it was planned; one that often asks for rest has too little room.",
+		Number: 409,
+		Name:   "backend-notice",
+		Level:  zerolog.InfoLevel,
+		Meaning: "A backend server said that it leaves, in an answer to this router or another, " +
+			"or for how long (rest_ms) it wants nothing from this one.",
+		Remedy: "None if it was planned; one that often asks for rest has too little room.",
 	}
 	RouterDied = Event{
 		Number:  501,
--- a/cmd/internal/gatewayd/metrics.go
+++ b/cmd/internal/gatewayd/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -52,7 +53,7 @@
 
 // add adds the figures that are read when asked for.
 func (m *metrics) add(p *Process) {
-	for _, f := range p.figures() {
+	for _, f := range slices.Concat(p.figures(), p.backendFigures()) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: f.name,
 			Help: f.help,
@@ -94,16 +95,6 @@
 			help: "Data centres whose backend servers get nothing new.",
 			read: func() float64 { return float64(len(p.evacuatedNow())) },
 		},
-		{
-			name: "slipwick_leaving_backend_servers",
-			help: "Backend servers that leave, by the list or by what they say in answers.",
-			read: func() float64 { leaving, _ := p.balancer.Notices(); return float64(leaving) },
-		},
-		{
-			name: "slipwick_resting_backend_servers",
-			help: "Backend servers that want nothing from this router for a while.",
-			read: func() float64 { _, resting := p.balancer.Notices(); return float64(resting) },
-		},
 		{
 			name: "slipwick_refused_entries",
 			help: "Objects of the store that can't be read, and are out of use.",
@@ -119,6 +110,22 @@
 			help: "Routers that this router does not count as dead.",
 			read: func() float64 { return float64(len(p.node.Routers())) },
 		},
+	}
+}
+
+// backendFigures are those of backend servers.
+func (p *Process) backendFigures() []figure {
+	return []figure{
+		{
+			name: "slipwick_leaving_backend_servers",
+			help: "Backend servers that leave, by the list or by what they say in answers.",
+			read: func() float64 { leaving, _ := p.balancer.Notices(); return float64(leaving) },
+		},
+		{
+			name: "slipwick_resting_backend_servers",
+			help: "Backend servers that want nothing from this router for a while.",
+			read: func() float64 { _, resting := p.balancer.Notices(); return float64(resting) },
+		},
 		{
 			name: "slipwick_backend_connections_opened",
 			help: "Connections opened to backend servers.",
--- a/cmd/slipwickd/soak/ending_test.go
+++ b/cmd/slipwickd/soak/ending_test.go
@@ -98,5 +98,5 @@
 	if b.leftAt.Load() == 0 && f.isListed(b) {
 		f.store.put("servers", b.id, b.specification("ready"))
 	}
-	f.store.remove("servers", name)
+	f.store.removeServer(name)
 }
--- a/cmd/slipwickd/soak/notices_test.go
+++ b/cmd/slipwickd/soak/notices_test.go
@@ -114,7 +114,7 @@
 	f.store.put("servers", b.id, b.specification("draining"))
 	b.leftAt.Store(time.Now().UnixNano())
 	time.Sleep(leaveBound + time.Second)
-	f.store.remove("servers", b.id)
+	f.store.removeServer(b.id)
 	b.crash()
 }
 
--- a/cmd/slipwickd/soak/soak_test.go
+++ b/cmd/slipwickd/soak/soak_test.go
@@ -223,7 +223,7 @@
 	}
 	b.crash()
 	time.Sleep(length)
-	f.store.remove("servers", b.id)
+	f.store.removeServer(b.id)
 	f.addBackend(b.pool)
 }
 
@@ -237,7 +237,7 @@
 	f.store.put("servers", b.id, b.specification("draining"))
 	b.leftAt.Store(time.Now().UnixNano())
 	time.Sleep(leaveBound + time.Second)
-	f.store.remove("servers", b.id)
+	f.store.removeServer(b.id)
 	b.crash()
 }
 
--- a/cmd/slipwickd/soak/store_test.go
+++ b/cmd/slipwickd/soak/store_test.go
@@ -103,7 +103,7 @@
 	s.write(kind, name, specification, false)
 }
 
-func (s *store) remove(kind, name string) { s.write(kind, name, nil, true) }
+func (s *store) removeServer(name string) { s.write("servers", name, nil, true) }
 
 func (s *store) write(kind, name string, specification any, gone bool) {
 	s.mu.Lock()
--- a/gateway/notice_test.go
+++ b/gateway/notice_test.go
@@ -69,7 +69,8 @@
 		"no figure of rest":    says(refuses, "Retry-After", "soon"),
 		"refusal without rest": refuses,
 		"the caller's limit":   says(answers(http.StatusTooManyRequests, "x"), "Retry-After", "9"),
-		"another one's word":   says(answers(http.StatusMisdirectedRequest, "x"), "Slipwick-Leaving", "1", "Retry-After", "9"),
+		"another one's word": says(answers(http.StatusMisdirectedRequest, "x"),
+			"Slipwick-Leaving", "1", "Retry-After", "9"),
 	} {
 		b := newBackend(t, "a", handle)
 		f := newFixture(t, b)
