Count a 429 as turned away for want of room as well

Ruled out for workspaces' limits: they are the same at all servers, and none fails more than the others.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -60,12 +60,16 @@
 }
 
 // evidenceOfRefusal tells what a request that the backend server did not run says of it.
-// Only a 503 is about the server; other refusals are about the caller or the request.
+// A 503 and a 429 tell of too little room, of which a limit on a workspace is none: that is
+// the same at all servers, and none of them fails more than the others. Other refusals are
+// about the request.
 func evidenceOfRefusal(status int) slipwick.Evidence {
-	if status == http.StatusServiceUnavailable {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 		return slipwick.EvidenceShed
+	default:
+		return slipwick.EvidenceNone
 	}
-	return slipwick.EvidenceNone
 }
 
 // isGenuine tells whether a success is the backend server's own answer to this
--- a/gateway/notice_test.go
+++ b/gateway/notice_test.go
@@ -117,3 +117,26 @@
 		}
 	}
 }
+
+// TestServersThatTurnAllAwayAreLeftOut has one of four servers turn all away with room, by
+// each status that says so, and by one that speaks of the request.
+func TestServersThatTurnAllAwayAreLeftOut(t *testing.T) {
+	for status, want := range map[int]bool{
+		http.StatusServiceUnavailable: true,
+		http.StatusTooManyRequests:    true,
+		http.StatusBadRequest:         false,
+	} {
+		refusing := newBackend(t, "a", says(answers(status, "refused"), "Slipwick-Not-Run", "1"))
+		f := newFixture(t, append([]*backend{refusing}, fleetOf(t, 3, answers(http.StatusOK, "x"))...)...)
+		for range 6 {
+			f.post(t, "/repeatable/x")
+		}
+		out := false
+		for _, state := range f.gateway.Balancer.States() {
+			out = out || state.ID == "a" && state.Out
+		}
+		if out != want {
+			t.Errorf("status %d: got it left out: %t, want %t", status, out, want)
+		}
+	}
+}
