--- a/exchange/leaving_test.go
+++ b/exchange/leaving_test.go
@@ -56,7 +56,7 @@
 
 // TestNewsFitOnePacket has a router tell as much of everything as a datagram takes.
 func TestNewsFitOnePacket(t *testing.T) {
-	const mostBytes, each = 1472, 200
+	const mostBytes, each = 1400, 200
 	var told balance.Told
 	for i := range uint64(each) {
 		told.Reads = append(told.Reads, balance.Read{
