Ask a few routers drawn from all when those that a place names have no current copy

Callers saw requests at a server up to 2.3 s after its entry had gone, 2 s allowed, at up to ten of eleven routers, while one router alone reached the store.

Cause, by a trace of each router's answers: the routers that the place in the fleet names are the same few for all, the watchers and the next ranks. When these are all cut off from the store, they pass their old copies on to each other (14 routers long in the trace), and nobody asks the router that has taken the store's place and is current. Two more that are drawn from all are asked last: each that finds a current copy is found by others in turn, so that the number that know doubles with each round, whoever reaches the store.

Ruled out: turns at the store (the one router took its place in time, 1.1 s after the last confirmation, each time).

--- a/directory/askstore.go
+++ b/directory/askstore.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/fleet"
 )
 
 const (
@@ -26,7 +26,7 @@
 
 // listStore lists from the store, or from another router if the store fails or
 // lets it wait.
-func (s *Shared) listStore(ctx context.Context) (slipwick.FeedBatch, error) {
+func (s *Shared) listStore(ctx context.Context, place *fleet.Place) (slipwick.FeedBatch, error) {
 	within := s.Rhythm.orDefault().List
 	fromStore := make(chan listed, within/askAgain+1)
 	pending := 0
@@ -62,7 +62,7 @@
 		}
 		if !askedOthers {
 			askedOthers = true
-			if found := s.listRouters(ctx, s.someOthers(), otherPatience); found.any {
+			if found := s.listRouters(ctx, s.candidates(place), otherPatience); found.any {
 				return found.batch, nil
 			}
 		}
@@ -72,21 +72,6 @@
 	}
 }
 
-// someOthers gives the routers to ask when the store fails: those that follow it
-// in this router's place first, and a few of all by chance.
-func (s *Shared) someOthers() []string {
-	place := s.Peers.Place()
-	ids := s.candidates(&place)
-	others := s.Peers.Others()
-	for _, i := range rand.Perm(len(others)) {
-		if len(ids) >= othersAsked {
-			break
-		}
-		ids = append(ids, others[i])
-	}
-	return ids
-}
-
 // watchStore waits for changes at the store. One that failed last is asked for a list: it may
 // have come back from a copy, and a watch from a revision that it gave out again would wait
 // for what comes after.
--- a/directory/relayed.go
+++ b/directory/relayed.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/slipwick/slipwick"
@@ -18,8 +20,30 @@
 }
 
 // candidates gives the routers to ask, in order: those that this one follows, by
-// turns, then those in reserve; without those that failed lately, unless all did.
+// turns, then those in reserve, without those that failed lately, unless all did; then
+// some of all by chance. The first ones may all be cut off from the store while others
+// reach it: each router that has found one of these is found by others in turn.
 func (s *Shared) candidates(place *fleet.Place) []string {
+	return s.withSome(s.preferred(place))
+}
+
+// withSome adds routers drawn from all others.
+func (s *Shared) withSome(ids []string) []string {
+	others := slices.Clone(s.Peers.Others())
+	for added := 0; added < drawnAsked && len(others) > 0; {
+		i := rand.IntN(len(others))
+		if !slices.Contains(ids, others[i]) {
+			ids = append(ids, others[i])
+			added++
+		}
+		others[i] = others[len(others)-1]
+		others = others[:len(others)-1]
+	}
+	return ids
+}
+
+// preferred gives the routers that this one's place names.
+func (s *Shared) preferred(place *fleet.Place) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.stays {
--- a/directory/shared.go
+++ b/directory/shared.go
@@ -11,9 +11,11 @@
 )
 
 const (
-	// othersAsked is how many other routers are asked for a list at most, and
+	// othersAsked is how many other routers are asked for a list at most that the
+	// place in the fleet names, drawnAsked how many more that are drawn from all, and
 	// otherPatience how long each may take.
 	othersAsked   = 4
+	drawnAsked    = 2
 	otherPatience = 200 * time.Millisecond
 	// settleTime is how long a router that starts waits until it knows the others:
 	// whom it follows depends on them. It waits for loneTime until it knows any.
@@ -76,7 +78,7 @@
 	s.settle(ctx)
 	place := s.Peers.Place()
 	if s.usesStore(ctx, &place) {
-		batch, err := s.listStore(ctx)
+		batch, err := s.listStore(ctx, &place)
 		s.stopActing(err)
 		return s.noted(batch, err)
 	}
