Ask other routers beside a store that does not answer the one that took its place

Seen in a history of the store's model: one router of ten sent nothing to a live server 14.2 s after the store had it, 13.6 s of which doubts may last.

Cause, by a trace of each router's answers: a router that lists from the store in the place of others waited for a store that had fallen silent until its time was over, 2 s. What a silent store was asked it never answers, though it was back 0.1 s later, and answered others. The router counted its doubts of what a copy had raised from when it heard of the store again, 2.1 s after the return. It asks other routers meanwhile now, as the routers do that should follow the store, after 0.3 s and each 0.5 s; the store is not asked again for it. Both are one function.

Ruled out: doubts that begin at the router's own time (what a fleet tells of the store's steadiness does not say when a silence ended that only some noticed: 5.4 s were told 2 s after it). Tests of the package pass.

--- a/directory/askstore.go
+++ b/directory/askstore.go
@@ -22,11 +22,19 @@
 type listed struct {
 	batch slipwick.FeedBatch
 	err   error
+	// fromStore says that the store gave it, and not another router.
+	fromStore bool
 }
 
-// listStore lists from the store, or from another router if the store fails or
-// lets it wait.
-func (s *Shared) listStore(ctx context.Context, place *fleet.Place) (slipwick.FeedBatch, error) {
+// listStore lists from the store, or from another router if the store fails or lets it
+// wait. A store that had fallen silent never answers what it was asked then: repeats
+// says that it is asked again meanwhile. Whether it answers another router by now is
+// asked in any case, and what suffices tells which copies of others will do.
+func (s *Shared) listStore(
+	ctx context.Context, place *fleet.Place, repeats bool, suffices func(*found) bool,
+) listed {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	within := s.Rhythm.orDefault().List
 	fromStore := make(chan listed, within/askAgain+1)
 	pending := 0
@@ -35,39 +43,54 @@
 		go func() {
 			batch, err := s.Store.List(ctx)
 			fromStore <- listed{
-				batch: batch,
-				err:   err,
+				batch:     batch,
+				err:       err,
+				fromStore: true,
 			}
 		}()
 	}
 	ask()
+	fromOthers := make(chan found, 1)
+	asking := false
+	askOthers := func() {
+		if asking {
+			return
+		}
+		asking = true
+		go func() { fromOthers <- s.listRouters(ctx, s.candidates(place), otherPatience) }()
+	}
 	patience := time.NewTimer(storePatience)
 	defer patience.Stop()
 	again := time.NewTicker(askAgain)
 	defer again.Stop()
-	for askedOthers := false; ; {
-		var failure error
+	var failed listed
+	for {
 		select {
 		case <-again.C:
-			ask()
-			continue
+			if repeats {
+				ask()
+			}
+			askOthers()
 		case <-patience.C:
-		case a := <-fromStore:
-			s.noteStore(a.err)
-			if a.err == nil {
-				return a.batch, nil
+			askOthers()
+		case answer := <-fromStore:
+			s.noteStore(answer.err)
+			if answer.err == nil {
+				return answer
 			}
 			pending--
-			failure = a.err
-		}
-		if !askedOthers {
-			askedOthers = true
-			if found := s.listRouters(ctx, s.candidates(place), otherPatience); found.any {
-				return found.batch, nil
+			failed = answer
+			askOthers()
+		case found := <-fromOthers:
+			asking = false
+			if suffices(&found) {
+				return listed{
+					batch: found.batch,
+				}
+			}
+			if pending == 0 {
+				return failed
 			}
-		}
-		if failure != nil && pending == 0 {
-			return slipwick.FeedBatch{}, failure
 		}
 	}
 }
--- a/directory/shared.go
+++ b/directory/shared.go
@@ -78,16 +78,16 @@
 	s.settle(ctx)
 	place := s.Peers.Place()
 	if s.usesStore(ctx, &place) {
-		batch, err := s.listStore(ctx, &place)
-		s.stopActing(err)
-		return s.noted(batch, err)
+		answer := s.listStore(ctx, &place, true, func(f *found) bool { return f.any })
+		s.stopActing(answer.err)
+		return s.noted(answer.batch, answer.err)
 	}
 	found := s.listRouters(ctx, s.candidates(&place), otherPatience)
 	switch {
 	case s.isOfUse(&found):
 		return s.noted(found.batch, nil)
 	case s.mayTakeOver(&place, found.answered):
-		batch, err := s.takeOver(ctx)
+		batch, err := s.takeOver(ctx, &place)
 		if err == nil || !found.any {
 			return s.noted(batch, err)
 		}
@@ -215,7 +215,7 @@
 		answered = watched.answered || others.answered
 	}
 	if ctx.Err() == nil && s.mayTakeOver(place, answered) {
-		return s.noted(s.takeOver(ctx))
+		return s.noted(s.takeOver(ctx, place))
 	}
 	s.useStoreAgain()
 	return slipwick.FeedBatch{}, notCurrent()
--- a/directory/takeover.go
+++ b/directory/takeover.go
@@ -43,23 +43,23 @@
 	return now.Sub(since) >= first+time.Duration(place.Turn)*step
 }
 
-// takeOver lists from the store in the place of the routers that should.
-func (s *Shared) takeOver(ctx context.Context) (slipwick.FeedBatch, error) {
+// takeOver lists from the store in the place of the routers that should, unless it
+// answers one of these meanwhile.
+func (s *Shared) takeOver(ctx context.Context, place *fleet.Place) (slipwick.FeedBatch, error) {
 	rhythm := s.Rhythm.orDefault()
 	s.mu.Lock()
 	s.triedAt = clock.Now()
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, rhythm.List)
 	defer cancel()
-	batch, err := s.Store.List(ctx)
-	s.noteStore(err)
-	if err != nil {
-		return slipwick.FeedBatch{}, err
+	answer := s.listStore(ctx, place, false, s.isOfUse)
+	if answer.err != nil || !answer.fromStore {
+		return answer.batch, answer.err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.acting, s.checkedAt = true, clock.Now()
-	return batch, nil
+	return answer.batch, nil
 }
 
 // usesStore tells whether this router asks the store itself. One that does in the
