Rank routers for cold servers alone, when a request looks at one

Each router that came or went was ranked for each server, and each new server by each router: the product of both, at every router, at each start.

Only cold servers go by these ranks, in deployments that bound what such get. They are worked out when a request looks at a cold server, and kept until the fleet changes. A server whose ranks were not looked at before waits out the window from the change of the fleet, as any other does; before, one that was just listed did not.

TestFleetThatStarts RanksNoWarmServers counts 1 server ranked at 100, 200 and 400 before 300 routers; the bound on cold servers is that of TestColdEnginesGetNoMoreThanTheyBear, as it was.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -67,11 +67,10 @@
 	empty       bool
 	// evacuated are the data centres whose servers get nothing new.
 	evacuated map[string]bool
-	// coldLimits bound what cold servers get, by pool. routers are the hashes of
-	// those that live, self that of this one, began when it was made.
+	// coldLimits bound what cold servers get, by pool, began is when the balancer was
+	// made.
 	coldLimits map[string]ColdLimit
-	routers    map[uint64]bool
-	self       uint64
+	ranking    routerRanking
 	began      time.Time
 	// sendsFrom is the moment that the servers' sends are counted for.
 	sendsFrom time.Time
@@ -126,7 +125,6 @@
 			s = newServer(listed, began)
 			s.covered = s.covered || b.empty
 			s.said = b.noticesOfLocked(s.hash)
-			b.rankNewLocked(s)
 			if !began.IsZero() {
 				s.coldUntil = began.Add(b.coldLimits[listed.Pool].New)
 			}
--- a/balance/cold.go
+++ b/balance/cold.go
@@ -1,11 +1,6 @@
 package balance
 
-import (
-	"time"
-
-	"github.com/slipwick/slipwick/clock"
-	"github.com/slipwick/slipwick/placement"
-)
+import "time"
 
 // ColdLimit bounds what a pool's backend servers get while they are cold.
 type ColdLimit struct {
@@ -48,51 +43,6 @@
 	b.coldLimits = limits
 }
 
-// SetRouters takes the IDs of the routers that live, this one among them or not.
-func (b *Balancer) SetRouters(self string, ids []string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := clock.Now()
-	b.self = placement.IDHash(self)
-	live := make(map[uint64]bool, len(ids)+1)
-	live[b.self] = true
-	for _, id := range ids {
-		hash := placement.IDHash(id)
-		live[hash] = true
-		if !b.routers[hash] && hash != b.self {
-			b.rankLocked(hash, 1, now)
-		}
-	}
-	for hash := range b.routers {
-		if !live[hash] && hash != b.self {
-			b.rankLocked(hash, -1, now)
-		}
-	}
-	b.routers = live
-}
-
-// rankLocked counts a router that came, or went, among those before this one for
-// each server. It is done for one router at a time, so that a change costs as much
-// as there are servers.
-func (b *Balancer) rankLocked(router uint64, change int, now time.Time) {
-	for _, s := range b.servers {
-		if placement.Score(s.hash, router) > placement.Score(s.hash, b.self) {
-			s.routersBefore += change
-			s.rankedAt = now
-		}
-	}
-}
-
-// rankNewLocked ranks this router for a server that was just listed.
-func (b *Balancer) rankNewLocked(s *server) {
-	own := placement.Score(s.hash, b.self)
-	for router := range b.routers {
-		if router != b.self && placement.Score(s.hash, router) > own {
-			s.routersBefore++
-		}
-	}
-}
-
 // isColdLocked tells whether a server is cold, and its pool has a limit for such.
 func (b *Balancer) isColdLocked(s *server, now time.Time) bool {
 	return now.Before(s.coldUntil) && b.coldLimits[s.Pool].Most > 0
@@ -103,12 +53,13 @@
 // used its part within it.
 func (b *Balancer) mayGetColdLocked(s *server, now time.Time) bool {
 	limit := b.coldLimits[s.Pool]
-	sharers, part := limit.coldShares(len(b.routers))
-	ranked := s.rankedAt
+	sharers, part := limit.coldShares(len(b.ranking.live))
+	rank := b.rankLocked(s)
+	ranked := rank.changedAt
 	if b.began.After(ranked) {
 		ranked = b.began
 	}
-	if b.routers == nil || s.routersBefore >= sharers || now.Sub(ranked) < coldWindow {
+	if b.ranking.live == nil || rank.before >= sharers || now.Sub(ranked) < coldWindow {
 		return false
 	}
 	for len(s.coldSends) > 0 && now.Sub(s.coldSends[0]) >= coldWindow {
--- /dev/null
+++ b/balance/ranking_test.go
@@ -0,0 +1,73 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// TestFleetThatStartsRanksNoWarmServers has a router learn of a fleet one by one, as it does
+// when all routers start at once: nothing is worked out for servers that are not cold, however
+// many there are.
+func TestFleetThatStartsRanksNoWarmServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, servers := range []int{100, 200, 400} {
+			b := New("d")
+			b.SetColdLimits(map[string]ColdLimit{
+				"p": testLimit,
+			})
+			list := placedPool(servers, "d", "e")
+			list[0].ColdUntil = time.Now().Add(time.Hour)
+			b.SetBackends(list)
+			var names []string
+			for i := range 300 {
+				names = append(names, fmt.Sprint("r", i))
+				b.SetRouters("r0", names)
+			}
+			acquire(t, b, prompt(1))
+			ranked := 0
+			for _, s := range b.servers {
+				if s.rank.version > 0 {
+					ranked++
+				}
+			}
+			if ranked != 1 {
+				t.Errorf("%d servers: got %d ranked, want the cold one alone", servers, ranked)
+			}
+		}
+	})
+}
+
+// TestRankIsThatOfAllRouters compares the rank for a cold server with a count of the routers
+// that score higher, as routers come and go.
+func TestRankIsThatOfAllRouters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New("d")
+		b.SetBackends(placedPool(1, "d"))
+		s := b.pools["p"][0]
+		var names []string
+		for i := range 40 {
+			names = append(names, fmt.Sprint("r", i))
+		}
+		known := names[:10]
+		for _, live := range [][]string{known, names, names[5:], names[:1], names} {
+			time.Sleep(2 * coldWindow)
+			before := b.rankLocked(s).before
+			b.SetRouters("r0", live)
+			rank := b.rankLocked(s)
+			want := 0
+			for router := range b.ranking.live {
+				if b.ranking.live[router] && router != b.ranking.self && scoresHigher(s, router, b.ranking.self) {
+					want++
+				}
+			}
+			if rank.before != want {
+				t.Errorf("%d routers: got rank %d, want %d", len(live), rank.before, want)
+			}
+			if changed := rank.changedAt.Equal(time.Now()); before != want && !changed {
+				t.Errorf("%d routers: got a rank that changed %v ago, want now", len(live), time.Since(rank.changedAt))
+			}
+		}
+	})
+}
--- a/balance/server.go
+++ b/balance/server.go
@@ -62,12 +62,10 @@
 	// evacuated says that its data centre is.
 	evacuated bool
 	// coldUntil is until when it counts as cold. coldSends are when this router sent
-	// to it lately while it was, the earliest first, routersBefore how many routers
-	// rank before this one for it, rankedAt when that changed last.
-	coldUntil     time.Time
-	coldSends     []time.Time
-	routersBefore int
-	rankedAt      time.Time
+	// to it lately while it was, the earliest first, rank how this router ranks for it.
+	coldUntil time.Time
+	coldSends []time.Time
+	rank      routerRank
 
 	// said is what this life of it said of itself.
 	said *notices
