Take changes of the list of backend servers by their size, and not by the list's

Backends publishes what differs, and the balancer changes these servers alone: pools by a server's place in them, what others told for lives that are new, what servers said for lives that went and had said anything, connections by a look-up. What is remembered of departures is swept once a second in place of at each.

TestChangeCostsByItsSize counts the same allocations at 1,000, 2,000, 4,000 servers; TestChangesAmountToTheList compares with whole lists over drawn changes of entries, lives, pools and tellings. The log line of a change (405) counts the changed entries that leave or are cold, in place of all.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -49,6 +49,8 @@
 	hashes map[uint64]*server
 	// notices are what backend servers said of themselves, by the hash of their life.
 	notices map[uint64]*notices
+	// orphans are the lives among these that are no longer listed.
+	orphans map[uint64]bool
 	// peers are those that tell this router, others counts the routers that they
 	// speak for, heard is what they told last, reads and leaving what is to be told
 	// them.
@@ -88,64 +90,18 @@
 		OnNotice:   func(slipwick.Backend, slipwick.Notice) {},
 		Draw:       rand.Float64,
 		servers:    make(map[string]*server),
+		hashes:     make(map[uint64]*server),
 		pools:      make(map[string][]*server),
 		homes:      newHomes(),
 		heard:      make(map[string]heard),
 		readings:   make(readings),
 		notices:    make(map[uint64]*notices),
+		orphans:    make(map[uint64]bool),
 		paces:      make(map[string]*poolPace),
 		began:      clock.Now(),
 	}
 }
 
-// SetBackends takes the whole list of backend servers.
-func (b *Balancer) SetBackends(list []Listed) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	since := clock.Now()
-	if b.firstListed.IsZero() {
-		b.firstListed = since
-	}
-	if since.Sub(b.firstListed) < LateListing {
-		// They were there before this router.
-		since = time.Time{}
-	}
-	servers := make(map[string]*server, len(list))
-	pools := make(map[string][]*server)
-	hashes := make(map[uint64]*server, len(list))
-	for _, listed := range list {
-		s := b.servers[listed.ID]
-		isBack := s != nil && !s.isLifeOf(&listed)
-		if s == nil || isBack {
-			began := since
-			if isBack {
-				// It began after this router did, and so keeps nothing yet.
-				began = clock.Now()
-			}
-			s = newServer(listed, began)
-			s.covered = s.covered || b.empty
-			s.said = b.noticesOfLocked(s.hash)
-			if !began.IsZero() {
-				s.coldUntil = began.Add(b.coldLimits[listed.Pool].New)
-			}
-		}
-		if listed.Born == 0 {
-			listed.Born = s.Born
-		}
-		s.Listed = listed
-		s.evacuated = b.evacuated[s.DataCentre]
-		if listed.ColdUntil.After(s.coldUntil) {
-			s.coldUntil = listed.ColdUntil
-		}
-		servers[listed.ID] = s
-		hashes[s.hash] = s
-		pools[listed.Pool] = append(pools[listed.Pool], s)
-	}
-	b.servers, b.pools, b.hashes = servers, pools, hashes
-	b.forgetNoticesLocked()
-	b.sumToldLocked()
-}
-
 // Acquire chooses a backend server and counts the request there. The error is
 // an *slipwick.Error with OutcomeNotRun.
 func (b *Balancer) Acquire(ask *Ask) (*Lease, error) {
--- /dev/null
+++ b/balance/listing_test.go
@@ -0,0 +1,97 @@
+package balance
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestChangeCostsByItsSize replaces one server after the other, as a release does, in pools of
+// several sizes: what a change allocates does not grow with the pool.
+func TestChangeCostsByItsSize(t *testing.T) {
+	var costs []float64
+	for _, servers := range []int{1000, 2000, 4000} {
+		b := newTestBalancer(servers)
+		next := 0
+		costs = append(costs, testing.AllocsPerRun(100, func() {
+			listed := listed(1)[0]
+			listed.ID = fmt.Sprint("new-", next)
+			b.ChangeBackends(&Changes{
+				Listed: []Listed{listed},
+				Gone:   []string{fmt.Sprint("p-", next)},
+			})
+			next++
+		}))
+		if got := b.Listed(); got != servers {
+			t.Errorf("got %d servers, want %d", got, servers)
+		}
+	}
+	if slices.Max(costs) > slices.Min(costs)+1 {
+		t.Errorf("got %v allocations for a change at 1000, 2000 and 4000 servers, want the same", costs)
+	}
+}
+
+// TestChangesAmountToTheList plays changes of entries, lives and pools beside what other
+// routers tell, and compares with a balancer that takes each list whole.
+func TestChangesAmountToTheList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		byChanges, whole := New("d"), New("d")
+		for _, b := range []*Balancer{byChanges, whole} {
+			b.SetPeers([]string{"peer"}, 1)
+		}
+		state := make(map[string]Listed)
+		for round := range uint64(rapid.IntRange(1, 20).Draw(t, "rounds")) {
+			changes := Changes{}
+			for _, i := range rapid.SliceOfNDistinct(rapid.IntRange(0, 9), 0, 4, rapid.ID[int]).Draw(t, "entries") {
+				entry := listed(10)[i]
+				if _, ok := state[entry.ID]; ok && rapid.Bool().Draw(t, "gone") {
+					changes.Gone = append(changes.Gone, entry.ID)
+					delete(state, entry.ID)
+					continue
+				}
+				entry.Born = rapid.Int64Range(1, 3).Draw(t, "born")
+				entry.Pool = rapid.SampledFrom([]string{"p", "q"}).Draw(t, "pool")
+				entry.Leaving = rapid.Bool().Draw(t, "leaving")
+				state[entry.ID] = entry
+				changes.Listed = append(changes.Listed, entry)
+			}
+			byChanges.ChangeBackends(&changes)
+			whole.SetBackends(slices.Collect(maps.Values(state)))
+			if rapid.Bool().Draw(t, "told") {
+				told := toldOf(byChanges, int(round))
+				byChanges.Hear("peer", round+1, told)
+				whole.Hear("peer", round+1, told)
+			}
+			if got, want := summary(byChanges), summary(whole); !slices.Equal(got, want) {
+				t.Fatalf("got %v, want %v", got, want)
+			}
+		}
+	})
+}
+
+// toldOf counts some requests at each listed server.
+func toldOf(b *Balancer, round int) []InFlight {
+	var told []InFlight
+	for hash := range b.hashes {
+		told = append(told, InFlight{
+			Server: hash,
+			Count:  int(hash%5) + round,
+		})
+	}
+	return told
+}
+
+// summary tells what a balancer knows of its pools.
+func summary(b *Balancer) []string {
+	var lines []string
+	for name, pool := range b.pools {
+		for i, s := range pool {
+			lines = append(lines, fmt.Sprint(name, s.Life(), s.Leaving, s.told, s.place == i, b.hashes[s.hash] == s))
+		}
+	}
+	slices.Sort(lines)
+	return append(lines, fmt.Sprint(len(b.servers), len(b.hashes)))
+}
--- a/balance/notice.go
+++ b/balance/notice.go
@@ -59,12 +59,27 @@
 	return n
 }
 
+// orphanLocked notes that a life is no longer listed. What it never said is forgotten.
+func (b *Balancer) orphanLocked(life uint64) {
+	if n := b.notices[life]; n == nil || n.leavingAt.IsZero() && n.restUntil.IsZero() {
+		delete(b.notices, life)
+		return
+	}
+	b.orphans[life] = true
+}
+
 // forgetNoticesLocked drops those of lives that are no longer listed, after a while.
 func (b *Balancer) forgetNoticesLocked() {
 	now := clock.Now()
-	for life, n := range b.notices {
-		if b.hashes[life] == nil && !n.isResting(now) && now.Sub(n.leavingAt) > noticesKept {
+	for life := range b.orphans {
+		n := b.notices[life]
+		if b.hashes[life] != nil || n == nil {
+			delete(b.orphans, life)
+			continue
+		}
+		if !n.isResting(now) && now.Sub(n.leavingAt) > noticesKept {
 			delete(b.notices, life)
+			delete(b.orphans, life)
 		}
 	}
 }
@@ -125,6 +140,9 @@
 	if until := now.Add(notice.Rest); notice.Rest > 0 && until.After(said.restUntil) {
 		said.restUntil = until
 	}
+	if b.hashes[s.hash] == nil {
+		b.orphans[s.hash] = true
+	}
 	if isNews {
 		b.OnNotice(s.Backend, notice)
 	}
--- a/balance/server.go
+++ b/balance/server.go
@@ -23,6 +23,8 @@
 // server is one backend server as the balancer knows it.
 type server struct {
 	Listed
+	// place is its index in its pool; -1 in none.
+	place int
 	// hash names this life of it: what routers know and tell of a server belongs to
 	// one, so that nothing of an earlier life is believed of a later one, nor changes
 	// it when it comes late. It ranks by it as well: ranked by its ID alone, one that
@@ -82,6 +84,7 @@
 	return &server{
 		Listed: listed,
 		hash:   placement.IDHash(listed.Life()),
+		place:  -1,
 		since:  since,
 		said:   &notices{},
 		// One that comes after the router's start has nothing cached yet.
--- a/cmd/internal/events/catalogue.go
+++ b/cmd/internal/events/catalogue.go
@@ -155,7 +155,7 @@
 		Number:  405,
 		Name:    "backends-changed",
 		Level:   zerolog.InfoLevel,
-		Meaning: "The list of backend servers changed; leaving ones get nothing new.",
+		Meaning: "The list of backend servers changed; leaving ones get nothing new. `leaving` and `cold` count those among the changed entries.",
 		Remedy:  "None if it was planned.",
 	}
 	BackendEjected = Event{
--- a/cmd/internal/gatewayd/follow.go
+++ b/cmd/internal/gatewayd/follow.go
@@ -129,22 +129,22 @@
 	d.lost = time.Time{}
 }
 
-func (p *Process) onBackends(list []balance.Listed) {
-	p.balancer.SetBackends(list)
-	known := make(map[string]bool, len(list))
+// onBackends takes changes of the list. Connections to servers that are gone are closed;
+// those that go on are not looked at.
+func (p *Process) onBackends(changes *balance.Changes) {
+	p.balancer.ChangeBackends(changes)
 	leaving, cold, now := 0, 0, clock.Now()
-	for i := range list {
-		known[list[i].Life()] = true
-		if list[i].Leaving {
+	for i := range changes.Listed {
+		if changes.Listed[i].Leaving {
 			leaving++
 		}
-		if list[i].ColdUntil.After(now) {
+		if changes.Listed[i].ColdUntil.After(now) {
 			cold++
 		}
 	}
-	events.BackendsChanged.On(&p.Log).Int("listed", len(list)).Int("leaving", leaving).
-		Int("cold", cold).Send()
-	p.client.Retain(func(life string) bool { return known[life] })
+	events.BackendsChanged.On(&p.Log).Int("listed", p.balancer.Listed()).Int("changed", len(changes.Listed)).
+		Int("leaving", leaving).Int("cold", cold).Int("gone", len(changes.Gone)).Send()
+	p.client.Retain(p.balancer.IsListed)
 	p.listed.Store(true)
 }
 
--- a/directory/backends.go
+++ b/directory/backends.go
@@ -1,7 +1,9 @@
 package directory
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,8 +29,9 @@
 // Backends keeps the list of backend servers. Set the exported fields before
 // the first call.
 type Backends struct {
-	// OnChange takes each new list, one call at a time.
-	OnChange func([]balance.Listed)
+	// OnChange takes the changes of the list, one call at a time; none if an answer
+	// brought none.
+	OnChange func(*balance.Changes)
 	// Heartbeat is how often servers renew their entries, Leave the time after
 	// which one that leaves or is gone gets nothing new; 0 stands for the
 	// defaults.
@@ -37,6 +40,8 @@
 	mu      sync.Mutex
 	entries map[string]balance.Listed
 	lapsed  map[string]balance.Listed
+	// ids are the backend servers that are published, by the name of their entry.
+	ids map[string]string
 	// answered is when the latest answer came, confirmed when the store was in its state.
 	answered, confirmed time.Time
 	// failed says that the latest call did, away that the store gave no answer for some time.
@@ -52,11 +57,12 @@
 }
 
 // NewBackends makes an empty list.
-func NewBackends(onChange func([]balance.Listed)) *Backends {
+func NewBackends(onChange func(*balance.Changes)) *Backends {
 	return &Backends{
 		OnChange: onChange,
 		entries:  make(map[string]balance.Listed),
 		lapsed:   make(map[string]balance.Listed),
+		ids:      make(map[string]string),
 
 		departures: newDepartures(),
 	}
@@ -91,8 +97,9 @@
 		return
 	}
 	if len(b.departures.doubted) > 0 {
+		doubted := slices.Collect(maps.Keys(b.departures.doubted))
 		clear(b.departures.doubted)
-		b.publishLocked()
+		b.publishLocked(doubted)
 	}
 }
 
@@ -173,8 +180,9 @@
 	if len(b.lapsed) == 0 {
 		return
 	}
+	lapsed := slices.Collect(maps.Keys(b.lapsed))
 	clear(b.lapsed)
-	b.publishLocked()
+	b.publishLocked(lapsed)
 }
 
 // Change takes changes.
@@ -183,7 +191,9 @@
 	defer b.mu.Unlock()
 	isFirst := b.fellBack
 	b.fellBack = false
+	names := make([]string, 0, len(changes))
 	for _, c := range changes {
+		names = append(names, c.Name)
 		listed, known := b.entries[c.Name]
 		switch {
 		case c.Invalid:
@@ -204,7 +214,7 @@
 			}
 		}
 	}
-	b.publishLocked()
+	b.publishLocked(names)
 }
 
 // judgeLocked doubts an entry of the first list since the store's return, if its server
@@ -229,14 +239,25 @@
 	}
 }
 
-func (b *Backends) publishLocked() {
-	list := make([]balance.Listed, 0, len(b.entries)+len(b.lapsed))
-	for name, listed := range b.entries {
-		listed.Leaving = listed.Leaving || b.departures.doubted[name]
-		list = append(list, listed)
-	}
-	for _, listed := range b.lapsed {
-		list = append(list, listed)
+// publishLocked tells of the entries with the names: what is published of each goes by its
+// entry alone.
+func (b *Backends) publishLocked(names []string) {
+	changes := balance.Changes{}
+	for _, name := range names {
+		listed, ok := b.entries[name]
+		if ok {
+			listed.Leaving = listed.Leaving || b.departures.doubted[name]
+		} else {
+			listed, ok = b.lapsed[name]
+		}
+		if id := b.ids[name]; id != "" && (!ok || id != listed.ID) {
+			changes.Gone = append(changes.Gone, id)
+			delete(b.ids, name)
+		}
+		if ok {
+			changes.Listed = append(changes.Listed, listed)
+			b.ids[name] = listed.ID
+		}
 	}
-	b.OnChange(list)
+	b.OnChange(&changes)
 }
--- a/directory/departures.go
+++ b/directory/departures.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"maps"
 	"time"
 
 	"github.com/slipwick/slipwick/balance"
@@ -11,6 +12,9 @@
 	// departedKept is for how long it is remembered that a server left: longer than the
 	// copies are old that a store comes back from.
 	departedKept = time.Minute
+	// sweepPause lies between two looks for what need not be remembered any more: when
+	// many servers go at once, each would go through all of them.
+	sweepPause = time.Second
 	// lapseBeats heartbeats after its return a store has dropped what nobody renews, and
 	// routers know it: three of them, three more if it was interrupted just before, and
 	// the time of an interruption too short to be noticed.
@@ -22,7 +26,8 @@
 // they leave, or until it drops what nobody renews. Such an entry is doubted: its server gets
 // nothing new until it has outlived that.
 type departures struct {
-	left map[string]departure
+	left    map[string]departure
+	sweptAt time.Time
 	// doubted has the names of entries.
 	doubted map[string]bool
 }
@@ -44,10 +49,9 @@
 // note remembers that a life left.
 func (d *departures) note(listed *balance.Listed) {
 	now := clock.Now()
-	for life, departed := range d.left {
-		if now.Sub(departed.at) > departedKept {
-			delete(d.left, life)
-		}
+	if now.Sub(d.sweptAt) > sweepPause {
+		d.sweptAt = now
+		maps.DeleteFunc(d.left, func(_ string, departed departure) bool { return now.Sub(departed.at) > departedKept })
 	}
 	d.left[listed.Life()] = departure{
 		at:   now,
