Tell others of servers in use alone, and keep hubs and places until the fleet changes

What grew: five times a second each router ranked all routers of its fleet as hubs, with maps and sorts, listed and sorted them, looked at all servers for what there is to tell, and summed anew what others told at each. With ten servers a router that is nearly all of what a router at rest does, and it grows with the fleet on a router that serves one request a second.

The balancer keeps which servers are in use; sums are kept by differences, and made anew when those that tell change. Hubs, groups, the list of routers and a router's place in the tree are worked out when the fleet changes. Servers whose error rate is below the least bound are not compared with their pool at each answer.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -47,6 +47,9 @@
 	homes   *homes
 	// hashes finds backend servers by the hash of their ID.
 	hashes map[uint64]*server
+	// inUse are the servers that there may be something to tell of: of a large pool a
+	// router uses few at a time.
+	inUse map[*server]bool
 	// notices are what backend servers said of themselves, by the hash of their life.
 	notices map[uint64]*notices
 	// orphans are the lives among these that are no longer listed.
@@ -91,6 +94,7 @@
 		Draw:       rand.Float64,
 		servers:    make(map[string]*server),
 		hashes:     make(map[uint64]*server),
+		inUse:      make(map[*server]bool),
 		pools:      make(map[string][]*server),
 		homes:      newHomes(),
 		heard:      make(map[string]heard),
@@ -132,6 +136,7 @@
 		lease.server.waitingSince = now
 	}
 	lease.server.inFlight++
+	b.inUse[lease.server] = true
 	lease.server.noteSend(decay)
 	lease.server.reading += lease.reading
 	if lease.hasPrompt && lease.reading >= b.paceLocked(ask.Pool).reading.Tokens(longReadTime) {
--- a/balance/errors.go
+++ b/balance/errors.go
@@ -73,6 +73,12 @@
 	return good, failed
 }
 
+// noteOutcomeLocked takes how a request of this router ended, to be told.
+func (b *Balancer) noteOutcomeLocked(s *server, failed bool) {
+	s.errors.note(failed)
+	b.inUse[s] = true
+}
+
 // observeLocked takes what one request of this router showed.
 func (b *Balancer) observeLocked(s *server, evidence slipwick.Evidence, now time.Time) {
 	switch evidence {
@@ -84,19 +90,19 @@
 	case slipwick.EvidenceRefused:
 		// Other routers are told: each sends there so seldom that all would find
 		// out for themselves. Of a way that is cut, routers tell nothing.
-		s.errors.note(true)
+		b.noteOutcomeLocked(s, true)
 		if s.leaveOut(now, shortOuting) {
 			b.OnOut(s.Backend, s.outUntil.Sub(now))
 		}
 	case slipwick.EvidenceShed:
 		s.heardAt = now
 		if s.said.isResting(now) || b.hasRoomLocked(s, now) {
-			s.errors.note(true)
+			b.noteOutcomeLocked(s, true)
 			b.judgeLocked(s, now)
 		}
 	case slipwick.EvidenceGood, slipwick.EvidenceError:
 		s.heardAt = now
-		s.errors.note(evidence == slipwick.EvidenceError)
+		b.noteOutcomeLocked(s, evidence == slipwick.EvidenceError)
 		b.judgeLocked(s, now)
 	}
 }
@@ -114,7 +120,8 @@
 	if s.errors.rate < soundRate {
 		s.outings = 0
 	}
-	if s.errors.rate <= b.errorBoundLocked(s) || b.tooManyOutLocked(s, now) {
+	// The bound by the others' rates is errorLimit at least, and costs a look at each.
+	if s.errors.rate <= errorLimit || s.errors.rate <= b.errorBoundLocked(s) || b.tooManyOutLocked(s, now) {
 		return
 	}
 	if s.leaveOut(now, errorOuting) {
@@ -161,7 +168,7 @@
 func (b *Balancer) Overdue(lease *Lease) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	lease.server.errors.note(true)
+	b.noteOutcomeLocked(lease.server, true)
 	b.judgeLocked(lease.server, clock.Now())
 }
 
--- a/balance/listing_test.go
+++ b/balance/listing_test.go
@@ -68,6 +68,11 @@
 			if got, want := summary(byChanges), summary(whole); !slices.Equal(got, want) {
 				t.Fatalf("got %v, want %v", got, want)
 			}
+			for _, in := range byChanges.heard["peer"].inFlight {
+				if s := byChanges.hashes[in.Server]; s != nil && s.told != in.Count {
+					t.Fatalf("%s: got %d told, want %d", s.ID, s.told, in.Count)
+				}
+			}
 		}
 	})
 }
--- a/balance/told.go
+++ b/balance/told.go
@@ -62,7 +62,12 @@
 		Leaving: b.leaving,
 	}
 	b.reads, b.leaving = nil, nil
-	for _, s := range b.servers {
+	for s := range b.inUse {
+		if b.hashes[s.hash] != s {
+			// It is no longer listed.
+			delete(b.inUse, s)
+			continue
+		}
 		if good, failed := s.errors.untold(); failed > 0 {
 			told.Outcomes = append(told.Outcomes, Outcomes{
 				Server: s.hash,
@@ -76,6 +81,8 @@
 				Count:   s.inFlight,
 				Reading: max(s.reading, 0),
 			})
+		} else {
+			delete(b.inUse, s)
 		}
 	}
 	return told
@@ -179,7 +186,11 @@
 func (b *Balancer) SetPeers(ids []string, others int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.peers, b.others = ids, others
+	b.others = others
+	if slices.Equal(b.peers, ids) {
+		return
+	}
+	b.peers = ids
 	live := make(map[string]heard, len(ids))
 	for _, id := range ids {
 		if h, ok := b.heard[id]; ok {
--- /dev/null
+++ b/balance/told_test.go
@@ -0,0 +1,93 @@
+package balance
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/slipwick/slipwick"
+)
+
+// TestTellingCostsByWhatIsInUse tells of a few requests before pools of several sizes: five
+// times a second each router looks at what it uses, and not at the whole pool.
+func TestTellingCostsByWhatIsInUse(t *testing.T) {
+	for _, servers := range []int{1000, 2000, 4000} {
+		b := newTestBalancer(servers)
+		first, second := acquire(t, b, prompt(1)), acquire(t, b, prompt(2))
+		if got := len(b.Tell().InFlight); got != 2 {
+			t.Errorf("%d servers: got %d told, want 2", servers, got)
+		}
+		b.Release(first, slipwick.EvidenceGood)
+		b.Release(second, slipwick.EvidenceGood)
+		if got := len(b.inUse); got != 2 {
+			t.Errorf("%d servers: got %d to look at, want 2", servers, got)
+		}
+		b.Tell()
+		if got := len(b.inUse); got != 0 {
+			t.Errorf("%d servers: got %d to look at when nothing runs, want none", servers, got)
+		}
+	}
+}
+
+// TestTellsAllThatIsInUse compares what is told with a walk over all servers, while requests
+// come and end, and servers leave the list and come back.
+func TestTellsAllThatIsInUse(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newTestBalancer(8)
+		var leases []*Lease
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			switch rapid.SampledFrom([]string{"ask", "ask", "good", "error", "list", "tell"}).Draw(t, "step") {
+			case "ask":
+				if lease, err := b.Acquire(prompt(rapid.Uint64Range(0, 9).Draw(t, "prompt"))); err == nil {
+					leases = append(leases, lease)
+				}
+			case "good", "error":
+				if len(leases) > 0 {
+					evidence := rapid.SampledFrom([]slipwick.Evidence{
+						slipwick.EvidenceGood, slipwick.EvidenceError, slipwick.EvidenceRefused,
+					}).Draw(t, "evidence")
+					b.Release(leases[0], evidence)
+					leases = leases[1:]
+				}
+			case "list":
+				b.SetBackends(listed(rapid.IntRange(4, 8).Draw(t, "listed")))
+			case "tell":
+				want := tellOfAll(b)
+				if got := summaryOf(b.Tell()); !slices.Equal(got, want) {
+					t.Fatalf("got %v, want %v", got, want)
+				}
+			}
+		}
+	})
+}
+
+// tellOfAll is what there is to tell, by a look at each listed server.
+func tellOfAll(b *Balancer) []string {
+	told := Told{}
+	for _, s := range b.servers {
+		if s.errors.failed > 0 {
+			told.Outcomes = append(told.Outcomes, Outcomes{
+				Server: s.hash,
+				Good:   s.errors.good,
+				Failed: s.errors.failed,
+			})
+		}
+		if s.inFlight > 0 {
+			told.InFlight = append(told.InFlight, InFlight{
+				Server:  s.hash,
+				Count:   s.inFlight,
+				Reading: max(s.reading, 0),
+			})
+		}
+	}
+	return summaryOf(told)
+}
+
+func summaryOf(told Told) []string {
+	slices.SortFunc(told.InFlight, func(x, y InFlight) int { return cmp.Compare(x.Server, y.Server) })
+	slices.SortFunc(told.Outcomes, func(x, y Outcomes) int { return cmp.Compare(x.Server, y.Server) })
+	return []string{fmt.Sprint(told.InFlight), fmt.Sprint(told.Outcomes)}
+}
--- a/cmd/internal/gatewayd/peers.go
+++ b/cmd/internal/gatewayd/peers.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"slices"
+	"sync"
 
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/directory"
@@ -14,6 +16,11 @@
 	self slipwick.Router
 	node *membership.Node
 	http *http.Client
+
+	mu sync.Mutex
+	// place is that among the routers of members, nil before the first.
+	place   fleet.Place
+	members []slipwick.Router
 }
 
 var _ directory.Peers = (*peers)(nil)
@@ -23,9 +30,16 @@
 	return p.node.Settled()
 }
 
-// Place gives whom this router follows.
+// Place gives whom this router follows. It is worked out anew when the fleet has changed,
+// not at each of its followers' calls.
 func (p *peers) Place() fleet.Place {
-	return fleet.PlaceOf(p.self, p.node.Routers())
+	routers := p.node.Routers()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.members == nil || !slices.Equal(routers, p.members) {
+		p.place, p.members = fleet.PlaceOf(p.self, routers), routers
+	}
+	return p.place
 }
 
 // Others gives all other routers that live.
--- a/exchange/hubs.go
+++ b/exchange/hubs.go
@@ -23,6 +23,8 @@
 	// near are the hubs by data centre.
 	near map[string][]slipwick.Router
 	ids  map[string]bool
+	// groups are the routers that tell a hub, as far as they were asked for.
+	groups map[string][]slipwick.Router
 }
 
 func chooseHubs(routers []slipwick.Router) *hubs {
@@ -30,6 +32,7 @@
 		routers: routers,
 		near:    make(map[string][]slipwick.Router),
 		ids:     make(map[string]bool),
+		groups:  make(map[string][]slipwick.Router),
 	}
 	if len(routers) <= meshSize {
 		return h
@@ -80,7 +83,10 @@
 
 // group gives the routers that tell a hub.
 func (h *hubs) group(id string) []slipwick.Router {
-	var group []slipwick.Router
+	group, isKnown := h.groups[id]
+	if isKnown {
+		return group
+	}
 	for _, r := range h.routers {
 		if h.has(r.ID) {
 			continue
@@ -90,6 +96,7 @@
 			group = append(group, r)
 		}
 	}
+	h.groups[id] = group
 	return group
 }
 
--- a/exchange/teller.go
+++ b/exchange/teller.go
@@ -55,7 +55,8 @@
 	soon     chan struct{}
 	// passSoon says that a hub has urgent news to pass on.
 	passSoon chan struct{}
-	// hubs are those of the telling before; they belong to Run.
+	// hubs are those of the routers that lived at the telling before, chosen anew when
+	// these change; they belong to Run.
 	hubs *hubs
 	// size is that of the fleet when this router told last; 0 before.
 	size atomic.Int64
@@ -138,8 +139,10 @@
 
 // tell tells those that this router tells in a fleet of this size.
 func (t *Teller) tell(urgent bool) {
-	hubs := chooseHubs(t.Routers())
-	t.hubs = hubs
+	if routers := t.Routers(); !slices.Equal(routers, t.hubs.routers) {
+		t.hubs = chooseHubs(routers)
+	}
+	hubs := t.hubs
 	others := len(without(hubs.routers, t.Self))
 	t.size.Store(int64(len(hubs.routers)))
 	told := t.Balancer.Tell()
--- /dev/null
+++ b/exchange/telling_bench_test.go
@@ -0,0 +1,51 @@
+package exchange
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/balance"
+)
+
+type nowhere struct{}
+
+func (nowhere) Send(string, []byte) {}
+
+// BenchmarkTelling is one round of a router that is no hub, with one request in flight.
+func BenchmarkTelling(b *testing.B) {
+	for _, size := range []int{250, 500, 1000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			var routers []slipwick.Router
+			for i := range size {
+				routers = append(routers, slipwick.Router{
+					ID:         fmt.Sprintf("r-%04d", i),
+					DataCentre: fmt.Sprint("dc-", i%6),
+				})
+			}
+			t := NewTeller("r-0000")
+			t.Balancer = balance.New("dc-0")
+			var list []balance.Listed
+			for i := range 10 * size {
+				list = append(list, balance.Listed{
+					Pool: "p",
+					Backend: slipwick.Backend{
+						ID: fmt.Sprint("s", i),
+					},
+				})
+			}
+			t.Balancer.SetBackends(list)
+			t.Wire = nowhere{}
+			t.Routers = func() []slipwick.Router { return routers }
+			t.Address = func(r slipwick.Router) string { return r.ID }
+			if _, err := t.Balancer.Acquire(&balance.Ask{
+				Pool: "p",
+			}); err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				t.tell(false)
+			}
+		})
+	}
+}
--- a/membership/news.go
+++ b/membership/news.go
@@ -57,6 +57,7 @@
 // set gives a box its news and keeps the digest.
 func (n *Node) set(m *member, news *memberpb.News) {
 	m.news = news
+	n.routers = nil
 	n.digest ^= m.sum
 	m.sum = m.digest()
 	n.digest ^= m.sum
--- a/membership/node.go
+++ b/membership/node.go
@@ -30,8 +30,11 @@
 	// back.
 	OnChange func(Change)
 
-	mu       sync.Mutex
-	members  map[string]*member
+	mu      sync.Mutex
+	members map[string]*member
+	// routers are those that are not dead, by ID, nil when they are to be listed anew:
+	// they are asked for far more often than they change.
+	routers  []slipwick.Router
 	backends map[string]*member
 	// version is that of the configuration in force.
 	version uint64
@@ -320,16 +323,18 @@
 	return ""
 }
 
-// Routers gives the routers that are not dead.
+// Routers gives the routers that are not dead, by ID. The list is shared: it must not be
+// changed.
 func (n *Node) Routers() []slipwick.Router {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	var routers []slipwick.Router
-	for _, m := range n.members {
-		if !m.dead() {
-			routers = append(routers, m.router())
+	if n.routers == nil {
+		for _, m := range n.members {
+			if !m.dead() {
+				n.routers = append(n.routers, m.router())
+			}
 		}
+		slices.SortFunc(n.routers, func(a, b slipwick.Router) int { return strings.Compare(a.ID, b.ID) })
 	}
-	slices.SortFunc(routers, func(a, b slipwick.Router) int { return strings.Compare(a.ID, b.ID) })
-	return routers
+	return n.routers
 }
