Share engines out on a ring, and ask other routers for what is missing

A question names the engines that are known, or those that are wanted, whichever are fewer; one of before, which reads known ones alone, answers the latter with all it has. Whether a prompt has a home is looked up at its few holders and not at each engine.

Rendezvous with a look at all routers was the other way: it shares more evenly (the largest share here is up to four times the mean), and is the product of both.

--- a/balance/knowledge.go
+++ b/balance/knowledge.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/slipwick/slipwick"
@@ -18,33 +19,65 @@
 	Reads []Read
 }
 
-// Covered gives the engines, by the hash of their ID, whose caches this router
-// knows.
-func (b *Balancer) Covered() []uint64 {
+// Question is which caches a router asks another about, by the hash of the engine: all but
+// those that it knows, or those that it wants to know, whichever are fewer. Routers of a
+// fleet that restarts ask each other many times.
+type Question struct {
+	Known  []uint64
+	Wanted []uint64
+}
+
+// Question gives what to ask another router about the engines of the pools; ok is false if
+// nothing is missing.
+func (b *Balancer) Question(pools []string) (q Question, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var covered []uint64
-	for hash, s := range b.hashes {
-		if s.covered {
-			covered = append(covered, hash)
+	now := clock.Now()
+	for _, pool := range pools {
+		for _, s := range b.pools[pool] {
+			switch {
+			case s.covered:
+				q.Known = append(q.Known, s.hash)
+			case s.takesNew() && !s.said.isResting(now):
+				q.Wanted = append(q.Wanted, s.hash)
+			}
 		}
 	}
-	return covered
+	ok = len(q.Wanted) > 0
+	if len(q.Wanted) < len(q.Known) {
+		q.Known = nil
+	} else {
+		q.Wanted = nil
+	}
+	return q, ok
 }
 
-// Knowledge gives what this router knows of the caches of engines, for one that
-// knows those of some already.
-func (b *Balancer) Knowledge(known []uint64) Knowledge {
+// Knowledge gives what this router knows of the caches of engines that another asks about.
+func (b *Balancer) Knowledge(q *Question) Knowledge {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	lacking := make(map[uint64]*server)
-	k := Knowledge{}
-	for hash, s := range b.hashes {
-		if s.covered && !slices.Contains(known, hash) {
-			lacking[hash] = s
-			k.Covered = append(k.Covered, hash)
+	if len(q.Wanted) > 0 {
+		for _, hash := range q.Wanted {
+			if s := b.hashes[hash]; s != nil && s.covered {
+				lacking[hash] = s
+			}
+		}
+	} else {
+		for hash, s := range b.hashes {
+			if s.covered {
+				lacking[hash] = s
+			}
+		}
+		for _, hash := range q.Known {
+			delete(lacking, hash)
 		}
 	}
+	k := Knowledge{}
+	if len(lacking) == 0 {
+		return k
+	}
+	k.Covered = slices.Collect(maps.Keys(lacking))
 	k.Reads = b.homes.all(lacking)
 	return k
 }
@@ -108,13 +141,11 @@
 	if len(ask.Prompt) == 0 {
 		return false
 	}
-	prompt := ask.Prompt[len(ask.Prompt)-1].Key
-	for _, s := range b.pools[ask.Pool] {
-		if !s.isLeaving() && b.homes.has(prompt, s) {
-			return true
-		}
-	}
-	return false
+	holders, _ := b.homes.holders.Peek(ask.Prompt[len(ask.Prompt)-1].Key)
+	return slices.ContainsFunc(holders, func(hash uint64) bool {
+		s := b.hashes[hash]
+		return s != nil && s.Pool == ask.Pool && !s.isLeaving()
+	})
 }
 
 // Uncovered gives the engines of a pool whose caches this router does not
--- a/exchange/knowledge.go
+++ b/exchange/knowledge.go
@@ -14,8 +14,7 @@
 )
 
 // KnowledgePath is where a router tells others what it knows of the caches of
-// engines, but for those that the other names in the body as known. It is told
-// over TCP: a datagram that is lost would leave prompts without a home until
+// engines, as the question in the body says. It is told over TCP: a datagram that is lost would leave prompts without a home until
 // they are read anew.
 const KnowledgePath = "/homes"
 
@@ -30,12 +29,12 @@
 
 // ServeHTTP answers with an encoded exchangepb.Knowledge.
 func (s *KnowledgeServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	known, err := readKnowledge(r.Body)
+	message, err := readMessage(r.Body)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	k := s.Balancer.Knowledge(known.Covered)
+	k := s.Balancer.Knowledge(decodeQuestion(message))
 	body, err := proto.Marshal(encodeKnowledge(&k))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
@@ -45,14 +44,11 @@
 	_, _ = w.Write(body)
 }
 
-// FetchKnowledge asks the router at host:port for what it knows beyond the
-// caches that are known.
+// FetchKnowledge asks the router at host:port for what it knows.
 func FetchKnowledge(
-	ctx context.Context, client *http.Client, address string, known []uint64,
+	ctx context.Context, client *http.Client, address string, q *balance.Question,
 ) (*balance.Knowledge, error) {
-	question, err := proto.Marshal(encodeKnowledge(&balance.Knowledge{
-		Covered: known,
-	}))
+	question, err := proto.Marshal(encodeQuestion(q))
 	if err != nil {
 		return nil, errors.Wrap(err, "ask a router for the homes of prompts")
 	}
@@ -72,6 +68,14 @@
 }
 
 func readKnowledge(from io.Reader) (*balance.Knowledge, error) {
+	message, err := readMessage(from)
+	if err != nil {
+		return nil, err
+	}
+	return decodeKnowledge(message), nil
+}
+
+func readMessage(from io.Reader) (*exchangepb.Knowledge, error) {
 	body, err := io.ReadAll(io.LimitReader(from, maxKnowledge))
 	if err != nil {
 		return nil, errors.Wrap(err, "read the homes of prompts")
@@ -80,7 +84,36 @@
 	if err := proto.Unmarshal(body, message); err != nil {
 		return nil, errors.Wrap(err, "read the homes of prompts")
 	}
-	return decodeKnowledge(message), nil
+	return message, nil
+}
+
+// encodeQuestion names the engines that are known as covered, or those that are wanted as
+// not covered. Routers of before, which read known ones alone, answer the latter with all.
+func encodeQuestion(q *balance.Question) *exchangepb.Knowledge {
+	message := &exchangepb.Knowledge{}
+	for _, engine := range q.Known {
+		message.Servers, message.Covered = append(message.Servers, engine), append(message.Covered, true)
+	}
+	for _, engine := range q.Wanted {
+		message.Servers, message.Covered = append(message.Servers, engine), append(message.Covered, false)
+	}
+	return message
+}
+
+// decodeQuestion leaves out what does not fit together.
+func decodeQuestion(message *exchangepb.Knowledge) *balance.Question {
+	q := &balance.Question{}
+	for i, covered := range message.GetCovered() {
+		switch {
+		case i >= len(message.GetServers()):
+			return q
+		case covered:
+			q.Known = append(q.Known, message.GetServers()[i])
+		default:
+			q.Wanted = append(q.Wanted, message.GetServers()[i])
+		}
+	}
+	return q
 }
 
 func encodeKnowledge(k *balance.Knowledge) *exchangepb.Knowledge {
--- a/exchange/recoveringfleet_test.go
+++ b/exchange/recoveringfleet_test.go
@@ -29,8 +29,9 @@
 	routers map[string]*Recovery
 	// lists counts the lists that each engine gave.
 	lists map[string]int
-	// told counts the parts that routers told each other.
-	told int
+	// told counts the parts that routers told each other, named the engines that they
+	// named in questions.
+	told, named int
 	// silent are engines that give none.
 	silent map[string]bool
 	// engines is how many there are, parts how many parts each keeps in the mean
@@ -142,7 +143,7 @@
 		defer f.mu.Unlock()
 		return f.live
 	}
-	r.Ask = func(_ context.Context, router slipwick.Router, known []uint64) (*balance.Knowledge, error) {
+	r.Ask = func(_ context.Context, router slipwick.Router, q *balance.Question) (*balance.Knowledge, error) {
 		time.Sleep(3 * time.Millisecond)
 		f.mu.Lock()
 		other := f.routers[router.ID]
@@ -150,8 +151,10 @@
 		if other == nil {
 			return nil, errSilent
 		}
-		k := other.Balancer.Knowledge(known)
+		q = decodeQuestion(encodeQuestion(q))
+		k := other.Balancer.Knowledge(q)
 		f.mu.Lock()
+		f.named += len(q.Known) + len(q.Wanted)
 		f.told += len(k.Reads)
 		f.mu.Unlock()
 		return &k, nil
--- a/exchange/recovery.go
+++ b/exchange/recovery.go
@@ -10,7 +10,6 @@
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/balance"
 	"github.com/slipwick/slipwick/clock"
-	"github.com/slipwick/slipwick/placement"
 )
 
 const (
@@ -61,18 +60,19 @@
 	Pools func() []string
 	// Routers gives the routers that live, this one among them or not.
 	Routers func() []slipwick.Router
-	// Ask asks another router for what it knows beyond the caches of the
-	// engines named.
-	Ask func(ctx context.Context, router slipwick.Router, known []uint64) (*balance.Knowledge, error)
+	// Ask asks another router for what it knows.
+	Ask func(ctx context.Context, router slipwick.Router, q *balance.Question) (*balance.Knowledge, error)
 	// List asks an engine for the parts that it keeps; nil asks none.
 	List func(context.Context, slipwick.Backend) ([]uint64, error)
 	// Settled is closed once this router knows the others: only then does it
 	// know which engines are its to ask. Nil waits for nothing.
 	Settled <-chan struct{}
 
-	// asked are the engines asked so far, questions counts those to routers.
+	// asked are the engines asked so far, questions counts those to routers. shares
+	// are those of the routers known last.
 	asked     map[string]bool
 	questions int
+	shares    shares
 	done      chan struct{}
 }
 
@@ -162,11 +162,15 @@
 func (r *Recovery) askRouters(ctx context.Context, n int) {
 	for range n {
 		other, ok := r.chooseRouter()
-		if !ok || len(r.missing()) == 0 {
+		if !ok {
+			return
+		}
+		question, ok := r.Balancer.Question(r.Pools())
+		if !ok {
 			return
 		}
 		limited, cancel := context.WithTimeout(ctx, askTime)
-		k, err := r.Ask(limited, other, r.Balancer.Covered())
+		k, err := r.Ask(limited, other, &question)
 		cancel()
 		// A router that does not answer is passed over: another is asked in
 		// the next round.
@@ -208,7 +212,11 @@
 	if r.List == nil {
 		return
 	}
-	askers := r.askers()
+	self := slipwick.Router{
+		ID:         r.Self,
+		DataCentre: r.DataCentre,
+	}
+	r.shares.update(self, without(r.Routers(), r.Self))
 	var lists sync.WaitGroup
 	begun := 0
 	for _, i := range rand.Perm(len(engines)) {
@@ -216,7 +224,7 @@
 		if begun == listsARound {
 			break
 		}
-		if r.asked[engine.ID] || turnOf(engine, askers) > turn {
+		if r.asked[engine.ID] || r.shares.turn(&engine) > turn {
 			continue
 		}
 		begun++
@@ -234,44 +242,6 @@
 	lists.Wait()
 }
 
-// asker is a router among those that share the engines.
-type asker struct {
-	hash       uint64
-	dataCentre string
-}
-
-// askers gives all routers with this one last.
-func (r *Recovery) askers() []asker {
-	var all []asker
-	for _, router := range without(r.Routers(), r.Self) {
-		all = append(all, asker{
-			hash:       placement.IDHash(router.ID),
-			dataCentre: router.DataCentre,
-		})
-	}
-	return append(all, asker{
-		hash:       placement.IDHash(r.Self),
-		dataCentre: r.DataCentre,
-	})
-}
-
-// turnOf tells how many of the routers ask an engine before the last of them:
-// those of the engine's data centre come first, by the rendezvous, then the
-// others.
-func turnOf(engine slipwick.Backend, askers []asker) int {
-	key, last := placement.IDHash(engine.ID), len(askers)-1
-	self := askers[last]
-	own, selfNear := placement.Score(key, self.hash), self.dataCentre == engine.DataCentre
-	before := 0
-	for _, other := range askers[:last] {
-		isNear := other.dataCentre == engine.DataCentre
-		if isNear && !selfNear || isNear == selfNear && placement.Score(key, other.hash) > own {
-			before++
-		}
-	}
-	return before
-}
-
 // sleep waits; false if ctx ended first.
 func sleep(ctx context.Context, wait time.Duration) bool {
 	timer := time.NewTimer(wait)
--- /dev/null
+++ b/exchange/shares_test.go
@@ -0,0 +1,120 @@
+package exchange
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+
+	"github.com/slipwick/slipwick"
+)
+
+// sharedFleet gives the routers of a fleet in six data centres, and engines of these.
+func sharedFleet(routers, engines int) (fleet []slipwick.Router, pool []slipwick.Backend) {
+	for i := range routers {
+		fleet = append(fleet, slipwick.Router{
+			ID:         fmt.Sprint("r", i),
+			DataCentre: fmt.Sprint("dc-", i%6),
+		})
+	}
+	for i := range engines {
+		pool = append(pool, slipwick.Backend{
+			ID:         fmt.Sprint("e", i),
+			DataCentre: fmt.Sprint("dc-", i%6),
+		})
+	}
+	return fleet, pool
+}
+
+// TestEachEngineHasOneRouterForEachTurn takes the turns at all routers of a fleet: each engine
+// is asked by one router of its own data centre first, and by another in each further turn.
+func TestEachEngineHasOneRouterForEachTurn(t *testing.T) {
+	fleet, pool := sharedFleet(60, 300)
+	asked := make(map[string][]int)
+	most := 0
+	for i, self := range fleet {
+		var s shares
+		s.update(self, without(fleet, self.ID))
+		own := 0
+		for e := range pool {
+			turn := s.turn(&pool[e])
+			if turn == turns {
+				continue
+			}
+			if turn == 0 {
+				own++
+			}
+			asked[pool[e].ID] = append(asked[pool[e].ID], turn)
+			if fleet[i].DataCentre != pool[e].DataCentre {
+				t.Errorf("%s: got %s of %s among its routers", pool[e].ID, self.ID, self.DataCentre)
+			}
+		}
+		most = max(most, own)
+	}
+	for _, engine := range pool {
+		got := slices.Sorted(slices.Values(asked[engine.ID]))
+		if want := []int{0, 1, 2}; !slices.Equal(got, want) {
+			t.Errorf("%s: got turns %v, want %v", engine.ID, got, want)
+		}
+	}
+	if mean := len(pool) / len(fleet); most > 4*mean {
+		t.Errorf("got %d engines at one router first, want about %d", most, mean)
+	}
+}
+
+// TestSmallDataCentreLeavesEnginesToOthers has fewer routers in a data centre than turns.
+func TestSmallDataCentreLeavesEnginesToOthers(t *testing.T) {
+	fleet, _ := sharedFleet(3, 0)
+	var got []int
+	for _, self := range fleet {
+		var s shares
+		s.update(self, without(fleet, self.ID))
+		got = append(got, s.turn(&slipwick.Backend{
+			ID:         "e",
+			DataCentre: "dc-1",
+		}))
+	}
+	if got[1] != 0 || got[0]+got[2] != 3 {
+		t.Errorf("got turns %v, want the near router first, then the others", got)
+	}
+}
+
+// TestQuestionsNameWhatIsMissing restarts fleets before pools of several sizes, in each of
+// which some engines never answer: once all others are known, a question names these few and
+// not all that are known.
+func TestQuestionsNameWhatIsMissing(t *testing.T) {
+	const silent = 3
+	for _, engines := range []int{50, 100, 200} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newRecoveringFleet()
+			f.engines, f.parts = engines, 2
+			for i := range silent {
+				f.silent[fmt.Sprint("engine-", i)] = true
+			}
+			const routers = 20
+			f.startAll(t, routers, 0)
+			// Questions hold at most half of the engines while there is something to learn,
+			// in about as many rounds as doublings.
+			most := routers * (10*engines/2 + (recoveryRounds+firstAsked)*silent)
+			if f.named > most {
+				t.Errorf("%d engines: got %d named in questions, want at most %d", engines, f.named, most)
+			}
+		})
+	}
+}
+
+// BenchmarkTurns finds the turns of all engines, ten for each router.
+func BenchmarkTurns(b *testing.B) {
+	for _, size := range []int{250, 500, 1000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			fleet, pool := sharedFleet(size, 10*size)
+			for b.Loop() {
+				var s shares
+				s.update(fleet[0], fleet[1:])
+				for e := range pool {
+					s.turn(&pool[e])
+				}
+			}
+		})
+	}
+}
--- a/exchange/teller_test.go
+++ b/exchange/teller_test.go
@@ -234,7 +234,7 @@
 	})
 	defer server.Close()
 	learn := func() {
-		k, err := FetchKnowledge(t.Context(), server.Client(), server.Listener.Addr().String(), nil)
+		k, err := FetchKnowledge(t.Context(), server.Client(), server.Listener.Addr().String(), &balance.Question{})
 		if err != nil {
 			t.Fatal(err)
 		}
