Remember changes in order, and tell the difference across a gap

What grew: each router that waits for changes had its relay look at all entries each time anything woke it. So did all of them when more than 1,024 servers went at once.

A copy keeps its changes in their order, as many as two for each object: what it tells costs by what changed. A list that made up for a gap is told as the difference to whoever knows the copy from before the gap; whoever knows a position inside the gap has to list, as TestMirrorThatListedDoesNotVouchForTheGap wants. A watch without a wait gives the difference in place of a list, also of a copy that is not current: routers that ask others after a failure will use it.

TestMirrorTellsTheDifferenceAfterAGap: 3 entries at 100, 200, 400 servers, where all had to be listed before; TestMirrorRemembersALargeLoss: half of 6,144 servers at once. The test of forgotten removals counts the changes kept in place of the removals: 2,048 are of 1,024 pairs.

--- a/directory/mirror.go
+++ b/directory/mirror.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"slices"
+	"sort"
 	"sync"
 	"time"
 
@@ -10,9 +12,13 @@
 	"github.com/slipwick/slipwick/clock"
 )
 
-// keptRemovals bounds the removed entries that are remembered for routers that
-// follow this one.
-const keptRemovals = 1024
+// keptChanges is how many changes are remembered for routers that follow this one, or
+// changesFactor for each object if that is more: when a part of a large pool goes at once,
+// the rest of the fleet is still told the difference.
+const (
+	keptChanges   = 2048
+	changesFactor = 2
+)
 
 // anewShare of a watch's wait has to be over for a confirmation to end it.
 const anewShare = 0.5
@@ -20,10 +26,12 @@
 // Mirror is a copy of a feed's objects, and a feed itself for other routers.
 type Mirror struct {
 	mu      sync.Mutex
-	entries map[string]*mirrored
-	removed []removal
+	entries map[string][]byte
+	// changes are the latest ones, the oldest first, and gaps what they lack.
+	changes []change
+	gaps    []gap
 	// position is the store's that the copy stands for; forgotten is the
-	// revision up to which removals are not remembered.
+	// revision up to which changes are not remembered.
 	position  slipwick.Position
 	forgotten uint64
 	// confirmed is when the store was known to be in this state; failing says
@@ -39,24 +47,29 @@
 	changed chan struct{}
 }
 
-// mirrored is one object and the revision that brought it.
-type mirrored struct {
-	value    []byte
+// change is an object that changed, and the revision that brought it.
+type change struct {
+	name     string
 	revision uint64
 }
 
-// removal is an object that was removed.
-type removal struct {
-	name     string
-	revision uint64
+// gap is from one revision to another, between which the copy was not followed. A list made
+// up for it, which tells what there is and not what changed: an object may have gone and come
+// back as it was. Whoever knows a revision in between may know it as gone, and would not be
+// told; whoever knows the first one lacks nothing.
+type gap struct {
+	from, to uint64
 }
 
+// gapsKept is how many gaps are remembered, with the changes before them.
+const gapsKept = 16
+
 var _ slipwick.Feed = (*Mirror)(nil)
 
 // NewMirror makes an empty copy, which is not current.
 func NewMirror() *Mirror {
 	return &Mirror{
-		entries: make(map[string]*mirrored),
+		entries: make(map[string][]byte),
 		failing: true,
 		changed: make(chan struct{}),
 	}
@@ -79,8 +92,11 @@
 	if isAnother || m.failing {
 		m.steadySince = clock.Now().Add(-batch.Steady)
 	}
-	if isAnother || batch.Whole && m.position.Revision < batch.Revision {
-		m.forgetLocked(batch.Revision)
+	switch {
+	case isAnother || m.position.IsZero():
+		m.changes, m.gaps, m.forgotten = nil, nil, batch.Revision
+	case batch.Whole && m.position.Revision < batch.Revision:
+		m.gapLocked(batch.Revision)
 	}
 	if isAnother || m.position.Revision < batch.Revision {
 		m.position = batch.Position()
@@ -91,25 +107,35 @@
 	return differing
 }
 
-// forgetLocked has all that is known stand for the revision, so that whoever knows an earlier
-// state has to list. A list tells what there is, and not what changed: an object may have gone
-// and come back as it was, and whoever knows it as gone would not be told.
-func (m *Mirror) forgetLocked(revision uint64) {
-	for _, e := range m.entries {
-		e.revision = revision
+// gapLocked notes that the copy was not followed from its position to the revision.
+func (m *Mirror) gapLocked(to uint64) {
+	m.gaps = append(m.gaps, gap{
+		from: m.position.Revision,
+		to:   to,
+	})
+	if len(m.gaps) > gapsKept {
+		m.forgetLocked(m.gaps[0].to)
+		m.gaps = m.gaps[1:]
 	}
-	m.removed, m.forgotten = nil, revision
+}
+
+// forgetLocked forgets the changes up to a revision.
+func (m *Mirror) forgetLocked(to uint64) {
+	m.forgotten = max(m.forgotten, to)
+	m.changes = m.changes[m.firstAfterLocked(m.forgotten):]
+}
+
+// firstAfterLocked is the index of the first change after a revision.
+func (m *Mirror) firstAfterLocked(revision uint64) int {
+	return sort.Search(len(m.changes), func(i int) bool { return m.changes[i].revision > revision })
 }
 
 // value gives an object's value.
 func (m *Mirror) value(name string) ([]byte, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	e, ok := m.entries[name]
-	if !ok {
-		return nil, false
-	}
-	return e.value, true
+	value, ok := m.entries[name]
+	return value, ok
 }
 
 // missingLocked gives the removals of what a whole batch lacks.
@@ -135,28 +161,22 @@
 }
 
 func (m *Mirror) applyLocked(e slipwick.FeedEntry, revision uint64) (differs bool) {
-	known := m.entries[e.Name]
-	if e.Gone {
-		if known == nil {
-			return false
-		}
-		delete(m.entries, e.Name)
-		m.removed = append(m.removed, removal{
-			name:     e.Name,
-			revision: revision,
-		})
-		if len(m.removed) > keptRemovals {
-			m.forgotten = max(m.forgotten, m.removed[0].revision)
-			m.removed = m.removed[1:]
-		}
-		return true
-	}
-	if known != nil && bytes.Equal(known.value, e.Value) {
+	known, isKnown := m.entries[e.Name]
+	switch {
+	case e.Gone && !isKnown, !e.Gone && isKnown && bytes.Equal(known, e.Value):
 		return false
+	case e.Gone:
+		delete(m.entries, e.Name)
+	default:
+		m.entries[e.Name] = e.Value
 	}
-	m.entries[e.Name] = &mirrored{
-		value:    e.Value,
+	m.changes = append(m.changes, change{
+		name:     e.Name,
 		revision: revision,
+	})
+	if most := max(keptChanges, changesFactor*len(m.entries)); len(m.changes) > most {
+		m.forgotten = max(m.forgotten, m.changes[0].revision)
+		m.changes = m.changes[1:]
 	}
 	return true
 }
@@ -185,10 +205,11 @@
 		return slipwick.FeedBatch{}, notCurrent()
 	}
 	batch := m.batchLocked(true)
-	for name, e := range m.entries {
+	batch.Entries = make([]slipwick.FeedEntry, 0, len(m.entries))
+	for name, value := range m.entries {
 		batch.Entries = append(batch.Entries, slipwick.FeedEntry{
 			Name:  name,
-			Value: e.value,
+			Value: value,
 		})
 	}
 	return batch, nil
@@ -226,13 +247,18 @@
 // anew: those that follow this router then know the same without asking the
 // store. A copy that was confirmed just before does not end it, so that a router
 // that follows several is not told the same by each. It ends at once when the
-// copy is no longer confirmed.
+// copy is no longer confirmed. Without a wait it is what List is for one that knows a
+// position: it gives the changes since, also of a copy that is not current.
 func (m *Mirror) Watch(ctx context.Context, after slipwick.Position, wait time.Duration) (slipwick.FeedBatch, error) {
+	if wait <= 0 {
+		batch, _, err := m.since(after, true)
+		return batch, err
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	anew := clock.Now().Add(time.Duration(anewShare * float64(wait)))
 	for ended := false; ; {
-		batch, changed, err := m.since(after)
+		batch, changed, err := m.since(after, false)
 		isAnew := clock.Now().Add(-batch.Age).After(anew)
 		if err != nil || ended || isAnew || len(batch.Entries) > 0 {
 			return batch, err
@@ -248,16 +274,16 @@
 }
 
 // since gives the changes after the position, and a channel that is closed at
-// the next one.
-func (m *Mirror) since(after slipwick.Position) (slipwick.FeedBatch, <-chan struct{}, error) {
+// the next one. A copy that is not current gives them to whoever takes old ones.
+func (m *Mirror) since(after slipwick.Position, takesOld bool) (slipwick.FeedBatch, <-chan struct{}, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	switch {
-	case m.failing, isLater(after.Timeline, m.position.Timeline):
+	case m.confirmed.IsZero(), m.failing && !takesOld, isLater(after.Timeline, m.position.Timeline):
 		return slipwick.FeedBatch{}, nil, notCurrent()
 	case isLater(m.position.Timeline, after.Timeline):
 		return slipwick.FeedBatch{}, nil, fellBack()
-	case after.Revision < m.forgotten:
+	case after.Revision < m.forgotten, m.isInGapLocked(after.Revision):
 		return slipwick.FeedBatch{}, nil, &slipwick.Error{
 			Kind:    slipwick.KindHistoryLost,
 			Message: "this router does not remember the changes since the revision",
@@ -265,25 +291,27 @@
 		}
 	}
 	batch := m.batchLocked(false)
-	for name, e := range m.entries {
-		if e.revision > after.Revision {
-			batch.Entries = append(batch.Entries, slipwick.FeedEntry{
-				Name:  name,
-				Value: e.value,
-			})
-		}
-	}
-	for _, r := range m.removed {
-		if _, back := m.entries[r.name]; r.revision > after.Revision && !back {
-			batch.Entries = append(batch.Entries, slipwick.FeedEntry{
-				Name: r.name,
-				Gone: true,
-			})
+	changed := m.changes[m.firstAfterLocked(after.Revision):]
+	told := make(map[string]bool, len(changed))
+	for _, c := range changed {
+		if told[c.name] {
+			continue
 		}
+		told[c.name] = true
+		value, isListed := m.entries[c.name]
+		batch.Entries = append(batch.Entries, slipwick.FeedEntry{
+			Name:  c.name,
+			Gone:  !isListed,
+			Value: value,
+		})
 	}
 	return batch, m.changed, nil
 }
 
+func (m *Mirror) isInGapLocked(revision uint64) bool {
+	return slices.ContainsFunc(m.gaps, func(g gap) bool { return g.from < revision && revision < g.to })
+}
+
 // isLater tells whether a timeline is known to be later than another.
 func isLater(timeline, other uint64) bool {
 	return timeline > other && other != 0
--- a/directory/mirror_test.go
+++ b/directory/mirror_test.go
@@ -64,7 +64,7 @@
 		7: {"-b"},
 		8: nil,
 	} {
-		got, _, err := m.since(at(after))
+		got, _, err := m.since(at(after), false)
 		if err != nil {
 			t.Fatalf("after %d: %v", after, err)
 		}
@@ -73,7 +73,7 @@
 			t.Errorf("after %d: got revision %d, want 8", after, got.Revision)
 		}
 	}
-	if _, _, err := m.since(at(4)); !slipwick.IsKind(err, slipwick.KindHistoryLost) {
+	if _, _, err := m.since(at(4), false); !slipwick.IsKind(err, slipwick.KindHistoryLost) {
 		t.Errorf("after 4, before the copy began: got %v, want history lost", err)
 	}
 }
@@ -107,14 +107,14 @@
 func TestMirrorForgetsOldRemovalsAloud(t *testing.T) {
 	m := NewMirror()
 	m.Apply(batch(1, true))
-	for i := range uint64(keptRemovals + 1) {
+	for i := range uint64(keptChanges/2 + 1) {
 		m.Apply(batch(2+2*i, false, "a1"))
 		m.Apply(batch(3+2*i, false, "a"))
 	}
-	if _, _, err := m.since(at(1)); !slipwick.IsKind(err, slipwick.KindHistoryLost) {
+	if _, _, err := m.since(at(1), false); !slipwick.IsKind(err, slipwick.KindHistoryLost) {
 		t.Errorf("got %v, want history lost", err)
 	}
-	if _, _, err := m.since(at(3)); err != nil {
+	if _, _, err := m.since(at(3), false); err != nil {
 		t.Errorf("after the first removal, all later ones being remembered: got %v", err)
 	}
 }
@@ -130,14 +130,86 @@
 	m := NewMirror()
 	m.Apply(batch(1, true, "a1", "b1"))
 	m.Apply(batch(5, true, "a1", "b1"))
-	if got, _, err := m.since(at(3)); !slipwick.IsKind(err, slipwick.KindHistoryLost) {
+	if got, _, err := m.since(at(3), false); !slipwick.IsKind(err, slipwick.KindHistoryLost) {
 		t.Errorf("got %+v and %v since a revision in the gap, want kind %s", got, err, slipwick.KindHistoryLost)
 	}
 	m.Apply(batch(5, true, "a1", "b1"))
 	m.Apply(batch(6, false, "a2"))
-	got, _, err := m.since(at(5))
+	got, _, err := m.since(at(5), false)
 	if err != nil {
 		t.Fatal(err)
 	}
 	expectNames(t, "after the list", got.Entries, "a2")
 }
+
+// TestMirrorTellsTheDifferenceAfterAGap has a copy that listed again after a failure. Those that
+// followed it know what it knew before the gap, and are told what differs: at a fleet of
+// thousands of servers a list that is lost once would else pass whole to every router.
+func TestMirrorTellsTheDifferenceAfterAGap(t *testing.T) {
+	for _, servers := range []int{100, 200, 400} {
+		m := NewMirror()
+		list := batch(1, true)
+		for i := range servers {
+			list.Entries = append(list.Entries, slipwick.FeedEntry{
+				Name:  fmt.Sprint("s", i),
+				Value: []byte("ready"),
+			})
+		}
+		m.Apply(list)
+		m.Apply(batch(3, false, "a1"))
+		m.Fail()
+		later := *list
+		later.Revision = 9
+		later.Entries = append(slices.Clone(list.Entries[1:]), slipwick.FeedEntry{
+			Name:  "b",
+			Value: []byte("2"),
+		})
+		m.Apply(&later)
+		got, _, err := m.since(at(3), false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		expectNames(t, fmt.Sprintf("%d servers", servers), got.Entries, "-a", "-s0", "b2")
+	}
+}
+
+// TestMirrorRemembersALargeLoss has half of a pool go at once.
+func TestMirrorRemembersALargeLoss(t *testing.T) {
+	const servers = 3 * keptChanges
+	m := NewMirror()
+	list, loss := batch(1, true), batch(2, false)
+	for i := range servers {
+		list.Entries = append(list.Entries, slipwick.FeedEntry{
+			Name:  fmt.Sprint("s", i),
+			Value: []byte("ready"),
+		})
+		if i%2 == 0 {
+			loss.Entries = append(loss.Entries, slipwick.FeedEntry{
+				Name: fmt.Sprint("s", i),
+				Gone: true,
+			})
+		}
+	}
+	m.Apply(list)
+	m.Apply(loss)
+	got, _, err := m.since(at(1), false)
+	if err != nil || len(got.Entries) != servers/2 {
+		t.Errorf("got %d changes and %v, want %d", len(got.Entries), err, servers/2)
+	}
+}
+
+// TestWatchWithoutAWaitGivesWhatIsKnown asks a copy that is not confirmed any more.
+func TestWatchWithoutAWaitGivesWhatIsKnown(t *testing.T) {
+	m := NewMirror()
+	if _, err := m.Watch(t.Context(), at(0), 0); !slipwick.IsKind(err, slipwick.KindNotCurrent) {
+		t.Errorf("before the first list: got %v, want not current", err)
+	}
+	m.Apply(batch(1, true, "a1", "b1"))
+	m.Apply(batch(2, false, "a2"))
+	m.Fail()
+	got, err := m.Watch(t.Context(), at(1), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	expectNames(t, "old copy", got.Entries, "a2")
+}
--- a/directory/timeline_test.go
+++ b/directory/timeline_test.go
@@ -169,14 +169,14 @@
 			want: slipwick.KindNotCurrent,
 		},
 	} {
-		if got, _, err := m.since(tc.after); !slipwick.IsKind(err, tc.want) {
+		if got, _, err := m.since(tc.after, false); !slipwick.IsKind(err, tc.want) {
 			t.Errorf("%s: got %+v and %v, want kind %s", name, got, err, tc.want)
 		}
 	}
 	got, _, err := m.since(slipwick.Position{
 		Timeline: 2,
 		Revision: 4,
-	})
+	}, false)
 	if err != nil {
 		t.Fatal(err)
 	}
