Ask other routers for what differs, wait for lists that come, and list the store by few

What broke at a start of 986 routers before 9,999 servers, by reading and in virtual time: a router that knew a few others took itself for one that follows the store, and listed it, 50 calls; a list that took more than half a second was asked for again beside itself; who waited for one more than half a second took the followers' place; another router's list had 0.2 s to come whole, and up to four were sent beside each other on one link. What grows: each router that lost its relay for a moment fetched the whole list anew.

- A router waits until it knows the others before it takes a place in the tree, and asks two that it does know meanwhile; turns at the store count from there.
- A list counts as under way while its pages or bytes come, is not asked for again then, and those that ask meanwhile are told so, for half a second at most, which only ever runs down: nobody takes the store's followers' place for it.
Patience is for an answer to begin.
- A router sends two large lists at a time, and has others ask elsewhere: the number of routers with a copy grows by a factor with each list.
- Routers that have a copy ask others for what differs, and the store for the changes since in place of a list of many pages (one call for fifty), unless it came back from a copy.

TestLargeListIsFoundThoughTheStoreRefusesItsFollowers and TestLoadingIsNo ReasonToWaitForEachOther hold the other side.

Found on the way by a history of the store's model, which stays as a test: a difference passes over changes that were undone meanwhile. A router that took one vouched for revisions in between, and told those that knew a lapsed server as gone nothing of its return (11.7 s of 11.6). Differences over a gap say so, and what changed back is told on; TestMirrorThatLearntADifferenceDoesNotVouchForIt and TestMirrorTellsWhatChangedBack. Also: doubts after a return count from when the store was known to answer, and not from when this router heard; not shown to matter.

--- a/cmd/internal/gatewayd/follow.go
+++ b/cmd/internal/gatewayd/follow.go
@@ -34,6 +34,7 @@
 		Name:   name,
 		Store:  store,
 		Peers:  p.peers,
+		Copy:   p.mirrors[name],
 		Rhythm: rhythm,
 	}
 }
@@ -78,7 +79,7 @@
 		dependency.answered(batch)
 	}
 	follower.OnFellBack = func(known slipwick.Position, batch *slipwick.FeedBatch) {
-		p.backends.FellBack(batch.Steady)
+		p.backends.FellBack(batch.Age, batch.Steady)
 		dependency.fellBack(known, batch)
 	}
 	follower.OnError = func(err error) {
--- a/directory/backends.go
+++ b/directory/backends.go
@@ -71,21 +71,24 @@
 // FellBack notes that the store came back from a copy of itself, before the changes that
 // this makes: what the copy lacks may have come since, as if it had lapsed, and what it
 // lists may have left since. Steady is how long ago the fleet knew. This is no gap of this
-// router's own, so that what is missing has the whole time to be written again.
-func (b *Backends) FellBack(steady time.Duration) {
+// router's own, so that what is missing has the whole time to be written again. Age is how
+// long ago the store was in the state of the answer.
+func (b *Backends) FellBack(age, steady time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.fellBack = true
 	b.returnedLocked(clock.Now(), b.returnWithin(math.MaxInt64, math.MaxInt64)-steady)
-	b.settleInLocked(lapseBeats * b.heartbeat())
+	b.settleAfterLocked(age)
 }
 
-// settleInLocked has what is doubted be believed after the time, if it is still listed.
-func (b *Backends) settleInLocked(within time.Duration) {
+// settleAfterLocked has what is doubted be believed lapseBeats after the store is known to have
+// answered, age ago, if it is still listed then: by that time it has dropped what nobody
+// renews, whenever this router heard of it.
+func (b *Backends) settleAfterLocked(age time.Duration) {
 	if b.settled != nil {
 		b.settled.Stop()
 	}
-	b.settled = time.AfterFunc(within, b.settle)
+	b.settled = time.AfterFunc(max(lapseBeats*b.heartbeat()-age, 0), b.settle)
 }
 
 // settle believes what the store still lists, unless it has been silent of late.
@@ -93,7 +96,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.interruptedLocked() {
-		b.settleInLocked(lapseBeats * b.heartbeat())
+		b.settleAfterLocked(0)
 		return
 	}
 	if len(b.departures.doubted) > 0 {
@@ -116,7 +119,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.interruptedLocked() && len(b.departures.doubted) > 0 {
-		b.settleInLocked(lapseBeats * b.heartbeat())
+		b.settleAfterLocked(age)
 	}
 	before, confirmed := b.answered, b.confirmed
 	b.answered = clock.Now()
--- a/directory/following_test.go
+++ b/directory/following_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -26,6 +27,11 @@
 	byID    map[string]*followingRouter
 	// revision is the store's.
 	revision uint64
+	// knowTime is how long a router takes to know the others, pages how many calls a list
+	// of the store takes, pageTime how long each, listTime how long a router takes to send
+	// one to another.
+	knowTime, pageTime, listTime time.Duration
+	pages                        int
 }
 
 // followingRouter is one router, and what is wrong with it.
@@ -51,8 +57,11 @@
 
 func newFollowing(n int) *following {
 	f := &following{
-		store: NewMirror(),
-		byID:  make(map[string]*followingRouter),
+		store:    NewMirror(),
+		byID:     make(map[string]*followingRouter),
+		knowTime: knowTime,
+		pages:    1,
+		pageTime: answerTime,
 	}
 	f.change("0")
 	for i := range n {
@@ -68,13 +77,15 @@
 		f.routers = append(f.routers, r)
 		f.members = append(f.members, r.self)
 		f.byID[r.self.ID] = r
+		mirror := NewMirror()
 		shared := &Shared{
 			Name:   "feed",
 			Store:  &storeOf{r},
 			Peers:  r,
+			Copy:   mirror,
 			Rhythm: RhythmWithin(fleetWithin),
 		}
-		r.follower = NewFollower[string](shared, NewMirror())
+		r.follower = NewFollower[string](shared, mirror)
 		r.follower.Rhythm = shared.Rhythm
 		r.follower.Decode = func(_ string, value []byte) (string, error) { return string(value), nil }
 		r.follower.OnChange = func(changes []Change[string]) {
@@ -131,7 +142,7 @@
 		r.started = time.Now().Add(wait)
 		go func() {
 			time.Sleep(wait)
-			time.AfterFunc(knowTime, func() { close(r.settled) })
+			time.AfterFunc(f.knowTime, func() { close(r.settled) })
 			r.follower.Run(ctx)
 		}()
 	}
@@ -184,7 +195,7 @@
 // after the other, in an order of its own.
 func (r *followingRouter) known() []slipwick.Router {
 	members := r.fleet.members
-	share := min(time.Since(r.started).Seconds()/knowTime.Seconds(), 1)
+	share := min(time.Since(r.started).Seconds()/r.fleet.knowTime.Seconds(), 1)
 	var known []slipwick.Router
 	for i := range int(share * float64(len(members))) {
 		known = append(known, members[(i*7+len(r.self.ID)+int(r.started.UnixNano()))%len(members)])
@@ -235,7 +246,18 @@
 	}
 	batch, err := c.to.follower.Mirror.AwaitList(ctx, firstWait)
 	batch.Hops++
-	return batch, err
+	if err == nil {
+		tellBegun(ctx)
+		sleep(ctx, c.from.fleet.listTime)
+	}
+	return batch, errors.Join(err, ctx.Err())
+}
+
+// tellPage tells whoever asks that an answer begins, as a connection to a store does.
+func tellPage(ctx context.Context) {
+	if trace := httptrace.ContextClientTrace(ctx); trace != nil && trace.GotFirstResponseByte != nil {
+		trace.GotFirstResponseByte()
+	}
 }
 
 func (c *copyOf) Watch(ctx context.Context, after slipwick.Position, wait time.Duration) (slipwick.FeedBatch, error) {
@@ -258,7 +280,7 @@
 func (s *storeOf) reach(ctx context.Context) error {
 	s.router.fleet.calls.Add(1)
 	s.router.set(func(r *followingRouter) { r.calls++ })
-	time.Sleep(4 * time.Millisecond)
+	time.Sleep(s.router.fleet.pageTime)
 	return s.back(ctx)
 }
 
@@ -278,8 +300,11 @@
 }
 
 func (s *storeOf) List(ctx context.Context) (slipwick.FeedBatch, error) {
-	if err := s.reach(ctx); err != nil {
-		return slipwick.FeedBatch{}, err
+	for range s.router.fleet.pages {
+		if err := s.reach(ctx); err != nil {
+			return slipwick.FeedBatch{}, err
+		}
+		tellPage(ctx)
 	}
 	return s.router.fleet.store.List(ctx)
 }
--- /dev/null
+++ b/directory/largelist_test.go
@@ -0,0 +1,86 @@
+package directory
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/fleet"
+)
+
+// TestLargeListsAreAskedForByFew starts fleets whose routers take a second to know each other,
+// before a store whose list is fifty calls of 20 ms, and takes 200 ms to pass from one router
+// to another. The calls to the store must not grow with the fleet.
+//
+// What was found at 986 routers: each that knew a few others took itself for one of those that
+// follow the store and listed it; a list that took longer than half a second was asked for
+// again beside itself, and who waited for it more than half a second listed the store too.
+func TestLargeListsAreAskedForByFew(t *testing.T) {
+	const pages = 50
+	for _, size := range []int{62, 125, 250} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFollowing(size)
+			f.knowTime, f.pages, f.pageTime, f.listTime = time.Second, pages, 20*time.Millisecond, 200*time.Millisecond
+			stop := f.start(t)
+			time.Sleep(5 * time.Second)
+			if got := f.lagging("0"); got > 0 {
+				t.Errorf("%d routers: got %d without a copy after 5 s, want none", size, got)
+			}
+			// Three routers follow the store; each lists once, and watches from then on.
+			if got := f.calls.Load(); got > 3*(pages+10) {
+				t.Errorf("%d routers: got %d calls at the start, want at most %d", size, got, 3*(pages+10))
+			}
+			stop()
+		})
+	}
+}
+
+// TestLargeListIsFoundThoughTheStoreRefusesItsFollowers has the routers that should list at a
+// start be refused, or get no answer: others take their place.
+func TestLargeListIsFoundThoughTheStoreRefusesItsFollowers(t *testing.T) {
+	for name, fail := range map[string]func(*followingRouter){
+		"refused": func(r *followingRouter) { r.refused = true },
+		"silent":  func(r *followingRouter) { r.cut = true },
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFollowing(125)
+			f.knowTime, f.pages, f.pageTime, f.listTime = time.Second, 50, 20*time.Millisecond, 200*time.Millisecond
+			for _, r := range f.routers {
+				if fleet.PlaceOf(r.self, f.members).Watches {
+					r.set(fail)
+				}
+			}
+			stop := f.start(t)
+			time.Sleep(2*fleetWithin + time.Second)
+			if got := f.lagging("0"); got > 0 {
+				t.Errorf("%s: got %d without a copy after twice the time allowed, want none", name, got)
+			}
+			stop()
+		})
+	}
+}
+
+// TestLoadingIsNoReasonToWaitForEachOther has routers that lack a copy tell each other of a list
+// that was under way once: it counts no longer than it was seen to be.
+func TestLoadingIsNoReasonToWaitForEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mirrors := []*Mirror{NewMirror(), NewMirror()}
+		mirrors[0].Loading(askAgain)
+		started := time.Now()
+		for i := 0; ; i++ {
+			_, err := mirrors[i%2].AwaitList(t.Context(), 10*time.Millisecond)
+			if !slipwick.IsKind(err, slipwick.KindOverloaded) {
+				break
+			}
+			var busy *slipwick.Error
+			if errors.As(err, &busy) {
+				mirrors[(i+1)%2].Loading(busy.RetryAfter)
+			}
+		}
+		if took := time.Since(started); took > askAgain+20*time.Millisecond {
+			t.Errorf("got routers that wait for each other for %v, want %v at most", took, askAgain)
+		}
+	})
+}
--- a/directory/mirror.go
+++ b/directory/mirror.go
@@ -43,6 +43,8 @@
 	steadySince time.Time
 	// hops counts the routers between the store and this copy.
 	hops int
+	// loadingUntil is until when a first list is known to be under way.
+	loadingUntil time.Time
 	// changed is closed at the next change of all that is above.
 	changed chan struct{}
 }
@@ -54,7 +56,7 @@
 }
 
 // gap is from one revision to another, between which the copy was not followed. A list made
-// up for it, which tells what there is and not what changed: an object may have gone and come
+// up for it, here or at the router that told the difference, which tells what there is and not what changed: an object may have gone and come
 // back as it was. Whoever knows a revision in between may know it as gone, and would not be
 // told; whoever knows the first one lacks nothing.
 type gap struct {
@@ -85,7 +87,7 @@
 		differing = m.missingLocked(batch)
 	}
 	for _, e := range batch.Entries {
-		if m.applyLocked(e, batch.Revision) {
+		if m.applyLocked(e, batch.Revision, batch.Whole) {
 			differing = append(differing, e)
 		}
 	}
@@ -95,7 +97,7 @@
 	switch {
 	case isAnother || m.position.IsZero():
 		m.changes, m.gaps, m.forgotten = nil, nil, batch.Revision
-	case batch.Whole && m.position.Revision < batch.Revision:
+	case (batch.Whole || batch.Skipping) && m.position.Revision < batch.Revision:
 		m.gapLocked(batch.Revision)
 	}
 	if isAnother || m.position.Revision < batch.Revision {
@@ -130,6 +132,20 @@
 	return sort.Search(len(m.changes), func(i int) bool { return m.changes[i].revision > revision })
 }
 
+// Position is the state of the store that the copy stands for.
+func (m *Mirror) Position() slipwick.Position {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.position
+}
+
+// Len counts the objects.
+func (m *Mirror) Len() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.entries)
+}
+
 // value gives an object's value.
 func (m *Mirror) value(name string) ([]byte, bool) {
 	m.mu.Lock()
@@ -155,21 +171,25 @@
 		}
 	}
 	for _, e := range gone {
-		m.applyLocked(e, batch.Revision)
+		m.applyLocked(e, batch.Revision, batch.Whole)
 	}
 	return gone
 }
 
-func (m *Mirror) applyLocked(e slipwick.FeedEntry, revision uint64) (differs bool) {
+func (m *Mirror) applyLocked(e slipwick.FeedEntry, revision uint64, whole bool) (differs bool) {
 	known, isKnown := m.entries[e.Name]
 	switch {
-	case e.Gone && !isKnown, !e.Gone && isKnown && bytes.Equal(known, e.Value):
-		return false
 	case e.Gone:
+		differs = isKnown
 		delete(m.entries, e.Name)
-	default:
+	case !isKnown || !bytes.Equal(known, e.Value):
+		differs = true
 		m.entries[e.Name] = e.Value
 	}
+	if !differs && whole {
+		return false
+	}
+	// What changed and is as it was again is told to those that know it in between.
 	m.changes = append(m.changes, change{
 		name:     e.Name,
 		revision: revision,
@@ -178,7 +198,7 @@
 		m.forgotten = max(m.forgotten, m.changes[0].revision)
 		m.changes = m.changes[1:]
 	}
-	return true
+	return differs
 }
 
 // Fail notes that the copy could not be confirmed.
@@ -240,7 +260,39 @@
 		case <-changed:
 		}
 	}
-	return m.List(ctx)
+	batch, err := m.List(ctx)
+	if left := m.loadingFor(); err != nil && left > 0 {
+		return slipwick.FeedBatch{}, loading(left)
+	}
+	return batch, err
+}
+
+// Loading notes that a list was seen to be under way, and for how long that counts. Routers
+// that ask meanwhile are told so, and for how long it does yet: the store is not asked by
+// others for a list that takes its time, and no two routers wait for each other's word.
+func (m *Mirror) Loading(lasts time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if until := clock.Now().Add(lasts); until.After(m.loadingUntil) {
+		m.loadingUntil = until
+	}
+}
+
+func (m *Mirror) loadingFor() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.loadingUntil.Sub(clock.Now())
+}
+
+// loading is the error of a router to which a list is under way, or that sends its own to
+// others; it counts for so long.
+func loading(lasts time.Duration) error {
+	return &slipwick.Error{
+		Kind:       slipwick.KindOverloaded,
+		Message:    "this router is receiving its first copy, or sends it to others",
+		Remedy:     "ask again, or another router",
+		RetryAfter: lasts,
+	}
 }
 
 // Watch waits for changes after the position, or until the copy is confirmed
@@ -291,6 +343,7 @@
 		}
 	}
 	batch := m.batchLocked(false)
+	batch.Skipping = slices.ContainsFunc(m.gaps, func(g gap) bool { return g.from >= after.Revision })
 	changed := m.changes[m.firstAfterLocked(after.Revision):]
 	told := make(map[string]bool, len(changed))
 	for _, c := range changed {
--- a/directory/mirror_test.go
+++ b/directory/mirror_test.go
@@ -213,3 +213,46 @@
 	}
 	expectNames(t, "old copy", got.Entries, "a2")
 }
+
+// TestMirrorThatLearntADifferenceDoesNotVouchForIt has a copy follow another one across a gap of
+// that one's, in which an object went and came back as it had been. A third router knows it as
+// gone, from a revision in the gap.
+//
+// What was found by histories of the store's model: live servers that had lapsed during a
+// silence stayed out of use at some routers until their doubts were over.
+func TestMirrorThatLearntADifferenceDoesNotVouchForIt(t *testing.T) {
+	first, second := NewMirror(), NewMirror()
+	for _, m := range []*Mirror{first, second} {
+		m.Apply(batch(1, true, "a1", "b1"))
+	}
+	first.Apply(batch(5, true, "a1", "b2"))
+	difference, _, err := first.since(at(1), false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	second.Apply(&difference)
+	if got, _, err := second.since(at(3), false); !slipwick.IsKind(err, slipwick.KindHistoryLost) {
+		t.Errorf("got %+v and %v since a revision in the gap, want kind %s", got, err, slipwick.KindHistoryLost)
+	}
+}
+
+// TestMirrorTellsWhatChangedBack has an object change and change back within one answer. A
+// router that knows it as changed is told.
+func TestMirrorTellsWhatChangedBack(t *testing.T) {
+	first, second := NewMirror(), NewMirror()
+	for _, m := range []*Mirror{first, second} {
+		m.Apply(batch(1, true, "a1"))
+	}
+	first.Apply(batch(2, false, "a"))
+	first.Apply(batch(4, false, "a1"))
+	difference, _, err := first.since(at(1), false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	expectNames(t, "copy that differs in nothing", second.Apply(&difference))
+	got, _, err := second.since(at(2), false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	expectNames(t, "to a router that knows it gone", got.Entries, "a1")
+}
--- a/directory/model_test.go
+++ b/directory/model_test.go
@@ -262,3 +262,46 @@
 		}
 	}
 }
+
+// TestLiveServerIsInUseAfterASilenceThatFollowsAReturn plays the history in which two routers of
+// eleven sent nothing to live servers 11.7 s after the store had them, 11.6 s allowed. Their
+// entries had lapsed during a silence. A router that was told what differs from before the
+// silence told others that knew of the lapse nothing of it.
+func TestLiveServerIsInUseAfterASilenceThatFollowsAReturn(t *testing.T) {
+	const ms = time.Millisecond
+	for round := range 5 {
+		violations, _ := play(t, 11, []event{
+			{
+				Kind:  "away",
+				For:   1600 * ms,
+				After: 2800 * ms,
+				Lapse: true,
+			},
+			{
+				Kind:  "fall back",
+				For:   1700 * ms,
+				Age:   1000 * ms,
+				After: 500 * ms,
+			},
+			{
+				Kind:  "start",
+				After: 3800 * ms,
+			},
+			{
+				Kind:  "fall back",
+				For:   1100 * ms,
+				Age:   3800 * ms,
+				After: 5600 * ms,
+			},
+			{
+				Kind:  "hang",
+				For:   4700 * ms,
+				After: 100 * ms,
+				Lapse: true,
+			},
+		})
+		if len(violations) > 0 {
+			t.Errorf("round %d: %q", round, violations)
+		}
+	}
+}
--- a/directory/relay.go
+++ b/directory/relay.go
@@ -69,6 +69,7 @@
 	defer func() { _ = response.Body.Close() }()
 	switch response.StatusCode {
 	case http.StatusOK:
+		tellBegun(ctx)
 	case http.StatusGone:
 		return slipwick.FeedBatch{}, &slipwick.Error{
 			Kind:    slipwick.KindHistoryLost,
@@ -77,6 +78,10 @@
 		}
 	case http.StatusServiceUnavailable:
 		return slipwick.FeedBatch{}, notCurrent()
+	case http.StatusTooManyRequests:
+		// What is no number says nothing.
+		left, _ := strconv.ParseInt(response.Header.Get(loadingHeader), 10, 64)
+		return slipwick.FeedBatch{}, loading(min(time.Duration(left)*time.Millisecond, askAgain))
 	default:
 		return slipwick.FeedBatch{}, unavailable(r.Address, nil)
 	}
@@ -87,6 +92,20 @@
 	return batch, nil
 }
 
+// begunKey is the context's key of what is told that a router's answer with its copy begins.
+type begunKey struct{}
+
+func withBegun(ctx context.Context, onBegun func()) context.Context {
+	return context.WithValue(ctx, begunKey{}, onBegun)
+}
+
+// tellBegun tells whoever waits for the answer that it begins.
+func tellBegun(ctx context.Context) {
+	if onBegun, ok := ctx.Value(begunKey{}).(func()); ok {
+		onBegun()
+	}
+}
+
 // oldestCopy and mostHops bound what another router may say of its copy: one that is
 // older than a year, or came over more routers than a fleet has, is not believed.
 const (
--- a/directory/relayed.go
+++ b/directory/relayed.go
@@ -4,8 +4,11 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/clock"
 	"github.com/slipwick/slipwick/fleet"
@@ -17,6 +20,11 @@
 	// any says that there is a copy, current that it is a current one, answered
 	// that some router answered at all.
 	any, current, answered bool
+	// busyFor is for how long a list counts as under way that a router receives, or sends
+	// to others.
+	busyFor time.Duration
+	// begun says that it began to answer before it had answered.
+	begun bool
 }
 
 // candidates gives the routers to ask, in order: those that this one follows, by
@@ -76,18 +84,19 @@
 }
 
 // hedgeShare of the patience with a router is how long it is waited for before
-// the next is asked beside it, allFactor times the patience how long all may take.
+// the next is asked beside it, allFactor times the patience how long all may take to begin.
 const (
 	hedgeShare = 0.15
 	allFactor  = 1.25
 )
 
 // listRouters lists from one router after the other, each for so long at most,
-// until one has a current copy; else it gives an old one if there is any.
+// until one has a current copy; else it gives an old one if there is any. While one is
+// sending its answer no other is asked: a large list takes what the link has.
 func (s *Shared) listRouters(ctx context.Context, ids []string, patience time.Duration) found {
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(allFactor*float64(patience)))
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	answers := make(chan found, len(ids))
+	answers, begins := make(chan found, len(ids)), make(chan struct{}, len(ids))
 	asked := 0
 	askNext := func() {
 		if asked == len(ids) {
@@ -96,37 +105,73 @@
 		id := ids[asked]
 		asked++
 		go func() {
-			answers <- s.relayed(ctx, id, patience, func(ctx context.Context, f slipwick.Feed) (slipwick.FeedBatch, error) {
-				return f.List(ctx)
-			})
+			f := s.relayed(ctx, id, patience, func() { begins <- struct{}{} }, s.listFrom)
+			answers <- f
 		}()
 	}
 	hedge := time.NewTicker(time.Duration(hedgeShare * float64(patience)))
 	defer hedge.Stop()
+	all := time.NewTimer(time.Duration(allFactor * float64(patience)))
+	defer all.Stop()
 	askNext()
 	var best found
+	sending, isLate := 0, false
 	for answered := 0; answered < asked; {
 		select {
 		case f := <-answers:
 			answered++
+			if f.begun {
+				sending--
+			}
 			if f.current {
 				return f
 			}
 			best = best.or(&f)
-			askNext()
+			s.noteLoading(f.busyFor)
+			if !isLate {
+				askNext()
+			}
+		case <-begins:
+			sending++
+			s.noteLoading(askAgain)
 		case <-hedge.C:
-			askNext()
+			if sending <= 0 && !isLate {
+				askNext()
+			}
+		case <-all.C:
+			isLate = true
+		}
+		if isLate && sending <= 0 {
+			return best
 		}
 	}
 	return best
 }
 
+// listFrom asks another router for what it knows: all of it, or what differs from the copy
+// here.
+func (s *Shared) listFrom(ctx context.Context, feed slipwick.Feed) (slipwick.FeedBatch, error) {
+	if s.Copy == nil {
+		return feed.List(ctx)
+	}
+	known := s.Copy.Position()
+	if known.IsZero() {
+		return feed.List(ctx)
+	}
+	batch, err := feed.Watch(ctx, known, 0)
+	if slipwick.IsKind(err, slipwick.KindHistoryLost) {
+		return feed.List(ctx)
+	}
+	return batch, err
+}
+
 // or joins two answers, neither of them current.
 func (f *found) or(other *found) found {
 	joined := found{
 		batch:    f.batch,
 		any:      f.any || other.any,
 		answered: f.answered || other.answered,
+		busyFor:  max(f.busyFor, other.busyFor),
 	}
 	if other.any && (!f.any || f.batch.Position().Before(other.batch.Position())) {
 		joined.batch = other.batch
@@ -134,35 +179,48 @@
 	return joined
 }
 
-// relayed calls another router's copy.
-func (s *Shared) relayed(ctx context.Context, id string, limit time.Duration,
+// relayed calls another router's copy. The limit is for its answer to begin, which onBegun
+// is told of; the rest of it may take as long as a list.
+func (s *Shared) relayed(ctx context.Context, id string, limit time.Duration, onBegun func(),
 	call func(context.Context, slipwick.Feed) (slipwick.FeedBatch, error),
 ) found {
-	limited, cancel := context.WithTimeout(ctx, limit)
+	limited, cancel := context.WithCancel(ctx)
 	defer cancel()
-	batch, err := call(limited, s.Peers.Relay(id, s.Name))
+	timer := time.AfterFunc(limit, cancel)
+	defer timer.Stop()
+	var begun atomic.Bool
+	heard := withBegun(limited, func() {
+		timer.Reset(s.Rhythm.orDefault().List)
+		if !begun.Swap(true) {
+			onBegun()
+		}
+	})
+	batch, err := call(heard, s.Peers.Relay(id, s.Name))
+	f := found{
+		begun: begun.Load(),
+	}
 	if err == nil && s.isOvertaken(&batch) {
 		// The router has yet to learn what this one knows.
-		return found{
-			answered: true,
-		}
+		f.answered = true
+		return f
 	}
 	if err == nil && batch.Age <= s.Rhythm.orDefault().Age {
-		return found{
-			batch:    batch,
-			any:      true,
-			current:  true,
-			answered: true,
-		}
+		f.batch, f.any, f.current, f.answered = batch, true, true, true
+		return f
 	}
-	if ctx.Err() == nil {
-		s.noteFailed(id)
+	isLacking := slipwick.IsKind(err, slipwick.KindNotCurrent)
+	var busy *slipwick.Error
+	isBusy := slipwick.IsKind(err, slipwick.KindOverloaded) && errors.As(err, &busy)
+	if isBusy {
+		f.busyFor = busy.RetryAfter
 	}
-	return found{
-		batch:    batch,
-		any:      err == nil,
-		answered: err == nil || slipwick.IsKind(err, slipwick.KindNotCurrent),
+	// Routers that start together have no copy yet, and will soon.
+	if ctx.Err() == nil && !isBusy && !(isLacking && s.isEmpty()) {
+		s.noteFailed(id)
 	}
+	f.batch, f.any = batch, err == nil
+	f.answered = err == nil || isBusy || isLacking
+	return f
 }
 
 // isOvertaken tells whether a copy is of a timeline that the store has left since.
--- a/directory/relayserver.go
+++ b/directory/relayserver.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
 	"github.com/slipwick/slipwick"
 )
@@ -22,6 +23,9 @@
 // that ask for the same, so that it is not in the body.
 const ageHeader = "Slipwick-Age-Ms"
 
+// loadingHeader tells, beside 429, for how many milliseconds a list counts as under way.
+const loadingHeader = "Slipwick-Loading-Ms"
+
 // hopsHeader tells how many routers lie between the store and the copy.
 const hopsHeader = "Slipwick-Hops"
 
@@ -37,6 +41,8 @@
 
 	mu      sync.Mutex
 	encoded map[relayKey][]byte
+	// sending counts the large answers that are being sent.
+	sending int
 }
 
 // relayKey names one answer by what it holds. Its position does not: a store that comes
@@ -44,6 +50,7 @@
 // than its revision says.
 type relayKey struct {
 	whole    bool
+	skipping bool
 	position slipwick.Position
 	entries  uint64
 }
@@ -52,6 +59,32 @@
 // lists and since some revisions. Each is some times smaller than the copy.
 const encodedKept = 16
 
+// largeAnswer is from which size on sendsAtOnce answers at most are sent at a time: on a
+// small link those sent beside each other all come late. Who is turned away finds those that
+// have got theirs, so that the number of routers that have a copy grows by a factor with each
+// list, and the time for all with the logarithm of the fleet.
+const (
+	largeAnswer = 64 << 10
+	sendsAtOnce = 2
+)
+
+// beginSend tells whether a large answer may be sent now.
+func (s *RelayServer) beginSend() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.sending >= sendsAtOnce {
+		return false
+	}
+	s.sending++
+	return true
+}
+
+func (s *RelayServer) endSend() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sending--
+}
+
 // ServeHTTP answers a list, or with the query after a watch; either waits as the
 // query says.
 func (s *RelayServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -70,6 +103,8 @@
 	switch {
 	case slipwick.IsKind(err, slipwick.KindHistoryLost):
 		http.Error(w, err.Error(), http.StatusGone)
+	case slipwick.IsKind(err, slipwick.KindOverloaded):
+		refuseForNow(w, err)
 	case err != nil:
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	default:
@@ -121,6 +156,7 @@
 func (s *RelayServer) answer(w http.ResponseWriter, batch *slipwick.FeedBatch) {
 	body, err := s.encode(relayKey{
 		whole:    batch.Whole,
+		skipping: batch.Skipping,
 		position: batch.Position(),
 		entries:  hashOf(batch.Entries),
 	}, batch)
@@ -128,6 +164,13 @@
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
+	if len(body) >= largeAnswer {
+		if !s.beginSend() {
+			refuseForNow(w, loading(askAgain))
+			return
+		}
+		defer s.endSend()
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Encoding", "gzip")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -138,6 +181,15 @@
 	_, _ = w.Write(body)
 }
 
+// refuseForNow tells for how long a list is known to be under way.
+func refuseForNow(w http.ResponseWriter, err error) {
+	var busy *slipwick.Error
+	if errors.As(err, &busy) {
+		w.Header().Set(loadingHeader, strconv.FormatInt(busy.RetryAfter.Milliseconds(), 10))
+	}
+	http.Error(w, err.Error(), http.StatusTooManyRequests)
+}
+
 // hashOf gives a hash of the entries, in whatever order they stand.
 func hashOf(entries []slipwick.FeedEntry) uint64 {
 	var sum uint64
--- a/directory/shared.go
+++ b/directory/shared.go
@@ -17,8 +17,8 @@
 	othersAsked   = 4
 	drawnAsked    = 2
 	otherPatience = 200 * time.Millisecond
-	// settleTime is how long a router that starts waits until it knows the others:
-	// whom it follows depends on them. It waits for loneTime until it knows any.
+	// settleTime is how often a router that starts, and does not know the others yet, asks
+	// some for a copy. It waits for loneTime until it knows any.
 	settleTime = 100 * time.Millisecond
 	loneTime   = 300 * time.Millisecond
 	// newsShare of the wait of a watch is by how much a copy has to be confirmed
@@ -35,6 +35,9 @@
 	Name  string
 	Store slipwick.Feed
 	Peers Peers
+	// Copy is what is known: other routers are asked for what differs from it. Without
+	// one they are asked for all.
+	Copy *Mirror
 	// Rhythm is how long to wait; the zero value stands for the default.
 	Rhythm Rhythm
 
@@ -44,7 +47,7 @@
 	// not go on to the next.
 	turn  int
 	stays bool
-	// started is when the first list was asked for, confirmed when the store was
+	// started is when this router knew the others, confirmed when the store was
 	// known to be in the state known here; zero before.
 	started, confirmed time.Time
 	// position is the latest that was told, reusedAt when another router's copy
@@ -75,7 +78,10 @@
 func (s *Shared) List(ctx context.Context) (slipwick.FeedBatch, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.Rhythm.orDefault().List)
 	defer cancel()
-	s.settle(ctx)
+	if found := s.settle(ctx); found.current {
+		return s.noted(found.batch, nil)
+	}
+	s.begin()
 	place := s.Peers.Place()
 	if s.usesStore(ctx, &place) {
 		answer := s.listStore(ctx, &place, true, func(f *found) bool { return f.any })
@@ -86,7 +92,7 @@
 	switch {
 	case s.isOfUse(&found):
 		return s.noted(found.batch, nil)
-	case s.mayTakeOver(&place, found.answered):
+	case found.busyFor <= 0 && s.mayTakeOver(&place, found.answered):
 		batch, err := s.takeOver(ctx, &place)
 		if err == nil || !found.any {
 			return s.noted(batch, err)
@@ -106,29 +112,41 @@
 	return s.position.IsZero()
 }
 
-// settle waits, at the first list, until this router knows the others.
-func (s *Shared) settle(ctx context.Context) {
+// begin has the turns at the store count from when this router knew the others.
+func (s *Shared) begin() {
 	s.mu.Lock()
-	isFirst := s.started.IsZero()
-	if isFirst {
+	defer s.mu.Unlock()
+	if s.started.IsZero() {
 		s.started = clock.Now()
 	}
+}
+
+// settle waits, at the first list, until this router knows the others: whom it follows
+// depends on them, and of a few that it knows it would often be the one to ask the store.
+// Meanwhile some of these may have a copy.
+func (s *Shared) settle(ctx context.Context) found {
+	s.mu.Lock()
+	isFirst := s.started.IsZero()
 	s.mu.Unlock()
 	if !isFirst {
-		return
+		return found{}
 	}
 	ticker := time.NewTicker(settleTime)
 	defer ticker.Stop()
-	for waited := time.Duration(0); waited < loneTime; waited += settleTime {
+	for waited := time.Duration(0); ; waited += settleTime {
 		select {
 		case <-s.Peers.Settled():
-			return
+			return found{}
 		case <-ctx.Done():
-			return
+			return found{}
 		case <-ticker.C:
 		}
-		if len(s.Peers.Others()) > 0 {
-			return
+		others := s.withSome(nil)
+		if len(others) == 0 && waited >= loneTime {
+			return found{}
+		}
+		if found := s.listRouters(ctx, others, otherPatience); found.current {
+			return found
 		}
 	}
 }
@@ -196,10 +214,10 @@
 ) (slipwick.FeedBatch, error) {
 	rhythm := s.Rhythm.orDefault()
 	candidates := s.candidates(place)
-	answered := false
+	answered, isBusy := false, false
 	if len(candidates) > 0 {
 		wait := s.untilStore(place, rhythm.Relay)
-		watched := s.relayed(ctx, candidates[0], wait+rhythm.RelayMargin,
+		watched := s.relayed(ctx, candidates[0], wait+rhythm.RelayMargin, func() {},
 			func(ctx context.Context, f slipwick.Feed) (slipwick.FeedBatch, error) {
 				return f.Watch(ctx, after, wait)
 			})
@@ -213,8 +231,9 @@
 			return s.noted(others.batch, nil)
 		}
 		answered = watched.answered || others.answered
+		isBusy = watched.busyFor > 0 || others.busyFor > 0
 	}
-	if ctx.Err() == nil && s.mayTakeOver(place, answered) {
+	if ctx.Err() == nil && !isBusy && s.mayTakeOver(place, answered) {
 		return s.noted(s.takeOver(ctx, place))
 	}
 	s.useStoreAgain()
--- a/directory/wirebatch.go
+++ b/directory/wirebatch.go
@@ -11,6 +11,8 @@
 type wireBatch struct {
 	Entries []wireEntry `json:"entries"`
 	Whole   bool        `json:"whole,omitempty"`
+	// Skipping is told by no router of before: these list anew where it would be.
+	Skipping bool `json:"skipping,omitempty"`
 	// Timeline is left out by routers of before, and for stores that tell none.
 	Timeline uint64 `json:"timeline,omitempty"`
 	Revision uint64 `json:"revision"`
@@ -27,6 +29,7 @@
 	wire := &wireBatch{
 		Entries:  make([]wireEntry, 0, len(batch.Entries)),
 		Whole:    batch.Whole,
+		Skipping: batch.Skipping,
 		Timeline: batch.Timeline,
 		Revision: batch.Revision,
 	}
@@ -48,6 +51,7 @@
 func (w *wireBatch) batch() slipwick.FeedBatch {
 	batch := slipwick.FeedBatch{
 		Whole:    w.Whole,
+		Skipping: w.Skipping,
 		Timeline: w.Timeline,
 		Revision: w.Revision,
 	}
--- a/feed.go
+++ b/feed.go
@@ -19,6 +19,9 @@
 	Entries []FeedEntry `json:"entries"`
 	// Whole says that the entries are all there are, and not changes.
 	Whole bool `json:"whole,omitempty"`
+	// Skipping says that the entries are what differs from the position asked about, and
+	// that something may have changed in between and back.
+	Skipping bool `json:"skipping,omitempty"`
 	// Timeline and Revision are the store's position at the time; the next watch goes
 	// on from it.
 	Timeline uint64 `json:"timeline,omitempty"`
