Roll versions of backend servers out, and turn bad ones back

Orders of rollouts were read nowhere: a new version's servers got their full part of the requests at once, whatever they answered, and no state was written.

Package rollout decides without network: a share of a quarter of the exposure allowed, until the moment from which on all requests to the deadline are the rest of it, so that a version that turns bad at any time has got no more; a CUSUM test of its answers against the old version's of the same time; final states that stay. The balancer sends by the share and counts answers of both sides, which routers tell each other as they do for servers that fail, without a change of the wire; each router acts on its verdict, and those that follow the store write it under the order's revision. A version that turns up before its order is known waits, two seconds at most.

Nothing changes where the settings name no exposure_share.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -36,6 +36,9 @@
 	// InPlace says that backend servers may be replaced under the same entry, as in a
 	// list that operators write: what one said of its leaving then lapses.
 	InPlace bool
+	// HoldVersions has servers of a version that is new in its pool wait until it is known
+	// whether an order names it.
+	HoldVersions bool
 	// Switches are for comparisons.
 	Switches Switches
 	// Draw gives a number from 0 to 1 by chance. New sets the default.
@@ -70,6 +73,11 @@
 	// nothing at the router's start.
 	firstListed time.Time
 	empty       bool
+	// trials are those of pools, versions when each version turned up in a pool that had
+	// none of it; zero if it was there at first. ordersAsOf is as of when orders are known.
+	trials     map[string]*trial
+	versions   map[string]map[string]time.Time
+	ordersAsOf time.Time
 	// evacuated are the data centres whose servers get nothing new.
 	evacuated map[string]bool
 	// coldLimits bound what cold servers get, by pool, began is when the balancer was
@@ -102,6 +110,7 @@
 		notices:    make(map[uint64]*notices),
 		orphans:    make(map[uint64]bool),
 		paces:      make(map[string]*poolPace),
+		versions:   make(map[string]map[string]time.Time),
 		began:      clock.Now(),
 	}
 }
@@ -116,7 +125,7 @@
 
 func (b *Balancer) acquireLocked(ask *Ask, now time.Time) (*Lease, error) {
 	decay := b.decayLocked(now)
-	pool := b.pools[ask.Pool]
+	pool := b.onTrialLocked(b.pools[ask.Pool], ask, now)
 	usable := b.usableLocked(pool, ask, now)
 	if len(usable) == 0 {
 		return nil, b.whyNoneLocked(pool, ask, now)
@@ -278,6 +287,7 @@
 	lease.server.reading -= lease.reading
 	lease.reading = 0
 	b.endReadingLocked(lease)
+	b.noteTrialLocked(lease, evidence)
 	b.observeLocked(lease.server, evidence, clock.Now())
 }
 
--- a/balance/errors.go
+++ b/balance/errors.go
@@ -181,6 +181,8 @@
 		if s := b.hashes[o.Server]; s != nil {
 			s.errors.learn(o.Good, o.Failed)
 			b.judgeLocked(s, now)
+		} else {
+			b.hearTrialLocked(&o)
 		}
 	}
 }
--- a/balance/lease.go
+++ b/balance/lease.go
@@ -30,6 +30,8 @@
 	// part and begun are the reading that this request is the first of.
 	part  uint64
 	begun *reading
+	// isSlow says that its answer began several times later than such usually do.
+	isSlow bool
 	// isCold says that the backend server was cold when it was chosen.
 	isCold bool
 	// reading is how many tokens the engine has to read for it yet.
--- a/balance/listed.go
+++ b/balance/listed.go
@@ -10,6 +10,8 @@
 type Listed struct {
 	slipwick.Backend
 	Pool string
+	// Version is that of its software; empty if it tells none.
+	Version string
 	// Leaving says that it gets nothing new.
 	Leaving bool
 	// ColdTime is how much longer the backend server said that it is cold, when it
--- a/balance/listing.go
+++ b/balance/listing.go
@@ -97,6 +97,7 @@
 	if known.ColdUntil.After(s.coldUntil) {
 		s.coldUntil = known.ColdUntil
 	}
+	b.holdLocked(s, !since.IsZero())
 	b.servers[s.ID], b.hashes[s.hash] = s, s
 	if s.place < 0 {
 		s.place = len(b.pools[s.Pool])
--- a/balance/pace.go
+++ b/balance/pace.go
@@ -125,6 +125,9 @@
 		return
 	}
 	took, p := clock.Since(lease.sentAt), b.paceLocked(lease.server.Pool)
+	if usual := p.within(usualShare, lease.toRead); usual > 0 {
+		lease.isSlow = took > slowFactor*usual
+	}
 	p.isEngines = p.isEngines || lease.hasPrompt
 	p.slowness.Seen(lease.toRead, took)
 	if lease.hasPrompt && lease.FetchFrom == "" {
--- a/balance/scratch.go
+++ b/balance/scratch.go
@@ -9,6 +9,8 @@
 	usable, cold, out, below []*server
 	// spared are those of evacuated data centres, and those that asked for rest.
 	spared []*server
+	// old and fresh are the servers of a pool on both sides of its trial.
+	old, fresh []*server
 	// costs are those of the usable servers, scores the ranks of those below.
 	costs  []float64
 	scores []uint64
--- a/balance/told.go
+++ b/balance/told.go
@@ -17,7 +17,8 @@
 	Leaving  []uint64
 }
 
-// Outcomes counts requests that ended since they were told last.
+// Outcomes counts requests that ended since they were told last, at a server or, in a trial, at
+// all servers of one side.
 type Outcomes struct {
 	Server uint64
 	Good   int
@@ -62,6 +63,7 @@
 		Leaving: b.leaving,
 	}
 	b.reads, b.leaving = nil, nil
+	b.tellTrialsLocked(&told)
 	for s := range b.inUse {
 		if b.hashes[s.hash] != s {
 			// It is no longer listed.
--- /dev/null
+++ b/balance/trial_test.go
@@ -0,0 +1,157 @@
+package balance
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/slipwick/slipwick"
+)
+
+// versions lists servers of a version.
+func versions(version string, n int) []Listed {
+	list := placedPool(n, "d", "e")
+	for i := range list {
+		list[i].ID += "-" + version
+		list[i].Version = version
+	}
+	return list
+}
+
+func newTrialBalancer(share float64) *Balancer {
+	b := New("d")
+	b.SetBackends(append(versions("v1", 6), versions("v2", 6)...))
+	b.SetTrials(map[string]Trial{
+		"p": {
+			Version: "v2",
+			Share:   share,
+		},
+	})
+	return b
+}
+
+// TestTrialGetsItsShare sends prompts and plain requests while a version is on trial.
+func TestTrialGetsItsShare(t *testing.T) {
+	const requests = 2000
+	for _, share := range []float64{0, 0.025, 0.25, 1} {
+		b := newTrialBalancer(share)
+		got := 0
+		for i := range uint64(requests) {
+			ask := prompt(i % 50)
+			if i%2 == 0 {
+				ask = &Ask{
+					Pool: "p",
+				}
+			}
+			lease := acquire(t, b, ask)
+			if lease.server.Version == "v2" {
+				got++
+			}
+			b.Began(lease)
+			b.Release(lease, slipwick.EvidenceGood)
+		}
+		least, most := share*requests*0.75-10, share*requests*1.25+10
+		if share == 0 {
+			most = 0
+		}
+		if float64(got) < least || float64(got) > most {
+			t.Errorf("share %v: got %d of %d at the new version", share, got, requests)
+		}
+	}
+}
+
+// TestVersionThatWasTurnedBackGetsNothing has all servers of the old version leave.
+func TestVersionThatWasTurnedBackGetsNothing(t *testing.T) {
+	b := newTrialBalancer(0)
+	leaving := versions("v1", 6)
+	for i := range leaving {
+		leaving[i].Leaving = true
+	}
+	b.ChangeBackends(&Changes{
+		Listed: leaving,
+	})
+	if lease, err := b.Acquire(prompt(1)); err == nil {
+		t.Errorf("got a request at %s, want none", lease.Backend.ID)
+	}
+}
+
+// TestTrialIsToldAndHeard has two routers count answers: each knows those of both, and what is
+// told of servers is as without a trial.
+func TestTrialIsToldAndHeard(t *testing.T) {
+	first, second := newTrialBalancer(1), newTrialBalancer(0)
+	for i, evidence := range []slipwick.Evidence{
+		slipwick.EvidenceGood, slipwick.EvidenceError, slipwick.EvidenceTimeout, slipwick.EvidenceRefused,
+	} {
+		for _, b := range []*Balancer{first, second} {
+			lease := acquire(t, b, prompt(uint64(i)))
+			b.Release(lease, evidence)
+		}
+	}
+	fromFirst, fromSecond := first.Tell(), second.Tell()
+	first.HearOutcomes(fromSecond.Outcomes)
+	second.HearOutcomes(fromFirst.Outcomes)
+	want := TrialCounts{
+		Old: VersionCounts{
+			Good: 1,
+			Bad:  2,
+		},
+		New: VersionCounts{
+			Good: 1,
+			Bad:  2,
+		},
+	}
+	for _, b := range []*Balancer{first, second} {
+		if got := b.TrialCounts("p"); got != want {
+			t.Errorf("got %+v, want %+v", got, want)
+		}
+	}
+	if again := first.Tell(); len(again.Outcomes) > 0 {
+		t.Errorf("got %v told twice", again.Outcomes)
+	}
+}
+
+// TestNewVersionWaitsForItsOrder has servers of a version turn up before the order is known.
+func TestNewVersionWaitsForItsOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New("d")
+		b.HoldVersions = true
+		b.SetBackends(versions("v1", 3))
+		time.Sleep(2 * LateListing)
+		b.ChangeBackends(&Changes{
+			Listed: versions("v2", 30),
+		})
+		key := uint64(0)
+		uses := func() bool {
+			for range 60 {
+				key++
+				lease := acquire(t, b, prompt(key))
+				isNew := lease.server.Version == "v2"
+				b.Release(lease, slipwick.EvidenceGood)
+				if isNew {
+					return true
+				}
+			}
+			return false
+		}
+		b.OrdersKnown(time.Now().Add(-time.Millisecond))
+		if uses() {
+			t.Error("got a new version in use before its order can be known")
+		}
+		time.Sleep(time.Millisecond)
+		b.OrdersKnown(time.Now())
+		if !uses() {
+			t.Error("got a new version held that no order names")
+		}
+		time.Sleep(time.Millisecond)
+		b.ChangeBackends(&Changes{
+			Listed: versions("v3", 300),
+		})
+		if !b.heldLocked("p", time.Now())["v3"] {
+			t.Error("got the next version not held")
+		}
+		time.Sleep(holdTime)
+		if len(b.heldLocked("p", time.Now())) > 0 {
+			t.Error("got a version held for good while orders can't be known")
+		}
+	})
+}
--- a/cmd/internal/events/catalogue.go
+++ b/cmd/internal/events/catalogue.go
@@ -151,6 +151,20 @@
 		Meaning: "A starting router could not learn in time which data centres are evacuated, and serves without knowing.",
 		Remedy:  "Check the platform's health; the list is taken as soon as it is known.",
 	}
+	RolloutChanged = Event{
+		Number:  410,
+		Name:    "rollout-changed",
+		Level:   zerolog.InfoLevel,
+		Meaning: "A rollout was ordered, or this router came to a verdict: the answers of both versions that it goes by are in the fields.",
+		Remedy:  "None; a version that was rolled back failed or was slow more often than the one before it.",
+	}
+	RolloutNotWritten = Event{
+		Number:  411,
+		Name:    "rollout-not-written",
+		Level:   zerolog.WarnLevel,
+		Meaning: "The state of a rollout could not be written to the store; the verdict is in force at the routers.",
+		Remedy:  "Check the platform's health; it is written again.",
+	}
 	BackendsChanged = Event{
 		Number:  405,
 		Name:    "backends-changed",
@@ -240,6 +254,8 @@
 		EvacuationsUnknown,
 		EntryRefused,
 		BackendNotice,
+		RolloutChanged,
+		RolloutNotWritten,
 		RouterDied,
 	}
 }
--- a/cmd/internal/gatewayd/assemble.go
+++ b/cmd/internal/gatewayd/assemble.go
@@ -32,7 +32,9 @@
 		feedBackends: directory.NewMirror(),
 
 		feedEvacuations: directory.NewMirror(),
+		feedRollouts:    directory.NewMirror(),
 	}
+	p.rollouts = newRollouts(p)
 	p.joinMembers(open)
 	p.tellings = membership.NewUDP(open.tellings)
 	p.teller = p.newTeller()
@@ -48,6 +50,7 @@
 	b.OnOut = p.onOut
 	b.OnNotice = p.onNotice
 	b.InPlace = p.Feeds.Private
+	b.HoldVersions = p.followsRollouts()
 	b.SetLoadBound(p.Settings.Bounds.LoadFactor, p.Settings.Bounds.LoadSlack)
 	return b
 }
--- a/cmd/internal/gatewayd/bounds.go
+++ b/cmd/internal/gatewayd/bounds.go
@@ -21,6 +21,9 @@
 	// Evacuate is the time after which the backend servers of an evacuated data
 	// centre get nothing new; 0 where none is ever evacuated.
 	Evacuate time.Duration
+	// Exposure is the share of a pool's requests that a new version of its backend servers
+	// may get during its rollout if it is bad; 0 where there are no rollouts.
+	Exposure float64
 	// ColdFactor and ColdSlack bound what a cold backend server gets in any second:
 	// the factor times what its pool's bear, and the slack.
 	ColdFactor float64
--- a/cmd/internal/gatewayd/gateway.go
+++ b/cmd/internal/gatewayd/gateway.go
@@ -87,6 +87,9 @@
 	// they are first known.
 	evacuated        atomic.Pointer[[]string]
 	evacuationsKnown chan struct{}
+	// rollouts are those that are followed, rolloutsKnown is closed when they first are.
+	rollouts      *rollouts
+	rolloutsKnown chan struct{}
 	// ready is closed when the process has a table, the list of backend servers and
 	// that of evacuated data centres, learnt when it knows what engines keep.
 	ready, learnt chan struct{}
@@ -110,6 +113,7 @@
 		done:     make(chan struct{}),
 
 		evacuationsKnown: make(chan struct{}),
+		rolloutsKnown:    make(chan struct{}),
 	}
 	p.foreign = newForeign(p)
 	return p
@@ -136,7 +140,7 @@
 	var parts sync.WaitGroup
 	failed := make(chan error, 7)
 	for _, part := range []func(context.Context){
-		p.followTables, p.followBackends, p.followEvacuations, p.node.Run, p.tellFirstRouters, p.join, p.teller.Run,
+		p.followTables, p.followBackends, p.followEvacuations, p.followRollouts, p.node.Run, p.tellFirstRouters, p.join, p.teller.Run,
 		p.marks.Run, p.recoverHomes, p.watchSettings, p.noticeSleep,
 	} {
 		parts.Go(func() { part(background) })
--- a/cmd/internal/gatewayd/homes.go
+++ b/cmd/internal/gatewayd/homes.go
@@ -32,6 +32,7 @@
 		}
 	}
 	p.awaitEvacuations(ctx)
+	p.awaitRollouts(ctx)
 	close(p.ready)
 	if p.Settings.FirstStart {
 		p.balancer.CoverAll()
--- a/cmd/internal/gatewayd/metrics.go
+++ b/cmd/internal/gatewayd/metrics.go
@@ -105,6 +105,11 @@
 			help: "Data centres whose backend servers get nothing new.",
 			read: func() float64 { return float64(len(p.evacuatedNow())) },
 		},
+		{
+			name: "slipwick_running_rollouts",
+			help: "Rollouts of versions without a verdict.",
+			read: func() float64 { return float64(p.rollouts.running()) },
+		},
 		{
 			name: "slipwick_refused_entries",
 			help: "Objects of the store that can't be read, and are out of use.",
--- a/cmd/internal/gatewayd/settings.go
+++ b/cmd/internal/gatewayd/settings.go
@@ -1,11 +1,13 @@
 package gatewayd
 
 import (
+	"context"
 	"time"
 
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/balance"
 	"github.com/slipwick/slipwick/gateway"
+	"github.com/slipwick/slipwick/rollout"
 	"github.com/slipwick/slipwick/routing"
 )
 
@@ -62,6 +64,11 @@
 	DecodeBackend func(name string, value []byte) (balance.Listed, error)
 	// DecodeEvacuation gives the data centre that an object evacuates.
 	DecodeEvacuation func(name string, value []byte) (string, error)
+	// Rollouts has an object for each order of a rollout, WriteRollout writes the state of
+	// the one in the object with the name; it is not followed where Bounds.Exposure is 0.
+	Rollouts      slipwick.Feed
+	DecodeRollout func(name string, value []byte) (rollout.Order, error)
+	WriteRollout  func(ctx context.Context, name string, order *rollout.Order, state rollout.State) error
 	// Private says that each router has the state from elsewhere, so that
 	// routers do not follow each other.
 	Private bool
--- a/cmd/slipwickd/serve/gateway.go
+++ b/cmd/slipwickd/serve/gateway.go
@@ -139,6 +139,7 @@
 			Apply:      s.ConfigApply(),
 			Leave:      s.DrainTimeout(),
 			Evacuate:   s.EvacuationTime(),
+			Exposure:   s.Bounds.ExposureShare,
 			ColdFactor: s.Bounds.ColdOverage,
 			ColdSlack:  s.Bounds.ColdSlack,
 			Heartbeat:  s.Heartbeat(),
@@ -164,6 +165,10 @@
 		DecodeBackend: s.DecodeReplica,
 
 		DecodeEvacuation: platform.DecodeEvacuation,
+
+		Rollouts:      platform.Rollouts(store),
+		DecodeRollout: platform.DecodeRollout,
+		WriteRollout:  store.WriteRollout,
 		Caches: &platform.Caches{
 			HTTP: httpclient.New(),
 		},
