Hold returns of half of a fleet, and changes while a third is cut off, in tests

Two of the heaviest moments of a large fleet, without network and in virtual time, at 62, 125 and 250 routers: more than half without power return at once and have their lists, of fifty calls each at the store, from those that stayed within 1.5 s, with at most 180 calls; a change is in force at all in half of the time allowed while the store refuses a third.

--- a/directory/following_test.go
+++ b/directory/following_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -32,6 +33,9 @@
 	// one to another.
 	knowTime, pageTime, listTime time.Duration
 	pages                        int
+	// off are routers without power, startOff has them start.
+	off      []*followingRouter
+	startOff func()
 }
 
 // followingRouter is one router, and what is wrong with it.
@@ -137,7 +141,7 @@
 		}
 	}()
 	random := rand.New(rand.NewPCG(1, 2))
-	for _, r := range f.routers {
+	startRouter := func(r *followingRouter) {
 		wait := time.Duration(random.Int64N(int64(300 * time.Millisecond)))
 		r.started = time.Now().Add(wait)
 		go func() {
@@ -146,6 +150,16 @@
 			r.follower.Run(ctx)
 		}()
 	}
+	for _, r := range f.routers {
+		if !slices.Contains(f.off, r) {
+			startRouter(r)
+		}
+	}
+	f.startOff = func() {
+		for _, r := range f.off {
+			startRouter(r)
+		}
+	}
 	return func() {
 		cancel()
 		for _, r := range f.routers {
--- a/directory/largelist_test.go
+++ b/directory/largelist_test.go
@@ -84,3 +84,64 @@
 		}
 	})
 }
+
+// TestChangeIsKnownInHalfOfTheTimeThoughAThirdIsCutOff has the store refuse a third of the routers,
+// those that follow it among them or not, while keys are taken away: the change has to be in
+// force everywhere in half of the time allowed, as what it takes away has to stop working.
+func TestChangeIsKnownInHalfOfTheTimeThoughAThirdIsCutOff(t *testing.T) {
+	for _, size := range []int{62, 125, 250} {
+		for seed := range 4 {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFollowing(size)
+				stop := f.start(t)
+				time.Sleep(5*time.Second + time.Duration(seed)*371*time.Millisecond)
+				for i, r := range f.routers {
+					if i%3 == seed%3 {
+						r.set(func(r *followingRouter) { r.refused = true })
+					}
+				}
+				time.Sleep(time.Duration(seed) * 500 * time.Millisecond)
+				f.change("1")
+				time.Sleep(fleetWithin / 2)
+				if got := f.lagging("1"); got > 0 {
+					t.Errorf("%d routers, seed %d: got %d that do not know the change in half of the time, want none", size, seed, got)
+				}
+				stop()
+			})
+		}
+	}
+}
+
+// TestHalfOfTheFleetThatReturnsListsFromTheOthers has more than half of the routers be without
+// power, those that follow the store among them or not, and return at once: they have their
+// lists from routers that stayed, within a part of the time that a return may take.
+func TestHalfOfTheFleetThatReturnsListsFromTheOthers(t *testing.T) {
+	const pages = 50
+	for _, size := range []int{62, 125, 250} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFollowing(size)
+			f.knowTime, f.pages, f.pageTime, f.listTime = time.Second, pages, 20*time.Millisecond, 200*time.Millisecond
+			for i, r := range f.routers {
+				if i%9 < 5 {
+					f.off = append(f.off, r)
+				}
+			}
+			stop := f.start(t)
+			time.Sleep(8 * time.Second)
+			if got, want := f.lagging("0"), len(f.off); got != want {
+				t.Errorf("%d routers: got %d without a copy before the return, want the %d without power", size, got, want)
+			}
+			f.calls.Store(0)
+			f.startOff()
+			time.Sleep(1500 * time.Millisecond)
+			if got := f.lagging("0"); got > 0 {
+				t.Errorf("%d routers: got %d without a copy 1.5 s after the return, want none", size, got)
+			}
+			// Those that take the place of the store's followers list it once more at most.
+			if got := f.calls.Load(); got > 3*(pages+10) {
+				t.Errorf("%d routers: got %d calls at the return, want at most %d", size, got, 3*(pages+10))
+			}
+			stop()
+		})
+	}
+}
