Take each datagram of a round of counts once

What grew: a hub tells its group all that the fleet has in flight, fifty servers a datagram. With each datagram a router joined all of the round so far anew, as maps, took the round before out of its sums and put the joined one in: the square of the datagrams, five times a second, at every router.

The first datagram of a round takes the place of the round before, the others add to it; this router's own requests are taken out of each. What a hub tells of the fleet is not kept for sums that only hubs make.

TestRoundsOfManyDatagramsAddUp counts over rounds of 2 to 5 datagrams with late ones; TestHubsCountEveryRequestOnce as it was.

--- a/balance/told.go
+++ b/balance/told.go
@@ -118,6 +118,19 @@
 	}
 }
 
+// HearMore takes more of the counts that another router told last.
+func (b *Balancer) HearMore(router string, list []InFlight) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h := b.heard[router]
+	h.at = clock.Now()
+	h.inFlight = append(h.inFlight, list...)
+	b.heard[router] = h
+	if slices.Contains(b.peers, router) {
+		b.addToldLocked(list, 1)
+	}
+}
+
 // addToldLocked adds counts, times the sign, to the servers' sums.
 func (b *Balancer) addToldLocked(list []InFlight, sign int) {
 	for _, in := range list {
--- a/exchange/counts.go
+++ b/exchange/counts.go
@@ -19,13 +19,18 @@
 
 func newCounts(list []balance.InFlight) *counts {
 	c := &counts{
-		at:   clock.Now(),
 		each: make(map[uint64]balance.InFlight, len(list)),
 	}
+	c.take(list)
+	return c
+}
+
+// take takes more counts of the same round, of other servers.
+func (c *counts) take(list []balance.InFlight) {
+	c.at = clock.Now()
 	for _, in := range list {
 		c.each[in.Server] = in
 	}
-	return c
 }
 
 // add adds the other's counts, times the sign.
--- a/exchange/teller.go
+++ b/exchange/teller.go
@@ -246,12 +246,8 @@
 	}
 	told := decode(message)
 	t.passLater(message.GetScope(), message.GetUrgent(), told)
-	source, list := message.GetFrom(), t.collect(message, told.InFlight)
-	if message.GetScope() == exchangepb.Scope_SCOPE_FLEET {
-		source = fleetSource
-	}
 	if hasCounts(message) {
-		t.Balancer.Hear(source, message.GetSequence(), list)
+		t.hear(message, told.InFlight)
 	}
 	t.Balancer.HearReadings(told.Reads)
 	t.Balancer.HearOutcomes(told.Outcomes)
@@ -283,27 +279,58 @@
 	}
 }
 
-// collect joins the counts of a round's datagrams, and gives them without this
-// router's own, as far as they hold these.
-func (t *Teller) collect(message *exchangepb.Told, list []balance.InFlight) []balance.InFlight {
-	if !hasCounts(message) {
-		return nil
+// hear takes the counts of a datagram. The first of a round takes the place of the round
+// before, the others add to it.
+func (t *Teller) hear(message *exchangepb.Told, list []balance.InFlight) {
+	isMore, isOld := t.collect(message, list)
+	if isOld {
+		return
+	}
+	source := message.GetFrom()
+	if message.GetScope() == exchangepb.Scope_SCOPE_FLEET {
+		source, list = fleetSource, t.withoutOwn(list)
+	}
+	if isMore {
+		t.Balancer.HearMore(source, list)
+		return
+	}
+	t.Balancer.Hear(source, message.GetSequence(), list)
+}
+
+// collect keeps the counts of a round's datagrams, for a hub to sum up, and tells whether
+// they add to a round or are of one that is over. Nobody sums up what is the fleet's already.
+func (t *Teller) collect(message *exchangepb.Told, list []balance.InFlight) (isMore, isOld bool) {
+	if message.GetScope() == exchangepb.Scope_SCOPE_FLEET {
+		list = nil
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c := newCounts(list)
-	c.sequence = message.GetRound()
-	id := message.GetFrom()
-	if before := t.told[id]; before != nil && before.sequence == c.sequence {
-		c.add(before, 1)
-	} else if before != nil && before.sequence > c.sequence {
-		return before.list()
+	id, round := message.GetFrom(), message.GetRound()
+	known := t.told[id]
+	switch {
+	case known != nil && known.sequence > round:
+		return false, true
+	case known != nil && known.sequence == round:
+		known.take(list)
+		return true, false
 	}
-	t.told[id] = c
-	if message.GetScope() != exchangepb.Scope_SCOPE_FLEET {
-		return c.list()
+	counts := newCounts(list)
+	counts.sequence = round
+	t.told[id] = counts
+	return false, false
+}
+
+// withoutOwn gives the fleet's counts without this router's own.
+func (t *Teller) withoutOwn(list []balance.InFlight) []balance.InFlight {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	others := list[:0]
+	for _, in := range list {
+		own := t.own.each[in.Server]
+		in.Count, in.Reading = max(in.Count-own.Count, 0), max(in.Reading-own.Reading, 0)
+		if in.Count > 0 || in.Reading > 0 {
+			others = append(others, in)
+		}
 	}
-	others := newCounts(c.list())
-	others.add(t.own, -1)
-	return others.list()
+	return others
 }
--- a/exchange/teller_test.go
+++ b/exchange/teller_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/balance"
+	"github.com/slipwick/slipwick/exchange/exchangepb"
+	"github.com/slipwick/slipwick/placement"
 )
 
 // switchboard carries datagrams between tellers by address.
@@ -346,3 +348,38 @@
 		}
 	})
 }
+
+// TestRoundsOfManyDatagramsAddUp has a hub tell of more requests than fit one datagram, round
+// after round, and datagrams come twice a round later: each datagram is taken once, so that a
+// round costs by its counts and not by the square of its datagrams.
+func TestRoundsOfManyDatagramsAddUp(t *testing.T) {
+	for _, inFlight := range []int{60, 120, 240} {
+		hub, router := NewTeller("hub"), NewTeller("r")
+		router.Balancer = balance.New("d")
+		router.Balancer.SetBackends(testBackends(inFlight))
+		router.Balancer.SetPeers([]string{fleetSource}, 30)
+		var last [][]byte
+		for round := range 3 {
+			told := balance.Told{}
+			for _, listed := range testBackends(inFlight - round) {
+				told.InFlight = append(told.InFlight, balance.InFlight{
+					Server: placement.IDHash(listed.Life()),
+					Count:  1 + round,
+				})
+			}
+			packets := hub.encode(exchangepb.Scope_SCOPE_FLEET, false, told)
+			for _, packet := range packets {
+				router.Receive("", packet)
+			}
+			// What comes late is of a round that is over.
+			for _, packet := range last {
+				router.Receive("", packet)
+			}
+			last = packets
+			want := float64((1 + round) * (inFlight - round))
+			if got := router.Balancer.InFlight("p"); got != want {
+				t.Errorf("%d in flight, round %d: got %v, want %v", inFlight, round, got, want)
+			}
+		}
+	}
+}
