Keep rumours by how often they were sent

What grew: with each packet a router sorted all news that it has yet to pass on. After a start of 986 routers that is one for each, thirty times each and eight a packet, so that they wait for many minutes: a sort of all for each probe, ack and push.

Rumours wait in queues by how often they were sent; what was replaced is passed over when its turn comes. The least often sent go first, as before; among these the first come, where the ID decided before.

--- a/membership/rumours.go
+++ b/membership/rumours.go
@@ -1,9 +1,7 @@
 package membership
 
 import (
-	"cmp"
 	"math"
-	"slices"
 
 	"github.com/slipwick/slipwick/membership/memberpb"
 )
@@ -18,6 +16,10 @@
 // everyone: a few times the logarithm of the fleet's size.
 type rumours struct {
 	byID map[string]*rumour
+	// bySent are the rumours by how often they were sent, the first come first, with
+	// some that were replaced since. A fleet that starts has as many as routers, which
+	// wait for minutes: to take a packet's news costs by these and not by all.
+	bySent [][]*rumour
 }
 
 // rumourFactor is how many times the logarithm each rumour is sent.
@@ -27,30 +29,43 @@
 	if r.byID == nil {
 		r.byID = make(map[string]*rumour)
 	}
-	r.byID[news.GetId()] = &rumour{
+	added := &rumour{
 		news: news,
 	}
+	r.byID[news.GetId()] = added
+	r.queue(added)
+}
+
+// queue has a rumour wait behind those that were sent as often.
+func (r *rumours) queue(waiting *rumour) {
+	for len(r.bySent) <= waiting.sent {
+		r.bySent = append(r.bySent, nil)
+	}
+	r.bySent[waiting.sent] = append(r.bySent[waiting.sent], waiting)
 }
 
 // take gives up to count rumours, the least often sent first.
 func (r *rumours) take(count, members int) []*memberpb.News {
-	if len(r.byID) == 0 {
-		return nil
-	}
-	waiting := make([]*rumour, 0, len(r.byID))
-	for _, rumour := range r.byID {
-		waiting = append(waiting, rumour)
-	}
-	slices.SortFunc(waiting, func(a, b *rumour) int {
-		return cmp.Or(cmp.Compare(a.sent, b.sent), cmp.Compare(a.news.GetId(), b.news.GetId()))
-	})
 	limit := rumourFactor * int(math.Ceil(math.Log2(float64(members+2))))
-	var taken []*memberpb.News
-	for _, rumour := range waiting[:min(count, len(waiting))] {
-		taken = append(taken, rumour.news)
-		if rumour.sent++; rumour.sent >= limit {
-			delete(r.byID, rumour.news.GetId())
+	taken := make([]*rumour, 0, min(count, len(r.byID)))
+	for sent := range r.bySent {
+		waiting := r.bySent[sent]
+		for len(waiting) > 0 && len(taken) < count {
+			if next := waiting[0]; r.byID[next.news.GetId()] == next {
+				taken = append(taken, next)
+			}
+			waiting = waiting[1:]
+		}
+		r.bySent[sent] = waiting
+	}
+	news := make([]*memberpb.News, 0, len(taken))
+	for _, next := range taken {
+		news = append(news, next.news)
+		if next.sent++; next.sent >= limit {
+			delete(r.byID, next.news.GetId())
+			continue
 		}
+		r.queue(next)
 	}
-	return taken
+	return news
 }
