Draw whom to tell news without a look at all routers

They are drawn from the list that is kept sorted; only a round of probes, which wants all, goes through it.

TestChoiceIsEvenAndOfOthers draws 2,000 times at 2 to 200.

--- a/membership/node.go
+++ b/membership/node.go
@@ -328,6 +328,11 @@
 func (n *Node) Routers() []slipwick.Router {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	return n.live()
+}
+
+// live is Routers under the lock.
+func (n *Node) live() []slipwick.Router {
 	if n.routers == nil {
 		for _, m := range n.members {
 			if !m.dead() {
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -2,11 +2,11 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/membership/memberpb"
 )
 
@@ -78,16 +78,19 @@
 	return nil
 }
 
-// choose gives up to count other routers that are not dead, at random.
+// choose gives up to count other routers that are not dead, at random. A few are drawn without
+// a look at all.
 func (n *Node) choose(count int, except string) []*member {
-	candidates := make([]*member, 0, len(n.members))
-	for id, m := range n.members {
-		if id != n.Self.ID && id != except && !m.dead() {
-			candidates = append(candidates, m)
+	live := n.live()
+	if count*fewShare < len(live) {
+		return n.drawFew(live, count, except)
+	}
+	candidates := make([]*member, 0, len(live))
+	for i := range live {
+		if id := live[i].ID; id != n.Self.ID && id != except {
+			candidates = append(candidates, n.members[id])
 		}
 	}
-	// A map's order is not the seed's.
-	slices.SortFunc(candidates, func(a, b *member) int { return strings.Compare(a.news.GetId(), b.news.GetId()) })
 	for i := range min(count, len(candidates)) {
 		j := i + n.Random.IntN(len(candidates)-i)
 		candidates[i], candidates[j] = candidates[j], candidates[i]
@@ -95,6 +98,24 @@
 	return candidates[:min(count, len(candidates))]
 }
 
+// fewShare is how many times as many routers there are at least as are drawn one by one: a
+// draw that gives one twice is repeated.
+const fewShare = 4
+
+func (n *Node) drawFew(live []slipwick.Router, count int, except string) []*member {
+	drawn := make([]*member, 0, count)
+	// Of more than four times as many, this router and the one left out among them, some
+	// are left.
+	for len(drawn) < min(count, len(live)-2) {
+		id := live[n.Random.IntN(len(live))].ID
+		m := n.members[id]
+		if id != n.Self.ID && id != except && !slices.Contains(drawn, m) {
+			drawn = append(drawn, m)
+		}
+	}
+	return drawn
+}
+
 func (n *Node) probe(target *member) {
 	n.sequence++
 	sequence := n.sequence
--- a/membership/routers_test.go
+++ b/membership/routers_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/slipwick/slipwick/membership/memberpb"
@@ -46,3 +47,35 @@
 		}
 	}
 }
+
+// TestChoiceIsEvenAndOfOthers draws a few routers of fleets of several sizes again and again.
+func TestChoiceIsEvenAndOfOthers(t *testing.T) {
+	for _, size := range []int{2, 3, 5, 20, 200} {
+		n := lonely()
+		for i := range size {
+			n.tellNews(&memberpb.News{
+				Id: fmt.Sprint("r", i),
+			})
+		}
+		const draws, count = 2000, 3
+		drawn := make(map[string]int)
+		for range draws {
+			members := n.choose(count, "r0")
+			if want := min(count, size-1); len(members) != want {
+				t.Fatalf("%d others: got %d, want %d", size, len(members), want)
+			}
+			for _, m := range members {
+				drawn[m.news.GetId()]++
+			}
+		}
+		if drawn["r0"] > 0 || drawn["self"] > 0 {
+			t.Errorf("%d others: got itself or the one left out", size)
+		}
+		mean := float64(draws*min(count, size-1)) / float64(size-1)
+		for id, times := range drawn {
+			if f := float64(times); f < mean/3 || f > 3*mean {
+				t.Errorf("%d others: got %s %d times, want about %.0f", size, id, times, mean)
+			}
+		}
+	}
+}
