Tell what acts on the fleet of it once a starting router knows it

What grew: while a router that starts hears of the others, each packet had it list, sort and join all it knew so far, and rank and share anew: the square of the fleet, at each start. What acts on it does not before the router is settled, but for shares of resting connections, of which it has none yet. It is told when it settles, within two seconds, and of each change from then on.

TestStartingRouterTellsOfTheFleetOnce counts what is told at 50, 100, 200. Tests of the package pass.

--- a/membership/catchup.go
+++ b/membership/catchup.go
@@ -57,6 +57,7 @@
 func (n *Node) settle() {
 	if !n.isSettled() {
 		close(n.settled)
+		n.changed = true
 	}
 }
 
--- a/membership/node.go
+++ b/membership/node.go
@@ -20,7 +20,8 @@
 	// Random chooses whom to probe.
 	Random *rand.Rand
 	// CatchUp has a router that starts ask others for what it lacks until it knows
-	// the fleet. Without it Settled is closed at once, and questions are answered
+	// the fleet, and tell of changes from then on: each packet until then brings some
+	// of the fleet. Without it Settled is closed at once, and questions are answered
 	// with all that is known.
 	CatchUp bool
 	// OnVersion is told of a higher version of the configuration that another
@@ -154,7 +155,7 @@
 
 // tell calls OnChange if something changed that others act on.
 func (n *Node) tell() {
-	if !n.stale && !n.changed {
+	if !n.stale && !n.changed || n.CatchUp && !n.isSettled() {
 		return
 	}
 	n.stale = false
--- a/membership/routers_test.go
+++ b/membership/routers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/slipwick/slipwick/membership/memberpb"
@@ -79,3 +80,26 @@
 		}
 	}
 }
+
+// TestStartingRouterTellsOfTheFleetOnce hears of fleets of several sizes one router after the
+// other: what acts on the fleet is told when it is known, and of each change from then on.
+func TestStartingRouterTellsOfTheFleetOnce(t *testing.T) {
+	for _, size := range []int{50, 100, 200} {
+		n := lonely()
+		n.CatchUp = true
+		var told []int
+		n.OnChange = func(change Change) { told = append(told, len(change.Routers)) }
+		for i := range size {
+			n.tellNews(&memberpb.News{
+				Id: fmt.Sprint("r", i),
+			})
+		}
+		n.Alone()
+		n.tellNews(&memberpb.News{
+			Id: "late",
+		})
+		if want := []int{size + 1, size + 2}; !slices.Equal(told, want) {
+			t.Errorf("got told of %v routers, want %v", told, want)
+		}
+	}
+}
--- /dev/null
+++ b/membership/start_bench_test.go
@@ -0,0 +1,43 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/slipwick/slipwick/membership/memberpb"
+)
+
+// BenchmarkLearnFleet hears of a fleet as a router that starts does, a packet after the other,
+// some of them twice.
+func BenchmarkLearnFleet(b *testing.B) {
+	for _, size := range []int{250, 500, 1000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			var packets [][]byte
+			for first := 0; first < size; first += newsInAnswer {
+				packet := &memberpb.Packet{
+					Kind: memberpb.Kind_KIND_NEWS,
+					From: "r0",
+				}
+				for i := first; i < min(first+newsInAnswer, size); i++ {
+					packet.News = append(packet.News, &memberpb.News{
+						Id:         fmt.Sprintf("frontend-dc-%d", i),
+						Address:    "10.1.0.9:7020",
+						DataCentre: "dc",
+					})
+				}
+				encoded, _ := proto.Marshal(packet)
+				packets = append(packets, encoded)
+			}
+			for b.Loop() {
+				n := lonely()
+				n.CatchUp = true
+				for _, packet := range packets {
+					n.Receive("10.1.0.9:7020", packet)
+					n.Receive("10.1.0.9:7020", packet)
+				}
+			}
+		})
+	}
+}
