--- a/cmd/internal/events/catalogue.go
+++ b/cmd/internal/events/catalogue.go
@@ -152,11 +152,12 @@
 		Remedy:  "Check the platform's health; the list is taken as soon as it is known.",
 	}
 	RolloutChanged = Event{
-		Number:  410,
-		Name:    "rollout-changed",
-		Level:   zerolog.InfoLevel,
-		Meaning: "A rollout was ordered, or this router came to a verdict: the answers of both versions that it goes by are in the fields.",
-		Remedy:  "None; a version that was rolled back failed or was slow more often than the one before it.",
+		Number: 410,
+		Name:   "rollout-changed",
+		Level:  zerolog.InfoLevel,
+		Meaning: "A rollout was ordered, or this router came to a verdict: " +
+			"the answers of both versions that it goes by are in the fields.",
+		Remedy: "None; a version that was rolled back failed or was slow more often than the one before it.",
 	}
 	RolloutNotWritten = Event{
 		Number:  411,
@@ -166,11 +167,12 @@
 		Remedy:  "Check the platform's health; it is written again.",
 	}
 	BackendsChanged = Event{
-		Number:  405,
-		Name:    "backends-changed",
-		Level:   zerolog.InfoLevel,
-		Meaning: "The list of backend servers changed; leaving ones get nothing new. `leaving` and `cold` count those among the changed entries.",
-		Remedy:  "None if it was planned.",
+		Number: 405,
+		Name:   "backends-changed",
+		Level:  zerolog.InfoLevel,
+		Meaning: "The list of backend servers changed; leaving ones get nothing new. " +
+			"`leaving` and `cold` count those among the changed entries.",
+		Remedy: "None if it was planned.",
 	}
 	BackendEjected = Event{
 		Number:  402,
--- a/cmd/internal/gatewayd/gateway.go
+++ b/cmd/internal/gatewayd/gateway.go
@@ -140,7 +140,8 @@
 	var parts sync.WaitGroup
 	failed := make(chan error, 7)
 	for _, part := range []func(context.Context){
-		p.followTables, p.followBackends, p.followEvacuations, p.followRollouts, p.node.Run, p.tellFirstRouters, p.join, p.teller.Run,
+		p.followTables, p.followBackends, p.followEvacuations, p.followRollouts,
+		p.node.Run, p.tellFirstRouters, p.join, p.teller.Run,
 		p.marks.Run, p.recoverHomes, p.watchSettings, p.noticeSleep,
 	} {
 		parts.Go(func() { part(background) })
--- a/cmd/internal/gatewayd/metrics.go
+++ b/cmd/internal/gatewayd/metrics.go
@@ -105,11 +105,6 @@
 			help: "Data centres whose backend servers get nothing new.",
 			read: func() float64 { return float64(len(p.evacuatedNow())) },
 		},
-		{
-			name: "slipwick_running_rollouts",
-			help: "Rollouts of versions without a verdict.",
-			read: func() float64 { return float64(p.rollouts.running()) },
-		},
 		{
 			name: "slipwick_refused_entries",
 			help: "Objects of the store that can't be read, and are out of use.",
@@ -141,6 +136,11 @@
 			help: "Backend servers that want nothing from this router for a while.",
 			read: func() float64 { _, resting := p.balancer.Notices(); return float64(resting) },
 		},
+		{
+			name: "slipwick_running_rollouts",
+			help: "Rollouts of versions without a verdict.",
+			read: func() float64 { return float64(p.rollouts.running()) },
+		},
 		{
 			name: "slipwick_backend_connections_opened",
 			help: "Connections opened to backend servers.",
--- a/directory/askstore.go
+++ b/directory/askstore.go
@@ -30,40 +30,46 @@
 	fromStore bool
 }
 
-// listStore lists from the store, or from another router if the store fails or lets it
-// wait. A store that had fallen silent never answers what it was asked then: repeats
-// says that it is asked again meanwhile. Whether it answers another router by now is
-// asked in any case, and what suffices tells which copies of others will do.
+// storeList is a list from the store that is under way, or from another router if the store
+// fails or lets it wait.
+type storeList struct {
+	shared *Shared
+	place  *fleet.Place
+	// repeats says that the store is asked again while it does not answer: one that had
+	// fallen silent never answers what it was asked then. Whether it answers another
+	// router by now is asked in any case.
+	repeats bool
+	// suffices tells which copies of others will do.
+	suffices func(*found) bool
+
+	fromStore  chan listed
+	fromOthers chan found
+	progress   chan struct{}
+	// pending counts the calls to the store, asking says that others are asked.
+	pending int
+	asking  bool
+}
+
+// listStore runs a list.
 func (s *Shared) listStore(
 	ctx context.Context, place *fleet.Place, repeats bool, suffices func(*found) bool,
 ) listed {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	within := s.Rhythm.orDefault().List
-	fromStore := make(chan listed, within/askAgain+1)
-	pending := 0
-	progress := make(chan struct{}, 1)
-	ask := func() {
-		pending++
-		go func() {
-			batch, err := s.fromStore(tracePages(ctx, progress))
-			fromStore <- listed{
-				batch:     batch,
-				err:       err,
-				fromStore: true,
-			}
-		}()
-	}
-	ask()
-	fromOthers := make(chan found, 1)
-	asking := false
-	askOthers := func() {
-		if asking {
-			return
-		}
-		asking = true
-		go func() { fromOthers <- s.listRouters(ctx, s.candidates(place), otherPatience) }()
+	list := &storeList{
+		shared:     s,
+		place:      place,
+		repeats:    repeats,
+		suffices:   suffices,
+		fromStore:  make(chan listed, s.Rhythm.orDefault().List/askAgain+1),
+		fromOthers: make(chan found, 1),
+		progress:   make(chan struct{}, 1),
 	}
+	return list.run(ctx)
+}
+
+func (l *storeList) run(ctx context.Context) listed {
+	l.askStore(ctx)
 	patience := time.NewTimer(storePatience)
 	defer patience.Stop()
 	again := time.NewTicker(askAgain)
@@ -71,39 +77,60 @@
 	var failed listed
 	for {
 		select {
-		case <-progress:
+		case <-l.progress:
 			patience.Reset(storePatience)
 			again.Reset(askAgain)
-			s.noteLoading(askAgain)
+			l.shared.noteLoading(askAgain)
 		case <-again.C:
-			if repeats {
-				ask()
+			if l.repeats {
+				l.askStore(ctx)
 			}
-			askOthers()
+			l.askOthers(ctx)
 		case <-patience.C:
-			askOthers()
-		case answer := <-fromStore:
-			s.noteStore(answer.err)
+			l.askOthers(ctx)
+		case answer := <-l.fromStore:
+			l.shared.noteStore(answer.err)
 			if answer.err == nil {
 				return answer
 			}
-			pending--
+			l.pending--
 			failed = answer
-			askOthers()
-		case found := <-fromOthers:
-			asking = false
-			if suffices(&found) {
+			l.askOthers(ctx)
+		case found := <-l.fromOthers:
+			l.asking = false
+			if l.suffices(&found) {
 				return listed{
 					batch: found.batch,
 				}
 			}
-			if pending == 0 {
+			if l.pending == 0 {
 				return failed
 			}
 		}
 	}
 }
 
+func (l *storeList) askStore(ctx context.Context) {
+	l.pending++
+	go func() {
+		batch, err := l.shared.fromStore(tracePages(ctx, l.progress))
+		l.fromStore <- listed{
+			batch:     batch,
+			err:       err,
+			fromStore: true,
+		}
+	}()
+}
+
+// askOthers asks the other routers, unless they are being asked.
+func (l *storeList) askOthers(ctx context.Context) {
+	if l.asking {
+		return
+	}
+	l.asking = true
+	go func() { l.fromOthers <- l.shared.listRouters(ctx, l.shared.candidates(l.place), otherPatience) }()
+}
+
 // tracePages has the channel tell that a list of many pages goes on: whoever asks for the
 // next one was given the one before.
 func tracePages(ctx context.Context, progress chan<- struct{}) context.Context {
--- a/directory/mirror.go
+++ b/directory/mirror.go
@@ -56,9 +56,10 @@
 }
 
 // gap is from one revision to another, between which the copy was not followed. A list made
-// up for it, here or at the router that told the difference, which tells what there is and not what changed: an object may have gone and come
-// back as it was. Whoever knows a revision in between may know it as gone, and would not be
-// told; whoever knows the first one lacks nothing.
+// up for it, here or at the router that told the difference, which tells what there is and
+// not what changed: an object may have gone and come back as it was. Whoever knows a revision
+// in between may know it as gone, and would not be told; whoever knows the first one lacks
+// nothing.
 type gap struct {
 	from, to uint64
 }
--- a/exchange/knowledge.go
+++ b/exchange/knowledge.go
@@ -14,8 +14,8 @@
 )
 
 // KnowledgePath is where a router tells others what it knows of the caches of
-// engines, as the question in the body says. It is told over TCP: a datagram that is lost would leave prompts without a home until
-// they are read anew.
+// engines, as the question in the body says. It is told over TCP: a datagram that is
+// lost would leave prompts without a home until they are read anew.
 const KnowledgePath = "/homes"
 
 // maxKnowledge bounds what is read of another router's answer: some times what
