--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -13,6 +13,8 @@
 	rate     float64
 	duration time.Duration
 	exposure float64
+	// observe is the verdict's test, that of the package if it is nil.
+	observe func(old, target Counts) bool
 	// oldRate and newRate are the rates of bad answers at a time, in parts of the duration.
 	oldRate, newRate func(part float64) float64
 }
@@ -59,7 +61,15 @@
 			}
 		}
 		out.bad = target.Bad
-		out.verdict = r.Observe(now.Add(lookEvery), old, target)
+		if t.observe == nil {
+			out.verdict = r.Observe(now.Add(lookEvery), old, target)
+			continue
+		}
+		// The package's test sees nothing bad.
+		if r.verdict == StateRunning && t.observe(old, target) {
+			r.verdict = StateRolledBack
+		}
+		out.verdict = r.Observe(now.Add(lookEvery), Counts{}, Counts{})
 	}
 	return out
 }
