--- a/directory/modelfleet_test.go
+++ b/directory/modelfleet_test.go
@@ -149,7 +149,9 @@
 func (r *modelRouter) follow() {
 	backends := followModel(r, modelBackends, decodeModelServer)
 	backends.OnAnswer = func(batch *slipwick.FeedBatch) { r.backends.Answered(batch.Age, batch.Steady) }
-	backends.OnFellBack = func(_ slipwick.Position, batch *slipwick.FeedBatch) { r.backends.FellBack(batch.Age, batch.Steady) }
+	backends.OnFellBack = func(_ slipwick.Position, batch *slipwick.FeedBatch) {
+		r.backends.FellBack(batch.Age, batch.Steady)
+	}
 	backends.OnError = func(error) { r.backends.Failed() }
 	backends.OnChange = r.backends.Change
 	tables := followModel(r, modelTables, func(_ string, value []byte) (string, error) { return string(value), nil })
--- a/directory/relayed.go
+++ b/directory/relayed.go
@@ -215,7 +215,8 @@
 		f.busyFor = busy.RetryAfter
 	}
 	// Routers that start together have no copy yet, and will soon.
-	if ctx.Err() == nil && !isBusy && !(isLacking && s.isEmpty()) {
+	startsToo := isLacking && s.isEmpty()
+	if ctx.Err() == nil && !isBusy && !startsToo {
 		s.noteFailed(id)
 	}
 	f.batch, f.any = batch, err == nil
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -43,13 +43,14 @@
 
 // Share is the part of the pool's requests that the new version gets.
 func (r *Rollout) Share(now time.Time) float64 {
-	switch {
-	case r.verdict == StateRolledBack:
+	switch r.verdict {
+	case StateRolledBack:
 		return 0
-	case r.verdict == StateCompleted:
+	case StateCompleted:
 		return 1
+	default:
+		return r.Plan.Share(now)
 	}
-	return r.Plan.Share(now)
 }
 
 // ToWrite gives the state that is to be written to the store; ok is false if it has it.
