--- a/directory/mirror.go
+++ b/directory/mirror.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"slices"
-	"sort"
 	"sync"
 	"time"
 
@@ -12,14 +11,6 @@
 	"github.com/slipwick/slipwick/clock"
 )
 
-// keptChanges is how many changes are remembered for routers that follow this one, or
-// changesFactor for each object if that is more: when a part of a large pool goes at once,
-// the rest of the fleet is still told the difference.
-const (
-	keptChanges   = 2048
-	changesFactor = 2
-)
-
 // anewShare of a watch's wait has to be over for a confirmation to end it.
 const anewShare = 0.5
 
@@ -49,24 +40,6 @@
 	changed chan struct{}
 }
 
-// change is an object that changed, and the revision that brought it.
-type change struct {
-	name     string
-	revision uint64
-}
-
-// gap is from one revision to another, between which the copy was not followed. A list made
-// up for it, here or at the router that told the difference, which tells what there is and
-// not what changed: an object may have gone and come back as it was. Whoever knows a revision
-// in between may know it as gone, and would not be told; whoever knows the first one lacks
-// nothing.
-type gap struct {
-	from, to uint64
-}
-
-// gapsKept is how many gaps are remembered, with the changes before them.
-const gapsKept = 16
-
 var _ slipwick.Feed = (*Mirror)(nil)
 
 // NewMirror makes an empty copy, which is not current.
@@ -110,29 +83,6 @@
 	return differing
 }
 
-// gapLocked notes that the copy was not followed from its position to the revision.
-func (m *Mirror) gapLocked(to uint64) {
-	m.gaps = append(m.gaps, gap{
-		from: m.position.Revision,
-		to:   to,
-	})
-	if len(m.gaps) > gapsKept {
-		m.forgetLocked(m.gaps[0].to)
-		m.gaps = m.gaps[1:]
-	}
-}
-
-// forgetLocked forgets the changes up to a revision.
-func (m *Mirror) forgetLocked(to uint64) {
-	m.forgotten = max(m.forgotten, to)
-	m.changes = m.changes[m.firstAfterLocked(m.forgotten):]
-}
-
-// firstAfterLocked is the index of the first change after a revision.
-func (m *Mirror) firstAfterLocked(revision uint64) int {
-	return sort.Search(len(m.changes), func(i int) bool { return m.changes[i].revision > revision })
-}
-
 // Position is the state of the store that the copy stands for.
 func (m *Mirror) Position() slipwick.Position {
 	m.mu.Lock()
@@ -362,10 +312,6 @@
 	return batch, m.changed, nil
 }
 
-func (m *Mirror) isInGapLocked(revision uint64) bool {
-	return slices.ContainsFunc(m.gaps, func(g gap) bool { return g.from < revision && revision < g.to })
-}
-
 // isLater tells whether a timeline is known to be later than another.
 func isLater(timeline, other uint64) bool {
 	return timeline > other && other != 0
--- a/rollout/order.go
+++ b/rollout/order.go
@@ -26,7 +26,7 @@
 	StateOrdered    State = ""
 	StateRunning    State = "running"
 	StateCompleted  State = "completed"
-	StateRolledBack State = "rolled_back"
+	StateRolledBack State = "turned back"
 )
 
 // IsFinal tells whether nothing follows the state.
