Look at a rollout's first state before a verdict can be made

TestRolloutIsDecidedByTheFleet wanted the state running a second after the order, also of a version of which half fails: of some ten answers by then eight bad ones make a verdict, which is right. The check is as strict, the moment was wrong.

--- a/cmd/internal/gatewayd/rollouts_test.go
+++ b/cmd/internal/gatewayd/rollouts_test.go
@@ -174,14 +174,15 @@
 			for _, r := range f.routers {
 				runs.Go(func() { r.run(ctx) })
 			}
-			f.play(t, time.Second, test.failing)
+			// Fewer answers than a verdict takes.
+			f.play(t, 2*rolloutLook, test.failing)
 			if got := f.state(); got != rollout.StateRunning {
-				t.Errorf("%s: got state %q after a second, want it running", test.name, got)
+				t.Errorf("%s: got state %q at the begin, want it running", test.name, got)
 			}
 			f.mu.Lock()
 			f.refuses = true
 			f.mu.Unlock()
-			f.play(t, 6*time.Second, test.failing)
+			f.play(t, 7*time.Second, test.failing)
 			f.mu.Lock()
 			f.refuses = false
 			f.mu.Unlock()
