--- a/directory/following_test.go
+++ b/directory/following_test.go
@@ -260,8 +260,10 @@
 	}
 	batch, err := c.to.follower.Mirror.AwaitList(ctx, firstWait)
 	batch.Hops++
-	if err == nil && c.from.fleet.listTime > 0 {
+	if err == nil {
 		tellBegun(ctx)
+	}
+	if err == nil && c.from.fleet.listTime > 0 {
 		sleep(ctx, c.from.fleet.listTime)
 	}
 	return batch, errors.Join(err, ctx.Err())
