End lines of server-sent events at CR too

Cause: bufio.ScanLines ends a line at LF alone and drops one CR before it; the standard ends lines at LF, CR and CRLF. So an engine that ends lines with CR gave no event at all, and one CR before CRLF became data.

Mend: a split of our own for the three ends. It gives a line at its CR and drops a LF that follows, so that no event waits for the byte after it. Data holds no CR any more, and Write gives back what was read.

Ruled out: having Write leave CRs out (the events would differ), and waiting for the byte after a CR (the last event of a pause would come late).

--- a/sse/reader.go
+++ b/sse/reader.go
@@ -25,6 +25,7 @@
 func NewReader(r io.Reader) *Reader {
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(make([]byte, firstBuffer), MaxEventBytes)
+	scanner.Split((&lineSplitter{}).split)
 	return &Reader{
 		scanner: scanner,
 	}
--- a/sse/reader_test.go
+++ b/sse/reader_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"strings"
 	"testing"
+	"testing/iotest"
 
 	"github.com/pkg/errors"
 )
@@ -39,6 +40,37 @@
 	}
 }
 
+// TestNextTakesEachLineEnd reads events whose lines end with LF, CR and CRLF, cut
+// into reads of one byte. A CR was taken for data unless a LF followed it, so that
+// an event came out of Write as another one; a drawn input showed it.
+func TestNextTakesEachLineEnd(t *testing.T) {
+	for _, end := range []string{"\n", "\r", "\r\n"} {
+		input := strings.ReplaceAll("id: a\ndata: one\ndata: two\n\ndata:\n\n", "\n", end)
+		reader := NewReader(iotest.OneByteReader(strings.NewReader(input)))
+		first, err := reader.Next()
+		if err != nil || first.ID != "a" || string(first.Data) != "one\ntwo" {
+			t.Errorf("ends %q: got %q of %q, %v, want two lines of a", end, first.Data, first.ID, err)
+		}
+		second, err := reader.Next()
+		if err != nil || len(second.Data) != 0 {
+			t.Errorf("ends %q: got %q, %v, want an event without data", end, second.Data, err)
+		}
+		if _, err := reader.Next(); !errors.Is(err, io.EOF) {
+			t.Errorf("ends %q: got %v, want io.EOF", end, err)
+		}
+	}
+}
+
+// TestNextGivesAnEventAtItsCR reads an event that ends with CRs, and nothing after it:
+// whether a LF follows is not waited for.
+func TestNextGivesAnEventAtItsCR(t *testing.T) {
+	more := iotest.ErrReader(errors.New("read on after the event"))
+	got, err := NewReader(io.MultiReader(strings.NewReader("data: whole\r\r"), more)).Next()
+	if err != nil || string(got.Data) != "whole" {
+		t.Errorf("got %q, %v, want whole", got.Data, err)
+	}
+}
+
 func TestNextBoundsAnEvent(t *testing.T) {
 	for _, input := range []string{
 		"data: " + strings.Repeat("x", MaxEventBytes) + "\n\n",
