Pass copies between routers on as protobuf messages

Change: a router asks for protobuf by Accept; one that names nothing gets JSON, so that routers of before are understood and understand. Answers are kept encoded by encoding, too.

Ruled out: the stored JSON inside JSON without escaping (values need not be JSON), and passing decoded servers on (routers of two versions would have to agree on them).

Tests: both encodings carry the same, drawn; a router of before gets JSON; the fuzz target of copies draws the encoding.

--- /dev/null
+++ b/directory/encoding_test.go
@@ -0,0 +1,115 @@
+package directory
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/slipwick/slipwick"
+)
+
+// TestEncodingsCarryTheSame passes drawn batches on in each encoding.
+func TestEncodingsCarryTheSame(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		want := slipwick.FeedBatch{
+			Whole:    rapid.Bool().Draw(r, "whole"),
+			Skipping: rapid.Bool().Draw(r, "skipping"),
+			Timeline: rapid.Uint64().Draw(r, "timeline"),
+			Revision: rapid.Uint64().Draw(r, "revision"),
+		}
+		for i := range rapid.IntRange(0, 5).Draw(r, "entries") {
+			e := slipwick.FeedEntry{
+				Name: fmt.Sprint(rapid.String().Draw(r, "name"), i),
+				Gone: rapid.Bool().Draw(r, "gone"),
+			}
+			if !e.Gone {
+				e.Value = rapid.SliceOfN(rapid.Byte(), 1, 20).Draw(r, "value")
+			}
+			want.Entries = append(want.Entries, e)
+		}
+		for _, encoding := range []string{jsonType, protobufType} {
+			var body bytes.Buffer
+			if err := encodeBatch(&body, encoding, &want); err != nil {
+				r.Fatal(err)
+			}
+			got, err := decodeBatch(&body, encoding)
+			if len(got.Entries) == 0 {
+				got.Entries = nil
+			}
+			if err != nil || !reflect.DeepEqual(got, want) {
+				r.Errorf("%s: got %+v, %v, want %+v", encoding, got, err, want)
+			}
+		}
+	})
+}
+
+// TestRoutersOfBeforeGetJSON has two routers ask for one copy: the one names an encoding, the
+// other none.
+func TestRoutersOfBeforeGetJSON(t *testing.T) {
+	mirror := NewMirror()
+	mirror.Apply(batch(3, true, "a1", "b1"))
+	server := &RelayServer{
+		Mirrors: map[string]*Mirror{
+			"f": mirror,
+		},
+	}
+	for accept, want := range map[string]string{
+		"":           jsonType,
+		protobufType: protobufType,
+	} {
+		request := httptest.NewRequest(http.MethodGet, RelayPath+"f", nil)
+		request.Header.Set("Accept", accept)
+		recorder := httptest.NewRecorder()
+		server.ServeHTTP(recorder, request)
+		response := recorder.Result()
+		if got := response.Header.Get("Content-Type"); got != want {
+			t.Errorf("accept %q: got %s, want %s", accept, got, want)
+		}
+		got, err := readBatch(response)
+		if err != nil || len(got.Entries) != 2 {
+			t.Errorf("accept %q: got %+v, %v, want two entries", accept, got, err)
+		}
+	}
+}
+
+// BenchmarkReadCopy reads a copy of 10,000 backend servers, as a router that starts does.
+func BenchmarkReadCopy(b *testing.B) {
+	for _, encoding := range []string{jsonType, protobufType} {
+		b.Run(encoding, func(b *testing.B) {
+			mirror := NewMirror()
+			whole := slipwick.FeedBatch{
+				Whole:    true,
+				Revision: 1,
+			}
+			for i := range 10_000 {
+				whole.Entries = append(whole.Entries, slipwick.FeedEntry{
+					Name: fmt.Sprintf("s-%08x", i*2654435761),
+					Value: fmt.Appendf(nil, `{"service":"pool","address":"10.%d.%d.%d:80","zone":"z","version":"v1",`+
+						`"sequence":%d,"slots":16,"state":"ready","born":%d}`, i>>16, i>>8&255, i&255, i, 1_700_000_000_000+i),
+				})
+			}
+			mirror.Apply(&whole)
+			server := &RelayServer{
+				Mirrors: map[string]*Mirror{
+					"f": mirror,
+				},
+			}
+			request := httptest.NewRequest(http.MethodGet, RelayPath+"f", nil)
+			request.Header.Set("Accept", encoding)
+			b.ReportAllocs()
+			for b.Loop() {
+				recorder := httptest.NewRecorder()
+				server.ServeHTTP(recorder, request)
+				if _, err := readBatch(recorder.Result()); err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(recorder.Body.Len()), "wire-B")
+			}
+		})
+	}
+}
--- a/directory/fuzz_test.go
+++ b/directory/fuzz_test.go
@@ -11,17 +11,19 @@
 // FuzzRelayedCopies checks that no copy of another router breaks its reader, or is from
 // the future.
 func FuzzRelayedCopies(f *testing.F) {
-	f.Add([]byte(`{"entries":[{"name":"a","text":"x"},{"name":"b","gone":true}],"whole":true,"revision":7}`), "12", "1")
-	f.Add([]byte(`{}`), "-5", "-1")
-	f.Fuzz(func(t *testing.T, body []byte, age, hops string) {
+	f.Add([]byte(`{"entries":[{"name":"a","text":"x"},{"name":"b","gone":true}],"whole":true,"revision":7}`), jsonType, "12", "1")
+	f.Add([]byte(`{}`), jsonType, "-5", "-1")
+	f.Add([]byte("\n\x05\n\x01a\x1a\x00\n\x05\n\x01b\x10\x01\x10\x01(\x07"), protobufType, "12", "1")
+	f.Fuzz(func(t *testing.T, body []byte, encoding, age, hops string) {
 		var packed bytes.Buffer
 		w := gzip.NewWriter(&packed)
 		_, _ = w.Write(body)
 		_ = w.Close()
 		batch, err := readBatch(&http.Response{
 			Header: http.Header{
-				ageHeader:  {age},
-				hopsHeader: {hops},
+				"Content-Type": {encoding},
+				ageHeader:      {age},
+				hopsHeader:     {hops},
 			},
 			Body: io.NopCloser(&packed),
 		})
--- a/directory/relay.go
+++ b/directory/relay.go
@@ -3,7 +3,6 @@
 import (
 	"compress/gzip"
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"net/url"
@@ -61,6 +60,7 @@
 	if err != nil {
 		return slipwick.FeedBatch{}, err
 	}
+	request.Header.Set("Accept", protobufType)
 	request.Header.Set("Accept-Encoding", "gzip")
 	response, err := r.HTTP.Do(request)
 	if err != nil {
@@ -122,8 +122,8 @@
 	if err != nil {
 		return slipwick.FeedBatch{}, err
 	}
-	var wire wireBatch
-	if err := json.NewDecoder(io.LimitReader(reader, maxCopyBytes)).Decode(&wire); err != nil {
+	batch, err := decodeBatch(io.LimitReader(reader, maxCopyBytes), response.Header.Get("Content-Type"))
+	if err != nil {
 		return slipwick.FeedBatch{}, err
 	}
 	age, err := strconv.ParseInt(response.Header.Get(ageHeader), 10, 64)
@@ -144,7 +144,6 @@
 	if err != nil || steady < 0 || steady > oldestCopy.Milliseconds() {
 		steady = 0
 	}
-	batch := wire.batch()
 	batch.Age, batch.Hops = time.Duration(age)*time.Millisecond, hops+1
 	batch.Steady = time.Duration(steady) * time.Millisecond
 	return batch, nil
--- a/directory/relayserver.go
+++ b/directory/relayserver.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"compress/gzip"
 	"context"
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"sync"
@@ -49,6 +48,7 @@
 // back from a copy gives revisions out again, and a list of several pages may hold more
 // than its revision says.
 type relayKey struct {
+	encoding string
 	whole    bool
 	skipping bool
 	position slipwick.Position
@@ -108,7 +108,7 @@
 	case err != nil:
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	default:
-		s.answer(w, &batch)
+		s.answer(w, encodingFor(r), &batch)
 	}
 }
 
@@ -153,8 +153,9 @@
 	return mirror.AwaitList(ctx, q.wait)
 }
 
-func (s *RelayServer) answer(w http.ResponseWriter, batch *slipwick.FeedBatch) {
+func (s *RelayServer) answer(w http.ResponseWriter, encoding string, batch *slipwick.FeedBatch) {
 	body, err := s.encode(relayKey{
+		encoding: encoding,
 		whole:    batch.Whole,
 		skipping: batch.Skipping,
 		position: batch.Position(),
@@ -171,7 +172,7 @@
 		}
 		defer s.endSend()
 	}
-	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Type", encoding)
 	w.Header().Set("Content-Encoding", "gzip")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.Header().Set(hopsHeader, strconv.Itoa(batch.Hops))
@@ -221,7 +222,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := json.NewEncoder(compressor).Encode(wireBatchOf(batch)); err != nil {
+	if err := encodeBatch(compressor, key.encoding, batch); err != nil {
 		return nil, err
 	}
 	if err := compressor.Close(); err != nil {
