Make room for a first list at once, and notices for servers that gave some

Change: maps and lists are made at the size of the first list; the first state of a copy records no changes; a server has notices from its first one on.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -177,7 +177,7 @@
 		case s.isLeaving():
 			leaving++
 		case s.said.isResting(now):
-			if left := s.said.restUntil.Sub(now); resting == 0 || left < rest {
+			if left := s.said.rest(now); resting == 0 || left < rest {
 				rest = left
 			}
 			resting++
--- a/balance/listing.go
+++ b/balance/listing.go
@@ -57,7 +57,11 @@
 			b.unlistLocked(s)
 		}
 	}
-	added := make(map[uint64]bool)
+	if len(b.servers) == 0 {
+		b.servers = make(map[string]*server, len(changes.Listed))
+		b.hashes = make(map[uint64]*server, len(changes.Listed))
+	}
+	added := make(map[uint64]bool, len(changes.Listed))
 	for i := range changes.Listed {
 		if s, isNew := b.listLocked(&changes.Listed[i], since); isNew {
 			added[s.hash] = true
@@ -80,7 +84,7 @@
 	if isNew {
 		s = newServer(*listed, since)
 		s.covered = s.covered || b.empty
-		s.said = b.noticesOfLocked(s.hash)
+		s.said = b.notices[s.hash]
 		if !since.IsZero() {
 			s.coldUntil = since.Add(b.coldLimits[listed.Pool].New)
 		}
--- a/balance/notice.go
+++ b/balance/notice.go
@@ -30,9 +30,10 @@
 	restUntil time.Time
 }
 
-// saysLeaving tells whether the server said in an answer that it leaves.
+// saysLeaving tells whether the server said in an answer that it leaves. Most servers never
+// said anything, and have no notices at all.
 func (n *notices) saysLeaving() bool {
-	return !n.leavingAt.IsZero() && (n.lapses == 0 || clock.Since(n.leavingAt) < n.lapses)
+	return n != nil && !n.leavingAt.IsZero() && (n.lapses == 0 || clock.Since(n.leavingAt) < n.lapses)
 }
 
 // isLeaving tells whether the server leaves, by the list or by its own word.
@@ -40,13 +41,21 @@
 	return s.Leaving || s.said.saysLeaving()
 }
 
+// rest is for how long it wants nothing from this router.
+func (n *notices) rest(now time.Time) time.Duration {
+	if n == nil {
+		return 0
+	}
+	return max(n.restUntil.Sub(now), 0)
+}
+
 // isResting tells whether it wants nothing from this router for now.
 func (n *notices) isResting(now time.Time) bool {
-	return now.Before(n.restUntil)
+	return n.rest(now) > 0
 }
 
-// noticesOfLocked gives those of a server's life, kept from an earlier listing if there
-// was one: an entry may lapse, and come back, while the server lives.
+// noticesOfLocked gives those of a server's life to add to. They are kept when its entry
+// goes: it may lapse, and come back, while the server lives.
 func (b *Balancer) noticesOfLocked(life uint64) *notices {
 	n := b.notices[life]
 	if n == nil {
@@ -56,6 +65,9 @@
 		}
 		b.notices[life] = n
 	}
+	if s := b.hashes[life]; s != nil {
+		s.said = n
+	}
 	return n
 }
 
--- a/balance/server.go
+++ b/balance/server.go
@@ -69,7 +69,7 @@
 	coldSends []time.Time
 	rank      routerRank
 
-	// said is what this life of it said of itself.
+	// said is what this life of it said of itself; nil if it said nothing.
 	said *notices
 
 	errors errorRate
@@ -86,7 +86,6 @@
 		hash:   placement.IDHash(listed.Life()),
 		place:  -1,
 		since:  since,
-		said:   &notices{},
 		// One that comes after the router's start has nothing cached yet.
 		covered: !since.IsZero(),
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -53,7 +53,7 @@
 			Leaving:    s.Leaving,
 
 			SaysLeaving: s.said.saysLeaving(),
-			RestMS:      max(s.said.restUntil.Sub(now).Milliseconds(), 0),
+			RestMS:      s.said.rest(now).Milliseconds(),
 
 			Out:       now.Before(s.outUntil),
 			Silent:    b.isSilentLocked(s, now),
--- a/directory/backends.go
+++ b/directory/backends.go
@@ -194,6 +194,10 @@
 	defer b.mu.Unlock()
 	isFirst := b.fellBack
 	b.fellBack = false
+	if len(b.entries) == 0 && len(b.ids) == 0 {
+		b.entries = make(map[string]balance.Listed, len(changes))
+		b.ids = make(map[string]string, len(changes))
+	}
 	names := make([]string, 0, len(changes))
 	for _, c := range changes {
 		names = append(names, c.Name)
@@ -245,7 +249,9 @@
 // publishLocked tells of the entries with the names: what is published of each goes by its
 // entry alone.
 func (b *Backends) publishLocked(names []string) {
-	changes := balance.Changes{}
+	changes := balance.Changes{
+		Listed: make([]balance.Listed, 0, len(names)),
+	}
 	for _, name := range names {
 		listed, ok := b.entries[name]
 		if ok {
--- /dev/null
+++ b/directory/firstlist_bench_test.go
@@ -0,0 +1,49 @@
+package directory
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/balance"
+)
+
+// BenchmarkFirstList takes the first list of backend servers at a router that starts, read already.
+func BenchmarkFirstList(b *testing.B) {
+	for _, size := range []int{2_500, 5_000, 10_000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			whole := slipwick.FeedBatch{
+				Whole:    true,
+				Revision: 1,
+			}
+			changes := make([]Change[balance.Listed], 0, size)
+			for i := range size {
+				id := fmt.Sprintf("s-%08x", i*2654435761)
+				whole.Entries = append(whole.Entries, slipwick.FeedEntry{
+					Name:  id,
+					Value: []byte("entry"),
+				})
+				changes = append(changes, Change[balance.Listed]{
+					Name: id,
+					Value: balance.Listed{
+						Backend: slipwick.Backend{
+							ID:         id,
+							Address:    fmt.Sprint("10.0.0.1:", i),
+							DataCentre: "z",
+							Slots:      16,
+							Born:       int64(i + 1),
+						},
+						Pool: "pool",
+					},
+				})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				mirror := NewMirror()
+				mirror.Apply(&whole)
+				balancer := balance.New("z")
+				NewBackends(balancer.ChangeBackends).Change(changes)
+			}
+		})
+	}
+}
--- a/directory/mirror.go
+++ b/directory/mirror.go
@@ -57,8 +57,12 @@
 	defer m.mu.Unlock()
 	isAnother := batch.Timeline != m.position.Timeline
 	var differing []slipwick.FeedEntry
+	if len(m.entries) == 0 {
+		m.entries = make(map[string][]byte, len(batch.Entries))
+		differing = make([]slipwick.FeedEntry, 0, len(batch.Entries))
+	}
 	if batch.Whole {
-		differing = m.missingLocked(batch)
+		differing = append(differing, m.missingLocked(batch)...)
 	}
 	for _, e := range batch.Entries {
 		if m.applyLocked(e, batch.Revision, batch.Whole) {
@@ -140,6 +144,10 @@
 	if !differs && whole {
 		return false
 	}
+	if m.position.IsZero() {
+		// Nobody knows an earlier state.
+		return differs
+	}
 	// What changed and is as it was again is told to those that know it in between.
 	m.changes = append(m.changes, change{
 		name:     e.Name,
