Score each router once where routers are ranked

Cause: hubs and the place in the tree are found anew at each change of a member, and both sorted by looking each score up in a map, for each comparison.

Change: one function in placement sorts pairs of score and index; it takes the place of two copies. Equal scores keep their order, so that all see the same.

Ruled out for now: selecting the few that are needed without a sort (the place needs a rank among all, so a walk is left in any case).

--- a/exchange/hubs.go
+++ b/exchange/hubs.go
@@ -1,7 +1,6 @@
 package exchange
 
 import (
-	"cmp"
 	"math"
 	"slices"
 
@@ -37,6 +36,7 @@
 	if len(routers) <= meshSize {
 		return h
 	}
+	key := placement.IDHash("hub")
 	groups := make(map[string][]slipwick.Router)
 	for _, r := range routers {
 		groups[r.DataCentre] = append(groups[r.DataCentre], r)
@@ -44,7 +44,7 @@
 	size := math.Sqrt(float64(len(routers)))
 	for dataCentre, group := range groups {
 		count := int(math.Ceil(float64(len(group)) / size))
-		h.near[dataCentre] = bestRanked(group, count)
+		h.near[dataCentre] = placement.Routers(key, group)[:count]
 		h.chosen = append(h.chosen, h.near[dataCentre]...)
 	}
 	for _, r := range h.chosen {
@@ -53,18 +53,6 @@
 	return h
 }
 
-// bestRanked gives the first of the routers by their rank as hubs.
-func bestRanked(routers []slipwick.Router, count int) []slipwick.Router {
-	key := placement.IDHash("hub")
-	scores := make(map[string]uint64, len(routers))
-	for _, r := range routers {
-		scores[r.ID] = placement.Score(key, placement.IDHash(r.ID))
-	}
-	sorted := slices.Clone(routers)
-	slices.SortFunc(sorted, func(a, b slipwick.Router) int { return cmp.Compare(scores[b.ID], scores[a.ID]) })
-	return sorted[:count]
-}
-
 // of gives the hub that a router tells; ok is false if it is one itself.
 func (h *hubs) of(id string) (hub slipwick.Router, ok bool) {
 	if h.has(id) {
--- /dev/null
+++ b/exchange/hubs_bench_test.go
@@ -0,0 +1,26 @@
+package exchange
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/slipwick/slipwick"
+)
+
+// BenchmarkChooseHubs chooses the hubs of a fleet, as at each change of a member.
+func BenchmarkChooseHubs(b *testing.B) {
+	for _, size := range []int{250, 500, 1000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			var routers []slipwick.Router
+			for i := range size {
+				routers = append(routers, slipwick.Router{
+					ID:         fmt.Sprint("r", i),
+					DataCentre: fmt.Sprint("dc", i%6),
+				})
+			}
+			for b.Loop() {
+				chooseHubs(routers)
+			}
+		})
+	}
+}
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"cmp"
 	"math"
 	"slices"
 
@@ -48,7 +47,7 @@
 // PlaceOf gives the place of a router among those that live, itself among them
 // or not.
 func PlaceOf(self slipwick.Router, routers []slipwick.Router) Place {
-	ranked := byScore(placement.IDHash("watch"), inRegion(self, routers))
+	ranked := placement.Routers(placement.IDHash("watch"), inRegion(self, routers))
 	rank := slices.IndexFunc(ranked, func(r slipwick.Router) bool { return r.ID == self.ID })
 	if rank < 0 {
 		ranked = append(ranked, self)
@@ -59,7 +58,7 @@
 	p := Place{
 		Watches:  rank < watchers,
 		Turn:     turnOf(rank, watchers),
-		Reserves: idsWithout(byScore(placement.IDHash(self.ID), ranked[:min(len(ranked), reserveFactor*watchers)]), self.ID),
+		Reserves: idsWithout(placement.Routers(placement.IDHash(self.ID), ranked[:min(len(ranked), reserveFactor*watchers)]), self.ID),
 	}
 	if p.Watches {
 		p.Relays = idsWithout(ranked[:watchers], self.ID)
@@ -87,7 +86,7 @@
 
 // chooseRelays gives some of a level, near ones if there are any.
 func chooseRelays(self slipwick.Router, level []slipwick.Router) []string {
-	ranked := byScore(placement.IDHash(self.ID), level)
+	ranked := placement.Routers(placement.IDHash(self.ID), level)
 	var near []slipwick.Router
 	for _, r := range ranked {
 		if r.DataCentre == self.DataCentre {
@@ -132,14 +131,3 @@
 	}
 	return ids
 }
-
-// byScore sorts routers by their rendezvous score for a key, the highest first.
-func byScore(key uint64, routers []slipwick.Router) []slipwick.Router {
-	scores := make(map[string]uint64, len(routers))
-	for _, r := range routers {
-		scores[r.ID] = placement.Score(key, placement.IDHash(r.ID))
-	}
-	sorted := slices.Clone(routers)
-	slices.SortFunc(sorted, func(a, b slipwick.Router) int { return cmp.Compare(scores[b.ID], scores[a.ID]) })
-	return sorted
-}
--- a/membership/node.go
+++ b/membership/node.go
@@ -30,8 +30,8 @@
 	// back.
 	OnChange func(Change)
 
-	mu      sync.Mutex
-	members map[string]*member
+	mu       sync.Mutex
+	members  map[string]*member
 	live     roster
 	backends map[string]*member
 	// version is that of the configuration in force.
