--- a/fleet/place.go
+++ b/fleet/place.go
@@ -47,28 +47,38 @@
 // PlaceOf gives the place of a router among those that live, itself among them
 // or not.
 func PlaceOf(self slipwick.Router, routers []slipwick.Router) Place {
-	ranked := placement.Routers(placement.IDHash("watch"), inRegion(self, routers))
-	rank := slices.IndexFunc(ranked, func(r slipwick.Router) bool { return r.ID == self.ID })
-	if rank < 0 {
+	key, near := placement.IDHash("watch"), inRegion(self, routers)
+	size, rank := len(near), len(near)
+	if slices.ContainsFunc(near, func(r slipwick.Router) bool { return r.ID == self.ID }) {
+		rank = placement.Rank(key, near, self.ID)
+	} else {
+		size++
+	}
+	watchers := (size + routersPerRelay - 1) / routersPerRelay
+	watchers = min(max(watchers, leastWatchers), mostWatchers, size)
+	first, end := levelAbove(rank, watchers, size)
+	ranked := placement.First(key, near, max(end, reserveFactor*watchers))
+	if len(ranked) < size && len(ranked) == len(near) {
 		ranked = append(ranked, self)
-		rank = len(ranked) - 1
 	}
-	watchers := (len(ranked) + routersPerRelay - 1) / routersPerRelay
-	watchers = min(max(watchers, leastWatchers), mostWatchers, len(ranked))
 	p := Place{
 		Watches:  rank < watchers,
 		Turn:     turnOf(rank, watchers),
-		Reserves: idsWithout(placement.Routers(placement.IDHash(self.ID), ranked[:min(len(ranked), reserveFactor*watchers)]), self.ID),
+		Reserves: idsWithout(byScore(self.ID, ranked[:min(len(ranked), reserveFactor*watchers)]), self.ID),
 	}
 	if p.Watches {
 		p.Relays = idsWithout(ranked[:watchers], self.ID)
 		return p
 	}
-	first, end := levelAbove(rank, watchers, len(ranked))
 	p.Relays = chooseRelays(self, ranked[first:end])
 	return p
 }
 
+// byScore gives routers in the order in which one with the ID prefers them.
+func byScore(id string, routers []slipwick.Router) []slipwick.Router {
+	return placement.First(placement.IDHash(id), routers, len(routers))
+}
+
 // levelAbove gives the ranks that a router may follow: the levels below the
 // watchers are as few as links carry, and as wide as has all carry the same.
 func levelAbove(rank, watchers, routers int) (first, end int) {
@@ -86,7 +96,7 @@
 
 // chooseRelays gives some of a level, near ones if there are any.
 func chooseRelays(self slipwick.Router, level []slipwick.Router) []string {
-	ranked := placement.Routers(placement.IDHash(self.ID), level)
+	ranked := byScore(self.ID, level)
 	var near []slipwick.Router
 	for _, r := range ranked {
 		if r.DataCentre == self.DataCentre {
--- /dev/null
+++ b/fleet/placeplain_test.go
@@ -0,0 +1,73 @@
+package fleet
+
+import (
+	"cmp"
+	"fmt"
+	"reflect"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/placement"
+)
+
+// sortedByScore sorts all routers for a key, the highest score first.
+func sortedByScore(key uint64, routers []slipwick.Router) []slipwick.Router {
+	sorted := slices.Clone(routers)
+	slices.SortFunc(sorted, func(a, b slipwick.Router) int {
+		return cmp.Compare(placement.Score(key, placement.IDHash(b.ID)), placement.Score(key, placement.IDHash(a.ID)))
+	})
+	return sorted
+}
+
+// plainPlaceOf is PlaceOf with the whole fleet sorted.
+func plainPlaceOf(self slipwick.Router, routers []slipwick.Router) Place {
+	ranked := sortedByScore(placement.IDHash("watch"), inRegion(self, routers))
+	rank := slices.IndexFunc(ranked, func(r slipwick.Router) bool { return r.ID == self.ID })
+	if rank < 0 {
+		ranked = append(ranked, self)
+		rank = len(ranked) - 1
+	}
+	watchers := (len(ranked) + routersPerRelay - 1) / routersPerRelay
+	watchers = min(max(watchers, leastWatchers), mostWatchers, len(ranked))
+	reserves := sortedByScore(placement.IDHash(self.ID), ranked[:min(len(ranked), reserveFactor*watchers)])
+	p := Place{
+		Watches:  rank < watchers,
+		Turn:     turnOf(rank, watchers),
+		Reserves: idsWithout(reserves, self.ID),
+	}
+	if p.Watches {
+		p.Relays = idsWithout(ranked[:watchers], self.ID)
+		return p
+	}
+	first, end := levelAbove(rank, watchers, len(ranked))
+	p.Relays = chooseRelays(self, ranked[first:end])
+	return p
+}
+
+// TestPlaceIsThatOfTheSortedFleet compares places in fleets of any size, of routers that know
+// themselves among the others or not.
+func TestPlaceIsThatOfTheSortedFleet(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		size := rapid.OneOf(rapid.IntRange(0, 12), rapid.IntRange(13, 1200)).Draw(r, "size")
+		var routers []slipwick.Router
+		for i := range size {
+			routers = append(routers, slipwick.Router{
+				ID:         fmt.Sprint("r", i),
+				DataCentre: fmt.Sprint("dc", i%3),
+				Region:     fmt.Sprint("region", i%2),
+			})
+		}
+		self := slipwick.Router{
+			ID:         fmt.Sprint("r", rapid.IntRange(0, size).Draw(r, "self")),
+			DataCentre: "dc1",
+			Region:     "region1",
+		}
+		got, want := PlaceOf(self, routers), plainPlaceOf(self, routers)
+		if !reflect.DeepEqual(got, want) {
+			r.Errorf("%s of %d: got %+v, want %+v", self.ID, size, got, want)
+		}
+	})
+}
