Pass copies on as delimited messages, one for each entry

Cause: one message for a whole copy has it in memory three times at both ends: encoded, as messages and as entries; reading it grew a buffer by doubling.

Change: a head and then each entry after its length, written to the compressor and read from it one by one.

Ruled out: room by the compressed length (its ratio varies tenfold).

--- a/directory/encoding.go
+++ b/directory/encoding.go
@@ -1,11 +1,12 @@
 package directory
 
 import (
+	"bufio"
 	"encoding/json"
 	"io"
 	"net/http"
 
-	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/encoding/protodelim"
 
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/directory/directorypb"
@@ -31,66 +32,68 @@
 	if encoding == jsonType {
 		return json.NewEncoder(w).Encode(wireBatchOf(batch))
 	}
-	body, err := proto.Marshal(protobufOf(batch))
-	if err != nil {
-		return err
+	_, err := protodelim.MarshalTo(w, &directorypb.Batch{
+		Entries:  uint32(len(batch.Entries)),
+		Whole:    batch.Whole,
+		Skipping: batch.Skipping,
+		Timeline: batch.Timeline,
+		Revision: batch.Revision,
+	})
+	for i := range batch.Entries {
+		if err != nil {
+			return err
+		}
+		_, err = protodelim.MarshalTo(w, &directorypb.Entry{
+			Name:  batch.Entries[i].Name,
+			Gone:  batch.Entries[i].Gone,
+			Value: batch.Entries[i].Value,
+		})
 	}
-	_, err = w.Write(body)
 	return err
 }
 
 // decodeBatch reads a batch in an encoding.
 func decodeBatch(r io.Reader, encoding string) (slipwick.FeedBatch, error) {
-	if encoding != protobufType {
-		var wire wireBatch
-		if err := json.NewDecoder(r).Decode(&wire); err != nil {
-			return slipwick.FeedBatch{}, err
-		}
-		return wire.batch(), nil
+	if encoding == protobufType {
+		return decodeProtobuf(bufio.NewReader(r))
 	}
-	body, err := io.ReadAll(r)
-	if err != nil {
+	var wire wireBatch
+	if err := json.NewDecoder(r).Decode(&wire); err != nil {
 		return slipwick.FeedBatch{}, err
 	}
-	var wire directorypb.Batch
-	if err := proto.Unmarshal(body, &wire); err != nil {
-		return slipwick.FeedBatch{}, err
-	}
-	return batchOf(&wire), nil
+	return wire.batch(), nil
 }
 
-func protobufOf(batch *slipwick.FeedBatch) *directorypb.Batch {
-	wire := &directorypb.Batch{
-		Entries:  make([]*directorypb.Entry, 0, len(batch.Entries)),
-		Whole:    batch.Whole,
-		Skipping: batch.Skipping,
-		Timeline: batch.Timeline,
-		Revision: batch.Revision,
-	}
-	for _, e := range batch.Entries {
-		wire.Entries = append(wire.Entries, &directorypb.Entry{
-			Name:  e.Name,
-			Gone:  e.Gone,
-			Value: e.Value,
-		})
-	}
-	return wire
+// delimited reads messages as large as a copy may be: a configuration is one object.
+var delimited = protodelim.UnmarshalOptions{
+	MaxSize: maxCopyBytes,
 }
 
-func batchOf(wire *directorypb.Batch) slipwick.FeedBatch {
+// likelyEntries bounds the room made for entries before they have come.
+const likelyEntries = 16 << 10
+
+func decodeProtobuf(r protodelim.Reader) (slipwick.FeedBatch, error) {
+	var head directorypb.Batch
+	if err := delimited.UnmarshalFrom(r, &head); err != nil {
+		return slipwick.FeedBatch{}, err
+	}
 	batch := slipwick.FeedBatch{
-		Entries:  make([]slipwick.FeedEntry, 0, len(wire.GetEntries())),
-		Whole:    wire.GetWhole(),
-		Skipping: wire.GetSkipping(),
-		Timeline: wire.GetTimeline(),
-		Revision: wire.GetRevision(),
+		Entries:  make([]slipwick.FeedEntry, 0, min(head.GetEntries(), likelyEntries)),
+		Whole:    head.GetWhole(),
+		Skipping: head.GetSkipping(),
+		Timeline: head.GetTimeline(),
+		Revision: head.GetRevision(),
 	}
-	for _, e := range wire.GetEntries() {
+	for range head.GetEntries() {
+		var entry directorypb.Entry
+		if err := delimited.UnmarshalFrom(r, &entry); err != nil {
+			return slipwick.FeedBatch{}, err
+		}
 		batch.Entries = append(batch.Entries, slipwick.FeedEntry{
-			Name:  e.GetName(),
-			Gone:  e.GetGone(),
-			Value: e.GetValue(),
+			Name:  entry.GetName(),
+			Gone:  entry.GetGone(),
+			Value: entry.GetValue(),
 		})
 	}
-	return batch
+	return batch, nil
 }
--- a/directory/fuzz_test.go
+++ b/directory/fuzz_test.go
@@ -13,7 +13,7 @@
 func FuzzRelayedCopies(f *testing.F) {
 	f.Add([]byte(`{"entries":[{"name":"a","text":"x"},{"name":"b","gone":true}],"whole":true,"revision":7}`), jsonType, "12", "1")
 	f.Add([]byte(`{}`), jsonType, "-5", "-1")
-	f.Add([]byte("\n\x05\n\x01a\x1a\x00\n\x05\n\x01b\x10\x01\x10\x01(\x07"), protobufType, "12", "1")
+	f.Add([]byte("\x06\b\x02\x10\x01(\a\x06\n\x01a\x1a\x01x\x05\n\x01b\x10\x01"), protobufType, "12", "1")
 	f.Fuzz(func(t *testing.T, body []byte, encoding, age, hops string) {
 		var packed bytes.Buffer
 		w := gzip.NewWriter(&packed)
