Keep the routers that may own by changes, and tell of them when they change

Cause: each tick after any death, and each change of who may own, listed all members, looked each up, and joined their IDs to see whether anything changed.

Change: a second sorted list, kept as the first; it says whether it changed.

What is left is the list's copy, as it was given out.

Ruled out: comparing hashes of the list (it would still be made anew).

A router that flapped comes to own at the next tick, as before in effect; the test of flapping, which looked at a list made for it, runs that tick now and demands the same.

--- a/membership/change.go
+++ b/membership/change.go
@@ -7,7 +7,7 @@
 
 // Change is what a router knows after something changed.
 type Change struct {
-	// Routers are those that may own backend servers, by ID.
+	// Routers are those that may own backend servers, by ID. The list must not be changed.
 	Routers []slipwick.Router
 	// Died lists routers that died since the change before.
 	Died []string
--- a/membership/news.go
+++ b/membership/news.go
@@ -38,7 +38,6 @@
 func (n *Node) replace(m *member, news *memberpb.News) {
 	wasDead := m.news != nil && m.dead()
 	now := time.Now()
-	couldOwn := m.news != nil && m.mayOwn(&n.Policy, now)
 	n.set(m, news)
 	m.suspectedAt = time.Time{}
 	switch {
@@ -50,25 +49,29 @@
 		m.diedAt = now
 		m.punish(&n.Policy, now)
 		n.died = append(n.died, news.GetId())
+		n.changed = true
 	}
-	n.stale = n.stale || couldOwn != m.mayOwn(&n.Policy, now)
 }
 
-// set gives a box its news, and keeps the digest and the list of live routers.
+// set gives a box its news, and keeps the digest and the lists of routers.
 func (n *Node) set(m *member, news *memberpb.News) {
 	m.news = news
-	switch {
-	case news.GetBackend():
-	case m.dead():
-		n.live.remove(news.GetId())
-	default:
-		n.live.put(m.router())
+	if !news.GetBackend() {
+		n.live.keep(m.router(), !m.dead())
+		n.keepOwner(m)
 	}
 	n.digest ^= m.sum
 	m.sum = m.digest()
 	n.digest ^= m.sum
 }
 
+// keepOwner has a router among those that may own backend servers, or not.
+func (n *Node) keepOwner(m *member) {
+	if n.owners.keep(m.router(), m.mayOwn(&n.Policy, time.Now())) {
+		n.changed = true
+	}
+}
+
 // refute answers news of this router's own death or suspicion.
 func (n *Node) refute(news *memberpb.News) {
 	own := n.self()
--- a/membership/node.go
+++ b/membership/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"strings"
 	"sync"
 	"time"
 
@@ -30,10 +29,11 @@
 	// back.
 	OnChange func(Change)
 
-	mu       sync.Mutex
-	members  map[string]*member
-	live     roster
-	backends map[string]*member
+	mu      sync.Mutex
+	members map[string]*member
+	// live are those that are not dead, owners those that may own backend servers.
+	live, owners roster
+	backends     map[string]*member
 	// version is that of the configuration in force.
 	version uint64
 	// listed is what the platform\'s list said last of backend servers.
@@ -51,10 +51,8 @@
 	metAt   time.Time
 	pushing bool
 	died    []string
-	// changed says that OnChange is due, stale that it may be.
-	changed, stale bool
-	// eligible lists the routers that OnChange was told of last.
-	eligible string
+	// changed says that OnChange is due.
+	changed bool
 	// startedAt is when Run began. questions counts those to other routers, same
 	// and quiet the answers since news came last: from routers that know just
 	// the same, and from others that know nothing more.
@@ -152,34 +150,20 @@
 
 // tell calls OnChange if something changed that others act on.
 func (n *Node) tell() {
-	if !n.stale && !n.changed || n.CatchUp && !n.isSettled() {
+	if !n.changed || n.CatchUp && !n.isSettled() {
 		return
 	}
-	n.stale = false
 	change := n.snapshot()
-	ids := make([]string, 0, len(change.Routers))
-	for i := range change.Routers {
-		ids = append(ids, change.Routers[i].ID)
-	}
-	eligible := strings.Join(ids, " ")
-	if !n.changed && eligible == n.eligible && len(n.died) == 0 {
-		return
-	}
-	change.Died, n.died = n.died, nil
-	n.changed, n.eligible = false, eligible
+	n.changed, n.died = false, nil
 	n.OnChange(change)
 }
 
 func (n *Node) snapshot() Change {
 	change := Change{
+		Routers:  n.owners.share(),
+		Died:     n.died,
 		Backends: make(map[string]memberpb.State),
 	}
-	now := time.Now()
-	for _, router := range n.live.routers {
-		if n.members[router.ID].mayOwn(&n.Policy, now) {
-			change.Routers = append(change.Routers, router)
-		}
-	}
 	for id, m := range n.backends {
 		if state := m.news.GetState(); state != memberpb.State_STATE_LIVE {
 			change.Backends[id] = state
--- a/membership/node_test.go
+++ b/membership/node_test.go
@@ -208,6 +208,7 @@
 			t.Error("a router that died three times may own at once")
 		}
 		time.Sleep(2 * time.Minute)
+		n.locked(n.tick)
 		if !owns() {
 			t.Error("a router that stayed for two minutes may still not own")
 		}
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -23,8 +23,10 @@
 func (n *Node) tick() {
 	now := time.Now()
 	for id, m := range n.members {
-		// A penalty decays, so that the router may come to own again.
-		n.stale = n.stale || m.penalty > 0
+		if m.penalty > 0 {
+			// It decays, so that the router may come to own again.
+			n.keepOwner(m)
+		}
 		switch {
 		case id == n.Self.ID:
 		case m.dead() && now.Sub(m.diedAt) > n.Policy.Forget:
--- a/membership/roster.go
+++ b/membership/roster.go
@@ -7,7 +7,7 @@
 	"github.com/slipwick/slipwick"
 )
 
-// roster lists the routers that are not dead, by ID. It is kept by changes: in a large fleet
+// roster lists routers by ID. It is kept by changes: in a large fleet
 // there are some all the time, of one router each.
 type roster struct {
 	routers []slipwick.Router
@@ -22,28 +22,38 @@
 	})
 }
 
-// put adds a router, or replaces what was known of it.
-func (r *roster) put(router slipwick.Router) {
+// put adds a router, or replaces what was known of it. It tells whether that changed the list.
+func (r *roster) put(router slipwick.Router) bool {
 	index, found := r.find(router.ID)
 	if found && r.routers[index] == router {
-		return
+		return false
 	}
 	r.own()
 	if found {
 		r.routers[index] = router
-		return
+	} else {
+		r.routers = slices.Insert(r.routers, index, router)
 	}
-	r.routers = slices.Insert(r.routers, index, router)
+	return true
 }
 
-// remove takes a router off the list.
-func (r *roster) remove(id string) {
+// remove takes a router off the list, and tells whether it was there.
+func (r *roster) remove(id string) bool {
 	index, found := r.find(id)
 	if !found {
-		return
+		return false
 	}
 	r.own()
 	r.routers = slices.Delete(r.routers, index, index+1)
+	return true
+}
+
+// keep has a router on the list or not, and tells whether that changed the list.
+func (r *roster) keep(router slipwick.Router, isOn bool) bool {
+	if isOn {
+		return r.put(router)
+	}
+	return r.remove(router.ID)
 }
 
 // own makes the list one that may be changed.
--- a/membership/roster_test.go
+++ b/membership/roster_test.go
@@ -75,3 +75,33 @@
 		})
 	}
 }
+
+// BenchmarkTellOfRouter tells of one router's death and of its return.
+func BenchmarkTellOfRouter(b *testing.B) {
+	for _, size := range []int{250, 500, 1000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			n := lonely()
+			told := 0
+			n.OnChange = func(Change) { told++ }
+			for i := range size {
+				n.tellNews(&memberpb.News{
+					Id: fmt.Sprint("r", i),
+				})
+			}
+			incarnation := uint64(0)
+			b.ReportAllocs()
+			for b.Loop() {
+				for _, state := range []memberpb.State{memberpb.State_STATE_DEAD, memberpb.State_STATE_LIVE} {
+					incarnation++
+					n.set(n.members["r7"], &memberpb.News{
+						Id:          "r7",
+						State:       state,
+						Incarnation: incarnation,
+					})
+					n.changed = true
+					n.tell()
+				}
+			}
+		})
+	}
+}
