Round a router's share of the fleet's repeats by chance

Cause: each router uses its share of the bound, and rounded it down. At 986 routers that is 0.63 sends, and a sixth of the two or three requests for the pool that it gets in ten seconds: for most routers none. It holds while the fleet is small, and fails from some 600 routers on.

Change: a router rounds its share by a draw that it keeps for ten windows. The fleet's sum is that of the exact shares, give or take the root of its routers.

Compared: fractions saved over time until they make one send (a bucket). Each router then has one in hand after 16 s, and when servers begin to fail all use it at once: 2,000 of 1,040 allowed at 2,000 routers. Also ruled out: asking hubs for sends (a message before each repeat, and nobody to ask when cut off).

--- a/retry/budget.go
+++ b/retry/budget.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -20,6 +21,9 @@
 	// may have used theirs: the fleet may start anew twice in a window.
 	extraShare     = 0.6
 	restartedShare = 0.25
+	// roundingWindows is for how many windows a router keeps the draw by which it rounds its
+	// share. A window may see two draws, so that more routers round up; few windows do.
+	roundingWindows = 10
 )
 
 // Budget bounds the fleet's repeated sends to each pool, in every window of
@@ -82,7 +86,10 @@
 
 func (b *Budget) allowsLocked(w *window) bool {
 	allowed := ratioShare*b.Ratio*float64(w.requests.sum) + b.extraLocked(w.step)
-	return float64(w.repeats.sum+1) <= allowed
+	// In a large fleet a router's share is a fraction of one send. Rounded down, nobody would
+	// send again; rounded by chance, the fleet's sum is as if it were one router's, at any
+	// moment, also when all use their shares at once.
+	return float64(w.repeats.sum+1) <= allowed+w.rounding
 }
 
 // extraLocked is what this router may use of Extra. Routers that were there
@@ -109,7 +116,9 @@
 	}
 	w := b.pools[pool]
 	if w == nil {
-		w = &window{}
+		w = &window{
+			rounding: rand.Float64(),
+		}
 		b.pools[pool] = w
 	}
 	w.advance(int64(now.Sub(b.began)) / max(int64(b.Window)/steps, 1))
@@ -120,6 +129,8 @@
 type window struct {
 	requests, repeats counter
 	step              int64
+	// rounding is below one, and added to what the router may use.
+	rounding float64
 }
 
 // advance forgets the steps that have left the window.
@@ -128,6 +139,9 @@
 		w.requests.shift()
 		w.repeats.shift()
 	}
+	if kept := int64(roundingWindows * steps); step/kept > w.step/kept {
+		w.rounding = rand.Float64()
+	}
 	w.step = max(w.step, step)
 }
 
