Read a changed object once where its order is compared

Cause: a value that has an order was read to compare it with the known one and read again to be taken.

Change: what was read is kept for the batch.

Measured: two readings of each version became one (the test counts them).

Ruled out: comparing without reading (the order is inside the value).

--- a/directory/follower.go
+++ b/directory/follower.go
@@ -68,8 +68,10 @@
 	answered        time.Time
 	listed, watched bool
 	pause           time.Duration
-	// latest are the objects known, kept only where they have an order.
-	latest map[string]T
+	// latest are the objects known, kept only where they have an order, compared what was
+	// read of those of the batch being taken.
+	latest   map[string]T
+	compared map[string]reading[T]
 	done   chan struct{}
 }
 
@@ -86,8 +88,9 @@
 		OnFellBack: func(slipwick.Position, *slipwick.FeedBatch) {},
 		OnAnswer:   func(*slipwick.FeedBatch) {},
 
-		latest: make(map[string]T),
-		done:   make(chan struct{}),
+		latest:   make(map[string]T),
+		compared: make(map[string]reading[T]),
+		done:     make(chan struct{}),
 	}
 }
 
@@ -200,13 +203,37 @@
 		}
 		known, isKnown := f.latest[e.Name]
 		// What can't be read is told as such with the changes.
-		if told, err := f.Decode(e.Name, e.Value); err == nil && isKnown && f.Outdated(known, told) {
+		told, err := f.Decode(e.Name, e.Value)
+		if err == nil && isKnown && f.Outdated(known, told) {
 			e.Value = value
+			continue
+		}
+		f.compared[e.Name] = reading[T]{
+			encoded: e.Value,
+			value:   told,
+			err:     err,
 		}
 	}
 }
 
+// reading is what an object's value says, or what is wrong with it.
+type reading[T any] struct {
+	encoded []byte
+	value   T
+	err     error
+}
+
+// read reads an object, once for each batch: a large fleet reads a configuration of hundreds of
+// routes at the same moment at all routers.
+func (f *Follower[T]) read(e *slipwick.FeedEntry) (T, error) {
+	if r, ok := f.compared[e.Name]; ok && bytes.Equal(r.encoded, e.Value) {
+		return r.value, r.err
+	}
+	return f.Decode(e.Name, e.Value)
+}
+
 func (f *Follower[T]) decode(entries []slipwick.FeedEntry) []Change[T] {
+	defer clear(f.compared)
 	changes := make([]Change[T], 0, len(entries))
 	for _, e := range entries {
 		change := Change[T]{
@@ -215,7 +242,7 @@
 		}
 		if !e.Gone {
 			var err error
-			change.Value, err = f.Decode(e.Name, e.Value)
+			change.Value, err = f.read(&e)
 			change.Invalid = err != nil
 			f.OnInvalid(e.Name, err)
 			if f.Outdated != nil && err == nil {
--- /dev/null
+++ b/directory/followeronce_test.go
@@ -0,0 +1,61 @@
+package directory
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/slipwick/slipwick"
+)
+
+// TestFollowerReadsEachValueOnce has objects change that have an order: what is read to compare
+// a value with the known one is not read again to take it. All routers of a fleet read a
+// configuration at the same moment.
+func TestFollowerReadsEachValueOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := newFakeFeed(&slipwick.FeedBatch{
+			Entries: []slipwick.FeedEntry{
+				{
+					Name:  "main",
+					Value: []byte("1"),
+				},
+			},
+			Whole:    true,
+			Revision: 1,
+		})
+		reads, latest := make(map[string]int), ""
+		follower := NewFollower[string](feed, NewMirror())
+		follower.Outdated = func(known, told string) bool { return told < known }
+		follower.Decode = func(_ string, value []byte) (string, error) {
+			reads[string(value)]++
+			return string(value), nil
+		}
+		follower.OnChange = func(changes []Change[string]) { latest = changes[len(changes)-1].Value }
+		ctx, cancel := context.WithCancel(t.Context())
+		go follower.Run(ctx)
+		for i, value := range []string{"2", "3", "0", "4"} {
+			time.Sleep(time.Second)
+			feed.Apply(&slipwick.FeedBatch{
+				Entries: []slipwick.FeedEntry{
+					{
+						Name:  "main",
+						Value: []byte(value),
+					},
+				},
+				Revision: uint64(i + 2),
+			})
+		}
+		time.Sleep(time.Second)
+		cancel()
+		<-follower.Done()
+		if latest != "4" {
+			t.Errorf("got %q, want the newest value", latest)
+		}
+		for value, count := range reads {
+			if count != 1 {
+				t.Errorf("value %s: read %d times, want once", value, count)
+			}
+		}
+	})
+}
