--- a/directory/follower.go
+++ b/directory/follower.go
@@ -72,7 +72,7 @@
 	// read of those of the batch being taken.
 	latest   map[string]T
 	compared map[string]reading[T]
-	done   chan struct{}
+	done     chan struct{}
 }
 
 // NewFollower makes a follower of the feed.
--- a/directory/fuzz_test.go
+++ b/directory/fuzz_test.go
@@ -11,7 +11,8 @@
 // FuzzRelayedCopies checks that no copy of another router breaks its reader, or is from
 // the future.
 func FuzzRelayedCopies(f *testing.F) {
-	f.Add([]byte(`{"entries":[{"name":"a","text":"x"},{"name":"b","gone":true}],"whole":true,"revision":7}`), jsonType, "12", "1")
+	f.Add([]byte(`{"entries":[{"name":"a","text":"x"},{"name":"b","gone":true}],"whole":true,"revision":7}`),
+		jsonType, "12", "1")
 	f.Add([]byte(`{}`), jsonType, "-5", "-1")
 	f.Add([]byte("\x06\b\x02\x10\x01(\a\x06\n\x01a\x1a\x01x\x05\n\x01b\x10\x01"), protobufType, "12", "1")
 	f.Fuzz(func(t *testing.T, body []byte, encoding, age, hops string) {
