Measure how a list spreads when all routers start at once

Cause: after a loss of power five seconds pass until a fleet of 986 serves again. How much of it is the spread of the list had no figure, and two sends at a time were chosen by reading.

Change: the fleet of the tests sends lists to a bounded number at a time, which share its link; a test holds the time allowed for a change at 62 and 125 routers, and tells the times at up to 1,000 by hand.

--- a/directory/following_test.go
+++ b/directory/following_test.go
@@ -33,6 +33,9 @@
 	// one to another.
 	knowTime, pageTime, listTime time.Duration
 	pages                        int
+	// sends is to how many others a router sends a list at a time, which share its link; 0
+	// has all get theirs in listTime.
+	sends int
 	// off are routers without power, startOff has them start.
 	off      []*followingRouter
 	startOff func()
@@ -51,8 +54,8 @@
 	// silent has nothing get an answer from it, alone no other router, cut has the
 	// store give it none, refused has the store refuse it.
 	silent, alone, cut, refused bool
-	// calls counts its own to the store.
-	calls int
+	// calls counts its own to the store, sending the lists that it sends.
+	calls, sending int
 	// values are the values known here.
 	values map[string]string
 }
@@ -260,6 +263,9 @@
 	}
 	batch, err := c.to.follower.Mirror.AwaitList(ctx, firstWait)
 	batch.Hops++
+	if err == nil && c.from.fleet.sends > 0 {
+		return c.send(ctx, &batch)
+	}
 	if err == nil {
 		tellBegun(ctx)
 	}
@@ -269,6 +275,24 @@
 	return batch, errors.Join(err, ctx.Err())
 }
 
+// send sends a list beside others, or refuses it.
+func (c *copyOf) send(ctx context.Context, batch *slipwick.FeedBatch) (slipwick.FeedBatch, error) {
+	isRefused := false
+	c.to.set(func(r *followingRouter) {
+		isRefused = r.sending >= r.fleet.sends
+		if !isRefused {
+			r.sending++
+		}
+	})
+	if isRefused {
+		return slipwick.FeedBatch{}, loading(askAgain)
+	}
+	defer c.to.set(func(r *followingRouter) { r.sending-- })
+	tellBegun(ctx)
+	sleep(ctx, time.Duration(c.from.fleet.sends)*c.from.fleet.listTime)
+	return *batch, ctx.Err()
+}
+
 // tellPage tells whoever asks that an answer begins, as a connection to a store does.
 func tellPage(ctx context.Context) {
 	if trace := httptrace.ContextClientTrace(ctx); trace != nil && trace.GotFirstResponseByte != nil {
--- /dev/null
+++ b/directory/spread_test.go
@@ -0,0 +1,52 @@
+package directory
+
+import (
+	"flag"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+var measureSpread = flag.Bool("measure-spread", false, "measure the spread of lists at larger sizes")
+
+// spreadOf gives how long a fleet that starts at once takes, in virtual time, until nine tenths and
+// all of it have a list that takes 0.8 s to read from the store and 85 ms over a small link.
+func spreadOf(t *testing.T, size, sends int) (most, all time.Duration, calls int64) {
+	t.Helper()
+	f := newFollowing(size)
+	f.knowTime, f.pages, f.pageTime = 500*time.Millisecond, 50, 16*time.Millisecond
+	f.listTime, f.sends = 85*time.Millisecond, sends
+	started := time.Now()
+	stop := f.start(t)
+	defer stop()
+	for f.lagging("0") > size/10 && time.Since(started) < time.Minute {
+		time.Sleep(10 * time.Millisecond)
+	}
+	most = time.Since(started)
+	for f.lagging("0") > 0 && time.Since(started) < time.Minute {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return most, time.Since(started), f.calls.Load()
+}
+
+// TestListSpreadsInTime has all routers of a fleet start at once, as after a loss of power. With
+// -measure-spread it tells the times for up to 1,000 routers, by to how many a router sends its
+// list at a time.
+func TestListSpreadsInTime(t *testing.T) {
+	sizes, sends := []int{62, 125}, []int{sendsAtOnce}
+	if *measureSpread {
+		sizes, sends = []int{125, 250, 500, 1000}, []int{1, sendsAtOnce, 4, 8}
+	}
+	for _, size := range sizes {
+		for _, sends := range sends {
+			synctest.Test(t, func(t *testing.T) {
+				most, all, calls := spreadOf(t, size, sends)
+				t.Logf("%d routers, %d sends at once: nine tenths after %v, all after %v, %d calls",
+					size, sends, most, all, calls)
+				if sends == sendsAtOnce && all > fleetWithin {
+					t.Errorf("%d routers: got the list at all after %v, want it within %v", size, all, fleetWithin)
+				}
+			})
+		}
+	}
+}
