Have no router send again more than the fleet may

Cause: my rounding by chance. Where a router is the fleet, or nothing but the ratio is allowed, a share that is rounded up may be more than the whole bound.

Mend: what a router may use is at most the whole bound for its own requests, so that one router alone is within it by construction; fleets were by their number.

The test is as it was.

--- a/retry/budget.go
+++ b/retry/budget.go
@@ -89,7 +89,9 @@
 	// In a large fleet a router's share is a fraction of one send. Rounded down, nobody would
 	// send again; rounded by chance, the fleet's sum is as if it were one router's, at any
 	// moment, also when all use their shares at once.
-	return float64(w.repeats.sum+1) <= allowed+w.rounding
+	// No router goes beyond what the whole fleet may send for its requests.
+	most := b.Ratio*float64(w.requests.sum) + b.Extra
+	return float64(w.repeats.sum+1) <= min(allowed+w.rounding, most)
 }
 
 // extraLocked is what this router may use of Extra. Routers that were there
