--- a/Makefile
+++ b/Makefile
@@ -13,12 +13,10 @@
 # The tests that KNOWN-RED.txt lists, as go test -skip takes them; empty without any.
 KNOWN_RED = $(shell sed -n 's/^\(Test[A-Za-z0-9_]*\) |.*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 
-# Runs the tests of all modules but for the known red ones, which it prints. Those of directory
-# run without the race detector, too, as its runtime does not bear their largest fleets.
+# Runs the tests of all modules but for the known red ones, which it prints.
 test:
 	@test -z "$(KNOWN_RED)" || cat KNOWN-RED.txt
 	go test -race $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') $(PACKAGES)
-	go test $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./directory
 
 # Runs the measurements of docs/MEASURES.md; CASE= and POLICY= choose one.
 measure:
--- a/directory/fleet_test.go
+++ b/directory/fleet_test.go
@@ -10,7 +10,7 @@
 // TestFleetStartsAndRestsWithFewCalls counts the calls to the store of fleets
 // that start at once and of those at rest: they must not grow with the fleet.
 func TestFleetStartsAndRestsWithFewCalls(t *testing.T) {
-	for _, size := range sizesOf(1, 8, 62, 295) {
+	for _, size := range []int{1, 8, 62, 295} {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFollowing(size)
 			stop := f.start(t)
@@ -61,7 +61,7 @@
 			}
 		},
 	} {
-		for _, size := range sizesOf(8, 62, 295) {
+		for _, size := range []int{8, 62, 295} {
 			for seed := range 5 {
 				synctest.Test(t, func(t *testing.T) {
 					f := newFollowing(size)
@@ -86,7 +86,7 @@
 // of the routers, those that follow it among them.
 func TestOutageCostsFewCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFollowing(min(295, mostRouters))
+		f := newFollowing(295)
 		stop := f.start(t)
 		time.Sleep(5 * time.Second)
 		refuse := func(refused func(i int, r *followingRouter) bool) {
@@ -136,7 +136,7 @@
 // afterwards.
 func TestRouterGivesTheWatchersPlaceBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFollowing(min(295, mostRouters))
+		f := newFollowing(295)
 		stop := f.start(t)
 		time.Sleep(5 * time.Second)
 		var lowest *followingRouter
--- a/directory/following_test.go
+++ b/directory/following_test.go
@@ -62,11 +62,6 @@
 
 var errRefused = errors.New("refused")
 
-// sizesOf gives the sizes of fleets that can be played.
-func sizesOf(sizes ...int) []int {
-	return slices.DeleteFunc(sizes, func(size int) bool { return size > mostRouters })
-}
-
 func newFollowing(n int) *following {
 	f := &following{
 		store:    NewMirror(),
--- a/directory/largelist_test.go
+++ b/directory/largelist_test.go
@@ -19,7 +19,7 @@
 // again beside itself, and who waited for it more than half a second listed the store too.
 func TestLargeListsAreAskedForByFew(t *testing.T) {
 	const pages = 50
-	for _, size := range sizesOf(62, 125, 250) {
+	for _, size := range []int{62, 125, 250} {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFollowing(size)
 			f.knowTime, f.pages, f.pageTime, f.listTime = time.Second, pages, 20*time.Millisecond, 200*time.Millisecond
@@ -45,7 +45,7 @@
 		"silent":  func(r *followingRouter) { r.cut = true },
 	} {
 		synctest.Test(t, func(t *testing.T) {
-			f := newFollowing(min(125, mostRouters))
+			f := newFollowing(125)
 			f.knowTime, f.pages, f.pageTime, f.listTime = time.Second, 50, 20*time.Millisecond, 200*time.Millisecond
 			for _, r := range f.routers {
 				if fleet.PlaceOf(r.self, f.members).Watches {
@@ -89,7 +89,7 @@
 // those that follow it among them or not, while keys are taken away: the change has to be in
 // force everywhere in half of the time allowed, as what it takes away has to stop working.
 func TestChangeIsKnownInHalfOfTheTimeThoughAThirdIsCutOff(t *testing.T) {
-	for _, size := range sizesOf(62, 125, 250) {
+	for _, size := range []int{62, 125, 250} {
 		for seed := range 4 {
 			synctest.Test(t, func(t *testing.T) {
 				f := newFollowing(size)
@@ -117,7 +117,7 @@
 // lists from routers that stayed, within a part of the time that a return may take.
 func TestHalfOfTheFleetThatReturnsListsFromTheOthers(t *testing.T) {
 	const pages = 50
-	for _, size := range sizesOf(62, 125, 250) {
+	for _, size := range []int{62, 125, 250} {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFollowing(size)
 			f.knowTime, f.pages, f.pageTime, f.listTime = time.Second, pages, 20*time.Millisecond, 200*time.Millisecond
--- a/directory/norace_test.go
+++ /dev/null
@@ -1,7 +0,0 @@
-//go:build !race
-
-package directory
-
-import "math"
-
-const mostRouters = math.MaxInt
--- a/directory/spread_test.go
+++ b/directory/spread_test.go
@@ -33,7 +33,7 @@
 // -measure-spread it tells the times for up to 1,000 routers, by to how many a router sends its
 // list at a time.
 func TestListSpreadsInTime(t *testing.T) {
-	sizes, sends := sizesOf(62, 125), []int{sendsAtOnce}
+	sizes, sends := []int{62, 125}, []int{sendsAtOnce}
 	if *measureSpread {
 		sizes, sends = []int{125, 250, 500, 1000}, []int{1, sendsAtOnce, 4, 8}
 	}
