Define permits and the capacity of pools

Routers have no admission control for the gateway: a full pool is known from its rejections alone. The two interfaces let the parts of docs/design/hard-load.md be built separately: a permit source decides when a request may be sent, a capacity source says what a pool's usable servers can take. Nothing uses them yet.

--- /dev/null
+++ b/balance/capacity.go
@@ -0,0 +1,35 @@
+package balance
+
+import (
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/clock"
+)
+
+var _ slipwick.CapacitySource = (*Balancer)(nil)
+
+// PoolCapacity returns the servers of a pool that may get new requests of any router, with the
+// requests in flight there. It leaves out cold servers, whose limits are not slots, and those that are
+// ejected, unresponsive, leaving, evacuated or asked for a pause.
+func (b *Balancer) PoolCapacity(pool string) slipwick.PoolCapacity {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := clock.Now()
+	capacity := slipwick.PoolCapacity{
+		Complete: b.hasAllUpdatesLocked(now),
+	}
+	servers := b.pools[pool]
+	loads := b.loadsLocked(servers, now)
+	for i, s := range servers {
+		if !s.acceptsNew() || s.notices.isPaused(now) || b.isColdLocked(s, now) || b.isUnavailableLocked(s, now) {
+			continue
+		}
+		capacity.Servers = append(capacity.Servers, slipwick.ServerCapacity{
+			ID:         s.ID,
+			DataCentre: s.DataCentre,
+			Slots:      s.EffectiveSlots(),
+			InFlight:   loads[i],
+			Own:        s.inFlight,
+		})
+	}
+	return capacity
+}
--- /dev/null
+++ b/permit.go
@@ -0,0 +1,49 @@
+package slipwick
+
+import (
+	"context"
+	"time"
+)
+
+// PermitSource decides when a request may be sent to a pool.
+type PermitSource interface {
+	// Acquire blocks until the request has a permit, is refused, or ctx ends. The error is an *Error
+	// with OutcomeNotRun; that of a refusal has KindOverloaded and RetryAfter.
+	Acquire(ctx context.Context, request *PermitRequest) (Permit, error)
+	// Release ends a permit with what the request's result says about the backend server. It has to be
+	// called once for each permit, and doesn't block.
+	Release(permit Permit, evidence Evidence)
+}
+
+// PermitRequest describes a request that needs a permit.
+type PermitRequest struct {
+	Pool string
+	// Workspace is empty for anonymous requests.
+	Workspace string
+	// Weight is the workspace's share relative to other workspaces; 0 stands for 1.
+	Weight uint32
+	// Priority is the workspace's priority combined with the route's; 0 is the most urgent.
+	Priority int
+	// Work is the time for which the request is expected to occupy a slot.
+	Work    time.Duration
+	Arrived time.Time
+	// Objective is when the response should have begun; zero without a latency objective.
+	Objective time.Time
+	Deadline  time.Time
+	// Returning says that the caller was refused before and returned after Retry-After.
+	Returning bool
+	// Retry says that the request was sent before.
+	Retry bool
+	// Exclude lists the IDs of backend servers that must not get the request again.
+	Exclude []string
+}
+
+// Permit is the right to have one request in flight at a pool. The zero value says that the pool
+// needs none.
+type Permit struct {
+	Pool string
+	// Backend is the ID of the backend server to send to; empty if any may be chosen.
+	Backend string
+	// ID identifies the permit at its source; 0 if there is nothing to release.
+	ID uint64
+}
