Specify admission control for gateways, and its settings

The settings have the switch (admission: off, on, auto), workspaces their share and limits, pools the bound of their queue; the platform's adapter reads the contract that asks for it. Nothing reads the switch yet.

--- /dev/null
+++ b/cmd/internal/gatewayd/admissionmode.go
@@ -0,0 +1,14 @@
+package gatewayd
+
+// AdmissionMode says whether admission control is in use: requests wait for permits while a pool is
+// under pressure, and backend servers are chosen by their speed.
+type AdmissionMode string
+
+// The modes of admission control.
+const (
+	AdmissionOff AdmissionMode = "off"
+	AdmissionOn  AdmissionMode = "on"
+	// AdmissionAuto starts admission control once a backend server reports its pace, which says that
+	// it shares its box with others.
+	AdmissionAuto AdmissionMode = "auto"
+)
--- a/cmd/internal/gatewayd/filesettings.go
+++ b/cmd/internal/gatewayd/filesettings.go
@@ -25,6 +25,8 @@
 	Table   string      `json:"table" validate:"required"`
 	Retries FileRetries `json:"retries"`
 	Bounds  FileBounds  `json:"bounds"`
+	// Admission is off unless set; see AdmissionMode.
+	Admission AdmissionMode `json:"admission" validate:"omitempty,oneof=off on auto"`
 	// GracePeriod bounds the time from the stop signal to the end of the process.
 	GracePeriod jsonfile.Duration `json:"grace" validate:"min=0"`
 	// MemoryMB limits the process' memory, in MiB; 0 sets no limit.
@@ -135,7 +137,8 @@
 			Peers:     f.Listen.Peers,
 			Metrics:   f.Listen.Metrics,
 		},
-		Headers: gateway.DefaultHeaders(),
+		Headers:   gateway.DefaultHeaders(),
+		Admission: f.Admission,
 		Retries: Retries{
 			Ratio:  f.Retries.Ratio,
 			Extra:  f.Retries.Extra,
--- a/cmd/internal/gatewayd/settings.go
+++ b/cmd/internal/gatewayd/settings.go
@@ -24,6 +24,9 @@
 	Headers gateway.Headers
 	Retries Retries
 	Bounds  Bounds
+	// Admission says when requests wait for permits and servers are chosen by their speed; the zero
+	// value stands for AdmissionOff.
+	Admission AdmissionMode
 	// FirstStart says that the whole fleet starts for the first time, so that no
 	// engine has cached any prompts yet.
 	FirstStart bool
--- a/cmd/slipwickd/serve/gateway.go
+++ b/cmd/slipwickd/serve/gateway.go
@@ -128,8 +128,9 @@
 			Peers:     s.PeerAddress(),
 			Metrics:   net.JoinHostPort(s.IPAddress, metricsPort),
 		},
-		Seeds:   s.SeedAddresses(),
-		Headers: platform.Headers(),
+		Seeds:     s.SeedAddresses(),
+		Headers:   platform.Headers(),
+		Admission: admissionMode(s),
 		Retries: gatewayd.Retries{
 			Ratio:  s.Bounds.RetryBudgetRatio,
 			Extra:  s.Bounds.RetryBudgetExtra,
@@ -153,6 +154,14 @@
 	}
 }
 
+// admissionMode returns the mode of admission control that the platform's settings call for.
+func admissionMode(s *platform.Settings) gatewayd.AdmissionMode {
+	if s.LimitsLoad() {
+		return gatewayd.AdmissionOn
+	}
+	return gatewayd.AdmissionAuto
+}
+
 // platformFeeds returns the sources of routes, backend servers, evacuations, rollouts and caches on
 // the platform.
 func platformFeeds(s *platform.Settings) gatewayd.Feeds {
--- a/permit.go
+++ b/permit.go
@@ -22,6 +22,14 @@
 	Workspace string
 	// Weight is the workspace's share relative to other workspaces; 0 stands for 1.
 	Weight uint32
+	// MaxInFlight bounds the workspace's requests in flight at the pool, MaxWork the work that it may
+	// ask of the pool, in seconds of service time per second; MaxQueued bounds the requests that wait
+	// for the pool at one router. 0 sets no bound.
+	MaxInFlight int
+	MaxWork     float64
+	MaxQueued   int
+	// Bytes is the memory that the request holds while it waits.
+	Bytes int64
 	// Priority is the workspace's priority combined with the route's; 0 is the most urgent.
 	Priority int
 	// Work is the time for which the request is expected to occupy a slot.
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -12,6 +12,9 @@
 	Engine *Engine
 	// Cold is set for pools whose backend servers can be cold.
 	Cold *ColdCapacity
+	// MaxQueued bounds the requests for the pool that wait at one router; 0 stands for a bound from
+	// the router's memory limit.
+	MaxQueued int
 }
 
 // ColdCapacity says how much load the backend servers of a pool can take while they are cold, that
--- a/tablefile/file.go
+++ b/tablefile/file.go
@@ -64,8 +64,11 @@
 	CanFetchPrompts bool `json:"fetches"`
 	// Cold is left out if the backend servers can serve as much right after a start
 	// as later.
-	Cold     *ColdCapacity      `json:"cold"`
-	Backends []slipwick.Backend `json:"backends" validate:"dive"`
+	Cold *ColdCapacity `json:"cold"`
+	// MaxQueued bounds the requests for the pool that wait at one router; 0 stands for a bound from
+	// the router's memory limit.
+	MaxQueued int                `json:"max_queued" validate:"min=0"`
+	Backends  []slipwick.Backend `json:"backends" validate:"dive"`
 }
 
 // ColdCapacity is the file's form of routing.ColdCapacity.
@@ -79,7 +82,13 @@
 	Name     string   `json:"name" validate:"required"`
 	Keys     []string `json:"keys" validate:"dive,min=8"`
 	Priority *int     `json:"priority"`
-	Regions  []string `json:"regions" validate:"dive,required"`
+	// Share is the workspace's weight relative to others whose requests wait; 0 stands for 1.
+	Share uint32 `json:"share" validate:"max=10000"`
+	// MaxInFlight bounds the workspace's requests in flight in each pool, MaxWork the work that it may
+	// ask of each pool, in seconds of service time per second. 0 sets no bound.
+	MaxInFlight int      `json:"max_in_flight" validate:"min=0"`
+	MaxWork     float64  `json:"max_work" validate:"min=0"`
+	Regions     []string `json:"regions" validate:"dive,required"`
 }
 
 // Parse parses and checks a file, which error messages call by the name. The error is
@@ -129,6 +138,7 @@
 		pool := routing.Pool{
 			Name:           f.Pools[i].Name,
 			MaxConnections: f.Pools[i].MaxConnections,
+			MaxQueued:      f.Pools[i].MaxQueued,
 		}
 		if f.Pools[i].Engine {
 			pool.Engine = &routing.Engine{
@@ -146,10 +156,13 @@
 	workspaces := make([]routing.Workspace, 0, len(f.Workspaces))
 	for _, w := range f.Workspaces {
 		workspaces = append(workspaces, routing.Workspace{
-			Name:     w.Name,
-			Keys:     w.Keys,
-			Priority: w.Priority,
-			Regions:  w.Regions,
+			Name:        w.Name,
+			Keys:        w.Keys,
+			Priority:    w.Priority,
+			Share:       w.Share,
+			MaxInFlight: w.MaxInFlight,
+			MaxWork:     w.MaxWork,
+			Regions:     w.Regions,
 		})
 	}
 	return routing.NewTable(f.Version, routing.Limits{
