upstream: Keep idle connections that a request passes over

Passed over connections stay open for other requests. The bound of 2 s is replaced by one that is learnt: servers state how long they keep connections, and those they close are seen before use; once a connection was found forgotten, half of its idle time is the bound for 30 s. Connections are counted by cause, and max_connections of a pool bounds open ones at each router, not only idle ones.

--- a/cmd/internal/gatewayd/backends.go
+++ b/cmd/internal/gatewayd/backends.go
@@ -30,9 +30,9 @@
 	p.backendsListed.Store(true)
 }
 
-// limitIdleConnections limits the idle connections to each backend server: every router gets an
-// equal share of the connections that a server accepts, and half of its share may be idle.
-func (p *Process) limitIdleConnections(routers int) {
+// limitConnections limits the connections to each backend server: every router gets an equal share of
+// the connections that a server accepts, but at least one, and half of its share may be idle.
+func (p *Process) limitConnections(routers int) {
 	table := p.gateway.Table()
 	if table == nil {
 		return
@@ -44,6 +44,11 @@
 		}
 	}
 	p.client.SetMaxIdleConns(smallest / (2 * max(routers, 1)))
+	if smallest == math.MaxInt {
+		p.client.SetMaxOpenConns(0)
+		return
+	}
+	p.client.SetMaxOpenConns(max(smallest/max(routers, 1), 1))
 }
 
 // onEjected logs that a backend server was ejected for the given time.
--- a/cmd/internal/gatewayd/follow.go
+++ b/cmd/internal/gatewayd/follow.go
@@ -51,7 +51,7 @@
 			if c.Value == nil || !p.gateway.SetTable(c.Value) {
 				continue
 			}
-			p.limitIdleConnections(len(p.node.Routers()))
+			p.limitConnections(len(p.node.Routers()))
 			p.setColdLimits()
 			p.metrics.version.Set(float64(c.Value.Version))
 			events.ConfigurationInForce.On(&p.Log).Uint64("version", c.Value.Version).Send()
--- a/cmd/internal/gatewayd/membership.go
+++ b/cmd/internal/gatewayd/membership.go
@@ -17,7 +17,7 @@
 	for _, id := range change.Died {
 		events.RouterDied.On(&p.Log).Str("died", id).Send()
 	}
-	p.limitIdleConnections(len(change.EligibleRouters))
+	p.limitConnections(len(change.EligibleRouters))
 	p.setRouters(change.EligibleRouters)
 }
 
--- a/cmd/internal/gatewayd/metrics.go
+++ b/cmd/internal/gatewayd/metrics.go
@@ -6,6 +6,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/slipwick/slipwick/upstream"
 )
 
 // metrics are a gateway's Prometheus metrics; docs/METRICS-GATEWAY.md lists them.
@@ -45,6 +47,17 @@
 	return m
 }
 
+// registerDials registers a counter of opened connections for each cause.
+func (m *metrics) registerDials(client *upstream.Client) {
+	for _, cause := range upstream.DialCauses() {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name:        "slipwick_backend_dials_total",
+			Help:        "Connections opened to backend servers for requests, by cause.",
+			ConstLabels: prometheus.Labels{"cause": cause.String()},
+		}, func() float64 { return float64(client.OpenedByCause[cause].Load()) }))
+	}
+}
+
 // gauge is a metric whose value is read at each scrape.
 type gauge struct {
 	name, help string
@@ -53,6 +66,7 @@
 
 // registerGauges registers the gauges that are read at each scrape.
 func (m *metrics) registerGauges(p *Process) {
+	m.registerDials(p.client)
 	for _, f := range slices.Concat(p.gauges(), p.backendGauges()) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: f.name,
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -102,15 +102,11 @@
 	}
 	request.Timeouts = c.timeoutsFor(lease)
 	if !c.route.MayRepeat() {
-		request.MaxIdleTime = nonRepeatableMaxIdleTime
+		request.MaxIdleTime = c.gateway.Client.SafeIdleTime()
 	}
 	return request
 }
 
-// nonRepeatableMaxIdleTime bounds the idle time of connections used for requests that must not be
-// repeated: the shorter a connection was idle, the less likely it has been closed unnoticed.
-const nonRepeatableMaxIdleTime = 2 * time.Second
-
 // Priorities range from 0, the most urgent, to lowestPriority. The workspace's priority takes
 // precedence over the route's: each workspace priority has routePriorities values of its own, among
 // which the route's priority chooses.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -265,10 +265,14 @@
 			return resultNotRun, slipwick.EvidenceNone
 		}
 		c.unreached++
-		if upstream.IsConnectionRefused(err) {
+		switch {
+		case upstream.IsConnectionLimit(err):
+			return resultUnsent, slipwick.EvidenceNone
+		case upstream.IsConnectionRefused(err):
 			return resultUnsent, slipwick.EvidenceRefused
+		default:
+			return resultUnsent, slipwick.EvidenceUnreachable
 		}
-		return resultUnsent, slipwick.EvidenceUnreachable
 	}
 	c.possibleRuns++
 	if c.ctx.Err() == context.DeadlineExceeded || upstream.IsResponseTimeout(err) {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -51,6 +51,8 @@
 	// they belonged to an earlier request.
 	OpenedConnections atomic.Int64
 	StrayResponses    atomic.Int64
+	// OpenedByCause counts the connections opened for a request, by cause.
+	OpenedByCause [dialCauses]atomic.Int64
 
 	mu sync.Mutex
 	// idle holds the idle connections of each backend server by its key (see Do), longest idle first.
@@ -60,6 +62,10 @@
 	dialTimes map[string]time.Duration
 	// maxIdleConns is the limit that SetMaxIdleConns set; 0 stands for maxIdleConnsPerServer.
 	maxIdleConns int
+	// open counts the open connections. It has a lock of its own, as connections are closed under mu.
+	open openConns
+	// safeIdleTime bounds the idle time of connections for requests that must not be repeated.
+	safeIdleTime safeIdleTime
 }
 
 // SetMaxIdleConns sets how many idle connections are kept for one backend server, between 1 and
@@ -79,6 +85,7 @@
 	if err != nil {
 		return nil, err
 	}
+	started := clock.Now()
 	stop := conn.interruptOnDone(ctx)
 	written := conn.write(request)
 	var response *http.Response
@@ -89,6 +96,9 @@
 	if err != nil {
 		stop()
 		_ = conn.Close()
+		if conn.exchanges > 0 && ctx.Err() == nil && isClosedByPeer(err) {
+			c.recordForgottenConnection(started.Sub(conn.idleSince))
+		}
 		return nil, exchangeError(ctx, address, err)
 	}
 	delimited := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
@@ -110,21 +120,58 @@
 }
 
 // connection returns an idle connection that is still usable and was idle for no longer than
-// maxIdleTime, or dials a new one. A maxIdleTime of 0 sets no bound.
+// maxIdleTime, or dials a new one. A maxIdleTime of 0 sets no bound. Connections that were idle for
+// longer stay open for other requests.
 func (c *Client) connection(ctx context.Context, key, address string, maxIdleTime time.Duration) (*connection, error) {
-	now := clock.Now()
+	now, cause := clock.Now(), DialBusy
+	if !c.hasConnected(key) {
+		cause = DialFirst
+	}
 	for {
 		conn := c.popIdle(key)
 		if conn == nil {
-			return c.dial(ctx, key, address)
+			break
 		}
-		isRecent := maxIdleTime == 0 || now.Sub(conn.idleSince) <= maxIdleTime
-		if isRecent && now.Before(conn.idleUntil) && conn.isIdle() {
+		switch {
+		case !now.Before(conn.idleUntil):
+			cause = DialIdleTooLong
+		case !conn.isIdle():
+			cause = DialClosedByServer
+		case maxIdleTime > 0 && now.Sub(conn.idleSince) > maxIdleTime:
+			// The connections that are left were idle for longer still.
+			c.pushIdle(key, conn)
+			return c.dialFor(ctx, key, address, DialIdleTooLong)
+		default:
 			conn.exchanges++
 			return conn, nil
 		}
 		_ = conn.Close()
 	}
+	return c.dialFor(ctx, key, address, cause)
+}
+
+// dialFor dials a connection for a request and counts it by cause.
+func (c *Client) dialFor(ctx context.Context, key, address string, cause DialCause) (*connection, error) {
+	conn, err := c.dial(ctx, key, address)
+	if err == nil {
+		c.OpenedByCause[cause].Add(1)
+	}
+	return conn, err
+}
+
+// hasConnected reports whether a connection to the backend server was opened before.
+func (c *Client) hasConnected(key string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, isKnown := c.dialTimes[key]
+	return isKnown
+}
+
+// pushIdle puts back the connection that popIdle returned last.
+func (c *Client) pushIdle(key string, conn *connection) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle[key] = append(c.idle[key], conn)
 }
 
 // popIdle removes the most recently used idle connection and returns it, or nil if there is none.
@@ -164,6 +211,9 @@
 }
 
 func (c *Client) dial(ctx context.Context, key, address string) (*connection, error) {
+	if !c.open.add(key) {
+		return nil, connectionLimitError(address)
+	}
 	started := time.Now()
 	dialer := net.Dialer{
 		Timeout: c.dialTimeout(key),
@@ -177,13 +227,15 @@
 	}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
+		c.open.remove(key)
 		return nil, connectError(address, err)
 	}
 	c.OpenedConnections.Add(1)
 	c.recordDialTime(key, time.Since(started))
 	return &connection{
-		Conn:   conn,
-		reader: bufio.NewReaderSize(conn, bufferSize),
+		Conn:    conn,
+		reader:  bufio.NewReaderSize(conn, bufferSize),
+		onClose: func() { c.open.remove(key) },
 	}, nil
 }
 
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -23,6 +24,15 @@
 	idleUntil time.Time
 	// exchanges counts the exchanges before the current one.
 	exchanges int
+	// onClose is called when the connection is closed for the first time.
+	onClose   func()
+	closeOnce sync.Once
+}
+
+// Close closes the connection.
+func (c *connection) Close() error {
+	c.closeOnce.Do(c.onClose)
+	return c.Conn.Close()
 }
 
 // isIdle reports whether the connection is open and has no unread bytes. Bytes that arrive while no
