Record incarnations that a restored list replaces as departed

What callers would see: requests sent to a backend server that had crashed and was replaced, for up to 1.2 s after the second of two restores of the store.

Cause: r1's first list after the first restore (timeline 2, revision 9, at 11.305 s) had incarnation 1 of s1 already, written 5 ms before. departures.checkRestored did not record the incarnation that the entry replaced, checkWritten alone did. The second restore (timeline 3, revision 11, at 13.468 s) brought incarnation 0 back, and r1 trusted it until 14.4 s. Routers that had seen the removal at 2/8 marked it as suspect.

Ruled out: a copy relayed out of order (each router's positions ascend), and entries kept in the grace period (s1 was published as a listed entry).

Why it holds: the known incarnation is recorded whenever a trusted entry of another incarnation takes its place, whichever way that entry came. A suspect entry replaces nothing, so that the later incarnation is not recorded by mistake.

TestIncarnationReplacedInRestoredListIsSuspect fails without the fix.

--- a/directory/departures.go
+++ b/directory/departures.go
@@ -68,7 +68,8 @@
 
 // checkRestored marks an entry of a restored store as suspect or as trusted. Known is the entry
 // before the restore, nil if there was none; an incarnation that started before the known one
-// has ended.
+// has ended. A trusted incarnation that differs from the known one has replaced it, so that the
+// known one has ended: a later restore may list it again.
 func (d *departures) checkRestored(name string, known, received *balance.Entry) {
 	if known != nil && received.StartTime != 0 && received.StartTime < known.StartTime {
 		d.suspect[name] = true
@@ -82,6 +83,9 @@
 		d.suspect[name] = true
 		return
 	}
+	if known != nil && known.Incarnation() != received.Incarnation() {
+		d.record(known)
+	}
 	delete(d.suspect, name)
 }
 
