admission: Ignore a grant that was released before

A second release made the counts of a backend server negative, so that it got more requests than it has slots. TestReleaseOfUnknownGrantChangesNothing failed before: two grants at a server with one slot.

--- a/admission/local.go
+++ b/admission/local.go
@@ -82,11 +82,15 @@
 	return count < limit(pool, backend, float64(l.totals[pool.Name]), 0)
 }
 
-// Release returns the slot; the evidence is ignored.
+// Release returns the slot; the evidence is ignored. A grant that was released before has no effect.
 func (l *Local) Release(grant slipwick.Grant, _ slipwick.Evidence) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	pool, known := l.grantPools[grant.ID]
+	if !known {
+		return
+	}
 	l.inFlight[grant.Backend.ID]--
-	l.totals[l.grantPools[grant.ID]]--
+	l.totals[pool]--
 	delete(l.grantPools, grant.ID)
 }
