retry: Keep two restarts of a fleet within the budget

Three processes in a row used 0.6, 0.25 and 0.25 of the extra retries within a window, 1.1 in all. The share after a restart is 0.2. TestTwoRestartsStayWithinExtra failed before with 110 retries of 100.

--- a/retry/budget.go
+++ b/retry/budget.go
@@ -20,7 +20,7 @@
 	// replaces another process uses restartedShare instead in its first window, as that process may
 	// have used its part of Extra: the fleet may restart twice within a window.
 	extraShare     = 0.6
-	restartedShare = 0.25
+	restartedShare = 0.2
 	// roundingPeriod is the number of windows for which a router keeps the random number by which
 	// it rounds its share. In a window in which the number changes, a router may round up by either
 	// of two numbers, so that more routers do; with a long period there are few such windows.
