gateway: Ask a permit source before a request is sent

A gateway sent each request at once and to the next server after a rejection. With the field Permits it first acquires a permit, and releases it once the response has ended. The balancer keeps to the server that a permit names, under all its other rules; if that server isn't usable, the permit is given back and another asked for, three times at most. Servers that a request must not go to because of its regions or a rollout are listed in the request for the permit, so that no permit names them. A rejected request asks again with its first arrival and may return to the same server. A refusal is a 503 with the reason overloaded, only if the request certainly was not run. Callers that return as told are recognised by their requests' keys. No second send is made under pressure. Work is estimated by pool and route. Without Permits nothing changes.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -129,8 +129,14 @@
 
 func (b *Balancer) acquireLocked(request *Request, now time.Time) (*Lease, error) {
 	decay := b.decayLocked(now)
-	pool := b.splitByVersionLocked(b.pools[request.Pool], request, now)
+	pool := b.versionsForLocked(request, now)
 	usable := b.usableLocked(pool, request, now)
+	if request.Backend != "" {
+		usable = b.namedLocked(request, usable, now, decay)
+		if len(usable) == 0 {
+			return nil, namedBackendError(request)
+		}
+	}
 	if len(usable) == 0 {
 		return nil, b.noBackendErrorLocked(pool, request, now)
 	}
--- a/balance/canary.go
+++ b/balance/canary.go
@@ -129,6 +129,28 @@
 	return oldVersion
 }
 
+// versionsForLocked returns the pool's servers of the versions that the request may go to. For a
+// request that names its server, the share of a new version was drawn before: see Withheld.
+func (b *Balancer) versionsForLocked(request *Request, now time.Time) []*server {
+	pool := b.pools[request.Pool]
+	if request.Backend == "" {
+		return b.splitByVersionLocked(pool, request, now)
+	}
+	c, held := b.canaries[request.Pool], b.heldVersionsLocked(request.Pool, now)
+	if c == nil && len(held) == 0 {
+		return pool
+	}
+	allowed := b.scratch.newVersion[:0]
+	for _, s := range pool {
+		isNew := c != nil && s.Version == c.Version
+		if isNew && c.Share > 0 || !isNew && !held[s.Version] {
+			allowed = append(allowed, s)
+		}
+	}
+	b.scratch.newVersion = allowed
+	return allowed
+}
+
 // recordCanaryResultLocked counts the outcome of a request of this router if its pool has a
 // canary. That a server cannot be reached, or ends, says nothing about its version.
 func (b *Balancer) recordCanaryResultLocked(lease *Lease, evidence slipwick.Evidence) {
--- a/balance/request.go
+++ b/balance/request.go
@@ -15,6 +15,10 @@
 	// Regions are the regions whose backend servers may get the request or anything of its
 	// prompt. Nil allows all, an empty list none.
 	Regions []string
+	// Backend is the ID of the only backend server that may get the request; empty if any may. All
+	// other rules apply too: if it isn't one of the servers that the request could be sent to, the
+	// request gets none.
+	Backend string
 	// HealthyOnly excludes ejected and unresponsive backend servers even if no others are left.
 	HealthyOnly bool
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/balance"
 	"github.com/slipwick/slipwick/clock"
 	"github.com/slipwick/slipwick/quarantine"
@@ -38,6 +39,14 @@
 	// nextLease is the lease of the next send, acquired while the current one was still waiting;
 	// nil if there is none.
 	nextLease *balance.Lease
+	// permit belongs to the current lease, nextPermit to nextLease; they are zero without admission
+	// control. permitRequest is the description of the first send for the permit source. waited is
+	// how long the request has waited for permits. wasRejected says that a full server rejected the
+	// latest send, so that the request waits for another permit.
+	permit, nextPermit heldPermit
+	permitRequest      slipwick.PermitRequest
+	waited             time.Duration
+	wasRejected        bool
 	// sends counts how often the gateway sent the request or tried to, unreached those sends that
 	// reached no backend server, possibleRuns those after which the request may have run.
 	sends, unreached, possibleRuns int
@@ -48,6 +57,10 @@
 	isTrial bool
 	// firstEvent is when the current send forwarded its first event; zero before that.
 	firstEvent time.Time
+	// responseStart is when the response to the current send began.
+	responseStart time.Time
+	// retryAfter is what the caller was told if the request was refused.
+	retryAfter time.Duration
 	// failedResponse is the latest failure response of a backend server.
 	failedResponse *bufferedResponse
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,9 +7,11 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/balance"
 	"github.com/slipwick/slipwick/clock"
 	"github.com/slipwick/slipwick/quarantine"
@@ -29,6 +31,13 @@
 	Client   *upstream.Client
 	// Budget limits the retries that all routers together send to each pool.
 	Budget *retry.Budget
+	// Permits decides when a request may be sent; nil sends each at once. If it implements
+	// slipwick.PressureSource, no second send is made for a request while a pool is under pressure
+	// and the first one still waits.
+	Permits slipwick.PermitSource
+	// OnPace is called when a backend server first reports its pace, once at most; may be nil. It must
+	// not block.
+	OnPace func()
 	// Quarantine refuses requests that have crashed several backend servers; nil disables it.
 	Quarantine *quarantine.Tracker
 	// Ready is closed once the router has a configuration and the list of backend servers, and
@@ -48,6 +57,17 @@
 	// StopAt is called.
 	stopAt   atomic.Pointer[time.Time]
 	inFlight atomic.Int64
+	// firstPace guards the call of OnPace.
+	firstPace sync.Once
+	work      workEstimates
+	refused   refusedKeys
+}
+
+// RecordPace notes that a backend server reported its pace.
+func (g *Gateway) RecordPace() {
+	if g.OnPace != nil {
+		g.firstPace.Do(g.OnPace)
+	}
 }
 
 // SetTable puts a routing table into use and reports whether it did: a table that is not newer than
--- a/gateway/observer.go
+++ b/gateway/observer.go
@@ -48,6 +48,9 @@
 	Key       quarantine.Key
 	Route     *routing.Route
 	Pool      string
+	// Workspace is empty for anonymous requests. Priority is that of the request, 0 the most urgent.
+	Workspace string
+	Priority  int
 	// Version is the version of the routing table that was used.
 	Version uint64
 	// Result is delivered, failed, refused, cut, or left, which means that the caller has
@@ -59,6 +62,10 @@
 	Reason string
 	// Status is the status of the response to a failed or refused request, and 0 otherwise.
 	Status int
+	// RetryAfter is what the caller of a refused request was told, 0 if nothing. Waited is how long
+	// the request waited for permits.
+	RetryAfter time.Duration
+	Waited     time.Duration
 	// Sends is how often the gateway sent the request or tried to, Events how many events of a
 	// stream were forwarded.
 	Sends    int
--- /dev/null
+++ b/gateway/permits.go
@@ -0,0 +1,197 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/balance"
+	"github.com/slipwick/slipwick/clock"
+)
+
+const (
+	// reasonOverloaded is the reason for which a request that certainly was not run is refused for
+	// lack of capacity. reasonRetryOverloaded is the reason for which a request that may have run is
+	// not sent again.
+	reasonOverloaded      = "overloaded"
+	reasonRetryOverloaded = "retry-overloaded"
+	// maxPermitAsks is how often a request asks for a permit for one send, if the servers that its
+	// permits name are not usable: the source learns of an unusable server within an update.
+	maxPermitAsks = 3
+	// hedgePermitWait bounds the wait for the permit of a send that is made while another still
+	// waits, whose response is not read meanwhile.
+	hedgePermitWait = 5 * time.Millisecond
+	// minCountedWait is the shortest wait for a permit that counts: a permit that is granted at once
+	// takes microseconds.
+	minCountedWait = time.Millisecond
+	// maxStartShare is the part of the latency objective that the usual time to the start of a
+	// response may take of the time that a request may wait: in an overload, responses of engines
+	// begin late, and without a bound all requests would count as late on arrival.
+	maxStartShare = 0.5
+)
+
+// heldPermit is a permit that has to be released once.
+type heldPermit struct {
+	source slipwick.PermitSource
+	permit slipwick.Permit
+}
+
+// release releases the permit; further calls have no effect.
+func (h *heldPermit) release(evidence slipwick.Evidence) {
+	if h.source == nil || h.permit.ID == 0 {
+		return
+	}
+	h.source.Release(h.permit, evidence)
+	h.permit = slipwick.Permit{}
+}
+
+// refusedPermit is an error of the permit source, as distinct from one of the balancer.
+type refusedPermit struct{ cause error }
+
+func (e *refusedPermit) Error() string { return e.cause.Error() }
+func (e *refusedPermit) Unwrap() error { return e.cause }
+
+// acquireWithPermit waits for a permit and returns a lease that keeps to it, and the permit. It asks
+// again if the server that the permit names is not usable. isRetry says that the request was sent
+// before and may have run.
+func (c *call) acquireWithPermit(
+	ctx context.Context, selection balance.Request, isRetry bool,
+) (*balance.Lease, heldPermit, error) {
+	request := c.newPermitRequest(&selection, isRetry)
+	for asks := 1; ; asks++ {
+		permit, err := c.acquirePermit(ctx, request)
+		if err != nil {
+			return nil, heldPermit{}, &refusedPermit{
+				cause: err,
+			}
+		}
+		held := heldPermit{
+			source: c.gateway.Permits,
+			permit: permit,
+		}
+		selection.Backend = permit.Backend
+		lease, err := c.gateway.Balancer.Acquire(&selection)
+		if err == nil {
+			return lease, held, nil
+		}
+		held.release(slipwick.EvidenceNone)
+		if permit.Backend == "" || asks == maxPermitAsks {
+			return nil, heldPermit{}, err
+		}
+		next := *request
+		next.Exclude = append(slices.Clip(next.Exclude), permit.Backend)
+		request = &next
+	}
+}
+
+// acquirePermit asks the permit source and adds the time that this took to the request's wait.
+func (c *call) acquirePermit(ctx context.Context, request *slipwick.PermitRequest) (slipwick.Permit, error) {
+	asked := clock.Now()
+	permit, err := c.gateway.Permits.Acquire(ctx, request)
+	if took := clock.Since(asked); took >= minCountedWait {
+		c.waited += took
+	}
+	return permit, err
+}
+
+// newPermitRequest returns the description of the next send. The source may keep it, so that each
+// send after the first has a description of its own.
+func (c *call) newPermitRequest(selection *balance.Request, isRetry bool) *slipwick.PermitRequest {
+	request := &c.permitRequest
+	if request.Pool == "" {
+		c.describe(request)
+	} else {
+		other := *request
+		request = &other
+	}
+	request.Exclude = c.gateway.Balancer.Withheld(selection)
+	if len(selection.Exclude) > 0 {
+		request.Exclude = append(request.Exclude, selection.Exclude...)
+	}
+	request.Retry = isRetry || c.progress.lastID != ""
+	return request
+}
+
+// describe sets what is the same for all sends of the request.
+func (c *call) describe(request *slipwick.PermitRequest) {
+	work, start := c.gateway.work.estimate(c.workKey(), c.route.ResponseObjective)
+	*request = slipwick.PermitRequest{
+		Pool:      c.pool,
+		Workspace: c.workspaceName(),
+		Bytes:     int64(len(c.body)) + headerBytes(c.request),
+		Priority:  c.priority(),
+		Work:      work,
+		Arrived:   c.arrived,
+		Deadline:  c.deadline,
+		Returning: c.gateway.refused.takeReturning(c.key),
+	}
+	if objective := c.route.ResponseObjective; objective > 0 {
+		start = min(start, time.Duration(maxStartShare*float64(objective)))
+		request.Objective = c.arrived.Add(objective - start)
+	}
+	if c.workspace != nil {
+		request.Weight = c.workspace.Share
+		request.MaxInFlight, request.MaxWork = c.workspace.MaxInFlight, c.workspace.MaxWork
+	}
+	if pool := c.table.Pools[c.pool]; pool != nil {
+		request.MaxQueued = pool.MaxQueued
+	}
+}
+
+func (c *call) workKey() workKey {
+	return workKey{
+		pool:  c.pool,
+		route: c.route.Name,
+	}
+}
+
+// isUnderPressure reports whether admission control is active and the pool is under pressure.
+func (c *call) isUnderPressure() bool {
+	source, ok := c.gateway.Permits.(slipwick.PressureSource)
+	return ok && source.UnderPressure(c.pool)
+}
+
+// noteRejection finds out whether a full server rejected the request under admission control. The
+// request then has to ask for a permit again, at the cost of no retry budget, rather than be sent to
+// the other servers of the full pool, and may be sent to the same server again.
+func (c *call) noteRejection(sendResult result, evidence slipwick.Evidence) {
+	c.wasRejected = c.gateway.Permits != nil && sendResult == resultNotRun && evidence == slipwick.EvidenceShed &&
+		(c.permit.permit.ID != 0 || c.isUnderPressure())
+	if c.wasRejected {
+		c.selection.Exclude = c.selection.Exclude[:len(c.selection.Exclude)-1]
+	}
+}
+
+// releasePermits releases the permits that the request still holds when it ends, as after a panic.
+func (c *call) releasePermits() {
+	c.permit.release(slipwick.EvidenceNone)
+	c.nextPermit.release(slipwick.EvidenceNone)
+}
+
+// unservedReason returns why a request without a lease ends.
+func (c *call) unservedReason(err error) string {
+	var refused *refusedPermit
+	switch {
+	case !errors.As(err, &refused):
+		return "no-backend"
+	case c.possibleRuns > 0:
+		return reasonRetryOverloaded
+	default:
+		return reasonOverloaded
+	}
+}
+
+// recordWork notes how long a request whose response was delivered occupied its slot.
+func (c *call) recordWork(sentAt time.Time) {
+	if c.gateway.Permits == nil {
+		return
+	}
+	start := clock.Since(sentAt)
+	if !c.responseStart.IsZero() {
+		start = c.responseStart.Sub(sentAt)
+	}
+	c.gateway.work.record(c.workKey(), start, clock.Since(sentAt))
+}
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -107,6 +107,15 @@
 	}
 }
 
+func refuseOverloaded(after time.Duration) *Refusal {
+	return &Refusal{
+		Status:     http.StatusServiceUnavailable,
+		Reason:     reasonOverloaded,
+		Message:    "the backend servers are busy with other requests; the request was not run, send it after Retry-After",
+		RetryAfter: after.Round(time.Millisecond),
+	}
+}
+
 func refuseQuarantined(after time.Duration) *Refusal {
 	return &Refusal{
 		Status:     http.StatusServiceUnavailable,
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -29,19 +29,20 @@
 // serve sends the request until it has a response or must not be sent again.
 func (c *call) serve() {
 	c.gateway.Budget.CountRequest(c.pool)
+	defer c.releasePermits()
 	defer c.abandonNextLease()
 	var sendResult result
 	reason, retryAfter := "", retrySoon
 	for {
 		lease, err := c.acquireLease()
 		if err != nil {
-			reason, retryAfter = "no-backend", retryDelay(err)
+			reason, retryAfter = c.unservedReason(err), retryDelay(err)
 			break
 		}
 		if c.awaitPrefill(lease); lease.Wait > 0 && !c.gateway.Balancer.StillAccepts(lease) {
 			// During the wait, the backend server was removed from the pool, announced that it is
 			// leaving, asked for a pause or became cold, or its data centre was evacuated.
-			c.gateway.Balancer.Abandon(lease)
+			c.abandon(lease)
 			continue
 		}
 		sendResult = c.send(lease)
@@ -75,18 +76,32 @@
 
 // takeRetryBudget takes another send from the fleet's retry budget and reports whether it may be
 // made. If nextLease is set, the budget was taken together with that lease. A send that reached no
-// backend server added no load, so that the next one costs no budget.
+// backend server added no load, so that the next one costs no budget. The permits bound how often
+// requests are sent that full servers reject.
 func (c *call) takeRetryBudget(sendResult result) bool {
-	return c.nextLease != nil || sendResult == resultUnsent || c.gateway.Budget.Take(c.pool)
+	return c.nextLease != nil || sendResult == resultUnsent || c.wasRejected || c.gateway.Budget.Take(c.pool)
 }
 
-// acquireLease returns the lease that was acquired during the last send, or a new one.
+// acquireLease returns the lease that was acquired during the last send, or a new one. With a permit
+// source, the lease comes with a permit, for which the request may have to wait.
 func (c *call) acquireLease() (*balance.Lease, error) {
 	if lease := c.nextLease; lease != nil {
+		c.permit, c.nextPermit = c.nextPermit, heldPermit{}
 		c.nextLease = nil
 		return lease, nil
 	}
-	return c.gateway.Balancer.Acquire(&c.selection)
+	if c.gateway.Permits == nil {
+		return c.gateway.Balancer.Acquire(&c.selection)
+	}
+	lease, permit, err := c.acquireWithPermit(c.ctx, c.selection, c.possibleRuns > 0)
+	c.permit = permit
+	return lease, err
+}
+
+// abandon gives back the current lease, and its permit, for which no request was sent.
+func (c *call) abandon(lease *balance.Lease) {
+	c.gateway.Balancer.Abandon(lease)
+	c.permit.release(slipwick.EvidenceNone)
 }
 
 // abandonNextLease gives back the lease of a retry that is not needed, because the response came
@@ -94,6 +109,7 @@
 func (c *call) abandonNextLease() {
 	if c.nextLease != nil {
 		c.gateway.Balancer.Abandon(c.nextLease)
+		c.nextPermit.release(slipwick.EvidenceNone)
 		c.nextLease = nil
 	}
 }
@@ -165,6 +181,9 @@
 		c.finish(resultFailed, reason, c.failedResponse.status)
 	case c.possibleRuns == 0 && reason == reasonQuarantined:
 		c.refuse(refuseQuarantined(c.gateway.Quarantine.Admit(c.key).RetryAfter))
+	case c.possibleRuns == 0 && reason == reasonOverloaded:
+		c.gateway.refused.add(c.key, retryAfter)
+		c.refuse(refuseOverloaded(retryAfter))
 	case c.possibleRuns == 0:
 		c.refuse(refuseNotRun(reason, retryAfter))
 	case clock.Now().After(c.deadline):
@@ -176,6 +195,7 @@
 
 func (c *call) refuse(refusal *Refusal) {
 	refusal.write(c.writer)
+	c.retryAfter = max(refusal.RetryAfter, 0)
 	c.notifyEnded("refused", refusal.Reason, refusal.Status)
 }
 
@@ -190,17 +210,21 @@
 
 func (c *call) notifyEnded(resultName, reason string, status int) {
 	c.gateway.Observer.Ended(&RequestSummary{
-		RequestID: c.id,
-		Key:       c.key,
-		Route:     c.route,
-		Pool:      c.pool,
-		Version:   c.table.Version,
-		Result:    resultName,
-		Reason:    reason,
-		Status:    status,
-		Sends:     c.sends,
-		Events:    c.progress.events,
-		Duration:  clock.Since(c.arrived),
+		RequestID:  c.id,
+		Key:        c.key,
+		Route:      c.route,
+		Pool:       c.pool,
+		Workspace:  c.workspaceName(),
+		Priority:   c.priority(),
+		Version:    c.table.Version,
+		Result:     resultName,
+		Reason:     reason,
+		Status:     status,
+		RetryAfter: c.retryAfter,
+		Waited:     c.waited,
+		Sends:      c.sends,
+		Events:     c.progress.events,
+		Duration:   clock.Since(c.arrived),
 	})
 }
 
@@ -209,7 +233,7 @@
 	started, events := clock.Now(), c.progress.events
 	watch, ok := c.watchForCrash(lease)
 	if !ok {
-		c.gateway.Balancer.Abandon(lease)
+		c.abandon(lease)
 		return resultQuarantined
 	}
 	defer watch.stop(nil)
@@ -217,6 +241,8 @@
 	c.selection.Exclude = append(c.selection.Exclude, lease.Backend.ID)
 	request := c.upstreamRequest(lease)
 	c.gateway.Balancer.RecordSend(lease)
+	c.responseStart = time.Time{}
+	sentAt := clock.Now()
 	response, err := c.gateway.Client.Do(watch.ctx, lease.Backend.Incarnation(), lease.Backend.Address, request)
 	attempt := &FailedAttempt{
 		RequestID: c.id,
@@ -231,6 +257,7 @@
 	if err != nil {
 		sendResult, evidence = c.classifyError(err)
 	} else {
+		c.responseStart = clock.Now()
 		attempt.Status = response.Status
 		attempt.Notice = c.noticeOf(response)
 		sendResult, evidence, attempt.Err = c.handleResponse(lease, response, attempt.Notice)
@@ -241,11 +268,15 @@
 		evidence = slipwick.EvidenceNone
 	}
 	c.gateway.Balancer.Release(lease, evidence)
+	c.noteRejection(sendResult, evidence)
+	c.permit.release(evidence)
 	watch.recordOutcome(sendResult, attempt.Err)
 	if !upstream.IsResponseTimeout(attempt.Err) {
 		c.abandonNextLease()
 	}
-	if sendResult != resultDelivered {
+	if sendResult == resultDelivered {
+		c.recordWork(sentAt)
+	} else {
 		attempt.Result, attempt.Duration = sendResult.String(), clock.Since(started)
 		attempt.Events = c.progress.events - events
 		c.gateway.Observer.AttemptFailed(attempt)
--- a/gateway/timeouts.go
+++ b/gateway/timeouts.go
@@ -1,8 +1,12 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/balance"
 	"github.com/slipwick/slipwick/clock"
 	"github.com/slipwick/slipwick/upstream"
@@ -101,13 +105,32 @@
 	}
 	selection := c.selection
 	selection.HealthyOnly = true
-	lease, err := c.gateway.Balancer.Acquire(&selection)
+	lease, permit, err := c.acquireHedge(selection)
 	if err != nil {
 		return nil
 	}
 	if !c.gateway.Budget.Take(c.pool) {
 		c.gateway.Balancer.Abandon(lease)
+		permit.release(slipwick.EvidenceNone)
 		return nil
 	}
+	c.nextPermit = permit
 	return lease
 }
+
+// acquireHedge acquires a lease while a send is still waiting. With a permit source it does so only
+// while the pool is not under pressure, and without a wait of more than hedgePermitWait.
+func (c *call) acquireHedge(selection balance.Request) (*balance.Lease, heldPermit, error) {
+	if c.gateway.Permits == nil {
+		lease, err := c.gateway.Balancer.Acquire(&selection)
+		return lease, heldPermit{}, err
+	}
+	if c.isUnderPressure() {
+		return nil, heldPermit{}, errUnderPressure
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, hedgePermitWait)
+	defer cancel()
+	return c.acquireWithPermit(ctx, selection, true)
+}
+
+var errUnderPressure = errors.New("the pool is under pressure")
--- a/permit.go
+++ b/permit.go
@@ -15,7 +15,8 @@
 	Release(permit Permit, evidence Evidence)
 }
 
-// PermitRequest describes a request that needs a permit.
+// PermitRequest describes a request that needs a permit. It must not be changed after it was passed to
+// a source. Its times are those of package clock.
 type PermitRequest struct {
 	Pool string
 	// Workspace is empty for anonymous requests.
@@ -35,7 +36,8 @@
 	// Work is the time for which the request is expected to occupy a slot.
 	Work    time.Duration
 	Arrived time.Time
-	// Objective is when the response should have begun; zero without a latency objective.
+	// Objective is until when the request has to be sent for its response to begin within the latency
+	// objective, by the usual time to the start of such a response; zero without a latency objective.
 	Objective time.Time
 	Deadline  time.Time
 	// Returning says that the caller was refused before and returned after Retry-After.
