fairqueue: Estimate waits under continued arrivals, and simulate overload

The expected wait counted only the work that waits already. In a simulated overload of 480 slots at twice the demand (40 s), 32,467 requests waited beyond their objective and were then refused, as urgent requests kept arriving ahead; Jain's index of equal workspaces was 0.77, as the estimate counted all returning requests as ahead of first attempts although the order bounds their lead. The estimate now divides by the part of the slots that was left lately after what comes ahead, considers the part that a workspace got while its requests waited, and bounds returning requests as the order does.

--- a/fairqueue/account.go
+++ b/fairqueue/account.go
@@ -8,6 +8,8 @@
 	// work of each served request, divided by the weight.
 	start float64
 	lists [classes]itemList
+	// backlog measures the part of the work that the workspace gets at this priority.
+	backlog backlog
 }
 
 func newAccount(workspace string, start float64) *account {
@@ -29,10 +31,10 @@
 	return n
 }
 
-// work returns the waiting work of the classes from a first to a last one.
-func (a *account) work(first, last class) float64 {
+// work returns the waiting work of the classes up to a last one.
+func (a *account) work(last class) float64 {
 	work := 0.0
-	for c := first; c <= last; c++ {
+	for c := classReturning; c <= last; c++ {
 		work += a.lists[c].work
 	}
 	return work
@@ -52,6 +54,27 @@
 	return list.first(accept)
 }
 
+// workAhead returns the work of the account that comes before a request of the class, of another
+// workspace, that is due at a virtual time.
+func (a *account) workAhead(virtualTime, due float64, c class) float64 {
+	returning := &a.lists[classReturning]
+	lead := 0.0
+	if n := len(returning.items); n > 0 {
+		mean := returning.work / float64(n) / a.weight
+		lead = returning.workBefore((virtualTime + returningLead*mean - a.start) * a.weight)
+	}
+	switch c {
+	case classReturning:
+		return min(lead, returning.workBefore((due-a.start)*a.weight))
+	case classFirst:
+		items := len(returning.items) + len(a.lists[classFirst].items)
+		return max(lead, workBefore((due-a.start)*a.weight, a.work(classFirst), items))
+	default:
+		before := a.work(c - 1)
+		return before + a.lists[c].workBefore((due-a.start)*a.weight-before)
+	}
+}
+
 // returningLead is the number of requests by which a workspace may be ahead of its fair share while
 // its returning callers still come first. Without a bound, a workspace with many refused callers
 // would exclude all others.
--- a/fairqueue/fixture_test.go
+++ b/fairqueue/fixture_test.go
@@ -22,6 +22,14 @@
 	}
 }
 
+// copy returns an item for an equal request.
+func (i *Item) copy() *Item {
+	request := *i.Request
+	return &Item{
+		Request: &request,
+	}
+}
+
 // popAll returns the items in the order in which the queue serves them.
 func popAll(q *Queue, now time.Time) []*Item {
 	var items []*Item
--- a/fairqueue/item.go
+++ b/fairqueue/item.go
@@ -12,7 +12,8 @@
 	// Value is for the user of the queue.
 	Value any
 
-	// level is nil while the item is in no queue.
+	// queue and level are nil while the item is in no queue.
+	queue    *Queue
 	level    *level
 	account  *account
 	class    class
--- a/fairqueue/itemlist.go
+++ b/fairqueue/itemlist.go
@@ -92,10 +92,16 @@
 }
 
 // workBefore returns the work of the items of a workspace that are served before its due amount of
-// work is exceeded: the last one exceeds it by half of an item on average.
+// work is exceeded.
 func (l *itemList) workBefore(due float64) float64 {
-	if due < 0 || len(l.items) == 0 {
+	return workBefore(due, l.work, len(l.items))
+}
+
+// workBefore returns what is served of the work of some items before a due amount is exceeded: the last
+// one exceeds it by half of an item on average.
+func workBefore(due, work float64, items int) float64 {
+	if due < 0 || items == 0 {
 		return 0
 	}
-	return min(due+l.work/float64(len(l.items))/2, l.work)
+	return min(due+work/float64(items)/2, work)
 }
--- a/fairqueue/level.go
+++ b/fairqueue/level.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/slipwick/slipwick"
 )
@@ -42,15 +43,20 @@
 	return &l.timely
 }
 
-func (l *level) insert(item *Item) {
+// insert adds an item. total is the work that the queue has served so far.
+func (l *level) insert(item *Item, now time.Time, total float64) {
 	item.level = l
 	item.account = l.accountOf(item.Request)
+	item.account.backlog.mark(now, total)
 	item.account.lists[item.class].insert(item)
 	l.arrivals(item.class).insert(item)
 }
 
 func (l *level) remove(item *Item) {
 	item.account.lists[item.class].remove(item)
+	if item.account.len() == 0 {
+		item.account.backlog.end()
+	}
 	l.arrivals(item.class).remove(item)
 	item.level, item.account = nil, nil
 }
@@ -92,6 +98,7 @@
 func (l *level) serve(item *Item) {
 	l.advance()
 	a := item.account
+	a.backlog.served += workOf(item.Request)
 	l.remove(item)
 	l.charge(a, workOf(item.Request)/a.weight)
 }
@@ -139,25 +146,51 @@
 	return nil
 }
 
-// workAhead returns the work at this priority that comes before a request of the class.
+// aheadOfShare reports whether a workspace's next request of the class is so far ahead of its fair share
+// that a returning caller doesn't come first.
+func (l *level) aheadOfShare(due, mean float64) bool {
+	return due > l.virtualTime+returningLead*mean
+}
+
+// dueAt returns the virtual time at which a request of the class would be due, and the work of its
+// workspace that comes before it.
+func (l *level) dueAt(request *slipwick.PermitRequest, c class) (due, ahead float64) {
+	due = l.virtualTime
+	if own := l.byName[request.Workspace]; own != nil {
+		due = max(due, own.start)
+		ahead = own.work(c-1) + own.lists[c].workUntil(request)
+	}
+	return due + ahead/weightOf(request), ahead
+}
+
+// workAhead returns the work at this priority that comes before a request of the class, of those that
+// wait.
 func (l *level) workAhead(request *slipwick.PermitRequest, c class) float64 {
-	start, ahead := l.virtualTime, 0.0
-	own := l.byName[request.Workspace]
-	if own != nil {
-		start = max(start, own.start)
-		ahead = own.work(classReturning, c-1) + own.lists[c].workUntil(request)
+	due, ahead := l.dueAt(request, c)
+	if c == classReturning && l.aheadOfShare(due, workOf(request)/weightOf(request)) {
+		c = classFirst
 	}
-	due := start + ahead/weightOf(request)
 	for _, a := range l.accounts {
-		if a == own || a.len() == 0 {
+		if a.workspace == request.Workspace || a.len() == 0 {
 			continue
 		}
-		before := a.work(classReturning, c-1)
-		ahead += before + a.lists[c].workBefore((due-a.start)*a.weight-before)
+		ahead += a.workAhead(l.virtualTime, due, c)
 	}
 	return ahead
 }
 
+// fairWork returns the work that is served at all priorities until the workspace of the request, whose
+// requests have been waiting for a while, has got that of its requests that come first. It is 0 without
+// such a workspace. total is the work that the queue has served so far.
+func (l *level) fairWork(request *slipwick.PermitRequest, c class, now time.Time, total float64) float64 {
+	own := l.byName[request.Workspace]
+	if own == nil {
+		return 0
+	}
+	_, ahead := l.dueAt(request, c)
+	return own.backlog.totalFor(ahead, workOf(request), now, total)
+}
+
 // work returns the work of the level's requests of the class c or an earlier one.
 func (l *level) work(c class) float64 {
 	if c == classLate {
@@ -175,7 +208,7 @@
 		most = workOf(request) / weightOf(request)
 	}
 	for _, a := range l.accounts {
-		ratio := a.work(classReturning, classLate) / a.weight
+		ratio := a.work(classLate) / a.weight
 		if request != nil && a.workspace == request.Workspace {
 			ratio += workOf(request) / a.weight
 		}
--- a/fairqueue/queue.go
+++ b/fairqueue/queue.go
@@ -14,8 +14,15 @@
 type Queue struct {
 	limits Limits
 	// levels is sorted by priority, the most urgent first, and has only levels with requests.
-	levels   []*level
-	guard    guard
+	levels  []*level
+	guard   guard
+	history history
+	// served is the work served so far, in seconds.
+	served float64
+	// slots is the rate of service, in slots, that ExpectedWait was told last; 0 before that.
+	slots float64
+	// hopeless has the items that Expire returns next although their deadline isn't reached.
+	hopeless []*Item
 	sequence uint64
 	bytes    int64
 	// objectives has the items that can meet their objective, expiries those that have a deadline.
@@ -97,7 +104,8 @@
 	q.sequence++
 	item.sequence = q.sequence
 	item.class = classOf(item.Request, now)
-	q.levelOf(item.Request.Priority).insert(item)
+	item.queue = q
+	q.levelOf(item.Request.Priority).insert(item, now, q.served)
 	q.length++
 	q.bytes += item.Request.Bytes
 	item.positions = [heaps]int{notInHeap, notInHeap}
@@ -137,7 +145,10 @@
 	if l.len() == 0 {
 		q.levels = slices.DeleteFunc(q.levels, func(other *level) bool { return other == l })
 	}
-	q.length--
+	if q.length--; q.length == 0 {
+		q.history = history{}
+	}
+	item.queue = nil
 	q.bytes -= item.Request.Bytes
 	for _, h := range []*itemHeap{&q.objectives, &q.expiries} {
 		if position := item.positions[h.which]; position != notInHeap {
@@ -159,10 +170,18 @@
 	starved := q.starved(item, accept)
 	q.guard.record(workOf(cmp.Or(starved, item).Request), starved != nil, q.waitsBelow(item.level))
 	item = cmp.Or(starved, item)
-	l := item.level
+	q.serve(item, now)
+	return item
+}
+
+// serve removes an item that is served and records its work.
+func (q *Queue) serve(item *Item, now time.Time) {
+	l, work := item.level, workOf(item.Request)
+	q.history.decay(now)
+	q.served += work
 	l.serve(item)
 	q.forget(item, l)
-	return item
+	q.history.record(l.priority, item.class == classLate, work)
 }
 
 // next returns the accepted item that comes first without regard to starvation.
@@ -220,13 +239,37 @@
 		l := item.level
 		l.remove(item)
 		item.class = classLate
-		l.insert(item)
+		l.insert(item, now, q.served)
+		q.checkHope(item, now)
 	}
 }
 
-// Expire removes and returns the requests that can't be served by their deadline any more.
+// checkHope notes an item that has become late and will probably not be served by its deadline, as
+// others that can meet their objective keep arriving: it must not wait only to be refused later.
+func (q *Queue) checkHope(item *Item, now time.Time) {
+	latest := latestStart(item.Request)
+	if q.slots <= 0 || latest.IsZero() {
+		return
+	}
+	if wait := q.expectedWait(item.Request, classLate, now); wait > latest.Sub(now) {
+		q.hopeless = append(q.hopeless, item)
+	}
+}
+
+// Expire removes and returns the requests that can't be served by their deadline any more, and those
+// that have become late and probably won't be.
 func (q *Queue) Expire(now time.Time) []*Item {
+	q.moveLate(now)
 	var expired []*Item
+	for _, item := range q.hopeless {
+		// The item may have been served or removed meanwhile, and even be in a queue again.
+		if item.queue == q && item.class == classLate {
+			q.Remove(item)
+			expired = append(expired, item)
+		}
+	}
+	clear(q.hopeless)
+	q.hopeless = q.hopeless[:0]
 	for q.expiries.Len() > 0 && q.expiries.items[0].isExpired(now) {
 		item := q.expiries.items[0]
 		q.Remove(item)
@@ -236,20 +279,32 @@
 }
 
 // ExpectedWait returns how long a request that arrives now would wait: the work that comes before it,
-// divided by the slots, which is the slot-seconds of work served per second. It is Unbounded if there
-// are no slots.
+// divided by the slots, which is the slot-seconds of work served per second. It assumes that as much
+// keeps arriving ahead of it as was served lately. It is Unbounded if there are no slots.
 func (q *Queue) ExpectedWait(request *slipwick.PermitRequest, now time.Time, slots float64) time.Duration {
+	q.slots = slots
 	if slots <= 0 {
 		return Unbounded
 	}
 	q.moveLate(now)
-	c, work, lowerWaits := classOf(request, now), 0.0, false
+	return q.expectedWait(request, classOf(request, now), now)
+}
+
+func (q *Queue) expectedWait(request *slipwick.PermitRequest, c class, now time.Time) time.Duration {
+	if q.length == 0 {
+		return 0
+	}
+	q.history.decay(now)
+	work, fair, lowerWaits := 0.0, 0.0, false
 	for _, l := range q.levels {
 		switch {
 		case l.priority < request.Priority:
 			work += l.work(c)
 		case l.priority == request.Priority:
 			work += l.workAhead(request, c)
+			if c != classLate {
+				fair = l.fairWork(request, c, now, q.served)
+			}
 		default:
 			lowerWaits = true
 			if c == classLate {
@@ -260,7 +315,8 @@
 	if lowerWaits {
 		work /= 1 - guardShare
 	}
-	if wait := work / slots * float64(time.Second); wait < float64(Unbounded) {
+	work = max(work/q.history.shareLeft(request.Priority, c == classLate, q.slots), fair)
+	if wait := work / q.slots * float64(time.Second); wait < float64(Unbounded) {
 		return time.Duration(wait)
 	}
 	return Unbounded
