fairqueue: Keep items that probably expire in the heap of expiries

They were kept in a list that only Expire emptied, so that it grew without bound for a user who never calls it. An item that becomes late without prospect now moves up in the heap of expiries instead.

--- a/fairqueue/item.go
+++ b/fairqueue/item.go
@@ -12,12 +12,14 @@
 	// Value is for the user of the queue.
 	Value any
 
-	// queue and level are nil while the item is in no queue.
-	queue    *Queue
+	// level is nil while the item is in no queue.
 	level    *level
 	account  *account
 	class    class
 	sequence uint64
+	// expiry is after when Expire returns the item: its latest start, or its objective if it will
+	// probably not be served by then; zero without a deadline.
+	expiry time.Time
 	// positions holds the item's index in each heap of the queue.
 	positions [heaps]int
 }
--- a/fairqueue/queue.go
+++ b/fairqueue/queue.go
@@ -20,9 +20,7 @@
 	// served is the work served so far, in seconds.
 	served float64
 	// slots is the rate of service, in slots, that ExpectedWait was told last; 0 before that.
-	slots float64
-	// hopeless has the items that Expire returns next although their deadline isn't reached.
-	hopeless []*Item
+	slots    float64
 	sequence uint64
 	bytes    int64
 	// objectives has the items that can meet their objective, expiries those that have a deadline.
@@ -43,7 +41,7 @@
 		},
 		expiries: itemHeap{
 			which: heapExpiry,
-			key:   func(i *Item) time.Time { return latestStart(i.Request) },
+			key:   func(i *Item) time.Time { return i.expiry },
 		},
 	}
 }
@@ -104,7 +102,6 @@
 	q.sequence++
 	item.sequence = q.sequence
 	item.class = classOf(item.Request, now)
-	item.queue = q
 	q.levelOf(item.Request.Priority).insert(item, now, q.served)
 	q.length++
 	q.bytes += item.Request.Bytes
@@ -112,7 +109,7 @@
 	if item.class != classLate && !item.Request.Objective.IsZero() {
 		heap.Push(&q.objectives, item)
 	}
-	if !item.Request.Deadline.IsZero() {
+	if item.expiry = latestStart(item.Request); !item.expiry.IsZero() {
 		heap.Push(&q.expiries, item)
 	}
 }
@@ -148,7 +145,6 @@
 	if q.length--; q.length == 0 {
 		q.history = history{}
 	}
-	item.queue = nil
 	q.bytes -= item.Request.Bytes
 	for _, h := range []*itemHeap{&q.objectives, &q.expiries} {
 		if position := item.positions[h.which]; position != notInHeap {
@@ -244,15 +240,15 @@
 	}
 }
 
-// checkHope notes an item that has become late and will probably not be served by its deadline, as
-// others that can meet their objective keep arriving: it must not wait only to be refused later.
+// checkHope lets an item expire that has become late and will probably not be served by its deadline,
+// as others that can meet their objective keep arriving: it must not wait only to be refused later.
 func (q *Queue) checkHope(item *Item, now time.Time) {
-	latest := latestStart(item.Request)
-	if q.slots <= 0 || latest.IsZero() {
+	if q.slots <= 0 || item.expiry.IsZero() {
 		return
 	}
-	if wait := q.expectedWait(item.Request, classLate, now); wait > latest.Sub(now) {
-		q.hopeless = append(q.hopeless, item)
+	if wait := q.expectedWait(item.Request, classLate, now); wait > item.expiry.Sub(now) {
+		item.expiry = item.Request.Objective
+		heap.Fix(&q.expiries, item.positions[heapExpiry])
 	}
 }
 
@@ -261,16 +257,7 @@
 func (q *Queue) Expire(now time.Time) []*Item {
 	q.moveLate(now)
 	var expired []*Item
-	for _, item := range q.hopeless {
-		// The item may have been served or removed meanwhile, and even be in a queue again.
-		if item.queue == q && item.class == classLate {
-			q.Remove(item)
-			expired = append(expired, item)
-		}
-	}
-	clear(q.hopeless)
-	q.hopeless = q.hopeless[:0]
-	for q.expiries.Len() > 0 && q.expiries.items[0].isExpired(now) {
+	for q.expiries.Len() > 0 && now.After(q.expiries.items[0].expiry) {
 		item := q.expiries.items[0]
 		q.Remove(item)
 		expired = append(expired, item)
