Parse slots and pace of the load header

Backend servers that share their box report their slots and their pace in the load header; the gateway read the first two values only. The slots and the pace are read too. Two values alone stay valid. A pace that is not a number from 10 to 10,000 is ignored without the other values, and logged once for each incarnation (event 412). Gateway.OnPace is called at the first valid pace. PoolCapacity gives the reported slots.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -33,6 +33,9 @@
 	// OnNotice is called when a backend server announces something about itself that was not
 	// known. It must not call back into the balancer.
 	OnNotice func(backend slipwick.Backend, notice slipwick.Notice)
+	// OnInvalidPace is called with the text of the first invalid pace that a backend server reports.
+	// It must not call back into the balancer.
+	OnInvalidPace func(backend slipwick.Backend, text string)
 	// EntriesReused says that a backend server may be replaced by another under the same entry,
 	// as in a list that operators write. A server's announcement that it is leaving then
 	// expires.
@@ -103,6 +106,7 @@
 		OnLongPrefill:   func() {},
 		OnEjected:       func(slipwick.Backend, time.Duration) {},
 		OnNotice:        func(slipwick.Backend, slipwick.Notice) {},
+		OnInvalidPace:   func(slipwick.Backend, string) {},
 		Random:          rand.Float64,
 		servers:         make(map[string]*server),
 		serversByHash:   make(map[uint64]*server),
--- a/balance/capacity.go
+++ b/balance/capacity.go
@@ -26,7 +26,7 @@
 		capacity.Servers = append(capacity.Servers, slipwick.ServerCapacity{
 			ID:         s.ID,
 			DataCentre: s.DataCentre,
-			Slots:      s.EffectiveSlots(),
+			Slots:      s.slots(),
 			InFlight:   loads[i],
 			Own:        s.inFlight,
 		})
--- a/balance/loads.go
+++ b/balance/loads.go
@@ -115,18 +115,13 @@
 	return max(b.loadBound(all), mean+1)
 }
 
-// Load is the number of requests that a backend server reports.
-type Load struct {
-	Running int
-	Waiting int
-}
-
 // RecordLoad takes the load that a backend server reported in a response.
 func (b *Balancer) RecordLoad(lease *Lease, load Load) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := lease.server
+	s, now := lease.server, clock.Now()
 	s.reported = load.Running + load.Waiting
 	s.reportedOwn = s.inFlight
-	s.reportedAt = clock.Now()
+	s.reportedAt = now
+	b.recordReportLocked(s, &load, now)
 }
--- a/balance/server.go
+++ b/balance/server.go
@@ -47,6 +47,13 @@
 	reported    int
 	reportedOwn int
 	reportedAt  time.Time
+	// reportedSlots and reportedPace are the slots and the pace that the server last reported, 0 if
+	// none; paceReportedAt is when it reported the pace. hasInvalidPace says that it has reported an
+	// invalid one.
+	reportedSlots  int
+	reportedPace   float64
+	paceReportedAt time.Time
+	hasInvalidPace bool
 
 	// lastActivityAt is when the server last sent anything to this router, busySince since when
 	// this router has had requests in flight there.
--- a/cmd/internal/events/catalogue.go
+++ b/cmd/internal/events/catalogue.go
@@ -210,6 +210,13 @@
 			"or asked this router to send no requests for rest_ms.",
 		Remedy: "None if it was planned; a server that often asks for a pause has too little capacity.",
 	}
+	PaceInvalid = Event{
+		Number:  412,
+		Name:    "pace-invalid",
+		Level:   zerolog.WarnLevel,
+		Meaning: "A backend server reported an invalid pace, which is ignored; logged once for each run of a server.",
+		Remedy:  "Correct the server: the fourth value of its load header is a number from 10 to 10000, usually 100.",
+	}
 	RouterDied = Event{
 		Number:  501,
 		Name:    "router-died",
@@ -258,6 +265,7 @@
 		BackendNotice,
 		RolloutChanged,
 		RolloutNotWritten,
+		PaceInvalid,
 		RouterDied,
 	}
 }
--- a/cmd/internal/gatewayd/assemble.go
+++ b/cmd/internal/gatewayd/assemble.go
@@ -49,6 +49,7 @@
 	b.Switches = p.Switches
 	b.OnEjected = p.onEjected
 	b.OnNotice = p.onNotice
+	b.OnInvalidPace = p.onInvalidPace
 	b.EntriesReused = p.Feeds.Private
 	b.HoldVersions = p.followsRollouts()
 	b.SetLoadBound(p.Settings.Bounds.LoadFactor, p.Settings.Bounds.LoadSlack)
--- a/cmd/internal/gatewayd/backends.go
+++ b/cmd/internal/gatewayd/backends.go
@@ -57,3 +57,12 @@
 	events.BackendNotice.On(&p.Log).Str("backend", backend.ID).Str("address", backend.Address).
 		Bool("leaving", notice.Leaving).Dur("rest_ms", notice.Pause).Send()
 }
+
+// maxLoggedPace is how many bytes of an invalid pace are logged.
+const maxLoggedPace = 32
+
+// onInvalidPace logs that a backend server reported an invalid pace.
+func (p *Process) onInvalidPace(backend slipwick.Backend, text string) {
+	events.PaceInvalid.On(&p.Log).Str("backend", backend.ID).Str("address", backend.Address).
+		Str("pace", text[:min(len(text), maxLoggedPace)]).Send()
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -39,8 +40,11 @@
 	Ready, CachesKnown <-chan struct{}
 	// Observer receives how each request ended.
 	Observer Observer
+	// OnPace is called once, when a backend server first reports its pace. It may be nil.
+	OnPace func()
 
-	table atomic.Pointer[routing.Table]
+	paceNoted sync.Once
+	table     atomic.Pointer[routing.Table]
 	// draining says that the router is about to stop: each response closes its connection, so that
 	// callers open one to another router.
 	draining atomic.Bool
--- a/gateway/headers.go
+++ b/gateway/headers.go
@@ -21,8 +21,9 @@
 	Workspace string
 	// Instance is the ID of the one backend server that may run the request; all others reject it.
 	Instance string
-	// Load holds the numbers of requests running and waiting at the backend server, separated by a
-	// comma.
+	// Load holds the numbers of requests running and waiting at the backend server, then, if it
+	// reports them, its slots and its pace, separated by commas. The pace says how long work takes
+	// there at this moment: 100 is the usual value, 200 means twice the time.
 	Load string
 	// NotRun says that the backend server has not run the request and will not.
 	NotRun string
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -4,7 +4,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 
 	"github.com/pkg/errors"
 
@@ -37,6 +36,7 @@
 	c.gateway.Balancer.RecordResponseStart(lease)
 	if load, ok := parseLoad(response.Header.Get(names.Load)); ok {
 		c.gateway.Balancer.RecordLoad(lease, load)
+		c.gateway.notePace(load.Pace)
 	}
 	switch {
 	case response.Status == http.StatusMisdirectedRequest:
@@ -227,24 +227,3 @@
 	c.writer.WriteHeader(response.Status)
 	return nil
 }
-
-// parseLoad parses the numbers of running and waiting requests, which are separated by a comma;
-// fields after them are ignored.
-func parseLoad(text string) (load balance.Load, ok bool) {
-	parts := strings.Split(text, ",")
-	if len(parts) < 2 {
-		return balance.Load{}, false
-	}
-	running, err := strconv.Atoi(strings.TrimSpace(parts[0]))
-	if err != nil {
-		return balance.Load{}, false
-	}
-	waiting, err := strconv.Atoi(strings.TrimSpace(parts[1]))
-	if err != nil {
-		return balance.Load{}, false
-	}
-	return balance.Load{
-		Running: running,
-		Waiting: waiting,
-	}, true
-}
