Estimate the work of requests

Admission control orders requests by the time for which they will occupy a slot, which nothing estimated. pace.WorkEstimator gives the prefill time plus the moving average of the output time of the route, and the quantiles of the ratio of actual to estimated times.

The tests pass with the race detector.

--- a/balance/timings.go
+++ b/balance/timings.go
@@ -179,6 +179,18 @@
 	return prefill.PrefillTime(request.tokens()) - prefill.BaseTime()
 }
 
+// FirstTokenTime returns how long an unloaded engine of the pool takes to the first token with the
+// given number of tokens to prefill, 0 if the pool's requests have no prompts.
+func (b *Balancer) FirstTokenTime(pool string, tokens int) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.timingsLocked(pool)
+	if !p.hasPrompts {
+		return 0
+	}
+	return p.prefill.PrefillTime(tokens)
+}
+
 // MedianResponseTime returns the median time until the response begins to a request of the pool
 // that has as many unique tokens and its shared parts cached, or 0 while too few were measured.
 func (b *Balancer) MedianResponseTime(request *Request) time.Duration {
--- a/pace/slowdown.go
+++ b/pace/slowdown.go
@@ -1,6 +1,7 @@
 package pace
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -19,6 +20,8 @@
 	// sorted holds the slowdowns as last sorted; added counts the requests added since.
 	sorted []float64
 	added  int
+	// logMean is the mean of the logarithms of sorted.
+	logMean float64
 }
 
 // observation is the number of tokens to prefill of one request and the time that it took.
@@ -65,11 +68,28 @@
 	return time.Duration(slowdown * float64(s.UnloadedTime(tokens)))
 }
 
+// Usual returns the time that a request with the given number of tokens to prefill usually takes:
+// its unloaded time, multiplied by the geometric mean of all kept slowdowns, which may lack the latest
+// few. It is 0 without observations.
+func (s *SlowdownEstimator) Usual(tokens int) time.Duration {
+	if len(s.latest) == 0 {
+		return 0
+	}
+	if len(s.sorted) == 0 || s.added*resortDivisor >= len(s.latest) {
+		s.sort()
+	}
+	return time.Duration(math.Exp(s.logMean) * float64(s.UnloadedTime(tokens)))
+}
+
 func (s *SlowdownEstimator) sort() {
 	s.sorted = s.sorted[:0]
+	sum := 0.0
 	for _, o := range s.latest {
-		s.sorted = append(s.sorted, float64(o.took)/float64(max(s.UnloadedTime(o.tokens), 1)))
+		slowdown := float64(max(o.took, 1)) / float64(max(s.UnloadedTime(o.tokens), 1))
+		s.sorted = append(s.sorted, slowdown)
+		sum += math.Log(slowdown)
 	}
 	slices.Sort(s.sorted)
+	s.logMean = sum / float64(max(len(s.latest), 1))
 	s.added = 0
 }
--- /dev/null
+++ b/pace/work_test.go
@@ -0,0 +1,116 @@
+package pace
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+)
+
+// testPrefillTime is the prefill time of engines with 100 tokens a millisecond, and none for the pool
+// of a plain service.
+func testPrefillTime(pool string, tokens int) time.Duration {
+	if pool == "plain" {
+		return 0
+	}
+	return 50*time.Millisecond + time.Duration(tokens)*10*time.Microsecond
+}
+
+// TestWorkEstimatesMatchRoutes guards against estimates that mix up routes or count the prefill as
+// output. The load is 400 requests of each of three routes, with prompts of 0 to 20,000 tokens and
+// output times that vary by a factor of two around their mean.
+func TestWorkEstimatesMatchRoutes(t *testing.T) {
+	e, random := NewWorkEstimator(testPrefillTime), rand.New(rand.NewPCG(1, 2))
+	routes := []struct {
+		pool, route string
+		output      time.Duration
+	}{
+		{"engines", "summaries", 300 * time.Millisecond},
+		{"engines", "essays", 6 * time.Second},
+		{"plain", "lookups", 20 * time.Millisecond},
+	}
+	for range 400 {
+		for _, r := range routes {
+			tokens := random.IntN(20_000)
+			output := time.Duration((2.0/3 + random.Float64()*2/3) * float64(r.output))
+			e.Record(r.pool, r.route, tokens, testPrefillTime(r.pool, tokens)+output)
+		}
+	}
+	for _, r := range routes {
+		for _, tokens := range []int{0, 12_000} {
+			got, want := e.Estimate(r.pool, r.route, tokens), testPrefillTime(r.pool, tokens)+r.output
+			if got < want*85/100 || got > want*115/100 {
+				t.Errorf("%s with %d tokens: got %v, want about %v", r.route, tokens, got, want)
+			}
+		}
+		low, _ := e.ErrorQuantile(r.pool, r.route, 0.1)
+		high, ok := e.ErrorQuantile(r.pool, r.route, 0.9)
+		if !ok || low < 0.6 || low > 1 || high < 1 || high > 1.5 {
+			t.Errorf("%s: got errors from %.2f to %.2f, %t; want 0.6 to 1 and 1 to 1.5", r.route, low, high, ok)
+		}
+	}
+}
+
+// TestUnknownRoutesHaveThePoolsWork guards against a wrong estimate for a route that is new, and
+// against invalid records.
+func TestUnknownRoutesHaveThePoolsWork(t *testing.T) {
+	e := NewWorkEstimator(testPrefillTime)
+	if got := e.Estimate("plain", "new", -5); got != initialOutputTime {
+		t.Errorf("got %v without records, want %v", got, initialOutputTime)
+	}
+	e.Record("plain", "lookups", 0, -time.Second)
+	e.Record("plain", "lookups", -1, time.Second)
+	e.Record("plain", "lookups", 0, 40*time.Millisecond)
+	if got, want := e.Estimate("plain", "new", 0), 40*time.Millisecond; got != want {
+		t.Errorf("got %v, want the pool's %v", got, want)
+	}
+	if _, ok := e.ErrorQuantile("plain", "lookups", 0.9); ok {
+		t.Error("got an error of the estimates after one request, want none")
+	}
+}
+
+// TestWorkRoutesAreBounded guards against memory that grows with the routes of many configurations.
+func TestWorkRoutesAreBounded(t *testing.T) {
+	e := NewWorkEstimator(testPrefillTime)
+	for i := range 3 * maxWorkRoutes {
+		e.Record("plain", fmt.Sprint("r", i), 0, time.Second)
+	}
+	if got := e.routes.Len(); got != maxWorkRoutes {
+		t.Errorf("got %d routes kept, want %d", got, maxWorkRoutes)
+	}
+}
+
+// TestWorkEstimatorIsSafeForConcurrentUse guards against data races, which the race detector finds.
+func TestWorkEstimatorIsSafeForConcurrentUse(_ *testing.T) {
+	e := NewWorkEstimator(testPrefillTime)
+	var group sync.WaitGroup
+	for i := range 4 {
+		group.Go(func() {
+			for n := range 200 {
+				route := fmt.Sprint(i, n%3)
+				e.Record("engines", route, n, time.Second)
+				e.Estimate("engines", route, n)
+				e.ErrorQuantile("engines", route, 0.5)
+			}
+		})
+	}
+	group.Wait()
+}
+
+func BenchmarkWorkEstimate(b *testing.B) {
+	e := NewWorkEstimator(testPrefillTime)
+	e.Record("engines", "r", 100, time.Second)
+	b.ReportAllocs()
+	for b.Loop() {
+		e.Estimate("engines", "r", 1000)
+	}
+}
+
+func BenchmarkWorkRecord(b *testing.B) {
+	e := NewWorkEstimator(testPrefillTime)
+	b.ReportAllocs()
+	for b.Loop() {
+		e.Record("engines", "r", 1000, time.Second)
+	}
+}
