Bound what hubs relay of servers' speeds

A hub relayed the observations of all slow engines with each of five updates a second: 10 KB/s to each router for 400 engines of which a quarter was slow.

--- a/balance/doc.go
+++ b/balance/doc.go
@@ -4,6 +4,11 @@
 // preference for the router's own data centre. Backend servers that fail requests are ejected
 // for a while.
 //
+// The pace of a server says how long work takes there relative to usual. It is estimated from the
+// server's reports and from the response times that routers observe and send each other. While
+// SetSpeedAware is on, a request to a plain service goes to the server with the shorter expected
+// delay of two that are drawn at random, and the load of a slow engine weighs more.
+//
 // A pool is a set of backend servers that serve the same requests; a plain service is one whose
 // requests have no prompts. An engine is a backend server that runs inference. Before it responds
 // it has to prefill the prompt, that is, compute the state of the model for all tokens of the prompt
--- a/exchange/speeds.go
+++ b/exchange/speeds.go
@@ -9,6 +9,29 @@
 // server's speed, at most 18 bytes and 8 for the server.
 const speedPlaces = 2
 
+const (
+	// maxSpeedsAtOnce is how many servers' observations a hub relays in each update. With more, it
+	// relays those of each server in one of speedTurns updates, added up.
+	maxSpeedsAtOnce = 40
+	speedTurns      = 5
+)
+
+// splitByTurn returns the observations that a hub relays now, and those that wait. Rejections don't
+// wait: the time for which they count is shorter.
+func splitByTurn(list []balance.SpeedCounts, turn uint64) (now, later []balance.SpeedCounts) {
+	if len(list) <= maxSpeedsAtOnce {
+		return list, nil
+	}
+	for i := range list {
+		if list[i].Rejections > 0 || list[i].Server%speedTurns == turn%speedTurns {
+			now = append(now, list[i])
+		} else {
+			later = append(later, list[i])
+		}
+	}
+	return now, later
+}
+
 // addSpeeds adds the first of the observations to a datagram with places left for outcomes, and returns
 // the others.
 func (e *encoder) addSpeeds(list []balance.SpeedCounts, places int) []balance.SpeedCounts {
--- a/exchange/speeds_test.go
+++ b/exchange/speeds_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"testing"
 	"testing/synctest"
@@ -11,6 +12,7 @@
 
 	"github.com/slipwick/slipwick/balance"
 	"github.com/slipwick/slipwick/exchange/exchangepb"
+	"github.com/slipwick/slipwick/placement"
 )
 
 // TestSpeedsFitOnePacket guards against observations that are lost, or datagrams of more than a packet,
@@ -144,38 +146,54 @@
 }
 
 // TestBytesOfSpeeds counts what the observations of a fleet's engines add to what a hub sends to each
-// router of its group: 100, 200 and 400 engines of which a quarter are slow have 4 requests each in an
-// update.
+// router of its group: of 232, 465 and 930 engines a quarter are slow and have 4 requests each in an
+// update. No observation may be lost, and a rejection may not wait.
 func TestBytesOfSpeeds(t *testing.T) {
 	syncers, _ := newSyncers(1)
-	for _, engines := range []int{100, 200, 400} {
-		var counts, speeds balance.Update
-		for i := range uint64(engines) {
-			counts.InFlight = append(counts.InFlight, balance.InFlight{
-				Server: i << 43,
-				Count:  4,
-			})
-			if i%4 == 0 {
-				speeds.Speeds = append(speeds.Speeds, balance.SpeedCounts{
-					Server:      i << 43,
+	for _, engines := range []int{232, 465, 930} {
+		var waiting []balance.SpeedCounts
+		const updates = 50
+		bytes, got, want := 0, 0, 0
+		for turn := range uint64(updates) {
+			var heard []balance.SpeedCounts
+			for i := range engines / 4 {
+				heard = append(heard, balance.SpeedCounts{
+					Server:      placement.IDHash(fmt.Sprint(i)),
 					Responses:   4,
 					LogSlowdown: 4 * 91,
 					Reports:     4,
 					LogPace:     4 * 92,
 				})
+				want += 4
+			}
+			heard[turn].Rejections = 1
+			var now []balance.SpeedCounts
+			now, waiting = splitByTurn(addSpeeds(waiting, heard), turn)
+			isRejected := false
+			for i := range now {
+				got += now[i].Responses
+				isRejected = isRejected || now[i].Rejections > 0
+			}
+			if !isRejected {
+				t.Errorf("%d engines: got no rejection in update %d, want it at once", engines, turn)
+			}
+			update := balance.Update{
+				Speeds: now,
 			}
-		}
-		bytes := func(update balance.Update) (sum int) {
 			for _, packet := range syncers[0].encode(exchangepb.Scope_SCOPE_FLEET, false, update) {
-				sum += len(packet)
+				bytes += len(packet)
 			}
-			return sum
 		}
-		const perSecond = int(time.Second / updateInterval)
-		added := bytes(speeds) * perSecond
-		t.Logf("%d engines: %d bytes a second for counts, %d for speeds", engines, bytes(counts)*perSecond, added)
-		if limit := 30 * engines; added > limit {
-			t.Errorf("%d engines: got %d bytes a second for speeds, want %d at most", engines, added, limit)
+		for i := range waiting {
+			got += waiting[i].Responses
+		}
+		if got != want {
+			t.Errorf("%d engines: got %d responses relayed or waiting, want %d", engines, got, want)
+		}
+		perSecond := bytes * int(time.Second/updateInterval) / updates
+		t.Logf("%d engines: %d bytes a second", engines, perSecond)
+		if limit := 6000; perSecond > limit {
+			t.Errorf("%d engines: got %d bytes a second, want %d at most", engines, perSecond, limit)
 		}
 	}
 }
--- a/exchange/syncer.go
+++ b/exchange/syncer.go
@@ -63,6 +63,8 @@
 	hubs *hubs
 	// fleetSize is the number of live routers at the last update; 0 before the first.
 	fleetSize atomic.Int64
+	// speedTurn counts a hub's updates. Only Run uses the field.
+	speedTurn uint64
 
 	mu sync.Mutex
 	// received are the counts received last, by router or hub.
@@ -179,11 +181,14 @@
 	group, others := hubs.groupOf(s.Self), excluding(hubs.chosen, s.Self)
 	s.Balancer.SetPeers(slices.Concat(idsOf(group), idsOf(others)), otherCount)
 	groupSum, hubSum := s.sumCounts(idsOf(group), idsOf(others))
+	s.speedTurn++
 	s.mu.Lock()
 	update, hubEvents := s.groupEvents, s.hubEvents
 	s.groupEvents, s.hubEvents = balance.Update{}, balance.Update{}
-	s.mu.Unlock()
 	addEvents(&update, own)
+	update.Speeds, s.groupEvents.Speeds = splitByTurn(update.Speeds, s.speedTurn)
+	hubEvents.Speeds, s.hubEvents.Speeds = splitByTurn(hubEvents.Speeds, s.speedTurn)
+	s.mu.Unlock()
 	update.InFlight = groupSum.list()
 	s.send(others, s.encode(exchangepb.Scope_SCOPE_GROUP, false, update))
 	groupSum.add(hubSum, 1)
