gateway: Report callers that leave while they wait as left

The reason in metrics and logs was overloaded. A further test has the permit of a hedge that is not sent released at once: without the release in abandonNextLease it fails.

--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -177,6 +177,8 @@
 	switch {
 	case !errors.As(err, &refused):
 		return "no-backend"
+	case c.request.Context().Err() != nil:
+		return "left"
 	case c.possibleRuns > 0:
 		return reasonRetryOverloaded
 	default:
--- a/gateway/permits_test.go
+++ b/gateway/permits_test.go
@@ -251,6 +251,8 @@
 	for len(source.calls()) == 0 {
 		time.Sleep(time.Millisecond)
 	}
+	// Shorter waits are not counted.
+	time.Sleep(2 * minCountedWait)
 	left := time.Now()
 	disconnect()
 	if err := <-ended; err == nil {
@@ -262,7 +264,7 @@
 	if took := time.Since(left); took > 500*time.Millisecond {
 		t.Errorf("got the wait ended after %v, want at once", took)
 	}
-	if got := f.observer.summaries[0]; got.Result != "left" || got.Waited == 0 {
+	if got := f.observer.summaries[0]; got.Result != "left" || got.Reason != "left" || got.Waited == 0 {
 		t.Errorf("got %+v, want a caller that left while it waited", got)
 	}
 	source.checkNoLeak(t, f, 0)
@@ -378,6 +380,31 @@
 	source.checkNoLeak(t, f, 2)
 }
 
+// TestAbandonedHedgeReleasesItsPermitAtOnce guards against a permit that is overwritten by the next one:
+// the response of a send may arrive after the lease for another send was acquired.
+func TestAbandonedHedgeReleasesItsPermitAtOnce(t *testing.T) {
+	source := newPermits(1)
+	f := newPermitFixture(t, source, newBackend(t, "b1", respondWith(http.StatusOK, "answer")))
+	table := f.gateway.Table()
+	c := &call{
+		gateway:  f.gateway,
+		request:  f.request(t, "/repeatable/x", "question"),
+		table:    table,
+		route:    table.Route("a.example", "/repeatable/x"),
+		pool:     "p",
+		ctx:      t.Context(),
+		deadline: time.Now().Add(time.Minute),
+	}
+	c.selection.Pool = "p"
+	for range 2 {
+		if c.nextLease = c.acquireNextLease(); c.nextLease == nil {
+			t.Fatal("got no lease, want one")
+		}
+		c.abandonNextLease()
+	}
+	source.checkNoLeak(t, f, 2)
+}
+
 // TestQuarantineReleasesThePermit has requests quarantined while they run and before they are sent.
 func TestQuarantineReleasesThePermit(t *testing.T) {
 	source := newPermits(100)
