--- a/gateway/permits_bench_test.go
+++ b/gateway/permits_bench_test.go
@@ -32,62 +32,86 @@
 
 func (r *roomyPermits) Release(slipwick.Permit, slipwick.Evidence) { r.released++ }
 
+// admissionCase is a request that asks for a server of a pool with room, and gives it back.
+type admissionCase struct {
+	source   *roomyPermits
+	template call
+	call     call
+}
+
+func newAdmissionCase(withPermits bool) *admissionCase {
+	balancer := balance.New("d")
+	balancer.SetBackends([]balance.Entry{
+		{
+			Backend: slipwick.Backend{
+				ID:         "b1",
+				DataCentre: "d",
+			},
+			Pool: "p",
+		},
+	})
+	g := &Gateway{
+		Headers:  DefaultHeaders(),
+		Balancer: balancer,
+	}
+	source := &roomyPermits{
+		queue: fairqueue.New(fairqueue.Limits{}),
+	}
+	if withPermits {
+		g.Permits = source
+	}
+	table := testTable(1)
+	request := httptest.NewRequest("POST", "http://a.example/soon/x", nil)
+	request.Header.Set("Slipwick-Request", "q")
+	a := &admissionCase{
+		source: source,
+		template: call{
+			gateway:   g,
+			request:   request,
+			table:     table,
+			route:     table.Route("a.example", "/soon/"),
+			pool:      "p",
+			workspace: table.Workspace("good"),
+			arrived:   clock.Now(),
+			deadline:  clock.Now().Add(time.Hour),
+			ctx:       context.Background(),
+		},
+	}
+	a.template.selection.Pool = "p"
+	return a
+}
+
+func (a *admissionCase) run(tb testing.TB) {
+	a.call = a.template
+	lease, err := a.call.acquireLease()
+	if err != nil {
+		tb.Fatal(err)
+	}
+	a.call.abandon(lease)
+}
+
+// TestAdmissionAllocatesNothing guards against allocations for each request while the pool has room.
+func TestAdmissionAllocatesNothing(t *testing.T) {
+	const runs = 1000
+	without, with := newAdmissionCase(false), newAdmissionCase(true)
+	want := testing.AllocsPerRun(runs, func() { without.run(t) })
+	if got := testing.AllocsPerRun(runs, func() { with.run(t) }); got > want {
+		t.Errorf("got %v allocations with a permit source, want no more than the %v without", got, want)
+	}
+	if s := with.source; s.granted < runs || s.granted != s.released {
+		t.Errorf("got %d permits granted and %d released, want as many, %d at least", s.granted, s.released, runs)
+	}
+}
+
 // BenchmarkAdmission measures a request's choice of a server and its release, without a permit source
 // and with one while the pool has room. The difference is the cost of admission.
 func BenchmarkAdmission(b *testing.B) {
-	for _, withPermits := range []bool{false, true} {
-		name := "without permits"
-		if withPermits {
-			name = "with permits"
-		}
+	for name, withPermits := range map[string]bool{"without permits": false, "with permits": true} {
 		b.Run(name, func(b *testing.B) {
-			balancer := balance.New("d")
-			balancer.SetBackends([]balance.Entry{
-				{
-					Backend: slipwick.Backend{
-						ID:         "b1",
-						DataCentre: "d",
-					},
-					Pool: "p",
-				},
-			})
-			g := &Gateway{
-				Headers:  DefaultHeaders(),
-				Balancer: balancer,
-			}
-			source := &roomyPermits{
-				queue: fairqueue.New(fairqueue.Limits{}),
-			}
-			if withPermits {
-				g.Permits = source
-			}
-			table := testTable(1)
-			request := httptest.NewRequest("POST", "http://a.example/soon/x", nil)
-			request.Header.Set("Slipwick-Request", "q")
-			template := call{
-				gateway:   g,
-				request:   request,
-				table:     table,
-				route:     table.Route("a.example", "/soon/"),
-				pool:      "p",
-				workspace: table.Workspace("good"),
-				arrived:   clock.Now(),
-				deadline:  clock.Now().Add(time.Hour),
-				ctx:       context.Background(),
-			}
-			template.selection.Pool = "p"
-			c := &call{}
+			a := newAdmissionCase(withPermits)
 			b.ReportAllocs()
 			for b.Loop() {
-				*c = template
-				lease, err := c.acquireLease()
-				if err != nil {
-					b.Fatal(err)
-				}
-				c.abandon(lease)
-			}
-			if source.granted != source.released || withPermits != (source.granted > 0) {
-				b.Errorf("got %d permits granted and %d released, want as many", source.granted, source.released)
+				a.run(b)
 			}
 		})
 	}
