upstream: Don't take crashes of servers for forgotten connections

A server that crashed while it worked on a request ended an exchange on a reused connection, and half of the few milliseconds for which that had been idle became the bound for 30 s. A connection counts as forgotten only if it was idle for 0.2 s and is reset within two round trips.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -97,7 +97,7 @@
 		stop()
 		_ = conn.Close()
 		if conn.exchanges > 0 && ctx.Err() == nil && isClosedByPeer(err) {
-			c.recordForgottenConnection(started.Sub(conn.idleSince))
+			c.recordClosedExchange(key, started.Sub(conn.idleSince), clock.Since(started))
 		}
 		return nil, exchangeError(ctx, address, err)
 	}
--- a/upstream/openconns_test.go
+++ b/upstream/openconns_test.go
@@ -53,13 +53,13 @@
 	if got := client.SafeIdleTime(); got != 0 {
 		t.Errorf("got bound %v before a connection was forgotten, want none", got)
 	}
-	const idle = 40 * time.Millisecond
+	const idle = minForgottenIdle + 20*time.Millisecond
 	time.Sleep(idle)
 	if _, err := exchange(t, client, server.address, request("1")); err == nil {
 		t.Fatal("got no error on the forgotten connection")
 	}
 	bound := client.SafeIdleTime()
-	if bound < idle/4 || bound > 10*idle {
+	if bound < idle/2 || bound > 10*idle {
 		t.Errorf("got bound %v, want about half of the idle time of %v", bound, idle)
 	}
 	mustExchange(t, client, server.address, request("1"), "one")
@@ -69,6 +69,42 @@
 	mustExchange(t, client, server.address, once, "one")
 }
 
+// TestCrashBoundsNoIdleTime guards against a server that crashes while it works on a request being taken
+// for one that forgets connections: the router would then open a connection for nearly each request that
+// must not be repeated.
+func TestCrashBoundsNoIdleTime(t *testing.T) {
+	for name, test := range map[string]struct {
+		idle, work time.Duration
+	}{
+		"a connection in constant use": {
+			idle: time.Millisecond,
+		},
+		"during the work on a request": {
+			idle: minForgottenIdle + 20*time.Millisecond,
+			work: 50 * time.Millisecond,
+		},
+	} {
+		server := serve(t, func(conn net.Conn, requests *bufio.Reader) {
+			if _, err := http.ReadRequest(requests); err != nil {
+				return
+			}
+			_, _ = conn.Write([]byte(responseText("1", "one")))
+			_, _ = http.ReadRequest(requests)
+			time.Sleep(test.work)
+		})
+		client := &Client{}
+		defer client.Close()
+		mustExchange(t, client, server.address, request("1"), "one")
+		time.Sleep(test.idle)
+		if _, err := exchange(t, client, server.address, request("1")); err == nil {
+			t.Fatalf("%s: got no error", name)
+		}
+		if got := client.SafeIdleTime(); got != 0 {
+			t.Errorf("%s: got bound %v, want none", name, got)
+		}
+	}
+}
+
 // TestOpenConnectionsStayWithinTheLimit guards against a burst that opens more connections than the
 // server accepts from all routers, which then resets those of others too.
 func TestOpenConnectionsStayWithinTheLimit(t *testing.T) {
--- a/upstream/safeidletime.go
+++ b/upstream/safeidletime.go
@@ -14,6 +14,14 @@
 	safeIdleTimeTTL = 30 * time.Second
 	// safeIdleTimeShare is the share of the idle time of a forgotten connection that becomes the bound.
 	safeIdleTimeShare = 0.5
+	// minForgottenIdle is the shortest idle time after which a connection counts as forgotten: servers
+	// keep connections for longer between two requests.
+	minForgottenIdle = 200 * time.Millisecond
+	// forgottenTripFactor times the recorded dial time, which is about a round trip, and at least
+	// minForgottenTrip, is how soon the reset of a forgotten connection arrives. A server that
+	// crashes while it works on a request resets its connections later.
+	forgottenTripFactor = 2
+	minForgottenTrip    = 2 * time.Millisecond
 )
 
 // safeIdleTime is the longest idle time for which connections seem to stay open at backend servers. A
@@ -35,13 +43,15 @@
 	return c.safeIdleTime.bound
 }
 
-// recordForgottenConnection takes the idle time of a connection that was closed when a request was sent
-// on it.
-func (c *Client) recordForgottenConnection(idle time.Duration) {
-	bound := max(time.Duration(safeIdleTimeShare*float64(idle)), time.Millisecond)
-	now := clock.Now()
+// recordClosedExchange takes an exchange that the server closed before its response began, on a
+// connection that had been idle for a time, and that took some time itself.
+func (c *Client) recordClosedExchange(key string, idle, took time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if idle < minForgottenIdle || took > max(forgottenTripFactor*c.dialTimes[key], minForgottenTrip) {
+		return
+	}
+	bound, now := time.Duration(safeIdleTimeShare*float64(idle)), clock.Now()
 	if now.Before(c.safeIdleTime.until) {
 		bound = min(bound, c.safeIdleTime.bound)
 	}
