quota: Divide a pool's slots over routers and workspaces

A gateway sends each request at once, so that one workspace far above its share slows all others, and a full pool is known from its rejections alone.

Package quota computes from the fleet's sums the max-min fair allocation by priority, starvation guard and weight, and this router's part of it: the limits of all routers that have the same sums add up to the slots.

With the race detector the tests run 8 routers and 480 slots only, since it slows the fleets down ten times and they run on one goroutine; make test runs all sizes without it.

--- a/Makefile
+++ b/Makefile
@@ -17,12 +17,15 @@
 # The packages that the race detector tests on one processor only; race_test.go has the reason.
 ONE_PROCESSOR := ./claims ./directory ./emulation
 
+# The packages of which the race detector runs small fleets only.
+SMALL_FLEETS := ./quota
+
 # Runs the tests of all modules but for the known red ones, which it prints; those of ONE_PROCESSOR
-# once more without the race detector, on all processors.
+# and SMALL_FLEETS once more without the race detector, on all processors.
 test:
 	@test -z "$(KNOWN_RED)" || cat KNOWN-RED.txt
 	go test -race $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') $(PACKAGES)
-	go test $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') $(ONE_PROCESSOR)
+	go test $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') $(ONE_PROCESSOR) $(SMALL_FLEETS)
 
 # Runs the measurements of docs/MEASURES.md; CASE= and POLICY= choose one.
 measure:
--- a/constants_test.go
+++ b/constants_test.go
@@ -12,7 +12,7 @@
 
 // documentedPackages are the packages whose numeric constants docs/CONSTANTS.md must list.
 var documentedPackages = []string{
-	"balance", "quarantine", "gateway", "upstream", "exchange", "directory", "retry", "pace", "fairqueue",
+	"balance", "quarantine", "gateway", "upstream", "exchange", "directory", "retry", "pace", "fairqueue", "quota",
 	"cmd/internal/gatewayd",
 }
 
--- /dev/null
+++ b/quota/share.go
@@ -0,0 +1,36 @@
+package quota
+
+const (
+	// driftShare is the part of the slots in use that is divided over the routers anew, by demand, at
+	// each update. The rest stays where it is. Counts of few requests vary by chance, and each slot that
+	// changes its router is idle until the next update.
+	driftShare = 0.25
+	// equalShare is the part of the free slots that is divided equally over the routers, for requests
+	// that the sums don't show yet. The rest is divided by demand.
+	equalShare = 0.5
+)
+
+// share sets this router's limit for each claim, and returns their sum, its part of the spare slots
+// included. The results of all routers that have the same sums add up to the slots.
+func share(claims []*claim, spare float64, routers int) float64 {
+	n := float64(max(routers, 1))
+	sum := spare / n
+	for _, c := range claims {
+		kept := min(c.inFlight, c.target)
+		c.limit = kept*c.ownPart() + (c.target-kept)*(equalShare/n+(1-equalShare)*ratio(c.ownWanted, c.wanted))
+		sum += c.limit
+	}
+	return sum
+}
+
+// ownPart returns this router's part of the slots in use.
+func (c *claim) ownPart() float64 {
+	return (1-driftShare)*ratio(c.ownInFlight, c.inFlight) + driftShare*ratio(c.ownDemand(), c.demand())
+}
+
+func ratio(part, whole float64) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return part / whole
+}
