gatewayd: Open a socket for permits with admission control

Routers have to reach the coordinators of their pools. With admission on or auto the process opens the second port after that of membership and connects it to a permit.Endpoint over the balancer's capacity; Process.permits holds it, and its Client is the source of permits. Nothing uses it yet. With admission off, the default, no socket is opened and nothing changes.

--- a/cmd/internal/gatewayd/assemble.go
+++ b/cmd/internal/gatewayd/assemble.go
@@ -37,6 +37,9 @@
 	p.rollouts = newRollouts(p)
 	p.assembleMembership(open)
 	p.exchangeUDP = membership.NewUDP(open.exchangeUDP)
+	if open.permitUDP != nil {
+		p.permits = newPermits(p.peers.self, p.node.Routers, p.balancer, open.permitUDP)
+	}
 	p.syncer = p.newSyncer()
 	p.crashTracker, p.crashGossiper = p.newCrashTracker()
 	p.gateway = p.newGateway()
--- a/cmd/internal/gatewayd/listeners.go
+++ b/cmd/internal/gatewayd/listeners.go
@@ -13,8 +13,9 @@
 type listeners struct {
 	callers, ready, peers, metrics net.Listener
 
-	// membershipUDP is the socket of membership, exchangeUDP that of the updates between routers.
-	membershipUDP, exchangeUDP *net.UDPConn
+	// membershipUDP is the socket of membership, exchangeUDP that of the updates between routers,
+	// permitUDP that of permits; it is nil without admission control.
+	membershipUDP, exchangeUDP, permitUDP *net.UDPConn
 }
 
 // listen opens all addresses or none: a socket that stays open after a failed start would
@@ -55,6 +56,15 @@
 	return err
 }
 
+// openPermits opens the socket of permits. If that fails, it closes all sockets.
+func (l *listeners) openPermits(peers string) error {
+	var err error
+	if l.permitUDP, err = listenPackets(nextPort(nextPort(peers))); err != nil {
+		l.close()
+	}
+	return err
+}
+
 // close closes all open sockets.
 func (l *listeners) close() {
 	for _, listener := range []net.Listener{l.callers, l.ready, l.peers, l.metrics} {
@@ -62,7 +72,7 @@
 			_ = listener.Close()
 		}
 	}
-	for _, connection := range []*net.UDPConn{l.membershipUDP, l.exchangeUDP} {
+	for _, connection := range []*net.UDPConn{l.membershipUDP, l.exchangeUDP, l.permitUDP} {
 		if connection != nil {
 			_ = connection.Close()
 		}
@@ -75,7 +85,7 @@
 		return nil, errors.Wrap(err, "the peers address is not an IPv4 host:port")
 	}
 	connection, err := net.ListenUDP("udp4", address)
-	return connection, errors.Wrap(err, "listen for peers; the address and the next port must be free on this box")
+	return connection, errors.Wrap(err, "listen for peers; the address and the next two ports must be free on this box")
 }
 
 // exchangeAddress returns the address at which a router receives updates of other routers:
@@ -84,6 +94,12 @@
 	return nextPort(router.Address)
 }
 
+// permitAddress returns the address at which a router receives datagrams about permits: the second port
+// after that of membership. A router without admission control doesn't listen there.
+func permitAddress(router slipwick.Router) string {
+	return nextPort(nextPort(router.Address))
+}
+
 func nextPort(address string) string {
 	at, err := netip.ParseAddrPort(address)
 	if err != nil {
--- a/cmd/internal/gatewayd/process.go
+++ b/cmd/internal/gatewayd/process.go
@@ -76,8 +76,10 @@
 	// mirrors holds this router's copies of the feeds by name, for other routers.
 	mirrors     map[string]*directory.Mirror
 	exchangeUDP *membership.UDP
-	metrics     *metrics
-	observer    *observer
+	// permits is nil without admission control.
+	permits  *permits
+	metrics  *metrics
+	observer *observer
 
 	// connections counts accepted connections of callers.
 	connections atomic.Int64
@@ -144,7 +146,7 @@
 	if p.Settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(p.Settings.MemoryBytes)))
 	}
-	open, err := listen(&p.Settings.Listen)
+	open, err := p.listen()
 	if err != nil {
 		return err
 	}
@@ -161,6 +163,9 @@
 	}
 	tasks.Go(func() { failed <- p.membershipUDP.Run(background) })
 	tasks.Go(func() { failed <- p.exchangeUDP.Run(background) })
+	if p.permits != nil {
+		tasks.Go(func() { failed <- p.permits.run(background) })
+	}
 	callers := newServer(p.gateway)
 	callers.ConnState = trackConnState
 	servers := []*http.Server{callers, newServer(p.readinessHandler()), newServer(p.peerHandler())}
@@ -197,6 +202,15 @@
 	return err
 }
 
+// listen opens the sockets that the settings call for.
+func (p *Process) listen() (*listeners, error) {
+	open, err := listen(&p.Settings.Listen)
+	if err == nil && p.Settings.usesPermits() {
+		err = open.openPermits(p.Settings.Listen.Peers)
+	}
+	return open, err
+}
+
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           handler,
