Skip the checks that most servers of a pool don't need

A choice among 930 engines took 50 to 59 us by speed and 56 to 76 us of a known prompt, a third of it for checks of evacuations, pauses, cold times and ejections of servers that have none of these. One check of these servers comes first; the decisions are the same.

The tests of balance pass with the race detector.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -234,9 +233,11 @@
 	evacuatedOrPaused := b.scratch.evacuatedOrPaused[:0]
 	for _, s := range pool {
 		switch {
+		case s.isOrdinary() && request.mayUse(s):
+			usable = append(usable, s)
 		case s.evacuated:
 			evacuatedOrPaused = append(evacuatedOrPaused, s)
-		case s.isLeaving() || !request.allows(s) || slices.Contains(request.Exclude, s.ID):
+		case s.isLeaving() || !request.mayUse(s):
 		case s.notices.isPaused(now):
 			evacuatedOrPaused = append(evacuatedOrPaused, s)
 		case b.isColdLocked(s, now) && !b.maySendToColdLocked(s, now):
@@ -250,13 +251,19 @@
 	}
 	b.scratch.usable, b.scratch.cold, b.scratch.unavailable, b.scratch.evacuatedOrPaused =
 		usable, cold, unavailable, evacuatedOrPaused
+	return b.bestOf(usable, cold, unavailable, request.HealthyOnly)
+}
+
+// bestOf returns the usable servers, or else the cold ones, or else the unavailable ones unless the
+// request is healthyOnly.
+func (b *Balancer) bestOf(usable, cold, unavailable []*server, healthyOnly bool) []*server {
 	switch {
 	case len(usable) > 0:
 		return usable
 	case len(cold) > 0:
 		b.scratch.cold = cold[:0]
 		return cold
-	case request.HealthyOnly:
+	case healthyOnly:
 		return nil
 	}
 	return unavailable
--- a/balance/observation.go
+++ b/balance/observation.go
@@ -79,5 +79,5 @@
 
 // isFull reports whether the server rejected a request within the last usual service time.
 func (s *server) isFull(now time.Time) bool {
-	return now.Before(s.speed.fullUntil)
+	return !s.speed.fullUntil.IsZero() && now.Before(s.speed.fullUntil)
 }
--- a/balance/request.go
+++ b/balance/request.go
@@ -24,6 +24,11 @@
 	return r.Regions == nil || slices.Contains(r.Regions, s.Region)
 }
 
+// mayUse reports whether the request may go to the region of the server and has not tried it already.
+func (r *Request) mayUse(s *server) bool {
+	return r.allows(s) && !slices.Contains(r.Exclude, s.ID)
+}
+
 // Part is a section of a prompt, identified by Key.
 type Part struct {
 	Key    uint64
--- a/balance/server.go
+++ b/balance/server.go
@@ -117,6 +117,13 @@
 	return max(s.reported-s.reportedOwn, 0), true
 }
 
+// isOrdinary reports whether nothing can keep a request from the server but the request itself. It is
+// faster than the checks that it stands for, which most servers of a large pool don't need.
+func (s *server) isOrdinary() bool {
+	return !s.evacuated && !s.Leaving && s.notices == nil && s.coldUntil.IsZero() && s.ejectedUntil.IsZero() &&
+		s.inFlight == 0
+}
+
 // isUnavailableLocked reports whether the server gets no new requests for now, because it is
 // ejected or does not respond to those in flight.
 func (b *Balancer) isUnavailableLocked(s *server, now time.Time) bool {
