gatewayd: Connect the sources of permits

Pools with fewer than four slots for each live router get their permits from the coordinator of the pool, the others from this router's share. Without admission control in the settings nothing is created.

--- a/cmd/internal/gatewayd/assemble.go
+++ b/cmd/internal/gatewayd/assemble.go
@@ -7,9 +7,11 @@
 	"github.com/slipwick/slipwick/balance"
 	"github.com/slipwick/slipwick/directory"
 	"github.com/slipwick/slipwick/exchange"
+	"github.com/slipwick/slipwick/fairqueue"
 	"github.com/slipwick/slipwick/gateway"
 	"github.com/slipwick/slipwick/httpclient"
 	"github.com/slipwick/slipwick/membership"
+	"github.com/slipwick/slipwick/quota"
 	"github.com/slipwick/slipwick/retry"
 	"github.com/slipwick/slipwick/upstream"
 
@@ -43,7 +45,8 @@
 	p.assembleMembership(open)
 	p.exchangeUDP = membership.NewUDP(open.exchangeUDP)
 	if open.permitUDP != nil {
-		p.permits = newPermits(p.peers.self, p.node.Routers, p.balancer, open.permitUDP)
+		p.permitEndpoint = newPermits(p.peers.self, p.node.Routers, p.balancer, open.permitUDP)
+		p.limiter = p.newLimiter()
 	}
 	p.syncer = p.newSyncer()
 	p.crashTracker, p.crashGossiper = p.newCrashTracker()
@@ -126,13 +129,32 @@
 // newPermitSources creates the source of permits. Without a source for a class of pools, their
 // requests need none.
 func (p *Process) newPermitSources() *permitSources {
-	return &permitSources{
+	s := &permitSources{
 		Active:      p.admission.Active,
 		Capacity:    p.balancer,
 		Routers:     func() int { return len(p.node.Routers()) },
 		SmallCounts: p.metrics.permitCounts(sourceCoordinator),
 		LargeCounts: p.metrics.permitCounts(sourceShares),
 	}
+	if p.permitEndpoint != nil {
+		s.Small, s.Large = p.permitEndpoint.endpoint.Client, p.limiter
+		p.syncer.Usage = p.limiter
+	}
+	return s
+}
+
+// queueMemoryShare is the part of the memory limit that waiting requests for one pool may hold.
+const queueMemoryShare = 1.0 / 16
+
+// newLimiter creates the source of permits of pools with many slots.
+func (p *Process) newLimiter() *quota.Limiter {
+	l := quota.New(p.Settings.ID)
+	l.Capacity = p.balancer
+	l.Routers = func() int { return len(p.node.Routers()) }
+	l.QueueLimits = fairqueue.Limits{
+		MaxBytes: int64(queueMemoryShare * float64(p.Settings.MemoryBytes)),
+	}
+	return l
 }
 
 func (p *Process) onAdmissionChange(active bool) {
--- a/cmd/internal/gatewayd/metrics.go
+++ b/cmd/internal/gatewayd/metrics.go
@@ -126,7 +126,7 @@
 			help: "Bytes of membership and of updates between routers sent and received, including IP and UDP headers.",
 			read: func() float64 {
 				return float64(p.membershipUDP.Sent.Load() + p.membershipUDP.Received.Load() +
-					p.exchangeUDP.Sent.Load() + p.exchangeUDP.Received.Load() + p.permits.bytes())
+					p.exchangeUDP.Sent.Load() + p.exchangeUDP.Received.Load() + p.permitEndpoint.bytes())
 			},
 		},
 		{
--- a/cmd/internal/gatewayd/permitsources.go
+++ b/cmd/internal/gatewayd/permitsources.go
@@ -85,6 +85,9 @@
 // Release returns a permit to the source that granted it.
 func (s *permitSources) Release(permit slipwick.Permit, evidence slipwick.Evidence) {
 	if permit.ID == 0 {
+		if source, _ := s.sourceOf(permit.Pool); source != nil {
+			source.Release(permit, evidence)
+		}
 		return
 	}
 	if s.takeFromSmall(permit) {
--- a/cmd/internal/gatewayd/process.go
+++ b/cmd/internal/gatewayd/process.go
@@ -19,6 +19,7 @@
 	"github.com/slipwick/slipwick/gateway"
 	"github.com/slipwick/slipwick/membership"
 	"github.com/slipwick/slipwick/quarantine"
+	"github.com/slipwick/slipwick/quota"
 	"github.com/slipwick/slipwick/upstream"
 
 	"github.com/slipwick/slipwick/cmd/internal/events"
@@ -81,10 +82,12 @@
 	// mirrors holds this router's copies of the feeds by name, for other routers.
 	mirrors     map[string]*directory.Mirror
 	exchangeUDP *membership.UDP
-	// permits is nil without admission control.
-	permits  *permits
-	metrics  *metrics
-	observer *observer
+	// permitEndpoint exchanges permits with the coordinators of pools, limiter divides the slots of
+	// larger pools; both are nil if the settings never use admission control.
+	permitEndpoint *permits
+	limiter        *quota.Limiter
+	metrics        *metrics
+	observer       *observer
 
 	// connections counts accepted connections of callers.
 	connections atomic.Int64
@@ -169,8 +172,9 @@
 	}
 	tasks.Go(func() { failed <- p.membershipUDP.Run(background) })
 	tasks.Go(func() { failed <- p.exchangeUDP.Run(background) })
-	if p.permits != nil {
-		tasks.Go(func() { failed <- p.permits.run(background) })
+	if p.permitEndpoint != nil {
+		tasks.Go(func() { p.limiter.Run(background) })
+		tasks.Go(func() { failed <- p.permitEndpoint.run(background) })
 	}
 	callers := newServer(p.gateway)
 	callers.ConnState = trackConnState
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -37,15 +37,20 @@
 type heldPermit struct {
 	source slipwick.PermitSource
 	permit slipwick.Permit
+	pool   string
 }
 
 // release releases the permit; further calls have no effect.
 func (h *heldPermit) release(evidence slipwick.Evidence) {
-	if h.source == nil || h.permit.ID == 0 {
+	if h.source == nil {
 		return
 	}
-	h.source.Release(h.permit, evidence)
-	h.permit = slipwick.Permit{}
+	// A rejection of a request that needed no permit tells the source that the pool is full.
+	if h.permit.ID != 0 || evidence == slipwick.EvidenceShed {
+		h.permit.Pool = h.pool
+		h.source.Release(h.permit, evidence)
+	}
+	*h = heldPermit{}
 }
 
 // refusedPermit is an error of the permit source, as distinct from one of the balancer.
@@ -71,6 +76,7 @@
 		held := heldPermit{
 			source: c.gateway.Permits,
 			permit: permit,
+			pool:   request.Pool,
 		}
 		selection.Backend = permit.Backend
 		lease, err := c.gateway.Balancer.Acquire(&selection)
--- a/permit.go
+++ b/permit.go
@@ -11,7 +11,8 @@
 	// with OutcomeNotRun; that of a refusal has KindOverloaded and RetryAfter.
 	Acquire(ctx context.Context, request *PermitRequest) (Permit, error)
 	// Release ends a permit with what the request's result says about the backend server. It has to be
-	// called once for each permit, and doesn't block.
+	// called once for each permit with an ID, and for one without an ID if a server rejected the
+	// request for lack of capacity. It doesn't block.
 	Release(permit Permit, evidence Evidence)
 }
 
