exchange: Send the usage of pools under pressure with updates

The limits of package quota need the fleet's sums by pool, priority and workspace. Each regular update now has them in its first datagram (fields 21 to 27): states, which the next round replaces, so that lost, doubled and late datagrams and restarts leave nothing behind. Hubs add up their group and the fleet. A hub's sum of the fleet contains its own group as sent one round before, as old as that of the other hubs. Earlier versions skip the fields; a router without sums divides the free slots equally.

A datagram lists as many workspaces as the budget of a hub allows, those of the fleet's sums first, so that all routers list the same, and one sum for the rest with a sketch that counts its workspaces.

quota.Limiter implements PressureSource and PermitStatusSource for the gateway.

TestManyWorkspaces now uses the lists of the exchange in place of a fixed 16 entries, and as many workspaces for the slots; its bound is the same.

--- a/exchange/codec.go
+++ b/exchange/codec.go
@@ -5,6 +5,7 @@
 
 	"github.com/slipwick/slipwick/balance"
 	"github.com/slipwick/slipwick/exchange/exchangepb"
+	"github.com/slipwick/slipwick/quota"
 )
 
 // maxCounts, maxCachedParts and maxOutcomes bound a datagram so that it fits one packet of 1,500
@@ -17,21 +18,35 @@
 	maxOutcomes    = 25
 )
 
-// encode splits an update into datagrams. They all carry the same round number, by which the
-// receiver adds up their counts.
+// encode splits an update without usage into datagrams.
 func (s *Syncer) encode(scope exchangepb.Scope, urgent bool, update balance.Update) [][]byte {
+	return s.encodeWithUsage(scope, urgent, update, nil)
+}
+
+// encodeWithUsage splits an update into datagrams. They all carry the same round number, by which the
+// receiver adds up their counts. The first one has the usage.
+func (s *Syncer) encodeWithUsage(
+	scope exchangepb.Scope, urgent bool, update balance.Update, usage []quota.Entry,
+) [][]byte {
 	round := s.sequence.Add(1)
 	var packets [][]byte
 	for first := true; first || len(update.InFlight)+countEvents(&update) > 0; first = false {
+		room := maxCounts
+		if first {
+			room = max(room-usageCounts(usage), 0)
+		}
 		e := &encoder{
 			message: s.newMessage(scope),
 			indexes: make(map[uint64]uint32),
 		}
 		e.message.Round, e.message.Urgent = round, urgent
-		n := min(len(update.InFlight), maxCounts)
+		n := min(len(update.InFlight), room)
 		e.addCounts(update.InFlight[:n])
 		update.InFlight = update.InFlight[n:]
-		if n < maxCounts/2 {
+		if first {
+			e.addUsage(usage)
+		}
+		if n+maxCounts-room < maxCounts/2 {
 			n = min(len(update.CachedParts), maxCachedParts)
 			e.addCachedParts(update.CachedParts[:n])
 			update.CachedParts = update.CachedParts[n:]
--- a/exchange/syncer.go
+++ b/exchange/syncer.go
@@ -53,6 +53,9 @@
 	Address func(slipwick.Router) string
 	// OnCrashes is called with the crashes that the CrashGossiper of another router sent.
 	OnCrashes func([]quarantine.Crash)
+	// Usage has what this router uses of pools under pressure, and takes the sums of the fleet; nil
+	// without admission control. A hub relays usage in any case.
+	Usage UsageSource
 
 	sequence atomic.Uint64
 	sendSoon chan struct{}
@@ -68,7 +71,8 @@
 	// received are the counts received last, by router or hub.
 	received map[string]*counts
 	// own are the counts of this router's own requests at its last update.
-	own *counts
+	own   *counts
+	usage usage
 	// groupEvents and hubEvents are the cached parts, outcomes and leaving servers that a hub has
 	// to relay: those from its own group and those from the other hubs. A router in the group of a
 	// hub receives its own outcomes with those of the fleet, and counts them twice.
@@ -88,6 +92,9 @@
 
 		received: make(map[string]*counts),
 		own:      newCounts(nil),
+		usage: usage{
+			received: make(map[string]receivedUsage),
+		},
 		sendSoon: make(chan struct{}, 1),
 
 		relaySoon: make(chan struct{}, 1),
@@ -159,7 +166,10 @@
 	case len(hubs.chosen) == 0:
 		peers := excluding(hubs.routers, s.Self)
 		s.Balancer.SetPeers(idsOf(peers), otherCount)
-		s.send(peers, s.encode(exchangepb.Scope_SCOPE_OWN, urgent, update))
+		if !urgent {
+			s.exchangeInMesh(idsOf(peers))
+		}
+		s.send(peers, s.encodeWithUsage(exchangepb.Scope_SCOPE_OWN, urgent, update, s.ownUsage()))
 	case hubs.isHub(s.Self):
 		s.sendHubUpdates(hubs, update, otherCount)
 	default:
@@ -169,7 +179,13 @@
 		s.mu.Unlock()
 		hub, _ := hubs.hubOf(s.Self)
 		s.Balancer.SetPeers([]string{fleetSource}, otherCount)
-		s.send([]slipwick.Router{hub}, s.encode(exchangepb.Scope_SCOPE_OWN, urgent, update))
+		s.mu.Lock()
+		s.usage.keep([]string{fleetSource + "/" + hub.ID})
+		s.mu.Unlock()
+		if !urgent {
+			s.takeReport(len(hubs.chosen) + len(hubs.groupOf(hub.ID)))
+		}
+		s.send([]slipwick.Router{hub}, s.encodeWithUsage(exchangepb.Scope_SCOPE_OWN, urgent, update, s.ownUsage()))
 	}
 }
 
@@ -185,11 +201,12 @@
 	s.mu.Unlock()
 	addEvents(&update, own)
 	update.InFlight = groupSum.list()
-	s.send(others, s.encode(exchangepb.Scope_SCOPE_GROUP, false, update))
+	groupUsage, fleetUsage := s.exchangeAsHub(idsOf(group), idsOf(others))
+	s.send(others, s.encodeWithUsage(exchangepb.Scope_SCOPE_GROUP, false, update, groupUsage))
 	groupSum.add(hubSum, 1)
 	addEvents(&update, hubEvents)
 	update.InFlight = groupSum.list()
-	s.send(group, s.encode(exchangepb.Scope_SCOPE_FLEET, false, update))
+	s.send(group, s.encodeWithUsage(exchangepb.Scope_SCOPE_FLEET, false, update, fleetUsage))
 }
 
 // addEvents appends the events of another update, as far as the queues have room.
@@ -257,6 +274,7 @@
 	if hasCounts(message) {
 		s.receiveCounts(message, update.InFlight)
 	}
+	s.receiveUsage(message)
 	s.Balancer.ReceivePrefills(update.CachedParts)
 	s.Balancer.ReceiveOutcomes(update.Outcomes)
 	s.Balancer.ReceiveLeaving(update.Leaving)
--- a/quota/allocation_test.go
+++ b/quota/allocation_test.go
@@ -133,7 +133,7 @@
 				want += e.InFlight
 				wantWaiting += e.Waiting
 			}
-			kept := Truncate(slices.Clone(all), limit)
+			kept := Truncate(slices.Clone(all), limit, all[:min(limit, 3)])
 			got, gotWaiting := 0, 0
 			for _, e := range kept {
 				got += e.InFlight
--- a/quota/claim.go
+++ b/quota/claim.go
@@ -46,7 +46,7 @@
 		claims = append(claims, &claim{
 			workspace: e.Workspace,
 			priority:  e.Priority,
-			weight:    float64(max(e.Weight, 1)),
+			weight:    e.totalWeight(),
 			inFlight:  float64(e.InFlight),
 			wanted:    e.wanted(),
 		})
--- a/quota/entry.go
+++ b/quota/entry.go
@@ -12,8 +12,8 @@
 // of a group or in the whole fleet. Pools and workspaces are identified by Hash.
 type Entry struct {
 	Pool uint32
-	// Workspace is RestOfWorkspaces if the entry sums up several workspaces; Weight is then the sum of
-	// their weights.
+	// Workspace is RestOfWorkspaces if the entry sums up several workspaces. Weight is then a sketch of
+	// these, which has one bit set for each of them.
 	Workspace uint32
 	Priority  int
 	Weight    uint32
@@ -64,14 +64,18 @@
 }
 
 func (e *Entry) add(other *Entry) {
+	if e.Workspace == RestOfWorkspaces {
+		e.Weight |= other.sketch()
+	} else {
+		e.Weight = max(e.Weight, other.Weight)
+	}
 	e.InFlight += other.InFlight
 	e.Waiting += other.Waiting
 	e.Work += other.Work
 }
 
 // Sum adds up the entries of several lists, sorted by pool, priority and workspace. The weight of a
-// workspace is the largest listed; those of entries for several workspaces are taken likewise, since
-// the lists of different routers name mostly the same workspaces.
+// workspace is the largest listed.
 func Sum(lists ...[]Entry) []Entry {
 	index := make(map[entryKey]int)
 	var sum []Entry
@@ -85,7 +89,6 @@
 				continue
 			}
 			sum[at].add(e)
-			sum[at].Weight = max(sum[at].Weight, e.Weight)
 		}
 	}
 	sortEntries(sum)
@@ -100,19 +103,28 @@
 }
 
 // Truncate returns at most limit entries, and in addition one for each pool and priority that sums up
-// those left out, which are the smallest. It may reorder the list.
-func Truncate(list []Entry, limit int) []Entry {
+// those left out. The entries that the fleet's latest sums list come first, so that all routers list the
+// same ones and their sums are complete; the largest others follow. It may reorder the list.
+func Truncate(list []Entry, limit int, fleet []Entry) []Entry {
 	if len(list) <= limit {
 		return list
 	}
-	slices.SortFunc(list, func(a, b Entry) int {
-		isRest := func(e *Entry) int {
-			if e.Workspace == RestOfWorkspaces {
-				return 1
-			}
+	isListed := make(map[entryKey]bool, len(fleet))
+	for i := range fleet {
+		isListed[fleet[i].key()] = true
+	}
+	rank := func(e *Entry) int {
+		switch {
+		case e.Workspace == RestOfWorkspaces:
+			return 2
+		case !isListed[e.key()]:
+			return 1
+		default:
 			return 0
 		}
-		return cmp.Or(cmp.Compare(isRest(&a), isRest(&b)), cmp.Compare(b.demand(), a.demand()),
+	}
+	slices.SortFunc(list, func(a, b Entry) int {
+		return cmp.Or(cmp.Compare(rank(&a), rank(&b)), cmp.Compare(b.demand(), a.demand()),
 			cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Pool, b.Pool))
 	})
 	kept, left := slices.Clone(list[:limit]), list[limit:]
@@ -127,10 +139,30 @@
 			}
 		}
 		rests[key].add(&left[i])
-		rests[key].Weight += max(left[i].Weight, 1)
 	}
 	for _, rest := range rests {
 		kept = append(kept, *rest)
 	}
+	if len(rests) > maxRests {
+		mergeRests(kept)
+	}
 	return Sum(kept)
 }
+
+// maxRests is the number of sums of entries left out above which those of a pool are merged into one.
+const maxRests = 16
+
+// mergeRests gives all sums of entries left out of a pool the least urgent priority among them.
+func mergeRests(list []Entry) {
+	lowest := make(map[uint32]int)
+	for i := range list {
+		if e := &list[i]; e.Workspace == RestOfWorkspaces {
+			lowest[e.Pool] = max(lowest[e.Pool], e.Priority)
+		}
+	}
+	for i := range list {
+		if e := &list[i]; e.Workspace == RestOfWorkspaces {
+			e.Priority = lowest[e.Pool]
+		}
+	}
+}
--- a/quota/fair_test.go
+++ b/quota/fair_test.go
@@ -173,14 +173,13 @@
 	}
 }
 
-// TestManyWorkspaces has 330 workspaces of which updates list 16 of a group only. It
-// guards against unfairness between workspaces that updates sum up.
+// TestManyWorkspaces has 330 workspaces for 2,880 slots, of which updates list few. It guards against
+// slots that stay idle because their use is summed up.
 func TestManyWorkspaces(t *testing.T) {
 	t.Parallel()
 	routers := fleetSizes[len(fleetSizes)-1]
 	f := newFleet(routers)
-	f.maxRows = 16
-	names := f.offerEvenly("w", 330, 0, 3, allRouters(routers))
+	names := f.offerEvenly("w", int(testSlots*330/2880), 0, 3, allRouters(routers))
 	f.stats.from = 3 * time.Second
 	f.run(8 * time.Second)
 	goodput := total(f.stats.inTime) / (testSlots * 5)
--- a/quota/harness_test.go
+++ b/quota/harness_test.go
@@ -93,7 +93,9 @@
 type testHub struct {
 	members []int
 	sum     testReport
-	isDead  bool
+	// fleet are the sums that it sent last.
+	fleet  []Entry
+	isDead bool
 }
 
 // fleet runs the decisions of routers, and callers, in virtual time.
@@ -104,7 +106,8 @@
 	random  *rand.Rand
 	routers []*testRouter
 	hubs    []*testHub
-	maxRows int
+	// maxRows and fleetRows bound the entries of updates and of the sums of the fleet.
+	maxRows, fleetRows int
 	// isCut reports whether datagrams between two routers are lost.
 	isCut func(a, b int) bool
 	// loss is the share of lost updates; twice that many arrive twice or late.
@@ -164,9 +167,11 @@
 	f := &fleet{
 		random:  rand.New(rand.NewPCG(1, 2)),
 		isCut:   func(int, int) bool { return false },
-		maxRows: 100,
-		slots:   int(testSlots),
-		window:  1,
+		maxRows: EntryLimit(routers - 1),
+
+		fleetRows: FleetEntryLimit(routers - 1),
+		slots:     int(testSlots),
+		window:    1,
 
 		runningBy: make(map[string]int),
 	}
@@ -177,6 +182,8 @@
 	}
 	if routers > 16 {
 		groups := int(math.Ceil(math.Sqrt(float64(routers))))
+		f.maxRows = EntryLimit(groups + routers/groups - 2)
+		f.fleetRows = FleetEntryLimit(groups + routers/groups - 2)
 		for g := range groups {
 			h := &testHub{}
 			for i := g; i < routers; i += groups {
@@ -289,7 +296,7 @@
 	}
 	entries := r.pool.report(f.clock())
 	latest := testReport{
-		entries:  Truncate(entries, f.maxRows),
+		entries:  Truncate(entries, f.fleetRows, r.pool.fleet),
 		inFlight: r.pool.inFlight,
 		at:       f.now,
 		isKnown:  true,
@@ -339,7 +346,7 @@
 		others += other.latest.inFlight
 	}
 	r.complete, r.others, r.viewAt = complete, others, f.now
-	r.pool.receive(Truncate(Sum(lists...), 2*f.maxRows), f.clock(), f.clock())
+	r.pool.receive(Truncate(Sum(lists...), f.fleetRows, nil), f.clock(), f.clock())
 	f.refresh(i)
 }
 
@@ -359,7 +366,7 @@
 			sum.inFlight += latest.inFlight
 		}
 	}
-	sum.entries = Truncate(Sum(lists...), f.maxRows)
+	sum.entries = Truncate(Sum(lists...), f.maxRows, h.fleet)
 	previous := h.sum
 	lists, inFlight := [][]Entry{previous.entries}, previous.inFlight
 	complete := previous.isKnown
@@ -379,7 +386,8 @@
 			h.sum = sum
 		}
 	})
-	all, asOf := Truncate(Sum(lists...), 2*f.maxRows), f.clock().Add(-tick)
+	all, asOf := Truncate(Sum(lists...), f.fleetRows, nil), f.clock().Add(-tick)
+	h.fleet = all
 	for _, i := range h.members {
 		f.deliver(func() {
 			r := f.routers[i]
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -11,7 +11,11 @@
 	"github.com/slipwick/slipwick/fairqueue"
 )
 
-var _ slipwick.PermitSource = (*Limiter)(nil)
+var (
+	_ slipwick.PermitSource       = (*Limiter)(nil)
+	_ slipwick.PressureSource     = (*Limiter)(nil)
+	_ slipwick.PermitStatusSource = (*Limiter)(nil)
+)
 
 const (
 	// refreshInterval is how often limits are computed without updates of other routers.
@@ -314,3 +318,29 @@
 	defer p.mu.Unlock()
 	return p.status(), true
 }
+
+// UnderPressure implements slipwick.PressureSource.
+func (l *Limiter) UnderPressure(pool string) bool {
+	l.mu.RLock()
+	p := l.pools[pool]
+	l.mu.RUnlock()
+	if p == nil {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.isUnderPressure()
+}
+
+// PermitStatus implements slipwick.PermitStatusSource.
+func (l *Limiter) PermitStatus(pool string) slipwick.PermitStatus {
+	l.mu.RLock()
+	p := l.pools[pool]
+	l.mu.RUnlock()
+	if p == nil {
+		return slipwick.PermitStatus{}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.permitStatus()
+}
--- a/quota/status.go
+++ b/quota/status.go
@@ -2,7 +2,10 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
+
+	"github.com/slipwick/slipwick"
 )
 
 // PoolStatus is the state of a pool's permits at one router, for operators.
@@ -61,3 +64,33 @@
 	})
 	return status
 }
+
+// permitStatus returns the state by workspace, summed up over the priorities.
+func (p *pool) permitStatus() slipwick.PermitStatus {
+	status := slipwick.PermitStatus{
+		InFlight:     p.inFlight,
+		Waiting:      p.queue.Len(),
+		WaitingBytes: p.queue.Bytes(),
+	}
+	index := make(map[string]int)
+	for _, r := range p.records {
+		if r.inFlight+r.waiting == 0 {
+			continue
+		}
+		at, known := index[r.workspace]
+		if !known {
+			at = len(status.Workspaces)
+			index[r.workspace] = at
+			status.Workspaces = append(status.Workspaces, slipwick.WorkspacePermits{
+				Workspace: r.workspace,
+			})
+		}
+		w := &status.Workspaces[at]
+		w.InFlight += r.inFlight
+		w.Waiting += r.waiting
+		if r.claim != nil && r.claim.workspace != RestOfWorkspaces {
+			w.Share += int(math.Round(r.claim.limit))
+		}
+	}
+	return status
+}
