balance: Learn how many requests a server works on at once

Declared slots overstate what a server can take when its memory is full or others use its box. PoolCapacity now has learned slots: a rejection lowers a server's limit to its requests in flight, if that is below its slots, and so does a report of waiting requests while fewer than its slots run, to what runs. The limit rises by a slot for each slot's worth of completed requests. It belongs to the incarnation. The choice of servers keeps to the declared slots.

A router sees only its own requests and assumes that the others complete as many.

--- a/balance/capacity.go
+++ b/balance/capacity.go
@@ -8,8 +8,9 @@
 var _ slipwick.CapacitySource = (*Balancer)(nil)
 
 // PoolCapacity returns the servers of a pool that may get new requests of any router, with the
-// requests in flight there. It leaves out cold servers, whose limits are not slots, and those that are
-// ejected, unresponsive, leaving, evacuated or asked for a pause.
+// requests in flight there and the slots that they turned out to have. It leaves out cold servers,
+// whose limits are not slots, and those that are ejected, unresponsive, leaving, evacuated or asked
+// for a pause.
 func (b *Balancer) PoolCapacity(pool string) slipwick.PoolCapacity {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -26,7 +27,7 @@
 		capacity.Servers = append(capacity.Servers, slipwick.ServerCapacity{
 			ID:         s.ID,
 			DataCentre: s.DataCentre,
-			Slots:      s.EffectiveSlots(),
+			Slots:      s.learned.slots(s.EffectiveSlots()),
 			InFlight:   loads[i],
 			Own:        s.inFlight,
 		})
--- a/balance/ejection.go
+++ b/balance/ejection.go
@@ -104,12 +104,16 @@
 		}
 	case slipwick.EvidenceShed:
 		s.lastActivityAt = now
+		b.learnRejectionLocked(s, b.loadsLocked([]*server{s}, now)[0])
 		if s.notices.isPaused(now) || b.hasFreeSlotLocked(s, now) {
 			b.recordOutcomeLocked(s, true)
 			b.ejectIfFailingLocked(s, now)
 		}
 	case slipwick.EvidenceGood, slipwick.EvidenceError:
 		s.lastActivityAt = now
+		if evidence == slipwick.EvidenceGood {
+			b.learnCompletionLocked(s)
+		}
 		b.recordOutcomeLocked(s, evidence == slipwick.EvidenceError)
 		b.ejectIfFailingLocked(s, now)
 	}
--- /dev/null
+++ b/balance/learnedslots.go
@@ -0,0 +1,60 @@
+package balance
+
+// learnedSlots is how many requests a server turned out to work on at once, if that is fewer than the
+// slots that it declares. It belongs to one incarnation.
+type learnedSlots struct {
+	// limit is 0 while nothing was learned.
+	limit float64
+}
+
+// minLearnedSlots keeps a server in use, so that its completed requests can raise the limit.
+const minLearnedSlots = 1
+
+// lower sets the limit to a number of requests, if that is lower.
+func (l *learnedSlots) lower(requests float64) {
+	requests = max(requests, minLearnedSlots)
+	if l.limit == 0 || requests < l.limit {
+		l.limit = requests
+	}
+}
+
+// raise counts completed requests: the limit rises by a slot when as many have completed as it has slots,
+// and by no more than a slot at a time, until it reaches the declared slots.
+func (l *learnedSlots) raise(completed float64, declared int) {
+	if l.limit == 0 {
+		return
+	}
+	l.limit += min(completed/l.limit, 1)
+	if l.limit >= float64(declared) {
+		l.limit = 0
+	}
+}
+
+// slots returns the slots of a server that declares a number of them.
+func (l *learnedSlots) slots(declared int) int {
+	if l.limit == 0 {
+		return declared
+	}
+	return min(int(l.limit), declared)
+}
+
+// learnRejectionLocked lowers the limit of a server that rejected a request to its requests in flight.
+func (b *Balancer) learnRejectionLocked(s *server, inFlight float64) {
+	if inFlight < float64(s.EffectiveSlots()) {
+		s.learned.lower(inFlight)
+	}
+}
+
+// learnCompletionLocked raises the limit of a server that completed a request. Each router sees only its
+// own requests; the other routers are assumed to complete as many there.
+func (b *Balancer) learnCompletionLocked(s *server) {
+	s.learned.raise(float64(b.otherRouters+1), s.EffectiveSlots())
+}
+
+// learnLoad lowers the limit of a server that lets requests wait although it has free slots, which
+// shows that its memory doesn't suffice for more.
+func (s *server) learnLoad(load Load) {
+	if load.Waiting > 0 && load.Running < s.EffectiveSlots() {
+		s.learned.lower(float64(load.Running))
+	}
+}
--- a/balance/loads.go
+++ b/balance/loads.go
@@ -129,4 +129,5 @@
 	s.reported = load.Running + load.Waiting
 	s.reportedOwn = s.inFlight
 	s.reportedAt = clock.Now()
+	s.learnLoad(load)
 }
--- a/balance/server.go
+++ b/balance/server.go
@@ -48,6 +48,8 @@
 	reportedOwn int
 	reportedAt  time.Time
 
+	learned learnedSlots
+
 	// lastActivityAt is when the server last sent anything to this router, busySince since when
 	// this router has had requests in flight there.
 	lastActivityAt time.Time
