--- a/balance/ejection.go
+++ b/balance/ejection.go
@@ -107,12 +107,16 @@
 		b.countSpeedLocked(s, &SpeedCounts{
 			Rejections: 1,
 		}, now)
+		b.learnRejectionLocked(s, b.loadsLocked([]*server{s}, now)[0])
 		if s.notices.isPaused(now) || b.hasFreeSlotLocked(s, now) {
 			b.recordOutcomeLocked(s, true)
 			b.ejectIfFailingLocked(s, now)
 		}
 	case slipwick.EvidenceGood, slipwick.EvidenceError:
 		s.lastActivityAt = now
+		if evidence == slipwick.EvidenceGood {
+			b.learnCompletionLocked(s)
+		}
 		b.recordOutcomeLocked(s, evidence == slipwick.EvidenceError)
 		b.ejectIfFailingLocked(s, now)
 	}
--- a/balance/loads.go
+++ b/balance/loads.go
@@ -125,4 +125,5 @@
 	lease.loadReported = s.reported
 	s.reportedAt = now
 	b.recordReportLocked(s, &load, now)
+	s.learnLoad(load)
 }
--- a/balance/server.go
+++ b/balance/server.go
@@ -56,6 +56,8 @@
 	hasInvalidPace bool
 	speed          speed
 
+	learned learnedSlots
+
 	// lastActivityAt is when the server last sent anything to this router, busySince since when
 	// this router has had requests in flight there.
 	lastActivityAt time.Time
