permit: Test servers that come back under their ID

A server that leaves the list of usable servers and comes back, after a restart or an ejection, keeps the leases that routers still hold. Nothing tested that it then gets no more than its slots, and that no lease remains after the releases.

--- a/permit/fault_test.go
+++ b/permit/fault_test.go
@@ -418,9 +418,7 @@
 		f, _, other := newStartedFleet(t, 31, 3)
 		other.acquire(t, 1, usualWork)
 		time.Sleep(initialHeld)
-		f.mu.Lock()
-		f.gone["plain-0"] = true
-		f.mu.Unlock()
+		f.setGone("plain-0", true)
 		time.Sleep(2 * capacityInterval)
 		for range 8 {
 			request := newRequest(35*time.Millisecond, time.Minute)
@@ -436,9 +434,8 @@
 		if _, err := other.client().Acquire(t.Context(), request); !slipwick.IsKind(err, slipwick.KindOverloaded) {
 			t.Errorf("got %v for a request that excludes all servers, want a refusal", err)
 		}
-		f.mu.Lock()
-		f.gone["plain-1"], f.gone["plain-2"] = true, true
-		f.mu.Unlock()
+		f.setGone("plain-1", true)
+		f.setGone("plain-2", true)
 		time.Sleep(2 * capacityInterval)
 		permit, err := other.client().Acquire(t.Context(), newRequest(35*time.Millisecond, time.Second))
 		if err != nil || permit != (slipwick.Permit{}) {
@@ -447,6 +444,33 @@
 	})
 }
 
+// TestRestartedServerKeepsItsLeases guards against requests above a server's limit after it left the list
+// and came back under its ID, as after a restart or an ejection, while routers still hold its permits; and
+// against leases that remain once these are released.
+func TestRestartedServerKeepsItsLeases(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, _, other := newStartedFleet(t, 31, 2)
+		other.acquire(t, 1, longWork)
+		time.Sleep(initialHeld)
+		held := other.acquire(t, 9, longWork)
+		f.setGone("plain-0", true)
+		time.Sleep(100 * time.Millisecond)
+		f.checkLeases(t, "while the server is away", 10)
+		f.setGone("plain-0", false)
+		time.Sleep(2 * capacityInterval)
+		granted := make(map[string]int)
+		for _, permit := range append(held, other.acquire(t, 2, longWork)...) {
+			granted[permit.Backend]++
+			other.client().Release(permit, slipwick.EvidenceUnreachable)
+		}
+		if granted["plain-0"] > 6 || granted["plain-1"] > 6 {
+			t.Errorf("got permits %v, want at most the 6 slots of each server", granted)
+		}
+		time.Sleep(20 * time.Millisecond)
+		f.checkLeases(t, "after the releases", 1)
+	})
+}
+
 // TestRejectionPausesServer guards against requests in flight above the leases of a server that has just
 // rejected one.
 func TestRejectionPausesServer(t *testing.T) {
--- a/permit/fleet_test.go
+++ b/permit/fleet_test.go
@@ -144,6 +144,13 @@
 	go e.Run(ctx)
 }
 
+// setGone removes a server from the list of usable servers, or adds it again.
+func (f *testFleet) setGone(server string, gone bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.gone[server] = gone
+}
+
 // current returns the endpoint of the router's current run, client its client.
 func (r *testRouter) current() *Endpoint {
 	r.fleet.network.mu.Lock()
