gatewayd: Test permits between two gateway processes

The wiring was tested with sockets alone: nothing started a gateway with admission control. The new test starts two, and one with admission off that opens no socket. Gateways now use three consecutive ports, so the fixture draws as many; otherwise two gateways of a test could be given the same third one.

Measured: go test -race ./cmd/internal/gatewayd passes (70 s).

--- a/cmd/internal/gatewayd/fixture_test.go
+++ b/cmd/internal/gatewayd/fixture_test.go
@@ -34,6 +34,8 @@
 	timeline, revision uint64
 	// idleTimeout is how long the table allows callers' connections to be idle.
 	idleTimeout time.Duration
+	// admission becomes Settings.Admission.
+	admission AdmissionMode
 }
 
 // newFixture returns a fixture with one table and one backend server, which responds
@@ -148,7 +150,7 @@
 // was closed a moment ago and is not in use yet.
 var givenPorts sync.Map
 
-// freePorts returns the first of two consecutive free ports. No port is returned twice.
+// freePorts returns the first of three consecutive free ports. No port is returned twice.
 func freePorts(t *testing.T) int {
 	t.Helper()
 	for range 50 {
@@ -162,14 +164,20 @@
 		if err != nil {
 			continue
 		}
+		third, err := net.ListenPacket("udp4", fmt.Sprintf("%s:%d", loopback.Host(), port+2))
 		_ = second.Close()
+		if err != nil {
+			continue
+		}
+		_ = third.Close()
 		_, isGiven := givenPorts.LoadOrStore(port, true)
 		_, isNextGiven := givenPorts.LoadOrStore(port+1, true)
-		if !isGiven && !isNextGiven {
+		_, isLastGiven := givenPorts.LoadOrStore(port+2, true)
+		if !isGiven && !isNextGiven && !isLastGiven {
 			return port
 		}
 	}
-	t.Fatal("found no two consecutive free ports")
+	t.Fatal("found no three consecutive free ports")
 	return 0
 }
 
@@ -222,6 +230,7 @@
 			EvacuationTime: f.evacuationTime,
 		},
 		GracePeriod: 6 * time.Second,
+		Admission:   f.admission,
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	r := &testGateway{
--- a/cmd/internal/gatewayd/permits_test.go
+++ b/cmd/internal/gatewayd/permits_test.go
@@ -64,6 +64,40 @@
 	}
 }
 
+// TestGatewaysGrantPermits guards against gateways with admission control that don't reach the coordinator of
+// a pool, and against a socket that is open without it.
+func TestGatewaysGrantPermits(t *testing.T) {
+	f := newFixture(t)
+	if r := startReady(t, f, "off"); r.permits != nil {
+		t.Error("got permits without admission control, want none")
+	}
+	f.admission = AdmissionOn
+	first := startReady(t, f, "r1")
+	routers := []*testGateway{first, startReady(t, f, "r2", first.Settings.Listen.Peers)}
+	for _, r := range routers {
+		waitFor(t, "two members", func() bool { return len(r.node.Routers()) == len(routers) })
+	}
+	for _, r := range routers {
+		client := r.permits.endpoint.Client
+		waitFor(t, "a permit of the coordinator", func() bool {
+			client.RecordShed("p")
+			permit, err := client.Acquire(t.Context(), &slipwick.PermitRequest{
+				Pool:     "p",
+				Work:     time.Millisecond,
+				Arrived:  time.Now(),
+				Deadline: time.Now().Add(time.Second),
+			})
+			if err == nil {
+				client.Release(permit, slipwick.EvidenceGood)
+			}
+			return err == nil && permit.Backend == "b1"
+		})
+	}
+	if routers[0].permits.bytes()+routers[1].permits.bytes() == 0 {
+		t.Error("got no datagrams about permits, want those between the two gateways")
+	}
+}
+
 // openPermitSocket returns a router whose port for permits is open.
 func openPermitSocket(t *testing.T, id string) (slipwick.Router, *net.UDPConn) {
 	t.Helper()
