--- a/cmd/internal/gatewayd/permits_test.go
+++ b/cmd/internal/gatewayd/permits_test.go
@@ -68,7 +68,7 @@
 // a pool, and against a socket that is open without it.
 func TestGatewaysGrantPermits(t *testing.T) {
 	f := newFixture(t)
-	if r := startReady(t, f, "off"); r.permits != nil {
+	if r := startReady(t, f, "off"); r.permitEndpoint != nil {
 		t.Error("got permits without admission control, want none")
 	}
 	f.admission = AdmissionOn
@@ -78,7 +78,7 @@
 		waitFor(t, "two members", func() bool { return len(r.node.Routers()) == len(routers) })
 	}
 	for _, r := range routers {
-		client := r.permits.endpoint.Client
+		client := r.permitEndpoint.endpoint.Client
 		waitFor(t, "a permit of the coordinator", func() bool {
 			client.RecordShed("p")
 			permit, err := client.Acquire(t.Context(), &slipwick.PermitRequest{
@@ -93,7 +93,7 @@
 			return err == nil && permit.Backend == "b1"
 		})
 	}
-	if routers[0].permits.bytes()+routers[1].permits.bytes() == 0 {
+	if routers[0].permitEndpoint.bytes()+routers[1].permitEndpoint.bytes() == 0 {
 		t.Error("got no datagrams about permits, want those between the two gateways")
 	}
 }
