--- a/cmd/internal/gatewayd/permits.go
+++ b/cmd/internal/gatewayd/permits.go
@@ -45,6 +45,17 @@
 	return err
 }
 
+// runPermits runs the sources of permits until ctx ends. It returns an error if the socket fails.
+func (p *Process) runPermits(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go p.limiter.Run(ctx)
+	err := p.permitEndpoint.run(ctx)
+	cancel()
+	<-p.limiter.Done()
+	return err
+}
+
 // bytes returns the bytes of permits sent and received; 0 without admission control.
 func (p *permits) bytes() int64 {
 	if p == nil {
--- a/cmd/internal/gatewayd/process.go
+++ b/cmd/internal/gatewayd/process.go
@@ -173,8 +173,7 @@
 	tasks.Go(func() { failed <- p.membershipUDP.Run(background) })
 	tasks.Go(func() { failed <- p.exchangeUDP.Run(background) })
 	if p.permitEndpoint != nil {
-		tasks.Go(func() { p.limiter.Run(background) })
-		tasks.Go(func() { failed <- p.permitEndpoint.run(background) })
+		tasks.Go(func() { failed <- p.runPermits(background) })
 	}
 	callers := newServer(p.gateway)
 	callers.ConnState = trackConnState
