Avoid unresponsive routers in a router's recovery

What callers would see: after a restart of the fleet, a router that knows the caches of fewer engines than the others, and sends requests to engines that have to prefill again.

Cause: a query goes to a router of the same data centre in two of three cases. In the test the only other router there, "silent", responds to nothing, and was queried again and again: 16 times of 21. An unresponsive engine makes the pauses grow to four rounds, so that some eight queries are left after the turn in which others ask the engines that were left to "silent"; with all of these lost r3 gave up with 3 engines missing.

Ruled out: a turn that nobody takes (other routers of the same run know the caches).

Why it holds: a router that did not respond is not chosen for 400 ms, one turn, while another one has not failed; if all have, all are chosen from, as before.

go test -race -run TestRecoveryEndsDespiteUnresponsiveEngineAndRouter -count 600: 11 failures before, 0 after. TestUnresponsiveRouterIsAvoided fails before (16 queries to "silent", 4 allowed).

--- a/exchange/recovery.go
+++ b/exchange/recovery.go
@@ -24,6 +24,9 @@
 	// queryTimeout bounds a query to a router, listTimeout the listing of an engine's cache.
 	queryTimeout = 200 * time.Millisecond
 	listTimeout  = 300 * time.Millisecond
+	// unresponsiveTime is how long a router that did not respond to a query is not queried again if
+	// there are others: longer than it takes to learn from these what one turn added.
+	unresponsiveTime = roundsPerTurn * roundInterval
 	// roundInterval is the pause between two rounds, about as long as an engine takes to list its
 	// cache. While nothing is learnt, the pause doubles, up to maxRoundIntervals times as long, and
 	// counts as that many rounds.
@@ -75,9 +78,11 @@
 	// askedEngines are the engines that were asked so far, abandoned those whose caches were still
 	// unknown when the last run of learnMissing gave up, and queries counts the queries to routers.
 	// turnOrder is computed again when the known routers have changed.
+	// failedAt is when each router last did not respond to a query.
 	askedEngines map[string]bool
 	abandoned    map[string]bool
 	queries      int
+	failedAt     map[string]time.Time
 	turnOrder    turnOrder
 	done         chan struct{}
 }
@@ -88,6 +93,7 @@
 	return &Recovery{
 		Self:         self,
 		askedEngines: make(map[string]bool),
+		failedAt:     make(map[string]time.Time),
 		done:         make(chan struct{}),
 	}
 }
@@ -196,16 +202,18 @@
 		snapshot, err := r.QueryRouter(limited, other, &query)
 		cancel()
 		// A router that doesn't respond is skipped; the next round queries another one.
-		if err == nil {
-			r.Balancer.MergeCacheSnapshot(snapshot)
+		if err != nil {
+			r.failedAt[other.ID] = clock.Now()
+			continue
 		}
+		r.Balancer.MergeCacheSnapshot(snapshot)
 	}
 }
 
 // chooseRouter returns another router at random, usually one of the same data centre; false if
-// there is no other.
+// there is no other. It avoids routers that did not respond lately.
 func (r *Recovery) chooseRouter() (slipwick.Router, bool) {
-	others := excluding(r.Routers(), r.Self)
+	others := r.withoutUnresponsive(excluding(r.Routers(), r.Self))
 	r.queries++
 	if r.queries%remoteQueryInterval != 0 {
 		if local := inDataCentre(others, r.DataCentre); len(local) > 0 {
@@ -218,6 +226,18 @@
 	return others[rand.IntN(len(others))], true
 }
 
+// withoutUnresponsive returns the routers that did not fail to respond lately, or all if all did.
+func (r *Recovery) withoutUnresponsive(routers []slipwick.Router) []slipwick.Router {
+	responsive := slices.DeleteFunc(slices.Clone(routers), func(router slipwick.Router) bool {
+		failedAt, ok := r.failedAt[router.ID]
+		return ok && clock.Since(failedAt) < unresponsiveTime
+	})
+	if len(responsive) == 0 {
+		return routers
+	}
+	return responsive
+}
+
 func inDataCentre(routers []slipwick.Router, dataCentre string) []slipwick.Router {
 	var local []slipwick.Router
 	for _, router := range routers {
--- a/exchange/recovery_test.go
+++ b/exchange/recovery_test.go
@@ -157,6 +157,41 @@
 	})
 }
 
+// TestUnresponsiveRouterIsAvoided has the only other router of a data centre respond to nothing, while
+// an unresponsive engine keeps the recovery going. It guards against the failure that two of three
+// queries went to that router, so that the others' caches were not learnt before recovery gave up.
+func TestUnresponsiveRouterIsAvoided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRecoveringFleet()
+		f.unresponsive["engine-3"] = true
+		silent := f.add("silent")
+		f.routers["silent"] = nil
+		for i := range 3 {
+			go f.add(fmt.Sprint("r", i)).Run(t.Context())
+		}
+		r := f.add("same")
+		r.DataCentre = silent.DataCentre
+		queries := make(map[string]int)
+		queryRouter := r.QueryRouter
+		r.QueryRouter = func(
+			ctx context.Context, other slipwick.Router, q *balance.CacheQuery,
+		) (*balance.CacheSnapshot, error) {
+			queries[other.ID]++
+			return queryRouter(ctx, other, q)
+		}
+		started := time.Now()
+		r.Run(t.Context())
+		if got, limit := queries["silent"], 1+int(time.Since(started)/unresponsiveTime); got > limit {
+			t.Errorf("got %d queries to the unresponsive router of %v, want at most %d", got, queries, limit)
+		}
+		for _, other := range f.routers {
+			if other != nil {
+				<-other.Done()
+			}
+		}
+	})
+}
+
 // TestFewQueriesForUnresponsiveEngines has one engine of many never list its cache. Routers may
 // query each other while they learn something, and must do so seldom after that.
 //
