Keep the suspicion of entries short when routers are cut off from the store

What callers would see: after an outage of the store and a restore, routers that send nothing to live servers for 17 s and more instead of 9.6 s, because some routers, the watchers among them, were cut off from the store for a moment meanwhile.

Cause: each first response after failed calls started the eight heartbeats again. In the history of KNOWN-RED.txt the watchers r0 and r6 were cut off at 22.1 s for 0.4 s; all ten routers had been confirmed at 21.5 s and again at 22.6 to 22.9 s, and started again at 22.6 s (the restore was at 19.1 s).

Why it holds: the eight heartbeats include one interruption that restarts the expiry of entries. An interruption that is shorter than an outage now delays trust only as far as it can delay the removal: three heartbeats after it, if it began before the removal was due. That also holds for interruptions that a router knows only from others' copies, which did not count before. An outage still starts the eight heartbeats again, unless other routers know that the store responded throughout.

--- a/directory/backends.go
+++ b/directory/backends.go
@@ -24,6 +24,9 @@
 	// after an outage, and is itself that share of 2 s, the LeaveTime if the settings have none.
 	reregisterTime  = 1900 * time.Millisecond
 	reregisterShare = 0.95
+	// Suspect entries are trusted no earlier than heartbeat / trustDelayDivisor after the response
+	// that shows it, so that the changes of that response are applied first.
+	trustDelayDivisor = 4
 )
 
 // Backends maintains the list of backend servers from the changes of their entries. Set the
@@ -58,7 +61,8 @@
 	// from a backup.
 	restored   bool
 	departures departures
-	// trustTimer ends the suspicion of the entries that are suspect after a restore.
+	// suspicion is how long entries of a restored store are suspect; trustTimer ends that.
+	suspicion  suspicion
 	trustTimer *time.Timer
 }
 
@@ -85,27 +89,26 @@
 	defer b.mu.Unlock()
 	b.restored = true
 	b.startGraceLocked(clock.Now(), b.gracePeriod(math.MaxInt64, math.MaxInt64)-stableFor)
-	b.scheduleTrustLocked(age)
+	b.suspicion.begin(clock.Now().Add(-age), b.heartbeat())
+	b.scheduleTrustLocked()
 }
 
-// scheduleTrustLocked makes entries that are suspect, and still listed by then, trusted
-// expiryHeartbeats heartbeat intervals after the store is known to have responded, which was age
-// ago. The store has removed entries that nobody renews by that time, no matter when this router
-// learnt of it.
-func (b *Backends) scheduleTrustLocked(age time.Duration) {
+// scheduleTrustLocked makes entries that are suspect, and still listed by then, trusted at the end
+// of the suspicion. The changes of the response that is being handled are applied before that.
+func (b *Backends) scheduleTrustLocked() {
 	if b.trustTimer != nil {
 		b.trustTimer.Stop()
 	}
-	b.trustTimer = time.AfterFunc(max(expiryHeartbeats*b.heartbeat()-age, 0), b.trustListed)
+	left := b.suspicion.end(b.heartbeat()).Sub(clock.Now())
+	b.trustTimer = time.AfterFunc(max(left, b.heartbeat()/trustDelayDivisor), b.trustListed)
 }
 
 // trustListed trusts all suspect entries that the store still lists. If the store has not
-// responded lately it starts the wait again.
+// responded lately, the next response schedules it again.
 func (b *Backends) trustListed() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.isUnresponsiveLocked() {
-		b.scheduleTrustLocked(0)
 		return
 	}
 	if len(b.departures.suspect) > 0 {
@@ -115,6 +118,29 @@
 	}
 }
 
+// resumeTrustLocked adjusts the wait until suspect entries are trusted at a response after calls that
+// failed, or after an interruption that others know of. If the store is known to have responded since
+// before this router's latest response, an outage was this router's or its peers' alone, and has not
+// restarted the expiry time of any entry. Others may not have noticed an interruption that is shorter.
+func (b *Backends) resumeTrustLocked(age, stableFor time.Duration) {
+	now := clock.Now()
+	confirmedAt := now.Add(-age)
+	isStable := !now.Add(-stableFor - stableMargin).After(b.confirmedAt)
+	// 0 stands for unknown, which shows no interruption.
+	if !b.isUnresponsiveLocked() && (isStable || stableFor == 0) {
+		return
+	}
+	// Each includes the time that a copy took to arrive, the last before the gap or the first after it.
+	down := min(now.Sub(b.respondedAt), confirmedAt.Sub(b.confirmedAt))
+	switch {
+	case down <= b.outageAfter():
+		b.suspicion.interrupt(b.confirmedAt, confirmedAt, b.heartbeat())
+	case !isStable:
+		b.suspicion.begin(confirmedAt, b.heartbeat())
+	}
+	b.scheduleTrustLocked()
+}
+
 // isUnresponsiveLocked reports whether the store has not responded lately. A store that was down
 // may restart the expiry time of entries that nobody renews.
 func (b *Backends) isUnresponsiveLocked() bool {
@@ -128,8 +154,8 @@
 func (b *Backends) RecordResponse(age, stableFor time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.isUnresponsiveLocked() && len(b.departures.suspect) > 0 {
-		b.scheduleTrustLocked(age)
+	if len(b.departures.suspect) > 0 {
+		b.resumeTrustLocked(age, stableFor)
 	}
 	previous, confirmed := b.respondedAt, b.confirmedAt
 	b.respondedAt = clock.Now()
--- a/directory/departures.go
+++ b/directory/departures.go
@@ -15,11 +15,6 @@
 	// sweepInterval is the least time between two removals of outdated departures. Without it,
 	// each of many servers that leave at once would cause a pass over all of them.
 	sweepInterval = time.Second
-	// expiryHeartbeats is the number of heartbeats after a restore by which the store has
-	// removed entries that nobody renews, and routers know it: three for the expiry, three more
-	// if an interruption of the store just before had restarted the expiry time, and
-	// outageHeartbeats for an interruption too short to notice. The sum, 7.25, is rounded up.
-	expiryHeartbeats = 8
 )
 
 // departures records which incarnations of servers have left, disappeared or been replaced. A
--- a/directory/mirror.go
+++ b/directory/mirror.go
@@ -15,6 +15,11 @@
 // of the copy ends the watch.
 const reconfirmShare = 0.5
 
+// stableMargin is by how much the time since which the store has been stable may be later than the
+// latest confirmation of a copy if there was no interruption in between: both times are rounded, and
+// lag by network delays.
+const stableMargin = 100 * time.Millisecond
+
 // Mirror is a copy of all objects of a feed, and serves them as a feed to other routers. It is
 // safe for concurrent use.
 type Mirror struct {
@@ -74,9 +79,7 @@
 			differing = append(differing, e)
 		}
 	}
-	if isNewTimeline || m.unconfirmed {
-		m.stableSince = clock.Now().Add(-batch.StableFor)
-	}
+	m.updateStableSinceLocked(batch)
 	switch {
 	case isNewTimeline || m.position.IsZero():
 		m.changes, m.gaps, m.discardedThrough = nil, nil, batch.Revision
@@ -92,6 +95,16 @@
 	return differing
 }
 
+// updateStableSinceLocked updates since when the store has been stable, before a batch is applied.
+func (m *Mirror) updateStableSinceLocked(batch *slipwick.FeedBatch) {
+	stableSince := clock.Now().Add(-batch.StableFor)
+	// A batch that does not know for how long shows no interruption.
+	isInterrupted := batch.StableFor > 0 && stableSince.After(m.confirmedAt.Add(stableMargin))
+	if batch.Timeline != m.position.Timeline || m.unconfirmed || isInterrupted {
+		m.stableSince = stableSince
+	}
+}
+
 // Position returns the store's position that the copy corresponds to.
 func (m *Mirror) Position() slipwick.Position {
 	m.mu.Lock()
--- a/directory/modelrestores_test.go
+++ b/directory/modelrestores_test.go
@@ -144,7 +144,7 @@
 // that lists all of them. What the servers write again changes nothing, so that no event shows that
 // they are alive, and their entries are suspect for eight heartbeats. Meanwhile half of the routers
 // are cut off from the store, the watchers among them: no router can tell that the store did not
-// stop during that time, and the eight heartbeats start again.
+// stop during that time. The eight heartbeats, which include such an interruption, started again.
 func TestLiveServersAreInUseThoughRoutersAreCutOffAfterRestore(t *testing.T) {
 	const ms = time.Millisecond
 	for round := range 5 {
@@ -217,3 +217,59 @@
 		}
 	}
 }
+
+// TestLiveServersAreInUseThoughRoutersAreCutOffForLong runs a history in which most routers sent
+// nothing to live servers, as in TestLiveServersAreInUseThoughRoutersAreCutOffAfterRestore. Here
+// half of the routers are cut off for 4.1 s, and routers that others take over for get copies which
+// show that the store responded meanwhile.
+func TestLiveServersAreInUseThoughRoutersAreCutOffForLong(t *testing.T) {
+	const ms = time.Millisecond
+	for round := range 5 {
+		violations, _ := runHistory(t, 9, []event{
+			{
+				Kind:   "leave",
+				Target: 6,
+				Manner: "announced",
+				Delay:  4000 * ms,
+			},
+			{
+				Kind:     "outage",
+				Target:   1,
+				Duration: 5400 * ms,
+				Delay:    4400 * ms,
+				Expires:  true,
+			},
+			{
+				Kind:      "restore",
+				Target:    10,
+				Duration:  400 * ms,
+				BackupAge: 1300 * ms,
+				Delay:     100 * ms,
+			},
+			{
+				Kind:   "leave",
+				Manner: "announced",
+				Delay:  700 * ms,
+			},
+			{
+				Kind:   "leave",
+				Manner: "announced",
+				Delay:  700 * ms,
+			},
+			{
+				Kind:     "cut",
+				Target:   4,
+				Duration: 4100 * ms,
+				Delay:    1300 * ms,
+			},
+			{
+				Kind:   "leave",
+				Manner: "crash",
+				Delay:  1300 * ms,
+			},
+		})
+		if len(violations) > 0 {
+			t.Errorf("round %d: %q", round, violations)
+		}
+	}
+}
