Follow the store as soon as a starting watcher knows the fleet

What callers would see: routers of a fleet that starts at once which serve nothing for more than a second, as they have no list of backend servers.

Cause: until a router knows the fleet it asks two others every 100 ms, and waits for up to 250 ms for these. When the fleet became known meanwhile, the ticker was due as well, and select chose one of the two by chance. In a failing start of eight routers the watcher r0 knew the fleet at 431 ms and asked others until 936 ms, four times; the other watcher did the same.

Ruled out: other routers that keep a list too long (each responds after 150 ms), and the turns to take over (these begin 500 ms after the fleet is known).

Why it holds: the known fleet is checked after each wait, so that one more query is all that can be under way.

--- a/directory/fakefeed_test.go
+++ b/directory/fakefeed_test.go
@@ -121,9 +121,14 @@
 	relayIDs  []string
 	// takeoverTurn is the router's turn to ask the store in place of the watchers.
 	takeoverTurn int
+	// fleetKnown is closed once the router has discovered the others; nil if it has from the start.
+	fleetKnown chan struct{}
 }
 
 func (p *fakePeers) FleetKnown() <-chan struct{} {
+	if p.fleetKnown != nil {
+		return p.fleetKnown
+	}
 	fleetKnown := make(chan struct{})
 	close(fleetKnown)
 	return fleetKnown
--- a/directory/sharedfeed.go
+++ b/directory/sharedfeed.go
@@ -144,6 +144,10 @@
 			return peerResponse{}
 		case <-ticker.C:
 		}
+		// The ticker may be due too if the fleet became known while other routers were asked.
+		if s.isFleetKnown() {
+			return peerResponse{}
+		}
 		others := s.withRandomPeers(nil)
 		if len(others) == 0 && waited >= aloneWait {
 			return peerResponse{}
@@ -154,6 +158,16 @@
 	}
 }
 
+// isFleetKnown reports whether this router has discovered the others.
+func (s *SharedFeed) isFleetKnown() bool {
+	select {
+	case <-s.Peers.FleetKnown():
+		return true
+	default:
+		return false
+	}
+}
+
 // record updates confirmedAt and position from a response.
 func (s *SharedFeed) record(batch slipwick.FeedBatch, err error) (slipwick.FeedBatch, error) {
 	if err != nil {
