Drop entries that were written and removed within a grace period at once

What callers would see: requests sent to a server that has been removed, for up to 1.9 s after an outage or a restore of the store, though the removal was known.

Cause: entries that disappear within the grace period count as expired, and stay in use until its end.

Why it holds: an entry that was written since the response that began the grace period cannot have expired within that period, because the store takes three heartbeats for that. Its removal is one by the server or the operator, or a true expiry. Entries of the first response may be from before, and are kept as before; a new outage or restore forgets which were written.

--- a/directory/backends.go
+++ b/directory/backends.go
@@ -45,6 +45,9 @@
 	// period and stay in use until its end, both by name.
 	entries map[string]balance.Entry
 	expired map[string]balance.Entry
+	// written has the names of entries that were written since the grace period began: these cannot
+	// have expired within it.
+	written map[string]bool
 	// ids has the IDs of the published backend servers, by the name of their entry.
 	ids map[string]string
 	// respondedAt is when the latest response arrived, confirmedAt when the store was in the state
@@ -57,6 +60,8 @@
 	// graceTimer ends that.
 	graceUntil time.Time
 	graceTimer *time.Timer
+	// graceStarted is true if the next changes are from the response that began the grace period.
+	graceStarted bool
 	// restored is true if the next changes are from the first list after the store was restored
 	// from a backup.
 	restored   bool
@@ -72,6 +77,7 @@
 		OnChange: onChange,
 		entries:  make(map[string]balance.Entry),
 		expired:  make(map[string]balance.Entry),
+		written:  make(map[string]bool),
 		ids:      make(map[string]string),
 
 		departures: newDepartures(),
@@ -157,6 +163,7 @@
 	if len(b.departures.suspect) > 0 {
 		b.resumeTrustLocked(age, stableFor)
 	}
+	b.graceStarted = false
 	previous, confirmed := b.respondedAt, b.confirmedAt
 	b.respondedAt = clock.Now()
 	b.confirmedAt = b.respondedAt.Add(-age)
@@ -205,6 +212,8 @@
 }
 
 func (b *Backends) startGraceLocked(now time.Time, period time.Duration) {
+	clear(b.written)
+	b.graceStarted = true
 	b.graceUntil = now.Add(period)
 	if b.graceTimer != nil {
 		b.graceTimer.Stop()
@@ -229,7 +238,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	isRestored := b.restored
-	b.restored = false
+	isFirst := isRestored || b.graceStarted
+	b.restored, b.graceStarted = false, false
 	if len(b.entries) == 0 && len(b.ids) == 0 {
 		b.entries = make(map[string]balance.Entry, len(changes))
 		b.ids = make(map[string]string, len(changes))
@@ -249,6 +259,9 @@
 			c.Value.ColdUntil = clock.Now().Add(c.Value.ColdTime)
 			b.entries[c.Name] = c.Value
 			delete(b.expired, c.Name)
+			if !isFirst && clock.Now().Before(b.graceUntil) {
+				b.written[c.Name] = true
+			}
 		case known:
 			delete(b.entries, c.Name)
 			isSuspect := b.departures.suspect[c.Name]
@@ -276,9 +289,9 @@
 }
 
 // keepExpiredLocked keeps an entry that disappeared within the grace period, unless its server
-// was leaving anyway.
+// was leaving anyway, or the entry was written within that period.
 func (b *Backends) keepExpiredLocked(name string, listed balance.Entry) {
-	if clock.Now().Before(b.graceUntil) && !listed.Leaving {
+	if clock.Now().Before(b.graceUntil) && !listed.Leaving && !b.written[name] {
 		b.expired[name] = listed
 	}
 }
