--- a/directory/backends.go
+++ b/directory/backends.go
@@ -24,6 +24,9 @@
 	// after an outage, and is itself that share of 2 s, the LeaveTime if the settings have none.
 	reregisterTime  = 1900 * time.Millisecond
 	reregisterShare = 0.95
+	// Suspect entries are trusted no earlier than heartbeat / trustDelayDivisor after the response
+	// that shows it, so that the changes of that response are applied first.
+	trustDelayDivisor = 4
 )
 
 // Backends maintains the list of backend servers from the changes of their entries. Set the
@@ -42,6 +45,9 @@
 	// period and stay in use until its end, both by name.
 	entries map[string]balance.Entry
 	expired map[string]balance.Entry
+	// written has the names of entries that were written since the grace period began: these cannot
+	// have expired within it.
+	written map[string]bool
 	// ids has the IDs of the published backend servers, by the name of their entry.
 	ids map[string]string
 	// respondedAt is when the latest response arrived, confirmedAt when the store was in the state
@@ -54,11 +60,14 @@
 	// graceTimer ends that.
 	graceUntil time.Time
 	graceTimer *time.Timer
+	// graceStarted is true if the next changes are from the response that began the grace period.
+	graceStarted bool
 	// restored is true if the next changes are from the first list after the store was restored
 	// from a backup.
 	restored   bool
 	departures departures
-	// trustTimer ends the suspicion of the entries that are suspect after a restore.
+	// suspicion is how long entries of a restored store are suspect; trustTimer ends that.
+	suspicion  suspicion
 	trustTimer *time.Timer
 }
 
@@ -68,6 +77,7 @@
 		OnChange: onChange,
 		entries:  make(map[string]balance.Entry),
 		expired:  make(map[string]balance.Entry),
+		written:  make(map[string]bool),
 		ids:      make(map[string]string),
 
 		departures: newDepartures(),
@@ -85,27 +95,26 @@
 	defer b.mu.Unlock()
 	b.restored = true
 	b.startGraceLocked(clock.Now(), b.gracePeriod(math.MaxInt64, math.MaxInt64)-stableFor)
-	b.scheduleTrustLocked(age)
+	b.suspicion.begin(clock.Now().Add(-age), b.heartbeat())
+	b.scheduleTrustLocked()
 }
 
-// scheduleTrustLocked makes entries that are suspect, and still listed by then, trusted
-// expiryHeartbeats heartbeat intervals after the store is known to have responded, which was age
-// ago. The store has removed entries that nobody renews by that time, no matter when this router
-// learnt of it.
-func (b *Backends) scheduleTrustLocked(age time.Duration) {
+// scheduleTrustLocked makes entries that are suspect, and still listed by then, trusted at the end
+// of the suspicion. The changes of the response that is being handled are applied before that.
+func (b *Backends) scheduleTrustLocked() {
 	if b.trustTimer != nil {
 		b.trustTimer.Stop()
 	}
-	b.trustTimer = time.AfterFunc(max(expiryHeartbeats*b.heartbeat()-age, 0), b.trustListed)
+	left := b.suspicion.end(b.heartbeat()).Sub(clock.Now())
+	b.trustTimer = time.AfterFunc(max(left, b.heartbeat()/trustDelayDivisor), b.trustListed)
 }
 
 // trustListed trusts all suspect entries that the store still lists. If the store has not
-// responded lately it starts the wait again.
+// responded lately, the next response schedules it again.
 func (b *Backends) trustListed() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.isUnresponsiveLocked() {
-		b.scheduleTrustLocked(0)
 		return
 	}
 	if len(b.departures.suspect) > 0 {
@@ -115,6 +124,29 @@
 	}
 }
 
+// resumeTrustLocked adjusts the wait until suspect entries are trusted at a response after calls that
+// failed, or after an interruption that others know of. If the store is known to have responded since
+// before this router's latest response, an outage was this router's or its peers' alone, and has not
+// restarted the expiry time of any entry. Others may not have noticed an interruption that is shorter.
+func (b *Backends) resumeTrustLocked(age, stableFor time.Duration) {
+	now := clock.Now()
+	confirmedAt := now.Add(-age)
+	isStable := !now.Add(-stableFor - stableMargin).After(b.confirmedAt)
+	// 0 stands for unknown, which shows no interruption.
+	if !b.isUnresponsiveLocked() && (isStable || stableFor == 0) {
+		return
+	}
+	// Each includes the time that a copy took to arrive, the last before the gap or the first after it.
+	down := min(now.Sub(b.respondedAt), confirmedAt.Sub(b.confirmedAt))
+	switch {
+	case down <= b.outageAfter():
+		b.suspicion.interrupt(b.confirmedAt, confirmedAt, b.heartbeat())
+	case !isStable:
+		b.suspicion.begin(confirmedAt, b.heartbeat())
+	}
+	b.scheduleTrustLocked()
+}
+
 // isUnresponsiveLocked reports whether the store has not responded lately. A store that was down
 // may restart the expiry time of entries that nobody renews.
 func (b *Backends) isUnresponsiveLocked() bool {
@@ -128,9 +160,10 @@
 func (b *Backends) RecordResponse(age, stableFor time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.isUnresponsiveLocked() && len(b.departures.suspect) > 0 {
-		b.scheduleTrustLocked(age)
+	if len(b.departures.suspect) > 0 {
+		b.resumeTrustLocked(age, stableFor)
 	}
+	b.graceStarted = false
 	previous, confirmed := b.respondedAt, b.confirmedAt
 	b.respondedAt = clock.Now()
 	b.confirmedAt = b.respondedAt.Add(-age)
@@ -179,6 +212,8 @@
 }
 
 func (b *Backends) startGraceLocked(now time.Time, period time.Duration) {
+	clear(b.written)
+	b.graceStarted = true
 	b.graceUntil = now.Add(period)
 	if b.graceTimer != nil {
 		b.graceTimer.Stop()
@@ -203,7 +238,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	isRestored := b.restored
-	b.restored = false
+	isFirst := isRestored || b.graceStarted
+	b.restored, b.graceStarted = false, false
 	if len(b.entries) == 0 && len(b.ids) == 0 {
 		b.entries = make(map[string]balance.Entry, len(changes))
 		b.ids = make(map[string]string, len(changes))
@@ -223,6 +259,9 @@
 			c.Value.ColdUntil = clock.Now().Add(c.Value.ColdTime)
 			b.entries[c.Name] = c.Value
 			delete(b.expired, c.Name)
+			if !isFirst && clock.Now().Before(b.graceUntil) {
+				b.written[c.Name] = true
+			}
 		case known:
 			delete(b.entries, c.Name)
 			isSuspect := b.departures.suspect[c.Name]
@@ -250,9 +289,9 @@
 }
 
 // keepExpiredLocked keeps an entry that disappeared within the grace period, unless its server
-// was leaving anyway.
+// was leaving anyway, or the entry was written within that period.
 func (b *Backends) keepExpiredLocked(name string, listed balance.Entry) {
-	if clock.Now().Before(b.graceUntil) && !listed.Leaving {
+	if clock.Now().Before(b.graceUntil) && !listed.Leaving && !b.written[name] {
 		b.expired[name] = listed
 	}
 }
