--- /dev/null
+++ b/balance/capacity_test.go
@@ -0,0 +1,26 @@
+package balance
+
+import (
+	"testing"
+
+	"github.com/slipwick/slipwick"
+)
+
+// TestLastServerCountsThoughEjected guards against a pool that counts as one without servers, and so
+// needs no permits, because its last server was ejected: all routers then send to it without a limit,
+// and it rejects most of the requests.
+func TestLastServerCountsThoughEjected(t *testing.T) {
+	b := newTestBalancer(2)
+	eject := func(id string) {
+		lease := leaseAt(t, b, id)
+		b.Release(lease, slipwick.EvidenceUnreachable)
+	}
+	eject("p-0")
+	if got := b.PoolCapacity("p").Servers; len(got) != 1 || got[0].ID != "p-1" {
+		t.Errorf("one of two servers ejected: got %+v, want the other one", got)
+	}
+	eject("p-1")
+	if got := b.PoolCapacity("p").Servers; len(got) != 2 {
+		t.Errorf("both servers ejected: got %+v, want both, as they get requests", got)
+	}
+}
--- a/balance/learnedslots.go
+++ b/balance/learnedslots.go
@@ -13,10 +13,11 @@
 	// maxDecrease is the part of the limit that one rejection takes away at most: the requests of other
 	// routers are known late, so that the server may have had many more in flight.
 	maxDecrease = 0.5
-	// minMemoryLoad is the part of its slots that an engine runs at least when its memory, and not a
-	// prompt that it prefills, makes other requests wait: these count as waiting until their first
-	// token.
-	minMemoryLoad = 0.5
+	// minMemoryLoad is the part of its slots that an engine runs at least, and minWaitingShare the number
+	// of waiting requests for each that runs, when its memory makes requests wait, and not prompts
+	// that it prefills: requests count as waiting until their first token.
+	minMemoryLoad   = 0.5
+	minWaitingShare = 0.5
 )
 
 // lower sets the limit to a number of requests, if that is lower than the limit, which is declared while
@@ -69,7 +70,8 @@
 // shows that its memory doesn't suffice for more.
 func (s *server) learnLoad(load Load) {
 	slots := s.EffectiveSlots()
-	if load.Waiting > 0 && load.Running < slots && float64(load.Running) >= minMemoryLoad*float64(slots) {
+	if load.Running < slots && float64(load.Running) >= minMemoryLoad*float64(slots) &&
+		float64(load.Waiting) >= minWaitingShare*float64(load.Running) {
 		s.learned.lower(float64(load.Running), slots)
 	}
 }
