gateway: Account for the memory of requests, and wait for room for bodies

A router read the bodies of all callers into memory without a bound on their total, allocated the announced length before a byte had arrived, and read a body for as long as its caller kept the connection open.

Package memory counts the bytes held for bodies, responses and streams, for each request and in total, and bounds the total. A request reserves 4 KB for its response and then its body as it arrives, in a buffer that doubles. Above the limit it waits for an eighth of the route's objective (125 ms without one), then it gets 503 `memory` with Retry-After, not run. A body that can never fit gets 413. Reading a body ends at the request's deadline with 408.

Measured: go test ./gateway -race, 200 callers that announce 1 MB each and send 1 KB hold 8 KB each, within a limit of 16 MiB; another caller's body of 1 MiB is served. constants_test.go also checks package memory.

--- a/constants_test.go
+++ b/constants_test.go
@@ -12,7 +12,8 @@
 
 // documentedPackages are the packages whose numeric constants docs/CONSTANTS.md must list.
 var documentedPackages = []string{
-	"balance", "quarantine", "gateway", "upstream", "exchange", "directory", "retry", "pace", "cmd/internal/gatewayd",
+	"balance", "quarantine", "gateway", "upstream", "exchange", "directory", "retry", "pace", "memory",
+	"cmd/internal/gatewayd",
 }
 
 // numericConstants returns the names of a file's constants that have a number in their value.
--- /dev/null
+++ b/gateway/body_test.go
@@ -0,0 +1,154 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/slipwick/slipwick/memory"
+)
+
+// TestBodiesOfAllSizesAreForwarded guards against bytes lost where the buffer of a body grows, for
+// bodies with and without an announced length.
+func TestBodiesOfAllSizesAreForwarded(t *testing.T) {
+	t.Parallel()
+	b := newBackend(t, "b1", respondWith(http.StatusOK, "answer"))
+	f := newMemoryFixture(t, 32<<20, b)
+	for _, size := range []int{0, 1, initialBodyBytes - 1, initialBodyBytes, initialBodyBytes + 1, 100_000, 1 << 20} {
+		want := strings.Repeat("0123456789", size/10+1)[:size]
+		for _, body := range []io.Reader{strings.NewReader(want), io.MultiReader(strings.NewReader(want))} {
+			r := f.request(t, "/single/x", "")
+			r.Body, r.ContentLength = io.NopCloser(body), -1
+			if _, known := body.(*strings.Reader); known {
+				r.ContentLength = int64(size)
+			}
+			if got := send(t, r); got.status != http.StatusOK || *b.body.Load() != want {
+				t.Errorf("%d bytes: got %d and %d bytes at the server, want the body", size, got.status, len(*b.body.Load()))
+			}
+		}
+	}
+	f.awaitReleased(t)
+}
+
+// TestSlowBodiesHoldOnlyWhatWasSent has 200 callers announce 1 MB each, send 1 KB and stall, which
+// together is twelve times the limit: another caller has to be served, and the memory is free once they
+// disconnect.
+func TestSlowBodiesHoldOnlyWhatWasSent(t *testing.T) {
+	t.Parallel()
+	const callers = 200
+	f := newMemoryFixture(t, 16<<20, newBackend(t, "b1", respondWith(http.StatusOK, "answer")))
+	var callerConns []net.Conn
+	for range callers {
+		conn := f.dialCaller(t, "/single/x", "Content-Length: 1000000\r\n")
+		if _, err := io.WriteString(conn, strings.Repeat("x", 1000)); err != nil {
+			t.Fatal(err)
+		}
+		callerConns = append(callerConns, conn)
+	}
+	const perCaller = baseBytes + initialBodyBytes
+	awaitCondition(t, "begin of all bodies", func() bool { return f.gateway.Memory.Held() == callers*perCaller })
+	r := f.request(t, "/single/x", strings.Repeat("y", 1<<20))
+	if got := send(t, r); got.status != http.StatusOK {
+		t.Errorf("got %d %q beside slow bodies, want 200", got.status, got.body)
+	}
+	if got := f.gateway.Memory.HeldFor(memory.Body); got > callers*initialBodyBytes {
+		t.Errorf("got %d bytes held for bodies, want at most %d", got, callers*initialBodyBytes)
+	}
+	for _, conn := range callerConns {
+		_ = conn.Close()
+	}
+	f.awaitReleased(t)
+}
+
+// TestBodyWithoutRoomIsRefused fills the memory: requests with and without a body are refused after the
+// bounded wait, were not run, and are served once there is room.
+func TestBodyWithoutRoomIsRefused(t *testing.T) {
+	t.Parallel()
+	b := newBackend(t, "b1", respondWith(http.StatusOK, "answer"))
+	f := newMemoryFixture(t, 1<<20, b)
+	full := f.gateway.Memory.NewReservation()
+	full.TryGrow(memory.Body, 1<<20)
+	for _, body := range []string{"", "question", strings.Repeat("x", 300_000)} {
+		for path, wait := range map[string]time.Duration{
+			"/single/x": defaultMemoryWait,
+			"/soon/x":   200 * time.Millisecond / memoryWaitDivisor,
+		} {
+			started := time.Now()
+			got := send(t, f.request(t, path, body))
+			took := time.Since(started)
+			if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+				t.Errorf("%s: got %d %v, want 503 with Retry-After", path, got.status, got.header)
+			}
+			if took < wait || took > wait+time.Second {
+				t.Errorf("%s: got the refusal after %v, want it after %v", path, took, wait)
+			}
+		}
+	}
+	if got := b.runs.Load(); got != 0 {
+		t.Errorf("got %d runs, want 0", got)
+	}
+	f.observer.mu.Lock()
+	for _, refusal := range f.observer.refusals {
+		if refusal.Reason != "memory" {
+			t.Errorf("got reason %s, want memory", refusal.Reason)
+		}
+	}
+	f.observer.mu.Unlock()
+	time.AfterFunc(defaultMemoryWait/4, full.Release)
+	if got := f.post(t, "/single/x"); got.status != http.StatusOK {
+		t.Errorf("got %d, want 200 once there is room", got.status)
+	}
+	f.awaitReleased(t)
+}
+
+// TestBodyAboveAllMemoryIsTooLarge guards against a body that is refused again and again because there
+// can never be room for it.
+func TestBodyAboveAllMemoryIsTooLarge(t *testing.T) {
+	t.Parallel()
+	f := newMemoryFixture(t, 64<<10, newBackend(t, "b1", respondWith(http.StatusOK, "answer")))
+	got := send(t, f.request(t, "/single/x", strings.Repeat("x", 200_000)))
+	if got.status != http.StatusRequestEntityTooLarge {
+		t.Errorf("got %d %q, want 413", got.status, got.body)
+	}
+	f.awaitReleased(t)
+}
+
+// TestBodyIsReadUntilTheDeadline has a caller stop sending in its body.
+func TestBodyIsReadUntilTheDeadline(t *testing.T) {
+	t.Parallel()
+	b := newBackend(t, "b1", respondWith(http.StatusOK, "answer"))
+	f := newMemoryFixture(t, 1<<20, b)
+	const wait = 200 * time.Millisecond
+	started := time.Now()
+	conn := f.dialCaller(t, "/single/x",
+		fmt.Sprintf("Content-Length: 1000\r\nSlipwick-Deadline-Ms: %s\r\n", strconv.FormatInt(wait.Milliseconds(), 10)))
+	got := readResponse(t, conn)
+	if took := time.Since(started); got.status != http.StatusRequestTimeout || took < wait || took > wait+2*time.Second {
+		t.Errorf("got %d after %v, want 408 after %v", got.status, took, wait)
+	}
+	if got := b.runs.Load(); got != 0 {
+		t.Errorf("got %d runs, want 0", got)
+	}
+	f.awaitReleased(t)
+}
+
+// TestReadDeadlineEndsWithTheBody guards against a caller that counts as disconnected because the
+// deadline for its body still applies after the body was read.
+func TestReadDeadlineEndsWithTheBody(t *testing.T) {
+	t.Parallel()
+	f := newMemoryFixture(t, 1<<20, newBackend(t, "b1", respondAfter(300*time.Millisecond, "answer")))
+	f.setLimits(3, f.gateway.Table().Limits)
+	for range 2 {
+		r := f.request(t, "/single/x", "question")
+		r.Header.Set("Slipwick-Deadline-Ms", "400")
+		if got := send(t, r); got.status != http.StatusOK || got.body != "answer" {
+			t.Errorf("got %d %q, want the response shortly before the deadline", got.status, got.body)
+		}
+	}
+	f.awaitReleased(t)
+}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -9,6 +9,7 @@
 
 	"github.com/slipwick/slipwick/balance"
 	"github.com/slipwick/slipwick/clock"
+	"github.com/slipwick/slipwick/memory"
 	"github.com/slipwick/slipwick/quarantine"
 	"github.com/slipwick/slipwick/routing"
 	"github.com/slipwick/slipwick/upstream"
@@ -26,6 +27,8 @@
 	workspace *routing.Workspace
 	id        string
 	body      []byte
+	// held counts the memory that the request holds.
+	held *memory.Reservation
 	// key identifies the content of the request; a retry of the caller has the same key and another
 	// request ID.
 	key     quarantine.Key
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,9 +1,7 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -12,6 +10,7 @@
 
 	"github.com/slipwick/slipwick/balance"
 	"github.com/slipwick/slipwick/clock"
+	"github.com/slipwick/slipwick/memory"
 	"github.com/slipwick/slipwick/quarantine"
 	"github.com/slipwick/slipwick/retry"
 	"github.com/slipwick/slipwick/routing"
@@ -31,6 +30,8 @@
 	Budget *retry.Budget
 	// Quarantine refuses requests that have crashed several backend servers; nil disables it.
 	Quarantine *quarantine.Tracker
+	// Memory bounds the bytes held for bodies, responses and streams; nil sets no bound.
+	Memory *memory.Account
 	// Ready is closed once the router has a configuration and the list of backend servers, and
 	// knows the evacuated data centres and the rollouts or has waited for these for long enough.
 	// CachesKnown is closed once the router has learnt which engines have which prompts cached, or
@@ -109,7 +110,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	g.awaitReady(r, arrived)
-	c, refusal := g.admit(w, r, arrived)
+	held := g.Memory.NewReservation()
+	defer held.Release()
+	c, refusal := g.admit(w, r, arrived, held)
 	if refusal != nil {
 		refusal.write(w)
 		g.Observer.Refused(r, refusal)
@@ -130,7 +133,9 @@
 }
 
 // admit checks a request, reads its body, and returns either its call or the reason to refuse it.
-func (g *Gateway) admit(w http.ResponseWriter, r *http.Request, arrived time.Time) (*call, *Refusal) {
+func (g *Gateway) admit(
+	w http.ResponseWriter, r *http.Request, arrived time.Time, held *memory.Reservation,
+) (*call, *Refusal) {
 	table := g.table.Load()
 	if table == nil || g.Ready != nil && !isClosed(g.Ready) {
 		return nil, refuseNotReady()
@@ -154,7 +159,7 @@
 	if g.stopsBefore(deadline) {
 		return nil, refuseStopping()
 	}
-	body, refusal := readBody(w, r, table.Limits.BodyBytes)
+	body, refusal := readBody(w, r, route, table.Limits.BodyBytes, deadline, held)
 	if refusal != nil {
 		return nil, refusal
 	}
@@ -168,6 +173,7 @@
 		workspace: workspace,
 		id:        r.Header.Get(g.Headers.RequestID),
 		body:      body,
+		held:      held,
 		arrived:   arrived,
 		deadline:  deadline,
 	}
@@ -191,25 +197,3 @@
 	}
 	return int64(size)
 }
-
-// readBody reads the whole body into memory, so that it can be sent again.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *Refusal) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	if limit > 0 && r.ContentLength > limit {
-		return nil, refuseBody(limit)
-	}
-	reader := io.Reader(r.Body)
-	if limit > 0 {
-		reader = http.MaxBytesReader(w, r.Body, limit)
-	}
-	var body bytes.Buffer
-	if r.ContentLength > 0 {
-		body.Grow(int(r.ContentLength) + bytes.MinRead)
-	}
-	if _, err := body.ReadFrom(reader); err != nil {
-		return nil, refuseUnreadBody(err, limit)
-	}
-	return body.Bytes(), nil
-}
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -85,6 +85,24 @@
 	}
 }
 
+func refuseMemory() *Refusal {
+	return &Refusal{
+		Status:     http.StatusServiceUnavailable,
+		Reason:     "memory",
+		Message:    "this router has no memory for the request; it was not run, send it again",
+		RetryAfter: retrySoon,
+	}
+}
+
+func refuseBodyForMemory() *Refusal {
+	return &Refusal{
+		Status:     http.StatusRequestEntityTooLarge,
+		Reason:     "body-too-large",
+		Message:    "the request body is larger than the memory that this router has for bodies; send a smaller one",
+		RetryAfter: noRetry,
+	}
+}
+
 func refuseUnreadBody(err error, limit int64) *Refusal {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
--- /dev/null
+++ b/memory/account_test.go
@@ -0,0 +1,124 @@
+package memory
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// TestAccountStaysWithinItsLimit has 64 requests reserve and release at random: the limit must hold at
+// each moment, and nothing may stay reserved.
+func TestAccountStaysWithinItsLimit(t *testing.T) {
+	a := &Account{
+		Limit: 10_000,
+	}
+	var all sync.WaitGroup
+	var granted atomic.Int64
+	for range 64 {
+		all.Go(func() {
+			for range 200 {
+				r := a.NewReservation()
+				if r.Await(t.Context(), Body, rand.Int64N(2_000), time.Millisecond) {
+					granted.Add(1)
+				}
+				r.TryGrow(Stream, rand.Int64N(2_000))
+				r.TryGrow(Response, rand.Int64N(2_000))
+				r.Shrink(Stream, r.byUse[Stream].Load()/2)
+				r.Release()
+			}
+		})
+	}
+	all.Wait()
+	if a.Peak() > a.Limit || a.Held() != 0 || granted.Load() == 0 || a.waiterCount.Load() != 0 {
+		t.Errorf("got peak %d, held %d, %d granted, %d waiting; want at most %d, 0, some, 0",
+			a.Peak(), a.Held(), granted.Load(), a.waiterCount.Load(), a.Limit)
+	}
+	for _, use := range Uses() {
+		if got := a.HeldFor(use); got != 0 {
+			t.Errorf("got %d bytes held for %s, want 0", got, use)
+		}
+	}
+}
+
+// TestOptionalUsesLeaveRoomForBodies guards against stalled readers that take the room of requests
+// that begin.
+func TestOptionalUsesLeaveRoomForBodies(t *testing.T) {
+	a := &Account{
+		Limit: 1_000,
+	}
+	r := a.NewReservation()
+	if !r.TryGrow(Stream, 500) || r.TryGrow(Stream, 1) {
+		t.Error("got another share for streams, want half of the limit")
+	}
+	if !r.TryGrow(Response, 250) || r.TryGrow(Response, 1) {
+		t.Error("got another share for responses, want three quarters of the limit")
+	}
+	if !r.TryGrow(Body, 250) || r.TryGrow(Body, 1) {
+		t.Error("got another room for bodies, want the rest of the limit")
+	}
+	if got := r.Held(); got != 1_000 {
+		t.Errorf("got %d bytes held by the request, want 1,000", got)
+	}
+}
+
+// TestAwaitServesInOrder has a large request wait before a small one: the small one must not pass it
+// for ever, and goes on at once when the large one gives up.
+func TestAwaitServesInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := &Account{
+			Limit: 100,
+		}
+		first := a.NewReservation()
+		first.TryGrow(Body, 90)
+		var largeTook, smallTook time.Duration
+		started := time.Now()
+		go func() {
+			large := a.NewReservation()
+			if large.Await(t.Context(), Body, 50, 100*time.Millisecond) {
+				t.Error("got room for 50 bytes, want none")
+			}
+			largeTook = time.Since(started)
+		}()
+		synctest.Wait()
+		go func() {
+			small := a.NewReservation()
+			if !small.Await(t.Context(), Body, 10, time.Second) {
+				t.Error("got no room for 10 bytes, want it")
+			}
+			smallTook = time.Since(started)
+		}()
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if want := 100 * time.Millisecond; largeTook != want || smallTook != want {
+			t.Errorf("got %v and %v, want both after %v", largeTook, smallTook, want)
+		}
+		if waited, refused := a.Waited(); waited != 2 || refused != 1 {
+			t.Errorf("got %d waits and %d refusals, want 2 and 1", waited, refused)
+		}
+	})
+}
+
+// TestAwaitEndsWithItsContext guards against requests that wait on for callers that are gone.
+func TestAwaitEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := &Account{
+			Limit: 100,
+		}
+		full := a.NewReservation()
+		full.TryGrow(Body, 100)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+		defer cancel()
+		started := time.Now()
+		if a.NewReservation().Await(ctx, Body, 1, time.Hour) || time.Since(started) != time.Millisecond {
+			t.Errorf("got a wait of %v, want 1 ms and no room", time.Since(started))
+		}
+		full.Release()
+		if a.Held() != 0 || a.waiterCount.Load() != 0 {
+			t.Errorf("got %d held and %d waiting, want 0 and 0", a.Held(), a.waiterCount.Load())
+		}
+	})
+}
