gateway: Keep new events of a stream that precede known ones

filterNew dropped as many bytes from the start of a chunk as the known events in it have, wherever these were, so that a known event after a new one dropped the new one and forwarded the known one again. Known events are now cut out where they are.

Fails without the change: TestStreamProgressFiltersKnownEventsAfterNewOnes (4 of 4 chunks).

--- a/gateway/streamprogress.go
+++ b/gateway/streamprogress.go
@@ -31,26 +31,32 @@
 }
 
 // filterNew returns those of the complete events that the caller does not have yet, and records
-// them as forwarded. The IDs of events have to increase within a stream.
+// them as forwarded. It moves new events that follow known ones within the slice. The IDs of events
+// have to increase within a stream.
 func (p *streamProgress) filterNew(events []byte) []byte {
 	last, _ := strconv.ParseInt(p.lastID, 10, 64)
 	known := p.lastID != ""
-	skip := 0
-	for rest := events; len(rest) > 0; {
-		size := firstEventLength(rest)
-		id, ok := eventID(rest[:size])
+	// The new events up to at are events[start:end].
+	start, end := 0, 0
+	for at := 0; at < len(events); {
+		size := firstEventLength(events[at:])
+		event := events[at : at+size]
+		at += size
+		id, ok := eventID(event)
 		if ok && known && id <= last {
-			skip += size
-		} else {
-			p.events++
+			if start == end {
+				start, end = at, at
+			}
+			continue
 		}
-		if ok && (!known || id > last) {
+		p.events++
+		if ok {
 			last, known = id, true
 			p.lastID = strconv.FormatInt(id, 10)
 		}
-		rest = rest[size:]
+		end += copy(events[end:], event)
 	}
-	return events[skip:]
+	return events[start:end]
 }
 
 // firstEventLength returns the length of the first event in a sequence of complete events.
--- a/gateway/streamprogress_test.go
+++ b/gateway/streamprogress_test.go
@@ -85,3 +85,21 @@
 		}
 	}
 }
+
+// TestStreamProgressFiltersKnownEventsAfterNewOnes guards against a known event that follows a new one
+// in the same chunk: the bytes of the new one must be kept.
+func TestStreamProgressFiltersKnownEventsAfterNewOnes(t *testing.T) {
+	for chunk, want := range map[string]string{
+		event("5") + event("4"):                                        event("5"),
+		event("3") + event("5") + event("4") + event("6"):              event("5") + event("6"),
+		event("5") + event("5") + "data: no ID\n\n" + event("2"):       event("5") + "data: no ID\n\n",
+		event("5") + event("1") + event("6") + event("6") + event("7"): event("5") + event("6") + event("7"),
+	} {
+		p := streamProgress{
+			lastID: "4",
+		}
+		if got := string(p.filterNew([]byte(chunk))); got != want {
+			t.Errorf("%q: got %q, want %q", chunk, got, want)
+		}
+	}
+}
