gateway: Cap a caller's deadline

On a route without a timeout, a deadline header above 292 years in milliseconds overflowed a time.Duration, and the deadline of the request had passed on arrival. The header is capped at 24 hours.

Fails without the change: TestLargeDeadlineDoesNotOverflow (-1 ms and -292 years).

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -133,7 +133,7 @@
 	timeout := route.Timeout
 	requested, err := strconv.ParseInt(header, 10, 64)
 	if err == nil && requested >= 0 && (timeout == 0 || requested < timeout.Milliseconds()) {
-		timeout = time.Duration(requested) * time.Millisecond
+		timeout = time.Duration(min(requested, maxTimeout.Milliseconds())) * time.Millisecond
 	}
 	if timeout == 0 {
 		timeout = defaultTimeout
@@ -141,5 +141,10 @@
 	return arrived.Add(timeout)
 }
 
-// defaultTimeout is the time limit of a request if neither the caller nor the route sets one.
-const defaultTimeout = time.Minute
+const (
+	// defaultTimeout is the time limit of a request if neither the caller nor the route sets one.
+	defaultTimeout = time.Minute
+	// maxTimeout caps the caller's time limit, which would overflow a time.Duration above some 292
+	// years.
+	maxTimeout = 24 * time.Hour
+)
