gateway: Don't forward response headers that Connection names

copyHeader left out a fixed list of headers and forwarded those that the backend server names in Connection, which apply to that connection alone. Requests were treated correctly already.

--- a/gateway/headers.go
+++ b/gateway/headers.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"strings"
 )
 
 // Headers holds the names of the headers that routers read and set. Header values that are
@@ -72,14 +73,20 @@
 	"Upgrade",
 }
 
-// copyHeader copies a response header except for the hop-by-hop headers.
+// copyHeader copies a response header except for the hop-by-hop headers, which include those that
+// the header Connection names.
 func copyHeader(to, from http.Header) {
 	for name, values := range from {
 		if !slices.Contains(hopByHop, name) {
 			to[name] = values
 		}
 	}
-	if from.Get("Content-Type") == "" {
+	for _, names := range from["Connection"] {
+		for name := range strings.SplitSeq(names, ",") {
+			to.Del(strings.TrimSpace(name))
+		}
+	}
+	if to.Get("Content-Type") == "" {
 		// A nil value keeps net/http from guessing the content type.
 		to["Content-Type"] = nil
 	}
