gateway: Don't write the first part of a large failure response as complete

A failure response is kept until it is known whether another response follows, but only its first 1 MiB, which was then written with its own length. Such a response is not kept any more: its caller gets an earlier failure response or 502. A response of exactly 1 MiB counted as too large and is kept.

Fails without the change: TestLargeFailureIsNotWrittenAsComplete (got 500 with 1,048,576 of 1,048,586 bytes).

--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -15,8 +15,8 @@
 // as they arrive.
 const maxBufferedBytes = 1 << 20
 
-// bufferedResponse is a backend server's response of which the whole body, or the first
-// maxBufferedBytes, was read into memory.
+// bufferedResponse is a backend server's response of which the whole body, or its first
+// maxBufferedBytes and one more byte, was read into memory.
 type bufferedResponse struct {
 	status int
 	header http.Header
@@ -28,9 +28,9 @@
 func bufferResponse(response *upstream.Response) (buffered *bufferedResponse, tooLarge bool, err error) {
 	var body bytes.Buffer
 	if response.Length > 0 {
-		body.Grow(int(min(response.Length, maxBufferedBytes)) + bytes.MinRead)
+		body.Grow(int(min(response.Length, maxBufferedBytes+1)) + bytes.MinRead)
 	}
-	_, err = io.CopyN(&body, response, maxBufferedBytes)
+	_, err = io.CopyN(&body, response, maxBufferedBytes+1)
 	switch {
 	case errors.Is(err, io.EOF):
 		err = nil
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -18,6 +18,10 @@
 
 var errInvalidResponse = errors.New("invalid response: stamp missing, request ID different, or content encoded")
 
+// errLargeFailure is the error of a failure response that is too large to be kept until it is known
+// whether another response follows.
+var errLargeFailure = errors.New("failure response is too large to be kept; shorten it at the backend server")
+
 // noticeOf returns what the backend server announces about itself in the response. A 421 comes from
 // a backend server other than the intended one, and so announces nothing about the intended one.
 func (c *call) noticeOf(response *upstream.Response) slipwick.Notice {
@@ -94,6 +98,9 @@
 	case err != nil:
 		return resultBroken, slipwick.EvidenceError, err
 	case c.progress.headWritten || isFailure(response.Status):
+		if tooLarge {
+			return resultFailed, slipwick.EvidenceError, errLargeFailure
+		}
 		if !impliesNotRun(response.Status) {
 			c.failedResponse = buffered
 		}
--- a/gateway/response_test.go
+++ b/gateway/response_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 )
 
@@ -30,3 +31,20 @@
 		}
 	}
 }
+
+// TestLargeFailureIsNotWrittenAsComplete guards against a failure response above maxBufferedBytes whose
+// first part reaches the caller as a complete response.
+func TestLargeFailureIsNotWrittenAsComplete(t *testing.T) {
+	t.Parallel()
+	large := strings.Repeat("x", maxBufferedBytes+10)
+	for body, want := range map[string]int{
+		large:                    http.StatusBadGateway,
+		large[:maxBufferedBytes]: http.StatusInternalServerError,
+	} {
+		b := newBackend(t, "b1", respondWith(http.StatusInternalServerError, body))
+		got := newFixture(t, b).post(t, "/single/x")
+		if got.status != want || got.status == http.StatusInternalServerError && got.body != body {
+			t.Errorf("%d bytes: got %d with %d bytes, want %d", len(body), got.status, len(got.body), want)
+		}
+	}
+}
