gateway: Read streams ahead of slow callers, within the limit on memory

A stream was read from its engine only as fast as its caller read, and an engine cuts off a response that is not read for some seconds. The gap then counted as the engine's: its stream gaps grew, it counted as unresponsive, and the cut as its failure. Buffered responses of up to 1 MiB and copy buffers had no bound in total.

When a write to a caller blocks for 50 ms, a goroutine reads ahead from then on, into at most 64 KiB a stream and up to half of the limit on held bytes, then it stops, so that flow control reaches the engine. Callers who read at once cost one timer a stream and no goroutine. Progress counts as bytes arrive; balance ignores the time in which a router doesn't read because of a caller, and a stream cut after that is no evidence. Buffered responses grow up to three quarters of the limit, above it they are forwarded as they arrive with 4 to 32 KiB. A buffered response gives its connection back before it is written; a caller that disconnects in a large response was counted as a failure of the server.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -146,7 +146,7 @@
 		// so it must not wait for a prefill.
 		lease.isCold, lease.Wait, lease.PrefillDone = true, 0, nil
 	}
-	if lease.server.inFlight == 0 {
+	if !lease.server.isBusy() {
 		lease.server.busySince = now
 	}
 	lease.server.inFlight++
@@ -284,6 +284,7 @@
 		b.timingsLocked(lease.server.Pool).streamGaps.Add(float64(lease.longestGap))
 	}
 	lease.server.inFlight--
+	lease.endPause()
 	lease.server.prefillTokens -= lease.pendingPrefill
 	lease.pendingPrefill = 0
 	b.endPrefillLocked(lease)
--- a/balance/lease.go
+++ b/balance/lease.go
@@ -28,6 +28,8 @@
 	// time between two such moments.
 	lastActivityAt time.Time
 	longestGap     time.Duration
+	// isPaused says that the response is not read at the moment because of its caller.
+	isPaused bool
 	// part and prefill identify the prefill that this request started.
 	part    uint64
 	prefill *prefill
--- a/balance/server.go
+++ b/balance/server.go
@@ -37,8 +37,9 @@
 	// cacheKnown says that the router knows what the server has cached: the cache was empty when
 	// the server was listed, or the server or another router has reported its contents since.
 	cacheKnown bool
-	// inFlight counts the leases of this router.
-	inFlight int
+	// inFlight counts the leases of this router, pausedRequests those of them whose response is not read
+	// because of its caller.
+	inFlight, pausedRequests int
 	// prefillTokens counts the tokens that the server has yet to prefill for this router.
 	prefillTokens int
 
@@ -49,7 +50,7 @@
 	reportedAt  time.Time
 
 	// lastActivityAt is when the server last sent anything to this router, busySince since when
-	// this router has had requests in flight there.
+	// this router has had requests in flight there whose responses it reads.
 	lastActivityAt time.Time
 	busySince      time.Time
 
@@ -125,7 +126,7 @@
 // isUnresponsiveLocked reports whether the server has requests in flight but has sent nothing
 // for longer than servers of its pool do with as many tokens to prefill.
 func (b *Balancer) isUnresponsiveLocked(s *server, now time.Time) bool {
-	if s.inFlight == 0 {
+	if !s.isBusy() {
 		return false
 	}
 	silentFor := min(now.Sub(s.busySince), now.Sub(s.lastActivityAt))
--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -1,12 +1,13 @@
 package gateway
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"strconv"
 
 	"github.com/pkg/errors"
+
+	"github.com/slipwick/slipwick/memory"
 	"github.com/slipwick/slipwick/upstream"
 )
 
@@ -15,33 +16,78 @@
 // as they arrive.
 const maxBufferedBytes = 1 << 20
 
-// bufferedResponse is a backend server's response of which the whole body, or its first
-// maxBufferedBytes and one more byte, was read into memory.
+// bufferedResponse is a backend server's response of which the whole body, or its first part, was
+// read into memory.
 type bufferedResponse struct {
 	status int
 	header http.Header
 	body   []byte
+	// held counts the memory of the request, reserved is the part of it that the body uses beside the
+	// request's base bytes.
+	held     *memory.Reservation
+	reserved int64
 }
 
-// bufferResponse reads a response to its end; tooLarge means that it is larger than
-// maxBufferedBytes and the rest is still to be read.
-func bufferResponse(response *upstream.Response) (buffered *bufferedResponse, tooLarge bool, err error) {
-	var body bytes.Buffer
-	if response.Length > 0 {
-		body.Grow(int(min(response.Length, maxBufferedBytes+1)) + bytes.MinRead)
-	}
-	_, err = io.CopyN(&body, response, maxBufferedBytes+1)
-	switch {
-	case errors.Is(err, io.EOF):
-		err = nil
-	case err == nil:
-		tooLarge = true
-	}
-	return &bufferedResponse{
+// bufferResponse reads a response to its end; tooLarge means that it is larger than maxBufferedBytes
+// or than the memory that the router has for it, and the rest is still to be read.
+func bufferResponse(
+	response *upstream.Response, held *memory.Reservation,
+) (buffered *bufferedResponse, tooLarge bool, err error) {
+	b := &bufferedResponse{
 		status: response.Status,
 		header: response.Header,
-		body:   body.Bytes(),
-	}, tooLarge, err
+		held:   held,
+	}
+	if !b.growTo(initialResponseBytes(response)) {
+		b.body = make([]byte, 0, baseBytes)
+	}
+	for {
+		if len(b.body) == cap(b.body) && !b.growTo(min(2*cap(b.body), maxBufferedBytes+1)) {
+			return b, true, nil
+		}
+		n, err := response.Read(b.body[len(b.body):cap(b.body)])
+		b.body = b.body[:len(b.body)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return b, false, nil
+		case err != nil:
+			return b, false, err
+		}
+	}
+}
+
+// initialResponseBytes returns the initial size of the buffer for a response: the announced length and
+// the byte after it at which the end is read.
+func initialResponseBytes(response *upstream.Response) int {
+	if response.Length < 0 {
+		return baseBytes
+	}
+	return int(min(response.Length, maxBufferedBytes)) + 1
+}
+
+// growTo reports whether it could give the buffer a larger size. A size up to that of the request's base
+// bytes needs no further memory.
+func (r *bufferedResponse) growTo(size int) bool {
+	if size <= cap(r.body) {
+		return false
+	}
+	needed := int64(size - baseBytes)
+	if needed > 0 && !r.held.TryGrow(memory.Response, needed) {
+		return false
+	}
+	body := make([]byte, len(r.body), size)
+	copy(body, r.body)
+	r.body = body
+	r.held.Shrink(memory.Response, r.reserved)
+	r.reserved = max(needed, 0)
+	return true
+}
+
+// release gives back the memory of the body.
+func (r *bufferedResponse) release() {
+	r.body = nil
+	r.held.Shrink(memory.Response, r.reserved)
+	r.reserved = 0
 }
 
 // write writes the response to the caller. An error means that the caller has disconnected.
--- /dev/null
+++ b/gateway/largeresponse.go
@@ -0,0 +1,93 @@
+package gateway
+
+import (
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/balance"
+	"github.com/slipwick/slipwick/memory"
+	"github.com/slipwick/slipwick/upstream"
+)
+
+const (
+	// copyBytes is the size of the buffer with which the rest of a large response is forwarded.
+	copyBytes = 32 << 10
+	// callerStallTime is how long a write of a large response may block until the backend server may
+	// break off the response because of the caller.
+	callerStallTime = time.Second
+)
+
+// largeResponse forwards a response that is too large to buffer, as fast as its caller reads.
+type largeResponse struct {
+	call     *call
+	lease    *balance.Lease
+	response *upstream.Response
+	// stalled says that a write took longer than callerStallTime.
+	stalled bool
+}
+
+// forward forwards the part that was buffered and then the rest.
+func (l *largeResponse) forward(buffered *bufferedResponse) (result, slipwick.Evidence, error) {
+	w := l.call.writer
+	copyHeader(w.Header(), buffered.header)
+	if l.response.Length >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(l.response.Length, 10))
+	}
+	w.WriteHeader(buffered.status)
+	l.call.progress.headWritten = true
+	err := l.write(buffered.body)
+	buffered.release()
+	if err != nil {
+		return resultDisconnected, slipwick.EvidenceGood, err
+	}
+	return l.forwardRest()
+}
+
+func (l *largeResponse) forwardRest() (result, slipwick.Evidence, error) {
+	buffer, release := l.copyBuffer()
+	defer release()
+	for {
+		n, err := l.response.Read(buffer)
+		if writeErr := l.write(buffer[:n]); writeErr != nil {
+			return resultDisconnected, slipwick.EvidenceNone, writeErr
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return resultDelivered, slipwick.EvidenceGood, nil
+		case err != nil && l.stalled:
+			return resultCut, slipwick.EvidenceNone, err
+		case err != nil:
+			return resultCut, slipwick.EvidenceError, err
+		}
+	}
+}
+
+// copyBuffer returns a buffer of copyBytes or, without memory for it, of the request's base bytes.
+func (l *largeResponse) copyBuffer() (buffer []byte, release func()) {
+	const more = copyBytes - baseBytes
+	if !l.call.held.TryGrow(memory.Response, more) {
+		return make([]byte, baseBytes), func() {}
+	}
+	return make([]byte, copyBytes), func() { l.call.held.Shrink(memory.Response, more) }
+}
+
+func (l *largeResponse) write(data []byte) error {
+	if len(data) == 0 {
+		return nil
+	}
+	started := time.Now()
+	defer func() { l.stalled = l.stalled || time.Since(started) > callerStallTime }()
+	return l.call.writeWhilePaused(l.lease, data)
+}
+
+// writeWhilePaused writes to the caller; meanwhile the silence of the backend server doesn't count.
+func (c *call) writeWhilePaused(lease *balance.Lease, data []byte) error {
+	c.gateway.Balancer.PauseForCaller(lease)
+	defer c.gateway.Balancer.ResumeForCaller(lease)
+	_, err := c.writer.Write(data)
+	return err
+}
--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -26,6 +28,15 @@
 	f.setLimits(2, routing.Limits{
 		BodyBytes: bodyLimit,
 	})
+	f.server.Close()
+	f.server = httptest.NewUnstartedServer(f.gateway)
+	f.server.Config.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		// A write blocks soon after the caller stops reading.
+		_ = conn.(*net.TCPConn).SetWriteBuffer(16 << 10)
+		return ctx
+	}
+	f.server.Start()
+	t.Cleanup(f.server.Close)
 	return f
 }
 
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -12,6 +12,7 @@
 	"github.com/slipwick/slipwick/balance"
 	"github.com/slipwick/slipwick/clock"
 	"github.com/slipwick/slipwick/httpclient"
+	"github.com/slipwick/slipwick/memory"
 	"github.com/slipwick/slipwick/routing"
 	"github.com/slipwick/slipwick/upstream"
 )
@@ -44,10 +45,10 @@
 	}
 	switch {
 	case response.Status == http.StatusMisdirectedRequest:
-		_, _, _ = bufferResponse(response)
+		discardBody(response)
 		return resultNotRun, slipwick.EvidenceLeaving, nil
 	case response.Header.Get(names.NotRun) != "":
-		_, _, _ = bufferResponse(response)
+		discardBody(response)
 		return resultNotRun, evidenceOfRejection(response.Status), nil
 	}
 	c.possibleRuns++
@@ -61,7 +62,7 @@
 	if succeeded && c.route.Kind == routing.KindStream {
 		return c.forwardEvents(lease, response)
 	}
-	return c.forwardBuffered(response)
+	return c.forwardBuffered(lease, response)
 }
 
 // evidenceOfRejection returns what a response with the header Headers.NotRun says about the backend
@@ -90,8 +91,11 @@
 // forwardBuffered reads a response to its end and forwards it. A failure is kept instead, and
 // forwarded only if no other response follows. Once a part of a stream was forwarded, any response
 // that does not continue the stream counts as a failure.
-func (c *call) forwardBuffered(response *upstream.Response) (result, slipwick.Evidence, error) {
-	buffered, tooLarge, err := bufferResponse(response)
+func (c *call) forwardBuffered(
+	lease *balance.Lease, response *upstream.Response,
+) (result, slipwick.Evidence, error) {
+	buffered, tooLarge, err := bufferResponse(response, c.held)
+	defer c.releaseUnlessKept(buffered)
 	switch {
 	case err != nil && c.request.Context().Err() != nil:
 		return resultDisconnected, slipwick.EvidenceNone, err
@@ -101,19 +105,56 @@
 		if tooLarge {
 			return resultFailed, slipwick.EvidenceError, errLargeFailure
 		}
-		if !impliesNotRun(response.Status) {
-			c.failedResponse = buffered
+		if !impliesNotRun(response.Status) && !c.progress.headWritten {
+			c.keepFailure(buffered)
 		}
 		return resultFailed, slipwick.EvidenceError, nil
 	case tooLarge:
-		return c.forwardLarge(buffered, response)
+		large := &largeResponse{
+			call:     c,
+			lease:    lease,
+			response: response,
+		}
+		return large.forward(buffered)
 	}
-	if err := buffered.write(c.writer); err != nil {
+	// Other requests can use the connection while the caller reads.
+	response.Close()
+	if err := c.writeBuffered(lease, buffered); err != nil {
 		return resultDisconnected, slipwick.EvidenceGood, err
 	}
 	return resultDelivered, slipwick.EvidenceGood, nil
 }
 
+// keepFailure keeps a failure response in place of the one before.
+func (c *call) keepFailure(buffered *bufferedResponse) {
+	if c.failedResponse != nil {
+		c.failedResponse.release()
+	}
+	c.failedResponse = buffered
+}
+
+func (c *call) releaseUnlessKept(buffered *bufferedResponse) {
+	if buffered != c.failedResponse {
+		buffered.release()
+	}
+}
+
+// writeBuffered writes a buffered response. One that can block the write holds its lease meanwhile.
+func (c *call) writeBuffered(lease *balance.Lease, buffered *bufferedResponse) error {
+	if len(buffered.body) > baseBytes {
+		c.gateway.Balancer.PauseForCaller(lease)
+		defer c.gateway.Balancer.ResumeForCaller(lease)
+	}
+	return buffered.write(c.writer)
+}
+
+// discardBody reads and discards the body of a response, up to maxBufferedBytes, so that its connection
+// can be used again.
+func discardBody(response *upstream.Response) {
+	// After an error the connection is not used again.
+	_, _ = io.CopyN(io.Discard, response, maxBufferedBytes)
+}
+
 func isFailure(status int) bool {
 	return status >= http.StatusInternalServerError || impliesNotRun(status)
 }
@@ -130,25 +171,6 @@
 	}
 }
 
-// forwardLarge forwards a response that is too large to buffer.
-func (c *call) forwardLarge(
-	buffered *bufferedResponse, response *upstream.Response,
-) (result, slipwick.Evidence, error) {
-	copyHeader(c.writer.Header(), buffered.header)
-	if response.Length >= 0 {
-		c.writer.Header().Set("Content-Length", strconv.FormatInt(response.Length, 10))
-	}
-	c.writer.WriteHeader(buffered.status)
-	c.progress.headWritten = true
-	if _, err := c.writer.Write(buffered.body); err != nil {
-		return resultDisconnected, slipwick.EvidenceGood, err
-	}
-	if _, err := io.Copy(c.writer, response); err != nil {
-		return resultCut, slipwick.EvidenceError, err
-	}
-	return resultDelivered, slipwick.EvidenceGood, nil
-}
-
 // eventBufferSize is the initial size, in bytes, of the buffer for incomplete events.
 const eventBufferSize = 4 << 10
 
@@ -157,30 +179,35 @@
 
 // forwardEvents forwards complete events as they arrive.
 func (c *call) forwardEvents(lease *balance.Lease, response *upstream.Response) (result, slipwick.Evidence, error) {
+	source := newReadAhead(c, lease, response)
+	defer source.close()
 	buffered := make([]byte, 0, eventBufferSize)
+	defer func() { c.held.Shrink(memory.Stream, int64(cap(buffered)-eventBufferSize)) }()
 	for {
-		if len(buffered) == cap(buffered) {
-			buffered = append(buffered, make([]byte, cap(buffered))...)[:len(buffered)]
-		}
 		if len(buffered) > maxEventBytes {
-			return c.classifyStreamError(errors.New("event is larger than 256 KiB"))
+			return c.classifyStreamError(errors.New("event is larger than 256 KiB"), source)
 		}
-		n, err := response.Read(buffered[len(buffered):cap(buffered)])
+		if len(buffered) == cap(buffered) {
+			old := int64(cap(buffered))
+			if !c.held.Await(c.ctx, memory.Stream, 2*old, memoryWait(c.route)) {
+				return resultBroken, slipwick.EvidenceNone, errNoEventMemory
+			}
+			buffered = append(make([]byte, 0, 2*old), buffered...)
+			c.held.Shrink(memory.Stream, old)
+		}
+		n, err := source.Read(buffered[len(buffered):cap(buffered)])
 		buffered = buffered[:len(buffered)+n]
 		size := completeLength(buffered)
 		if errors.Is(err, io.EOF) {
 			size = len(buffered)
 		}
-		if writeErr := c.writeEvents(response, buffered[:size]); writeErr != nil {
+		if size > 0 && c.firstEvent.IsZero() {
+			c.firstEvent = clock.Now()
+		}
+		if writeErr := c.writeEvents(response, source, buffered[:size]); writeErr != nil {
 			return resultDisconnected, slipwick.EvidenceNone, writeErr
 		}
 		buffered = append(buffered[:0], buffered[size:]...)
-		if size > 0 {
-			if c.firstEvent.IsZero() {
-				c.firstEvent = clock.Now()
-			}
-			c.gateway.Balancer.RecordProgress(lease)
-		}
 		switch {
 		case errors.Is(err, io.EOF):
 			if c.writeHead(response) != nil {
@@ -188,17 +215,20 @@
 			}
 			return resultDelivered, slipwick.EvidenceGood, nil
 		case err != nil:
-			return c.classifyStreamError(err)
+			return c.classifyStreamError(err, source)
 		}
 	}
 }
 
+// errNoEventMemory is the error of a stream with an event that is larger than the memory left.
+var errNoEventMemory = errors.New("no room for an incomplete event in the router's memory")
+
 // classifyStreamError returns the result of a stream that broke off.
-func (c *call) classifyStreamError(err error) (result, slipwick.Evidence, error) {
+func (c *call) classifyStreamError(err error, source *readAhead) (result, slipwick.Evidence, error) {
 	switch {
 	case c.request.Context().Err() != nil:
 		return resultDisconnected, slipwick.EvidenceNone, err
-	case c.ctx.Err() != nil || upstream.IsResponseTimeout(err):
+	case c.ctx.Err() != nil || upstream.IsResponseTimeout(err) || source.stalled():
 		return resultBroken, slipwick.EvidenceNone, err
 	default:
 		return resultBroken, slipwick.EvidenceError, err
@@ -207,7 +237,7 @@
 
 // writeEvents writes those events that the caller does not have yet, after the response header if
 // they are the first.
-func (c *call) writeEvents(response *upstream.Response, events []byte) error {
+func (c *call) writeEvents(response *upstream.Response, source *readAhead, events []byte) error {
 	if len(events) == 0 {
 		return nil
 	}
@@ -218,6 +248,8 @@
 	if err := c.writeHead(response); err != nil {
 		return err
 	}
+	source.beginWrite()
+	defer source.endWrite()
 	if _, err := c.writer.Write(events); err != nil {
 		return err
 	}
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -11,7 +11,7 @@
 )
 
 // Response holds the status and header of a response, and reads its body from the connection. It
-// must be used by one goroutine only, and must be closed.
+// must be used by one goroutine at a time, except for Abort, and must be closed.
 type Response struct {
 	Status int
 	Header http.Header
@@ -56,6 +56,13 @@
 	}
 }
 
+// Abort closes the connection, which ends a Read of another goroutine. The response must still be
+// closed.
+func (r *Response) Abort() {
+	r.reusable = false
+	_ = r.conn.Close()
+}
+
 // Close returns the connection to the pool if the body was read to its end and the connection is
 // still usable. Otherwise it closes the connection, which tells the backend server to stop
 // working on the request.
