upstream: Bound the bodies in flight to a server that doesn't read

The bodies that a router writes to one backend server had no bound in total, so that a server that stopped reading held the memory of all requests sent to it, and each of them waited there for the first-byte timeout.

The client counts the bytes of large bodies that a server has not read, writing 64 KiB at a time. Above the limit a further body waits as long as the server reads, and otherwise (250 ms without progress) the request goes to another server as not run. That is no evidence against the server unless it has read nothing for the first-byte timeout. A single body may exceed the limit, as it could never be sent otherwise.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -265,6 +265,9 @@
 			return resultNotRun, slipwick.EvidenceNone
 		}
 		c.unreached++
+		if limited, stalled := upstream.IsUnreadLimit(err); limited {
+			return resultUnsent, evidenceOfUnreadBodies(stalled)
+		}
 		switch {
 		case upstream.IsConnectionLimit(err):
 			return resultUnsent, slipwick.EvidenceNone
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -64,6 +64,8 @@
 	maxIdleConns int
 	// open counts the open connections. It has a lock of its own, as connections are closed under mu.
 	open openConns
+	// unread counts the bodies that backend servers have not read.
+	unread unreadBodies
 	// safeIdleTime bounds the idle time of connections for requests that must not be repeated.
 	safeIdleTime safeIdleTime
 }
@@ -81,13 +83,22 @@
 // interrupted, also while the body is read. Errors are of type *slipwick.Error; OutcomeNotRun means
 // that nothing was sent.
 func (c *Client) Do(ctx context.Context, key, address string, request *Request) (*Response, error) {
+	size := int64(len(request.Body))
+	if err := c.unread.add(ctx, key, size, request.Timeouts.FirstByte); err != nil {
+		return nil, unreadError(address, err)
+	}
 	conn, err := c.connection(ctx, key, address, request.MaxIdleTime)
 	if err != nil {
+		c.unread.removeUnsent(key, size)
 		return nil, err
 	}
 	started := clock.Now()
 	stop := conn.interruptOnDone(ctx)
-	written := conn.write(request)
+	written := conn.write(request, &bodyWriter{
+		conn:   conn.Conn,
+		unread: &c.unread,
+		key:    key,
+	})
 	var response *http.Response
 	err = conn.awaitData(ctx, request.Timeouts.FirstByte, request.Timeouts.OnTimeout)
 	if err == nil {
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -69,10 +69,10 @@
 // the smallest socket buffers, so that the write cannot block.
 const maxInlineBytes = 4 << 10
 
-// write sends the request. A request above maxInlineBytes is written while the response is read,
-// since a backend server may respond without reading it. The channel receives the result of the
+// write sends the request. A request above maxInlineBytes is written by large while the response is
+// read, since a backend server may respond without reading it. The channel receives the result of the
 // write.
-func (c *connection) write(request *Request) <-chan error {
+func (c *connection) write(request *Request, large *bodyWriter) <-chan error {
 	result := make(chan error, 1)
 	head := request.head()
 	if len(head)+len(request.Body) <= maxInlineBytes {
@@ -80,11 +80,7 @@
 		result <- err
 		return result
 	}
-	go func() {
-		parts := net.Buffers{head, request.Body}
-		_, err := parts.WriteTo(c.Conn)
-		result <- err
-	}()
+	go func() { result <- large.write(head, request.Body) }()
 	return result
 }
 
