gatewayd: Limit held bytes to a quarter of the memory, and show them

The account of package memory was not in force in the process. Its limit is a quarter of memory_mb, none without that setting, and an eighth of it bounds the bodies in flight to one backend server.

--- a/cmd/internal/gatewayd/assemble.go
+++ b/cmd/internal/gatewayd/assemble.go
@@ -25,6 +25,8 @@
 	p.bounds.Store(&s.Bounds)
 	p.balancer = p.newBalancer()
 	p.client = &upstream.Client{}
+	p.memory = newAccount(s)
+	p.client.SetMaxUnreadBytes(maxUnreadBytes(p.memory))
 	p.backends = directory.NewBackends(p.onBackendsChanged)
 	p.backends.Heartbeat, p.backends.LeaveTime = s.Bounds.Heartbeat, s.Bounds.LeaveTime
 	p.mirrors = map[string]*directory.Mirror{
@@ -95,6 +97,7 @@
 		Balancer:    p.balancer,
 		Client:      p.client,
 		Observer:    p.observer,
+		Memory:      p.memory,
 		Ready:       p.ready,
 		CachesKnown: p.cachesKnown,
 		Budget: &retry.Budget{
--- a/cmd/internal/gatewayd/metrics.go
+++ b/cmd/internal/gatewayd/metrics.go
@@ -67,7 +67,8 @@
 // registerGauges registers the gauges that are read at each scrape.
 func (m *metrics) registerGauges(p *Process) {
 	m.registerDials(p.client)
-	for _, f := range slices.Concat(p.gauges(), p.backendGauges()) {
+	m.registerMemory(p.memory)
+	for _, f := range slices.Concat(p.gauges(), p.backendGauges(), p.memoryGauges()) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: f.name,
 			Help: f.help,
--- a/cmd/internal/gatewayd/process.go
+++ b/cmd/internal/gatewayd/process.go
@@ -18,6 +18,7 @@
 	"github.com/slipwick/slipwick/exchange"
 	"github.com/slipwick/slipwick/gateway"
 	"github.com/slipwick/slipwick/membership"
+	"github.com/slipwick/slipwick/memory"
 	"github.com/slipwick/slipwick/quarantine"
 	"github.com/slipwick/slipwick/upstream"
 
@@ -61,6 +62,8 @@
 	balancer *balance.Balancer
 	backends *directory.Backends
 	client   *upstream.Client
+	// memory counts the bytes held for callers and backend servers.
+	memory *memory.Account
 	// node tracks the live routers by gossip over membershipUDP.
 	node          *membership.Node
 	membershipUDP *membership.UDP
--- a/cmd/internal/gatewayd/status.go
+++ b/cmd/internal/gatewayd/status.go
@@ -26,6 +26,9 @@
 	// latest response; 0 if the store does not report it.
 	StoreTimeline uint64 `json:"store_timeline"`
 	InFlight      int64  `json:"in_flight"`
+	// HeldBytes are held for callers and backend servers, HeldBytesLimit is their limit; 0 is none.
+	HeldBytes      int64 `json:"held_bytes"`
+	HeldBytesLimit int64 `json:"held_bytes_limit"`
 	// Evacuated are the data centres whose backend servers get no new requests.
 	Evacuated []string `json:"evacuated"`
 	// KnownParts is the number of prompt parts that it knows to be cached on some engine,
@@ -48,6 +51,10 @@
 		WatchesStore:  p.Feeds.Private || p.peers.RelayPosition().IsWatcher,
 		StoreTimeline: p.timeline.Load(),
 		InFlight:      p.gateway.InFlight(),
+		HeldBytes:     p.memory.Held(),
+
+		HeldBytesLimit: p.memory.Limit,
+
 		Evacuated:     p.evacuatedDataCentres(),
 		KnownParts:    p.balancer.CachedPartCount(),
 		MissingCaches: p.recovery.MissingCount(),
