gateway: Test the release and the peak of memory with slow callers

The buffer of a stream that is read ahead held 100 KB for a moment while it grew; it now grows by buffers of 4 KB and stays within 64 KiB.

--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/balance"
+	"github.com/slipwick/slipwick/memory"
 	"github.com/slipwick/slipwick/retry"
 	"github.com/slipwick/slipwick/routing"
 	"github.com/slipwick/slipwick/upstream"
@@ -246,6 +247,7 @@
 		Balancer: balancer,
 		Client:   &upstream.Client{},
 		Observer: f.observer,
+		Memory:   &memory.Account{},
 		Budget: &retry.Budget{
 			Ratio:   0.2,
 			Extra:   100,
@@ -255,6 +257,11 @@
 	}
 	f.gateway.SetTable(testTable(1))
 	f.server = httptest.NewServer(f.gateway)
+	t.Cleanup(func() {
+		if got := f.gateway.Memory.Held(); got != 0 {
+			t.Errorf("got %d bytes held after the last request, want 0", got)
+		}
+	})
 	t.Cleanup(f.server.Close)
 	t.Cleanup(f.gateway.Client.Close)
 	return f
--- a/gateway/readahead_test.go
+++ b/gateway/readahead_test.go
@@ -58,8 +58,8 @@
 	f := newMemoryFixture(t, 4<<20, newBackend(t, "b1", sendStream(want, func() { sent.Store(true) })))
 	conn := f.startStalledCaller(t)
 	awaitCondition(t, "read-ahead", func() bool { return f.gateway.Memory.HeldFor(memory.Stream) > 32<<10 })
-	if got := f.gateway.Memory.HeldFor(memory.Stream); got > baseBytes+maxReadAheadBytes+maxQueueBytes/2 {
-		t.Errorf("got %d bytes held, want at most %d", got, baseBytes+maxReadAheadBytes+maxQueueBytes/2)
+	if got := f.gateway.Memory.HeldFor(memory.Stream); got > baseBytes+maxReadAheadBytes {
+		t.Errorf("got %d bytes held, want at most %d", got, baseBytes+maxReadAheadBytes)
 	}
 	awaitCondition(t, "end of the engine's response", sent.Load)
 	time.Sleep(time.Second)
@@ -83,6 +83,9 @@
 	awaitCondition(t, "full buffer", func() bool { return f.gateway.Memory.HeldFor(memory.Stream) > 60<<10 })
 	for range 15 {
 		time.Sleep(100 * time.Millisecond)
+		if got := f.gateway.Memory.Peak(); got > baseBytes+maxReadAheadBytes {
+			t.Fatalf("got a peak of %d bytes for one stream, want at most %d", got, baseBytes+maxReadAheadBytes)
+		}
 		if got := f.gateway.Balancer.States()[0]; got.Unresponsive || got.Ejected {
 			t.Fatalf("got %+v, want the engine in use: its caller stalls", got)
 		}
--- a/gateway/readaheadqueue.go
+++ b/gateway/readaheadqueue.go
@@ -2,16 +2,17 @@
 
 import "github.com/slipwick/slipwick/memory"
 
-// maxQueueBytes bounds the buffer of a readAheadQueue.
+// maxQueueBytes bounds the buffers of a readAheadQueue.
 const maxQueueBytes = maxReadAheadBytes - readAheadChunkBytes
 
-// readAheadQueue holds bytes in order: a buffer whose memory is reserved as it grows, followed by the
-// part of the last chunk for which the buffer had no room.
+// readAheadQueue holds bytes in order: buffers of readAheadChunkBytes, whose memory is reserved one by
+// one, followed by the part of the last chunk for which there was no room.
 type readAheadQueue struct {
 	held *memory.Reservation
-	// The bytes are buffer[taken:].
-	buffer []byte
-	taken  int
+	// buffers hold the bytes, of which taken were taken from the first buffer. The last buffer is kept
+	// when it is empty.
+	buffers [][]byte
+	taken   int
 	// chunk belongs to the caller of put, who must not change it until store returns true.
 	chunk []byte
 }
@@ -21,58 +22,65 @@
 	q.chunk = chunk
 }
 
-// store moves the chunk into the buffer, as far as there is room, and reports whether nothing is left of
-// it.
+// store moves the chunk into the buffers, as far as there is room, and reports whether nothing is left
+// of it.
 func (q *readAheadQueue) store() bool {
-	if q.taken > 0 {
-		q.buffer = q.buffer[:copy(q.buffer, q.buffer[q.taken:])]
-		q.taken = 0
-	}
-	fits := len(q.chunk) <= cap(q.buffer)-len(q.buffer)
-	for !fits && q.grow() {
-		fits = len(q.chunk) <= cap(q.buffer)-len(q.buffer)
+	for len(q.chunk) > 0 {
+		last := len(q.buffers) - 1
+		if last < 0 || len(q.buffers[last]) == readAheadChunkBytes {
+			if !q.addBuffer() {
+				return false
+			}
+			continue
+		}
+		n := min(len(q.chunk), readAheadChunkBytes-len(q.buffers[last]))
+		q.buffers[last] = append(q.buffers[last], q.chunk[:n]...)
+		q.chunk = q.chunk[n:]
 	}
-	n := min(len(q.chunk), cap(q.buffer)-len(q.buffer))
-	q.buffer = append(q.buffer, q.chunk[:n]...)
-	q.chunk = q.chunk[n:]
-	return len(q.chunk) == 0
+	return true
 }
 
-// grow doubles the buffer and reports whether it did, which needs memory for both buffers for a moment.
-func (q *readAheadQueue) grow() bool {
-	old := cap(q.buffer)
-	size := min(max(2*old, readAheadChunkBytes), maxQueueBytes)
-	if size <= old || !q.held.TryGrow(memory.Stream, int64(size)) {
+// addBuffer reports whether there was room for another buffer.
+func (q *readAheadQueue) addBuffer() bool {
+	if (len(q.buffers)+1)*readAheadChunkBytes > maxQueueBytes ||
+		!q.held.TryGrow(memory.Stream, readAheadChunkBytes) {
 		return false
 	}
-	buffer := make([]byte, len(q.buffer), size)
-	copy(buffer, q.buffer)
-	q.buffer = buffer
-	q.held.Shrink(memory.Stream, int64(old))
+	q.buffers = append(q.buffers, make([]byte, 0, readAheadChunkBytes))
 	return true
 }
 
-// take moves the first bytes to into and returns how many. Once the buffer is empty, it keeps no more
-// memory than one chunk needs.
+// take moves the first bytes to into and returns how many.
 func (q *readAheadQueue) take(into []byte) int {
-	n := copy(into, q.buffer[q.taken:])
-	q.taken += n
-	if q.taken == len(q.buffer) {
-		q.buffer, q.taken = q.buffer[:0], 0
-		if cap(q.buffer) > readAheadChunkBytes {
-			q.release()
+	n := 0
+	for n < len(into) && len(q.buffers) > 0 && len(q.buffers[0]) > 0 {
+		moved := copy(into[n:], q.buffers[0][q.taken:])
+		n, q.taken = n+moved, q.taken+moved
+		if q.taken == len(q.buffers[0]) {
+			q.dropFirst()
 		}
 	}
-	if len(q.buffer) == 0 {
-		fromChunk := copy(into[n:], q.chunk)
-		q.chunk = q.chunk[fromChunk:]
-		n += fromChunk
+	if n < len(into) {
+		moved := copy(into[n:], q.chunk)
+		n, q.chunk = n+moved, q.chunk[moved:]
 	}
 	return n
 }
 
-// release gives back the buffer.
+// dropFirst gives back the first buffer, or empties it if it is the only one.
+func (q *readAheadQueue) dropFirst() {
+	q.taken = 0
+	if len(q.buffers) == 1 {
+		q.buffers[0] = q.buffers[0][:0]
+		return
+	}
+	q.buffers[0] = nil
+	q.buffers = q.buffers[1:]
+	q.held.Shrink(memory.Stream, readAheadChunkBytes)
+}
+
+// release gives back the buffers.
 func (q *readAheadQueue) release() {
-	q.held.Shrink(memory.Stream, int64(cap(q.buffer)))
-	q.buffer, q.taken = nil, 0
+	q.held.Shrink(memory.Stream, int64(len(q.buffers)*readAheadChunkBytes))
+	q.buffers, q.taken = nil, 0
 }
