upstream: Bound the wait for a server that reads slowly

A body above the limit on unread bytes waited as long as its server read anything, at most until the request's deadline. It waits for the first-byte timeout at most, and then goes to another server as not run, without evidence.

Test: TestSlowlyReadingServerHoldsNoOtherRequests, in virtual time: refused after 620 ms of 620 ms beside a server that reads 64 KB each 100 ms.

--- a/upstream/unread.go
+++ b/upstream/unread.go
@@ -82,7 +82,8 @@
 }
 
 // add counts a body that is about to be written. Above the limit it waits while the backend server reads
-// other bodies. It returns errUnreadLimit, or errUnreadStall, if the server doesn't read.
+// other bodies, for the first-byte timeout at most. It returns errUnreadLimit, or errUnreadStall, if the
+// server doesn't read or there is no room in time.
 func (u *unreadBodies) add(ctx context.Context, key string, size int64, firstByteTimeout time.Duration) error {
 	if size <= maxInlineBytes {
 		return nil
@@ -91,16 +92,17 @@
 	if waiter == nil {
 		return nil
 	}
+	started, longest := time.Now(), orDefault(firstByteTimeout, NoTimeout)
 	for {
-		idle := u.idleTime(key)
-		if idle >= unreadWait || ctx.Err() != nil {
+		idle, waited := u.idleTime(key), time.Since(started)
+		if idle >= unreadWait || waited >= longest || ctx.Err() != nil {
 			return u.giveUp(key, waiter, idle, firstByteTimeout)
 		}
 		select {
 		case <-waiter.granted:
 			return nil
 		case <-ctx.Done():
-		case <-time.After(unreadWait - idle):
+		case <-time.After(min(unreadWait-idle, longest-waited)):
 		}
 	}
 }
--- a/upstream/unread_test.go
+++ b/upstream/unread_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/slipwick/slipwick"
@@ -86,6 +88,44 @@
 	awaitUnread(t, c, func(total int64) bool { return total == 0 })
 }
 
+// TestSlowlyReadingServerHoldsNoOtherRequests has a server read 64 KB each 100 ms of a body of 16 MB:
+// another request waits for the first-byte timeout and is then not sent, without evidence.
+func TestSlowlyReadingServerHoldsNoOtherRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &unreadBodies{
+			limit: 1 << 20,
+		}
+		if err := u.add(t.Context(), "slow", 16<<20, 0); err != nil {
+			t.Fatal(err)
+		}
+		stop := make(chan struct{})
+		go func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(100 * time.Millisecond):
+					u.remove("slow", writeChunkBytes, true)
+				}
+			}
+		}()
+		const firstByte = 620 * time.Millisecond
+		started := time.Now()
+		if err := u.add(t.Context(), "slow", 100_000, firstByte); !errors.Is(err, errUnreadLimit) {
+			t.Errorf("got %v, want %v", err, errUnreadLimit)
+		}
+		if took := time.Since(started); took != firstByte {
+			t.Errorf("got the end after %v, want it after %v", took, firstByte)
+		}
+		close(stop)
+		synctest.Wait()
+		if got := u.byKey["slow"]; len(got.waiters) != 0 || got.bytes != 16<<20-6*writeChunkBytes {
+			t.Errorf("got %d bytes and %d requests waiting, want the body without 6 chunks, and none",
+				got.bytes, len(got.waiters))
+		}
+	})
+}
+
 // TestReadBodiesAreNotLimited guards against bytes that stay counted after a server has read them: 20
 // bodies of 900 KB, one after the other, with a limit of 1 MiB.
 func TestReadBodiesAreNotLimited(t *testing.T) {
