--- a/gateway/call.go
+++ b/gateway/call.go
@@ -10,6 +10,7 @@
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/balance"
 	"github.com/slipwick/slipwick/clock"
+	"github.com/slipwick/slipwick/memory"
 	"github.com/slipwick/slipwick/quarantine"
 	"github.com/slipwick/slipwick/routing"
 	"github.com/slipwick/slipwick/upstream"
@@ -27,6 +28,8 @@
 	workspace *routing.Workspace
 	id        string
 	body      []byte
+	// held counts the memory that the request holds.
+	held *memory.Reservation
 	// key identifies the content of the request; a retry of the caller has the same key and another
 	// request ID.
 	key     quarantine.Key
@@ -141,7 +144,7 @@
 	timeout := route.Timeout
 	requested, err := strconv.ParseInt(header, 10, 64)
 	if err == nil && requested >= 0 && (timeout == 0 || requested < timeout.Milliseconds()) {
-		timeout = time.Duration(requested) * time.Millisecond
+		timeout = time.Duration(min(requested, maxTimeout.Milliseconds())) * time.Millisecond
 	}
 	if timeout == 0 {
 		timeout = defaultTimeout
@@ -149,5 +152,10 @@
 	return arrived.Add(timeout)
 }
 
-// defaultTimeout is the time limit of a request if neither the caller nor the route sets one.
-const defaultTimeout = time.Minute
+const (
+	// defaultTimeout is the time limit of a request if neither the caller nor the route sets one.
+	defaultTimeout = time.Minute
+	// maxTimeout caps the caller's time limit, which would overflow a time.Duration above some 292
+	// years.
+	maxTimeout = 24 * time.Hour
+)
