balance: Send the observations that an update had no room for

TakeUpdate forgot the others if they had no requests in flight, so that their counts, rejections included, were sent as new when a server next got a request, at any later time. Servers now stay active until their counts are sent.

TestObservationsWaitForTheNextUpdates got 0 of the 10 remaining servers in the second update.

--- a/balance/speed_test.go
+++ b/balance/speed_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"testing/synctest"
@@ -275,3 +276,22 @@
 		}
 	})
 }
+
+// TestObservationsWaitForTheNextUpdates guards against counts that stay behind when an update has no
+// room for all servers, and are sent as new once one of the others gets a request again.
+func TestObservationsWaitForTheNextUpdates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const servers = maxSpeedCounts + 10
+		b := newTestBalancer(servers)
+		b.SetSpeedAware(true)
+		for i := range servers {
+			lease := acquire(t, b, &Request{Pool: "p", Backend: fmt.Sprintf("p-%d", i)})
+			b.Release(lease, slipwick.EvidenceShed)
+		}
+		for _, want := range []int{maxSpeedCounts, servers - maxSpeedCounts, 0} {
+			if got := len(b.TakeUpdate().Speeds); got != want {
+				t.Errorf("got the counts of %d servers, want %d", got, want)
+			}
+		}
+	})
+}
--- a/balance/update.go
+++ b/balance/update.go
@@ -89,7 +89,7 @@
 				Count:         s.inFlight,
 				PrefillTokens: max(s.prefillTokens, 0),
 			})
-		} else {
+		} else if s.speed.pending.isEmpty() {
 			delete(b.active, s)
 		}
 	}
