--- a/balance/enginespeed_test.go
+++ b/balance/enginespeed_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/slipwick/slipwick"
 )
 
 const (
@@ -175,3 +177,25 @@
 			overBound[true], overBound[false])
 	}
 }
+
+// TestFullPoolKeepsPromptsWhereTheyAreCached guards against prompts that are prefilled at other engines
+// because each engine of the pool has just rejected a request.
+func TestFullPoolKeepsPromptsWhereTheyAreCached(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBalancer(testEngines)
+		b.SetSpeedAware(true)
+		b.MarkCachesKnown()
+		cached := acquire(t, b, prompt(1))
+		b.Release(cached, slipwick.EvidenceGood)
+		for _, s := range b.pools["p"] {
+			b.markFullLocked(s, time.Now())
+		}
+		for range 30 {
+			lease := acquire(t, b, prompt(1))
+			if lease.Backend.ID != cached.Backend.ID {
+				t.Fatalf("got %s, want %s, which has the prompt cached", lease.Backend.ID, cached.Backend.ID)
+			}
+			b.Release(lease, slipwick.EvidenceGood)
+		}
+	})
+}
