gatewayd: Take the class of a pool from the first check with slots

If the first check found no usable servers, as after a start, the pool counted as large and kept that class for classHold, 2 s, after its servers came. Requests of a small pool then had permits of a source that the other routers didn't use for it.

TestClassIsKnownOnceAPoolHasServers got its permit from the source for large pools.

--- a/cmd/internal/gatewayd/permitsources_test.go
+++ b/cmd/internal/gatewayd/permitsources_test.go
@@ -232,6 +232,19 @@
 	})
 }
 
+// TestClassIsKnownOnceAPoolHasServers guards against a small pool whose permits come from the source for
+// large pools for classHold after a start, because the first check found no servers.
+func TestClassIsKnownOnceAPoolHasServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSourcesFixture(0)
+		f.Release(f.acquire(t), slipwick.EvidenceGood)
+		time.Sleep(classCheckInterval)
+		f.capacity.slots = 10
+		f.Release(f.acquire(t), slipwick.EvidenceGood)
+		f.checkGranted(t, "the first check with servers", 1, 0)
+	})
+}
+
 // BenchmarkPermitSources measures what the choice of a source adds to a permit.
 func BenchmarkPermitSources(b *testing.B) {
 	for name, slots := range map[string]int{"coordinator": 10, "shares": 100} {
--- a/cmd/internal/gatewayd/poolclass.go
+++ b/cmd/internal/gatewayd/poolclass.go
@@ -12,11 +12,11 @@
 type poolClass struct {
 	mu sync.Mutex
 	// small says that the pool has few slots, empty that it has none. Both were last checked at
-	// checkedAt. differsSince is since when the slots have called for the other class; zero if they
-	// don't.
-	small, empty bool
-	checkedAt    time.Time
-	differsSince time.Time
+	// checkedAt. known says that a check has found slots. differsSince is since when the slots have
+	// called for the other class; zero if they don't.
+	small, empty, known bool
+	checkedAt           time.Time
+	differsSince        time.Time
 }
 
 const (
@@ -45,7 +45,6 @@
 }
 
 func (c *poolClass) update(now time.Time, slots, routers int) {
-	isFirst := c.checkedAt.IsZero()
 	c.checkedAt = now
 	c.empty = slots == 0
 	if c.empty {
@@ -55,8 +54,8 @@
 	}
 	small := slots < slotsPerRouter*max(routers, 1)
 	switch {
-	case isFirst:
-		c.small = small
+	case !c.known:
+		c.small, c.known = small, true
 	case small == c.small:
 		c.differsSince = time.Time{}
 	case c.differsSince.IsZero():
