gateway: Release the permit once the response has been read

A permit was held until the caller had read a response of up to 1 MB that the gateway had already read completely. A caller that reads slowly kept a slot of the pool in use up to its deadline, although the backend server had finished.

TestSlowCallerHoldsNoPermit got one permit held while the caller read nothing.

--- a/gateway/permits_test.go
+++ b/gateway/permits_test.go
@@ -563,3 +563,43 @@
 		t.Errorf("got %d calls, want 1", calls)
 	}
 }
+
+// blockedWriter is a caller that reads nothing of a response's body until it is released.
+type blockedWriter struct {
+	*httptest.ResponseRecorder
+	writing, released chan struct{}
+}
+
+func (w *blockedWriter) Write(p []byte) (int, error) {
+	close(w.writing)
+	<-w.released
+	return w.ResponseRecorder.Write(p)
+}
+
+// TestSlowCallerHoldsNoPermit guards against callers who read slowly and keep slots of a pool in use
+// after the backend server has finished.
+func TestSlowCallerHoldsNoPermit(t *testing.T) {
+	source := newPermits(1)
+	f := newPermitFixture(t, source, newBackend(t, "b1", respondWith(http.StatusOK, "answer")))
+	w := &blockedWriter{
+		ResponseRecorder: httptest.NewRecorder(),
+		writing:          make(chan struct{}),
+		released:         make(chan struct{}),
+	}
+	request := httptest.NewRequest(http.MethodPost, "/repeatable/x", strings.NewReader("question"))
+	request.Host = "a.example"
+	request.Header.Set("Slipwick-Request", "slow")
+	request.Header.Set("Authorization", "Bearer good")
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		f.gateway.ServeHTTP(w, request)
+	}()
+	<-w.writing
+	if got := source.outstanding(); got != 0 {
+		t.Errorf("got %d permits held while the caller reads, want none", got)
+	}
+	close(w.released)
+	<-ended
+	source.checkNoLeak(t, f, 1)
+}
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -103,6 +103,8 @@
 	case tooLarge:
 		return c.forwardLarge(buffered, response)
 	}
+	// The backend server has finished, however long the caller takes to read.
+	c.permit.release(slipwick.EvidenceGood)
 	if err := buffered.write(c.writer); err != nil {
 		return resultDisconnected, slipwick.EvidenceGood, err
 	}
