gateway: Estimate the work of requests with pace.WorkEstimator

Two estimators did the same task. That of the gateway had an average for each pool and route, so that a prompt of 50,000 tokens counted as much as one of 100. WorkEstimator adds the prefill time of the tokens that no engine has cached, and now estimates the time to the start of the response too.

Signatures changed in tests of pace: Estimate also returns the start and whether the pool is known, Record takes the start. The tests check both in addition to what they checked.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/balance"
 	"github.com/slipwick/slipwick/clock"
+	"github.com/slipwick/slipwick/pace"
 	"github.com/slipwick/slipwick/quarantine"
 	"github.com/slipwick/slipwick/retry"
 	"github.com/slipwick/slipwick/routing"
@@ -61,8 +62,10 @@
 	inFlight atomic.Int64
 	// firstPace guards the call of OnPace.
 	firstPace sync.Once
-	work      workEstimates
-	refused   refusedKeys
+	// work estimates the work of requests; workOnce guards its creation.
+	workOnce sync.Once
+	work     *pace.WorkEstimator
+	refused  refusedKeys
 }
 
 // RecordPace notes that a backend server reported its pace.
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -117,7 +117,7 @@
 
 // describe sets what is the same for all sends of the request.
 func (c *call) describe(request *slipwick.PermitRequest) {
-	work, start := c.gateway.work.estimate(c.workKey(), c.route.ResponseObjective)
+	work, start := c.estimateWork()
 	*request = slipwick.PermitRequest{
 		Pool:      c.pool,
 		Workspace: c.workspaceName(),
@@ -141,13 +141,6 @@
 	}
 }
 
-func (c *call) workKey() workKey {
-	return workKey{
-		pool:  c.pool,
-		route: c.route.Name,
-	}
-}
-
 // usesPermits reports whether requests need permits at this moment.
 func (g *Gateway) usesPermits() bool {
 	return g.Permits != nil && (g.PermitsActive == nil || g.PermitsActive())
@@ -189,15 +182,3 @@
 		return ReasonOverloaded
 	}
 }
-
-// recordWork notes how long a request whose response was delivered occupied its slot.
-func (c *call) recordWork(sentAt time.Time) {
-	if !c.gateway.usesPermits() {
-		return
-	}
-	start := clock.Since(sentAt)
-	if !c.responseStart.IsZero() {
-		start = c.responseStart.Sub(sentAt)
-	}
-	c.gateway.work.record(c.workKey(), start, clock.Since(sentAt))
-}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -275,7 +275,7 @@
 		c.abandonNextLease()
 	}
 	if sendResult == resultDelivered {
-		c.recordWork(sentAt)
+		c.recordWork(lease, sentAt)
 	} else {
 		attempt.Result, attempt.Duration = sendResult.String(), clock.Since(started)
 		attempt.Events = c.progress.events - events
--- a/pace/work.go
+++ b/pace/work.go
@@ -23,7 +23,8 @@
 
 // WorkEstimator estimates for how long a request will occupy a slot of its pool: the time to prefill
 // its tokens that are not cached, plus the output time, that is the rest of the time to the last event,
-// which is a moving average for each route. It is safe for concurrent use.
+// which is a moving average for each route. In the same way it estimates the time to the start of the
+// response. It is safe for concurrent use.
 type WorkEstimator struct {
 	prefillTime func(pool string, tokens int) time.Duration
 
@@ -38,9 +39,10 @@
 
 // routeWork has what is known of the work of the requests of a route.
 type routeWork struct {
-	// output is the moving average of the output times, in nanoseconds, of count requests.
-	output float64
-	count  int
+	// output and delay are the moving averages, in nanoseconds, of the output times of count requests
+	// and of the times by which their responses began later than their prefill takes.
+	output, delay float64
+	count         int
 	// errors has the times that requests took, relative to their estimates.
 	errors *Window
 }
@@ -57,28 +59,31 @@
 }
 
 // Estimate returns for how long a request with the given number of tokens to prefill will probably
-// occupy a slot. A route of which no request was recorded has the pool's output time.
-func (e *WorkEstimator) Estimate(pool, route string, tokensToPrefill int) time.Duration {
-	prefill := e.prefillTime(pool, max(tokensToPrefill, 0))
+// occupy a slot, and after what time its response begins. A route of which no request was recorded has
+// the averages of its pool. known is false if no request of the pool was recorded either.
+func (e *WorkEstimator) Estimate(pool, route string, tokens int) (total, start time.Duration, known bool) {
+	prefill := e.prefillTime(pool, max(tokens, 0))
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return prefill + e.outputLocked(pool, route)
+	w, known := e.knownLocked(pool, route)
+	return prefill + time.Duration(w.output), prefill + time.Duration(w.delay), known
 }
 
-// Record adds the time from the send of a request, which had the given number of tokens to prefill, to
-// the last event of its response.
-func (e *WorkEstimator) Record(pool, route string, tokens int, took time.Duration) {
+// Record adds the times from the send of a request, which had the given number of tokens to prefill, to
+// the start and to the last event of its response.
+func (e *WorkEstimator) Record(pool, route string, tokens int, start, took time.Duration) {
 	if took <= 0 || tokens < 0 {
 		return
 	}
 	prefill := e.prefillTime(pool, tokens)
-	output := max(took-prefill, 0)
+	output, delay := max(took-prefill, 0), max(start-prefill, 0)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	estimate := prefill + e.outputLocked(pool, route)
-	e.workLocked(workKey{pool: pool, route: route}).record(output, took, estimate)
+	known, _ := e.knownLocked(pool, route)
+	slowdown := float64(took) / float64(max(prefill+time.Duration(known.output), 1))
+	e.workLocked(workKey{pool: pool, route: route}).record(output, delay, slowdown)
 	if route != "" {
-		e.workLocked(workKey{pool: pool}).record(output, took, estimate)
+		e.workLocked(workKey{pool: pool}).record(output, delay, slowdown)
 	}
 }
 
@@ -94,14 +99,20 @@
 	return w.errors.Quantile(share), true
 }
 
-func (e *WorkEstimator) outputLocked(pool, route string) time.Duration {
+// unknownWork is what is assumed of a pool of which no request was recorded.
+var unknownWork = &routeWork{
+	output: float64(initialOutputTime),
+}
+
+// knownLocked returns what is known of a route, or else of its pool.
+func (e *WorkEstimator) knownLocked(pool, route string) (w *routeWork, known bool) {
 	if w, ok := e.routes.Get(workKey{pool: pool, route: route}); ok {
-		return time.Duration(w.output)
+		return w, true
 	}
 	if w, ok := e.routes.Get(workKey{pool: pool}); ok {
-		return time.Duration(w.output)
+		return w, true
 	}
-	return initialOutputTime
+	return unknownWork, false
 }
 
 // workLocked returns what is known of the key, and creates it if needed.
@@ -116,12 +127,13 @@
 	return w
 }
 
-// record adds a request that was estimated to take the given time. The first request sets the average.
-func (w *routeWork) record(output, took, estimate time.Duration) {
+// record adds a request that took slowdown times its estimate. The first request sets the averages.
+func (w *routeWork) record(output, delay time.Duration, slowdown float64) {
 	if w.count > 0 {
-		w.errors.Add(float64(took) / float64(max(estimate, 1)))
+		w.errors.Add(slowdown)
 	}
 	w.count++
 	weight := max(outputWeight, 1/float64(w.count))
 	w.output += weight * (float64(output) - w.output)
+	w.delay += weight * (float64(delay) - w.delay)
 }
--- a/pace/work_test.go
+++ b/pace/work_test.go
@@ -34,14 +34,20 @@
 		for _, r := range routes {
 			tokens := random.IntN(20_000)
 			output := time.Duration((2.0/3 + random.Float64()*2/3) * float64(r.output))
-			e.Record(r.pool, r.route, tokens, testPrefillTime(r.pool, tokens)+output)
+			prefill := testPrefillTime(r.pool, tokens)
+			e.Record(r.pool, r.route, tokens, prefill+output/4, prefill+output)
 		}
 	}
 	for _, r := range routes {
 		for _, tokens := range []int{0, 12_000} {
-			got, want := e.Estimate(r.pool, r.route, tokens), testPrefillTime(r.pool, tokens)+r.output
-			if got < want*85/100 || got > want*115/100 {
-				t.Errorf("%s with %d tokens: got %v, want about %v", r.route, tokens, got, want)
+			got, start, known := e.Estimate(r.pool, r.route, tokens)
+			want := testPrefillTime(r.pool, tokens) + r.output
+			if got < want*85/100 || got > want*115/100 || !known {
+				t.Errorf("%s with %d tokens: got %v, %t, want about %v", r.route, tokens, got, known, want)
+			}
+			want = testPrefillTime(r.pool, tokens) + r.output/4
+			if start < want*85/100 || start > want*115/100 {
+				t.Errorf("%s with %d tokens: got a start after %v, want about %v", r.route, tokens, start, want)
 			}
 		}
 		low, _ := e.ErrorQuantile(r.pool, r.route, 0.1)
@@ -56,14 +62,15 @@
 // against invalid records.
 func TestUnknownRoutesHaveThePoolsWork(t *testing.T) {
 	e := NewWorkEstimator(testPrefillTime)
-	if got := e.Estimate("plain", "new", -5); got != initialOutputTime {
-		t.Errorf("got %v without records, want %v", got, initialOutputTime)
+	if got, start, known := e.Estimate("plain", "new", -5); got != initialOutputTime || start != 0 || known {
+		t.Errorf("got %v, a start after %v, %t without records, want %v, 0, false", got, start, known, initialOutputTime)
 	}
-	e.Record("plain", "lookups", 0, -time.Second)
-	e.Record("plain", "lookups", -1, time.Second)
-	e.Record("plain", "lookups", 0, 40*time.Millisecond)
-	if got, want := e.Estimate("plain", "new", 0), 40*time.Millisecond; got != want {
-		t.Errorf("got %v, want the pool's %v", got, want)
+	e.Record("plain", "lookups", 0, 0, -time.Second)
+	e.Record("plain", "lookups", -1, 0, time.Second)
+	e.Record("plain", "lookups", 0, 30*time.Millisecond, 40*time.Millisecond)
+	if got, start, known := e.Estimate("plain", "new", 0); got != 40*time.Millisecond ||
+		start != 30*time.Millisecond || !known {
+		t.Errorf("got %v, a start after %v, %t, want the pool's 40ms, 30ms, true", got, start, known)
 	}
 	if _, ok := e.ErrorQuantile("plain", "lookups", 0.9); ok {
 		t.Error("got an error of the estimates after one request, want none")
@@ -74,7 +81,7 @@
 func TestWorkRoutesAreBounded(t *testing.T) {
 	e := NewWorkEstimator(testPrefillTime)
 	for i := range 3 * maxWorkRoutes {
-		e.Record("plain", fmt.Sprint("r", i), 0, time.Second)
+		e.Record("plain", fmt.Sprint("r", i), 0, 0, time.Second)
 	}
 	if got := e.routes.Len(); got != maxWorkRoutes {
 		t.Errorf("got %d routes kept, want %d", got, maxWorkRoutes)
@@ -89,7 +96,7 @@
 		group.Go(func() {
 			for n := range 200 {
 				route := fmt.Sprint(i, n%3)
-				e.Record("engines", route, n, time.Second)
+				e.Record("engines", route, n, 0, time.Second)
 				e.Estimate("engines", route, n)
 				e.ErrorQuantile("engines", route, 0.5)
 			}
@@ -100,7 +107,7 @@
 
 func BenchmarkWorkEstimate(b *testing.B) {
 	e := NewWorkEstimator(testPrefillTime)
-	e.Record("engines", "r", 100, time.Second)
+	e.Record("engines", "r", 100, 0, time.Second)
 	b.ReportAllocs()
 	for b.Loop() {
 		e.Estimate("engines", "r", 1000)
@@ -111,6 +118,6 @@
 	e := NewWorkEstimator(testPrefillTime)
 	b.ReportAllocs()
 	for b.Loop() {
-		e.Record("engines", "r", 1000, time.Second)
+		e.Record("engines", "r", 1000, 0, time.Second)
 	}
 }
