gateway: Ask again whether a slow server's response is overdue

A server that reports that it is slow has up to four times as long to respond. If it reported that only after a request was sent, the first timeout recorded nothing, and the later ones no longer asked: a server that then hung was never counted as overdue for that request. RecordOverdue now says whether it counted; without SetSpeedAware it always does, as before.

--- a/balance/ejection.go
+++ b/balance/ejection.go
@@ -182,16 +182,18 @@
 }
 
 // RecordOverdue counts a failure for a backend server that has let a request wait for so long
-// that the response will be late. The request goes on.
-func (b *Balancer) RecordOverdue(lease *Lease) {
+// that the response will be late. The request goes on. It returns false, and counts nothing, if the server
+// reports that it is slow and may take longer.
+func (b *Balancer) RecordOverdue(lease *Lease) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := clock.Now()
 	if !b.isOverdueLocked(lease, now) {
-		return
+		return false
 	}
 	b.recordOutcomeLocked(lease.server, true)
 	b.ejectIfFailingLocked(lease.server, now)
+	return true
 }
 
 // ReceiveOutcomes takes the outcomes of requests of other routers.
--- a/gateway/timeouts.go
+++ b/gateway/timeouts.go
@@ -84,8 +84,7 @@
 func (h *timeoutHandler) onTimeout() time.Duration {
 	c := h.call
 	if !h.reported {
-		h.reported = true
-		c.gateway.Balancer.RecordOverdue(h.lease)
+		h.reported = c.gateway.Balancer.RecordOverdue(h.lease)
 	}
 	if !h.mayRetry || clock.Until(c.deadline) < c.minRetryTime() {
 		return upstream.NoTimeout
