soak: Press a pool of few slots with admission control on

The soak test had no full pool and no workspace above its share. Gateways now run with admission control, plain servers work on 4 requests, let 6 wait and reject any above that, and report load, slots and pace. 60 callers of a second workspace send to them for 1 to 3 s at a time, independently of the faults, so that each seed has the same faults as before. In addition to the checks so far, no request that is refused as overloaded may have run, and after the load nothing may be in flight at a server, by its own count and those of all gateways, or wait at a gateway.

--- a/cmd/slipwickd/soak/backend_test.go
+++ b/cmd/slipwickd/soak/backend_test.go
@@ -34,6 +34,11 @@
 	startedAt  int64
 	isShutDown bool
 
+	// slots are those of a server of poolPlain; nil for an engine. inFlight counts all requests that
+	// have arrived and are not over, for whatever incarnation.
+	slots    *slots
+	inFlight atomic.Int32
+
 	// notices are the notices that the current incarnation sends to the gateways.
 	notices atomic.Pointer[notices]
 	// failurePercent is the percentage of requests that fail after they ran, in addition to
@@ -53,6 +58,9 @@
 		recorder: r,
 		store:    s,
 	}
+	if pool == poolPlain {
+		b.slots = newSlots()
+	}
 	address, err := b.startIncarnation(host)
 	if err != nil {
 		t.Fatal(err)
@@ -84,8 +92,13 @@
 func (b *backend) specification(state string) map[string]any {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	slotCount := 16
+	if b.slots != nil {
+		slotCount = plainSlots
+	}
 	return map[string]any{
-		"service": b.pool, "address": b.proxy.address, "zone": b.zone, "slots": 16, "state": state, "born": b.startedAt,
+		"service": b.pool, "address": b.proxy.address, "zone": b.zone, "slots": slotCount, "state": state,
+		"born": b.startedAt,
 	}
 }
 
@@ -143,6 +156,8 @@
 // ServeHTTP runs a request unless it rejects it. It responds with an event stream if the request
 // accepts one.
 func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	b.inFlight.Add(1)
+	defer b.inFlight.Add(-1)
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
 	if r.Header.Get("Expect-Instance") != b.id {
@@ -167,6 +182,16 @@
 	if err != nil {
 		return
 	}
+	if b.slots != nil {
+		isAdmitted := b.slots.enter(r.Context())
+		b.slots.report(w.Header())
+		if !isAdmitted {
+			w.Header().Set("Not-Executed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		defer b.slots.leave()
+	}
 	b.recorder.recordRun(id, b)
 	if string(body) == crashBody {
 		time.Sleep(10 * time.Millisecond)
--- a/cmd/slipwickd/soak/doc.go
+++ b/cmd/slipwickd/soak/doc.go
@@ -4,6 +4,8 @@
 // inject faults that are chosen at random from a seed. The test then checks what
 // callers and backend servers observed against the guarantees of slipwick: for example,
 // no request that must not be repeated runs twice, or runs although it was refused, and
-// none is sent to a backend server that has been leaving for too long.
+// none is sent to a backend server that has been leaving for too long. Admission control is
+// on, and at times a workspace sends more requests than the plain servers accept; in the end,
+// nothing may be left in flight.
 // `make soak SEED=7 FOR=30s` runs the test with one seed and 30 seconds of faults.
 package soak
--- a/cmd/slipwickd/soak/fleet_test.go
+++ b/cmd/slipwickd/soak/fleet_test.go
@@ -41,6 +41,8 @@
 	// backends are the backend servers that faults choose from. It lacks those that are shutting
 	// down for good.
 	backends []*backend
+	// started has all backend servers, also those that have shut down.
+	started []*backend
 	// announcers are backend servers that announce in responses that they are leaving, or did so
 	// before they shut down.
 	announcers []*backend
@@ -104,7 +106,7 @@
 	f.backendCount++
 	id, zone := fmt.Sprintf("b%d", f.backendCount), fmt.Sprintf("zone-%d", f.backendCount%2)
 	b := newBackend(f.t, f.store, f.recorder, loopback.Host(), id, pool, zone)
-	f.backends = append(f.backends, b)
+	f.backends, f.started = append(f.backends, b), append(f.started, b)
 	f.store.put("servers", b.id, b.specification("ready"))
 }
 
@@ -185,8 +187,11 @@
 			{"name": poolEngines, "max_connections": 300, "inference_engine": map[string]any{"link_mbps": 0}},
 			{"name": "nobody", "max_connections": 10},
 		},
-		"limits":  map[string]int{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "idle_timeout_ms": 15000},
-		"tenants": []map[string]any{{"name": "w", "api_keys": []string{"a-long-key-of-the-soak"}}},
+		"limits": map[string]int{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "idle_timeout_ms": 15000},
+		"tenants": []map[string]any{
+			{"name": "w", "api_keys": []string{workspaceKey}},
+			{"name": "pressing", "api_keys": []string{pressingKey}},
+		},
 	})
 	f.acceptedAt = time.Now()
 }
--- a/cmd/slipwickd/soak/gateway_test.go
+++ b/cmd/slipwickd/soak/gateway_test.go
@@ -68,6 +68,8 @@
 		"seed_nodes":          seedNodes,
 		"bootstrap":           bootstrap,
 		"limits":              map[string]int{"memory_mb": 284},
+		// The contract turns admission control on.
+		"contracts": []string{"pressure"},
 		"bounds": map[string]float64{
 			"grace_period_s": gracePeriod.Seconds(), "retry_budget_ratio": 0.2, "retry_budget_extra": 50, "retry_window_s": 10,
 		},
--- a/cmd/slipwickd/soak/recorder_test.go
+++ b/cmd/slipwickd/soak/recorder_test.go
@@ -39,8 +39,10 @@
 	sentAt, endedAt time.Time
 	// crashesServers is set if the request crashes each backend server that runs it.
 	crashesServers bool
-	// status is the status of the response, or 0 if there was none.
-	status int
+	// status is the status of the response, or 0 if there was none. isOverloaded is set if the gateway
+	// refused the request with the reason overloaded.
+	status       int
+	isOverloaded bool
 	// runs is how often backend servers started to run the request.
 	runs atomic.Int32
 }
@@ -115,6 +117,7 @@
 // arrived, and the error if the response is incomplete or missing.
 func (r *recorder) recordOutcome(s *sentRequest, status int, body string, failure error) {
 	s.status, s.endedAt = status, time.Now()
+	s.isOverloaded = status == 503 && strings.HasPrefix(body, overloadedMessage)
 	isStream := s.route == routeStream || s.route == routeResumable
 	switch {
 	case status == 200:
@@ -156,20 +159,37 @@
 		s.endedAt.Sub(s.sentAt), failure)
 }
 
+// overloadedMessage is the beginning of the message of refusals with the reason overloaded.
+const overloadedMessage = "the backend servers are busy with other requests"
+
 // checkRefusals finds requests that ran although their callers got a refusal, which
-// guarantees that a request did not run. It only checks routes whose requests may run once.
+// guarantees that a request did not run. It only checks routes whose requests may run once, and
+// on all routes the refusals with the reason overloaded.
 func (r *recorder) checkRefusals() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, s := range r.requests {
 		isRefused := s.status == 503 || s.status == 429
-		if isRefused && s.runs.Load() > 0 && (s.route == routeSingle || s.route == routeStream) {
+		if isRefused && s.runs.Load() > 0 && (s.isOverloaded || s.route == routeSingle || s.route == routeStream) {
 			r.violations = append(r.violations,
 				fmt.Sprintf("%s request %s was refused with %d but ran", s.route, s.id, s.status))
 		}
 	}
 }
 
+// overloadedCount returns the number of requests that were refused with the reason overloaded.
+func (r *recorder) overloadedCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, s := range r.requests {
+		if s.isOverloaded {
+			n++
+		}
+	}
+	return n
+}
+
 // totals returns the number of served requests by route, and of all requests by status.
 func (r *recorder) totals() (served map[string]int, statuses map[int]int) {
 	r.mu.Lock()
--- a/cmd/slipwickd/soak/soak_test.go
+++ b/cmd/slipwickd/soak/soak_test.go
@@ -69,18 +69,21 @@
 	for i := range callerCount {
 		tasks.Go(func() { newCaller(f, fmt.Sprintf("c%d", i), seed+uint64(i)).run(ctx) })
 	}
+	tasks.Go(func() { f.press(rand.New(rand.NewPCG(seed, 3)), duration) })
 	f.injectFaults(rand.New(rand.NewPCG(seed, 1)), duration)
 	time.Sleep(recoveryTime)
 	stop()
 	f.checkRecovered(seed)
 	close(done)
 	tasks.Wait()
+	f.checkDrained()
 	f.recorder.checkRefusals()
 	crashes, late := f.recorder.checkQuarantine()
 	t.Logf("seed %d: %d backend servers crashed running the crash request, which later reached others %d times",
 		seed, crashes, late)
 	served, statuses := f.recorder.totals()
-	t.Logf("seed %d: served %v, by status %v", seed, served, statuses)
+	t.Logf("seed %d: served %v, by status %v, %d refused as overloaded",
+		seed, served, statuses, f.recorder.overloadedCount())
 	for _, route := range routes {
 		if served[route] < minServedPerRoute {
 			t.Errorf("got %d served %s requests, too few for a meaningful run", served[route], route)
