--- a/gateway/response.go
+++ b/gateway/response.go
@@ -118,7 +118,9 @@
 		}
 		return large.forward(buffered)
 	}
-	// Other requests can use the connection while the caller reads.
+	// The backend server has finished, and other requests can use the connection, however long the
+	// caller takes to read.
+	c.permit.release(slipwick.EvidenceGood)
 	response.Close()
 	if err := c.writeBuffered(lease, buffered); err != nil {
 		return resultDisconnected, slipwick.EvidenceGood, err
