balance: Add counts only to the round that they belong to

When a router got another hub whose datagrams had lower sequence numbers, the first datagram of each round was dropped as old, but the continuations were added to the counts known. Without admission control the same counts misled the choice of servers.

Counts carry the number of their round, continuations of another round are dropped, and a new hub starts a sequence of its own. The list is copied, as the one given was appended to.

--- a/balance/update.go
+++ b/balance/update.go
@@ -106,7 +106,8 @@
 	return parts
 }
 
-// ReceiveCounts takes the counts that a peer sent. It ignores counts that arrive after later ones.
+// ReceiveCounts takes the counts that a peer sent. It ignores counts that arrive after later ones, and
+// those of the same message again: sequence increases with each message of the peer.
 func (b *Balancer) ReceiveCounts(peer string, sequence uint64, counts []InFlight) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -120,15 +121,19 @@
 	b.countsByPeer[peer] = remoteCounts{
 		receivedAt: clock.Now(),
 		sequence:   sequence,
-		inFlight:   counts,
+		inFlight:   slices.Clone(counts),
 	}
 }
 
-// ReceiveMoreCounts adds to the latest counts of a peer, which were sent in several messages.
-func (b *Balancer) ReceiveMoreCounts(peer string, counts []InFlight) {
+// ReceiveMoreCounts adds to the counts that a peer sent with the sequence, in several messages. It
+// ignores them if the counts known have another sequence.
+func (b *Balancer) ReceiveMoreCounts(peer string, sequence uint64, counts []InFlight) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	c := b.countsByPeer[peer]
+	c, known := b.countsByPeer[peer]
+	if !known || c.sequence != sequence {
+		return
+	}
 	c.receivedAt = clock.Now()
 	c.inFlight = append(c.inFlight, counts...)
 	b.countsByPeer[peer] = c
@@ -137,6 +142,17 @@
 	}
 }
 
+// ForgetSequence makes the next counts of a peer count as later ones, because another sender, with
+// sequences of its own, takes its place.
+func (b *Balancer) ForgetSequence(peer string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c, known := b.countsByPeer[peer]; known {
+		c.sequence = 0
+		b.countsByPeer[peer] = c
+	}
+}
+
 // addRemoteCountsLocked adds counts, multiplied by sign, to the servers' sums.
 func (b *Balancer) addRemoteCountsLocked(counts []InFlight, sign int) {
 	for _, in := range counts {
--- a/exchange/syncer.go
+++ b/exchange/syncer.go
@@ -72,6 +72,8 @@
 	mu sync.Mutex
 	// received are the counts received last, by router or hub.
 	received map[string]*counts
+	// fleetSender is the hub that sent the latest counts of the whole fleet.
+	fleetSender string
 	// own are the counts of this router's own requests at its last update.
 	own   *counts
 	usage usage
@@ -323,12 +325,27 @@
 	source := message.GetFrom()
 	if message.GetScope() == exchangepb.Scope_SCOPE_FLEET {
 		source, list = fleetSource, s.subtractOwn(list)
+		if s.changesFleetSender(message.GetFrom(), isMore) {
+			s.Balancer.ForgetSequence(fleetSource)
+		}
 	}
 	if isMore {
-		s.Balancer.ReceiveMoreCounts(source, list)
+		s.Balancer.ReceiveMoreCounts(source, message.GetRound(), list)
 		return
 	}
-	s.Balancer.ReceiveCounts(source, message.GetSequence(), list)
+	s.Balancer.ReceiveCounts(source, message.GetRound(), list)
+}
+
+// changesFleetSender reports whether another hub than before begins a round of the fleet's counts: the
+// router has a new hub, which numbers its rounds on its own.
+func (s *Syncer) changesFleetSender(from string, isMore bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if isMore || s.fleetSender == from {
+		return false
+	}
+	s.fleetSender = from
+	return true
 }
 
 // storeCounts stores the counts of a datagram, for a hub to add up. isMore says that the datagram
