--- a/cmd/internal/gatewayd/admissionmode.go
+++ b/cmd/internal/gatewayd/admissionmode.go
@@ -9,7 +9,7 @@
 	AdmissionOff AdmissionMode = "off"
 	AdmissionOn  AdmissionMode = "on"
 	// AdmissionAuto starts admission control once a backend server reports its pace, which says that
-	// it shares its box with others. Pools with many slots need no permits then.
+	// it shares its box with others.
 	AdmissionAuto AdmissionMode = "auto"
 )
 
--- a/cmd/internal/gatewayd/admissionswitch.go
+++ b/cmd/internal/gatewayd/admissionswitch.go
@@ -17,8 +17,6 @@
 	mode     AdmissionMode
 	paceSeen bool
 	active   atomic.Bool
-	// dividesSlots is set in mode on.
-	dividesSlots atomic.Bool
 }
 
 // SetMode applies the mode of the settings.
@@ -42,15 +40,7 @@
 	return s.active.Load()
 }
 
-// DividesSlots reports whether requests for pools with many slots need permits too, by the fleet's
-// fair shares. Mode auto asks for none: that servers share their boxes says nothing of workspaces that
-// compete.
-func (s *admissionSwitch) DividesSlots() bool {
-	return s.dividesSlots.Load()
-}
-
 func (s *admissionSwitch) updateLocked() {
-	s.dividesSlots.Store(s.mode == AdmissionOn)
 	active := s.mode == AdmissionOn || s.mode == AdmissionAuto && s.paceSeen
 	if s.active.Swap(active) != active && s.OnChange != nil {
 		s.OnChange(active)
--- a/cmd/internal/gatewayd/assemble.go
+++ b/cmd/internal/gatewayd/assemble.go
@@ -133,12 +133,11 @@
 // requests need none.
 func (p *Process) newPermitSources() *permitSources {
 	s := &permitSources{
-		Active:       p.admission.Active,
-		DividesSlots: p.admission.DividesSlots,
-		Capacity:     p.balancer,
-		Routers:      func() int { return len(p.node.Routers()) },
-		SmallCounts:  p.metrics.permitCounts(sourceCoordinator),
-		LargeCounts:  p.metrics.permitCounts(sourceShares),
+		Active:      p.admission.Active,
+		Capacity:    p.balancer,
+		Routers:     func() int { return len(p.node.Routers()) },
+		SmallCounts: p.metrics.permitCounts(sourceCoordinator),
+		LargeCounts: p.metrics.permitCounts(sourceShares),
 	}
 	if p.permitEndpoint != nil {
 		s.Small, s.Large = p.permitEndpoint.endpoint.Client, p.limiter
--- a/cmd/internal/gatewayd/permitsources.go
+++ b/cmd/internal/gatewayd/permitsources.go
@@ -20,8 +20,6 @@
 type permitSources struct {
 	// Active reports whether admission control is active.
 	Active func() bool
-	// DividesSlots reports whether pools of Large need permits; nil says that they do.
-	DividesSlots func() bool
 	// Small serves pools with few slots for each router, Large all others. Pools whose source is nil
 	// need no permits.
 	Small, Large slipwick.PermitSource
@@ -133,8 +131,6 @@
 		return nil, false
 	case small:
 		return s.Small, true
-	case s.DividesSlots != nil && !s.DividesSlots():
-		return nil, false
 	default:
 		return s.Large, false
 	}
