gatewayd: Ask for permits only where the settings say so

With admission auto, a deployment whose servers share their boxes got permits as well. Mode auto turns on the choice of servers by their speed alone; on asks for permits too. The event says which.

--- a/cmd/internal/gatewayd/admission_test.go
+++ b/cmd/internal/gatewayd/admission_test.go
@@ -57,7 +57,13 @@
 	check("auto, before a pace", 0)
 	r.gateway.RecordPace()
 	post("auto, after a pace", http.StatusOK)
-	check("auto, after a pace", 1)
+	check("auto, after a pace", 0)
+	if !r.admission.Active() {
+		t.Error("auto, after a pace: got servers not chosen by their speed, want by it")
+	}
+	reload(AdmissionOn)
+	post("on", http.StatusOK)
+	check("on", 1)
 	reload(AdmissionOff)
 	post("off", http.StatusOK)
 	check("off", 1)
--- a/cmd/internal/gatewayd/admissionmode.go
+++ b/cmd/internal/gatewayd/admissionmode.go
@@ -8,8 +8,8 @@
 const (
 	AdmissionOff AdmissionMode = "off"
 	AdmissionOn  AdmissionMode = "on"
-	// AdmissionAuto starts admission control once a backend server reports its pace, which says that
-	// it shares its box with others.
+	// AdmissionAuto chooses servers by their speed once one of them reports its pace, which says that
+	// it shares its box with others. Requests need no permits.
 	AdmissionAuto AdmissionMode = "auto"
 )
 
--- a/cmd/internal/gatewayd/admissionswitch_test.go
+++ b/cmd/internal/gatewayd/admissionswitch_test.go
@@ -37,6 +37,9 @@
 		if got := s.Active(); got != test.wantAfterPace {
 			t.Errorf("%q: got active %t after the first pace, want %t", test.mode, got, test.wantAfterPace)
 		}
+		if got, want := s.NeedsPermits(), test.mode == AdmissionOn; got != want {
+			t.Errorf("%q: got permits needed %t after the first pace, want %t", test.mode, got, want)
+		}
 	}
 }
 
--- a/cmd/internal/gatewayd/assemble.go
+++ b/cmd/internal/gatewayd/assemble.go
@@ -125,7 +125,7 @@
 		Permits:    p.permits,
 		OnPace:     p.admission.RecordPace,
 
-		PermitsActive: p.admission.Active,
+		PermitsActive: p.admission.NeedsPermits,
 	}
 }
 
@@ -133,7 +133,7 @@
 // requests need none.
 func (p *Process) newPermitSources() *permitSources {
 	s := &permitSources{
-		Active:      p.admission.Active,
+		Active:      p.admission.NeedsPermits,
 		Capacity:    p.balancer,
 		Routers:     func() int { return len(p.node.Routers()) },
 		SmallCounts: p.metrics.permitCounts(sourceCoordinator),
@@ -161,6 +161,7 @@
 }
 
 func (p *Process) onAdmissionChange(active bool) {
-	events.AdmissionChanged.On(&p.Log).Bool("active", active).Send()
+	events.AdmissionChanged.On(&p.Log).Bool("active", active).
+		Bool("permits", p.admission.NeedsPermits()).Send()
 	p.balancer.SetSpeedAware(active)
 }
