--- a/exchange/limiters_test.go
+++ b/exchange/limiters_test.go
@@ -27,6 +27,7 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				var running atomic.Int64
 				served := make([]atomic.Int64, size)
+				limiters := make([]*quota.Limiter, size)
 				for i, syncer := range syncers {
 					var list []balance.Entry
 					for e := range engines {
@@ -43,7 +44,11 @@
 					limiter := quota.New(syncer.Self)
 					limiter.Capacity = syncer.Balancer
 					limiter.Routers = func() int { return size }
-					syncer.Usage = limiter
+					syncer.Usage, limiters[i] = limiter, limiter
+				}
+				// Routers send to each other as soon as they run, so that all have to be complete by then.
+				for i, syncer := range syncers {
+					limiter := limiters[i]
 					go limiter.Run(ctx)
 					go syncer.Run(ctx)
 					callers := 2 * slots / size
