--- a/claims/segments_test.go
+++ b/claims/segments_test.go
@@ -11,7 +11,10 @@
 
 // claimNew claims a new key.
 func claimNew(f *fleet, n *node) error {
-	key, err := n.claims.Policy.ParseKey("w", newKey(f.random), time.Now())
+	f.mu.Lock()
+	id := newKey(f.random)
+	f.mu.Unlock()
+	key, err := n.claims.Policy.ParseKey("w", id, time.Now())
 	if err != nil {
 		return err
 	}
@@ -43,6 +46,8 @@
 			}
 			time.Sleep(500 * time.Millisecond)
 		}
+		// A claim may end before the journal has finished its write, so the count waits for it.
+		f.stop()
 		if got := len(f.store.objects); got > policy.MaxSegments {
 			t.Errorf("got %d objects, want at most %d", got, policy.MaxSegments)
 		}
@@ -50,6 +55,5 @@
 		if granted < 100 || refused == 0 {
 			t.Errorf("got %d granted and %d refused, want both", granted, refused)
 		}
-		f.stop()
 	})
 }
