permit: Queue requests late that can't meet their objective

Cause: a coordinator refused every request that would miss its objective for 1 s after any refusal, and subtracted the work from Objective, which is the send-by time already.

The tests pass Objective as the gateway does; what counts as in time is as before.

--- a/cmd/internal/gatewayd/assemble.go
+++ b/cmd/internal/gatewayd/assemble.go
@@ -125,7 +125,7 @@
 		Permits:    p.permits,
 		OnPace:     p.admission.RecordPace,
 
-		PermitsActive: p.admission.NeedsPermits,
+		PermitsActive: p.admission.Active,
 	}
 }
 
@@ -133,7 +133,8 @@
 // requests need none.
 func (p *Process) newPermitSources() *permitSources {
 	s := &permitSources{
-		Active:      p.admission.NeedsPermits,
+		Active:      p.admission.Active,
+		UsesShares:  p.admission.UsesShares,
 		Capacity:    p.balancer,
 		Routers:     func() int { return len(p.node.Routers()) },
 		SmallCounts: p.metrics.permitCounts(sourceCoordinator),
@@ -162,6 +163,6 @@
 
 func (p *Process) onAdmissionChange(active bool) {
 	events.AdmissionChanged.On(&p.Log).Bool("active", active).
-		Bool("permits", p.admission.NeedsPermits()).Send()
+		Bool("shares", p.admission.UsesShares()).Send()
 	p.balancer.SetSpeedAware(active)
 }
--- a/cmd/internal/gatewayd/status.go
+++ b/cmd/internal/gatewayd/status.go
@@ -62,7 +62,7 @@
 		KnownParts:    p.balancer.CachedPartCount(),
 		MissingCaches: p.recovery.MissingCount(),
 		Quarantined:   p.crashTracker.QuarantinedCount(),
-		Admission:     p.admission.NeedsPermits(),
+		Admission:     p.admission.Active(),
 		Pools:         p.poolStatuses(),
 		Backends:      p.balancer.States(),
 	}
--- a/permit/acquisition.go
+++ b/permit/acquisition.go
@@ -113,8 +113,7 @@
 	}
 	a.queued = true
 	valid := min(time.Duration(answer.WaitMs)*time.Millisecond, maxBound)
-	if !a.request.Objective.IsZero() {
-		left := a.request.Objective.Sub(now)
+	if left := a.request.Objective.Sub(now); left > 0 {
 		valid = min(valid, time.Duration(confirmationShare*float64(left)))
 	}
 	a.askAgainAt = now.Add(max(valid, a.bound))
--- a/permit/ask.go
+++ b/permit/ask.go
@@ -10,21 +10,19 @@
 )
 
 const (
-	// travelMargin is the time that a grant, the request and the start of its response are under way.
+	// travelMargin is the time that a grant and the request are under way.
 	travelMargin = 8 * time.Millisecond
 	// deadlineMargin is how much longer than its request's deadline a lease lasts.
 	deadlineMargin = 20 * time.Millisecond
 	// maxLease is how long a lease of a request without a deadline lasts.
 	maxLease = time.Minute
-	// waitShare is the part of the time to the objective that the expected wait of a request may take.
-	// The estimates of the work are inexact: with 0.75 every twentieth response was late.
+	// waitShare is the part of the time to the objective that the expected wait of a request may take, and of
+	// the time to its latest start that the expected wait of a late request may take. The estimates of the
+	// work are inexact: with 0.75 every twentieth response was late.
 	waitShare = 0.5
-	// lateWaitShare is the part of the time to the deadline that the expected wait of a request may take
-	// that can't meet its objective: requests that can meet theirs go ahead of it.
-	lateWaitShare = 0.1
-	// overloadMemory is for how long after a refusal requests that can't meet their objective are
-	// refused too: requests that can meet theirs keep the pool busy.
-	overloadMemory = time.Second
+	// patience is the part of the time to its latest start after which a late request that still waits is
+	// queued with those that can meet their objective.
+	patience = 0.75
 )
 
 // askLocked handles an ask. One that was received before is answered as the first time.
@@ -71,8 +69,8 @@
 	return time.Duration(p.held.or(initialHeld.Seconds()) * float64(time.Second))
 }
 
-// requestOf returns the request of an ask. Its Objective and Deadline are the latest times for the
-// grant with which the response can begin in time, plus its work.
+// requestOf returns the request of an ask. Its Objective is the latest time for the grant with which the
+// response can begin in time.
 func requestOf(ask *permitpb.Ask, usualWork time.Duration, now time.Time) *slipwick.PermitRequest {
 	r := &slipwick.PermitRequest{
 		Pool:        ask.Pool,
@@ -92,7 +90,7 @@
 		r.Work = usualWork
 	}
 	if ask.ObjectiveMs > 0 {
-		r.Objective = now.Add(time.Duration(ask.ObjectiveMs)*time.Millisecond - r.Work - travelMargin)
+		r.Objective = now.Add(time.Duration(ask.ObjectiveMs)*time.Millisecond - travelMargin)
 	}
 	if ask.DeadlineMs > 0 {
 		r.Deadline = now.Add(time.Duration(ask.DeadlineMs) * time.Millisecond)
@@ -115,7 +113,7 @@
 	case p.excludesAll(request):
 		p.refuse(w, request, permitpb.Reason_REASON_EXCLUDED, now)
 		return
-	case !free && !p.fits(request, share, now):
+	case !free && !p.fits(request, share, now) && !p.makeLate(request, share, now):
 		p.refuse(w, request, permitpb.Reason_REASON_TOO_LATE, now)
 		return
 	case !p.takeWork(request, now):
@@ -126,10 +124,17 @@
 }
 
 func (p *pool) enqueue(w *waiter, request *slipwick.PermitRequest, now time.Time) {
+	// The queue returns a request that has used up its patience.
+	latest := request.Deadline.Add(-request.Work)
+	patient := now.Add(time.Duration(patience * float64(latest.Sub(now))))
+	if !request.Objective.IsZero() && patient.After(request.Objective) {
+		request.Deadline = patient.Add(request.Work)
+	}
 	item := &fairqueue.Item{
 		Request: request,
 		Value:   w,
 	}
+	w.objective, w.class = request.Objective, classOf(request, now)
 	w.expected = p.queueWait(request, p.share(now), now)
 	evicted, ok := p.queue.Push(item, now)
 	if !ok {
@@ -169,14 +174,15 @@
 // expectedWait returns for how long the request would wait for those ahead of it, and for those that come
 // later and overtake it.
 func (p *pool) expectedWait(request *slipwick.PermitRequest, share float64, now time.Time) time.Duration {
-	wait := float64(p.queueWait(request, share, now)) * p.overtaking.factor(classOf(request))
+	wait := float64(p.queueWait(request, share, now)) * p.overtaking.factor(classOf(request, now))
 	return time.Duration(min(wait, float64(maxLease)))
 }
 
-func classOf(request *slipwick.PermitRequest) waitClass {
+func classOf(request *slipwick.PermitRequest, now time.Time) waitClass {
 	return waitClass{
 		workspace: request.Workspace,
 		priority:  request.Priority,
+		late:      !request.Objective.IsZero() && now.After(request.Objective),
 	}
 }
 
@@ -185,32 +191,33 @@
 	return p.queue.ExpectedWait(request, now, p.rate(share, now))
 }
 
-// fits reports whether the request can be served in time: within its objective or, if the pool wasn't
-// overloaded in the last second, within its deadline.
+// fits reports whether the request will probably be granted within its objective or, without one, by its
+// deadline.
 func (p *pool) fits(request *slipwick.PermitRequest, share float64, now time.Time) bool {
 	wait := p.expectedWait(request, share, now)
-	left := request.Deadline.Add(-request.Work).Sub(now)
 	if request.Objective.IsZero() {
-		return wait <= left
+		return wait <= request.Deadline.Add(-request.Work).Sub(now)
 	}
-	if wait <= time.Duration(waitShare*float64(request.Objective.Sub(now))) {
-		return true
-	}
-	return !p.isOverloaded(now) && wait <= time.Duration(lateWaitShare*float64(left))
+	return wait <= time.Duration(waitShare*float64(request.Objective.Sub(now)))
 }
 
-// isOverloaded reports whether requests that can't meet their objective are refused.
-func (p *pool) isOverloaded(now time.Time) bool {
-	return now.Sub(p.backlog.refusedAt) < overloadMemory
+// makeLate turns a request that can't meet its objective into a late one, which comes after all that can
+// meet theirs. It returns false if the request will probably not be granted by its deadline.
+func (p *pool) makeLate(request *slipwick.PermitRequest, share float64, now time.Time) bool {
+	late := *request
+	late.Objective = now.Add(-time.Nanosecond)
+	left := request.Deadline.Add(-request.Work).Sub(now)
+	if p.expectedWait(&late, share, now) > time.Duration(waitShare*float64(left)) {
+		return false
+	}
+	*request = late
+	return true
 }
 
 // refuse tells the router that the request is refused, and after which time its caller should return.
 func (p *pool) refuse(w *waiter, request *slipwick.PermitRequest, reason permitpb.Reason, now time.Time) {
 	share := p.share(now)
 	after := p.backlog.plan(request.Work, p.expectedWait(request, share, now), p.rate(share, now), now)
-	if reason == permitpb.Reason_REASON_TOO_LATE || reason == permitpb.Reason_REASON_QUEUE_FULL {
-		p.backlog.refusedAt = now
-	}
 	p.answer(w, &permitpb.Answer{
 		Id:      w.id,
 		Verdict: permitpb.Verdict_VERDICT_REFUSED,
--- a/permit/backlog.go
+++ b/permit/backlog.go
@@ -21,8 +21,6 @@
 type backlog struct {
 	// until is the end of the planned work.
 	until time.Time
-	// refusedAt is when a request was refused last because the pool has too little capacity.
-	refusedAt time.Time
 }
 
 // plan returns after which time a caller with the work should return to a pool with that rate of work,
--- a/permit/coordinator.go
+++ b/permit/coordinator.go
@@ -107,7 +107,7 @@
 			p.expire(now)
 		}
 		p.pump(now)
-		if p.waiting() > 0 {
+		if p.queue.Len() > 0 {
 			interval = waitingInterval
 		}
 		if p.isIdle(now) {
@@ -194,7 +194,7 @@
 func (c *Coordinator) dropLocked(a *asker, now time.Time) {
 	delete(c.askers, a.address)
 	for id, item := range a.waiting {
-		item.Value.(*waiter).pool.remove(item)
+		item.Value.(*waiter).pool.queue.Remove(item)
 		delete(a.waiting, id)
 	}
 	pools := make(map[*pool]bool)
@@ -217,7 +217,7 @@
 	a.released[r.Id] = now
 	if item := a.waiting[r.Id]; item != nil {
 		delete(a.waiting, r.Id)
-		item.Value.(*waiter).pool.remove(item)
+		item.Value.(*waiter).pool.queue.Remove(item)
 		return
 	}
 	l := a.leases[r.Id]
--- a/permit/fault_test.go
+++ b/permit/fault_test.go
@@ -397,7 +397,7 @@
 			granted := 0
 			for range 24 {
 				request := newRequest(longWork, time.Minute)
-				request.Objective = request.Arrived.Add(longWork + 60*time.Millisecond)
+				request.Objective = request.Arrived.Add(60 * time.Millisecond)
 				ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
 				if _, err := other.client().Acquire(ctx, request); err == nil {
 					granted++
@@ -423,7 +423,7 @@
 		for range 8 {
 			request := newRequest(35*time.Millisecond, time.Minute)
 			request.Exclude = []string{"plain-1"}
-			request.Objective = time.Now().Add(60 * time.Millisecond)
+			request.Objective = time.Now().Add(25 * time.Millisecond)
 			permit, err := other.client().Acquire(t.Context(), request)
 			if err == nil && permit.Backend != "plain-2" {
 				t.Errorf("got a permit for %q, want plain-2: plain-0 left and plain-1 is excluded", permit.Backend)
@@ -490,41 +490,51 @@
 	})
 }
 
-// TestLongHeldRequestIsServed guards against a request that is held beyond its objective and then refused,
-// because the pool is overloaded meanwhile: it comes before one that can still meet its objective.
-func TestLongHeldRequestIsServed(t *testing.T) {
+// TestLateRequestIsServed guards against a request that is refused at its arrival or held beyond its
+// objective and then refused, though it can be served by its deadline: it comes after those that can meet
+// their objective, and before later ones of these once its deadline is near.
+func TestLateRequestIsServed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, _, other := newStartedFleet(t, 31, 1)
 		other.acquire(t, 1, longWork)
 		time.Sleep(initialHeld)
 		held := other.acquire(t, 5, longWork)
-		order := make(chan string, 2)
-		wait := func(name string, objective time.Duration) {
-			request := newRequest(usualWork, objective)
-			request.Deadline = request.Arrived.Add(10 * time.Second)
-			_, err := other.client().Acquire(t.Context(), request)
-			if err != nil {
-				t.Errorf("%s: got %v, want a permit", name, err)
+		order := make(chan string, 5)
+		queue := func(name string, work, objective, deadline time.Duration) {
+			request := newRequest(work, work+objective)
+			request.Deadline = request.Arrived.Add(work + deadline)
+			go func() {
+				if _, err := other.client().Acquire(t.Context(), request); err != nil {
+					t.Errorf("%s: got %v, want a permit", name, err)
+				}
+				order <- name
+			}()
+			time.Sleep(20 * time.Millisecond)
+		}
+		expect := func(names ...string) {
+			for _, want := range names {
+				other.client().Release(held[0], slipwick.EvidenceNone)
+				held = held[1:]
+				if got := <-order; got != want {
+					t.Errorf("got a permit for the request %q, want %q first", got, want)
+				}
 			}
-			order <- name
 		}
-		go wait("long held", 200*time.Millisecond)
+		queue("becomes late", usualWork, 200*time.Millisecond, 4*time.Second)
 		time.Sleep(300 * time.Millisecond)
-		go wait("in time", 5*time.Second)
-		time.Sleep(20 * time.Millisecond)
+		queue("late on arrival", usualWork, 0, 20*time.Second)
+		// Its permit lasts until the end.
+		queue("in time", longWork, 5*time.Second, 20*time.Second)
 		tooLate := newRequest(usualWork, 50*time.Millisecond)
 		if _, err := other.client().Acquire(t.Context(), tooLate); !slipwick.IsKind(err, slipwick.KindOverloaded) {
-			t.Errorf("got %v for a request that can't be served in time, want a refusal", err)
-		}
-		time.Sleep(100 * time.Millisecond)
-		for _, want := range []string{"long held", "in time"} {
-			other.client().Release(held[0], slipwick.EvidenceNone)
-			held = held[1:]
-			if got := <-order; got != want {
-				t.Errorf("got a permit for the request %q, want %q first", got, want)
-			}
+			t.Errorf("got %v for a request that can't be served by its deadline, want a refusal", err)
 		}
-		f.checkLeases(t, "after both", 6)
+		expect("in time")
+		time.Sleep(3 * time.Second)
+		queue("in time, later", usualWork, 2*time.Second, 8*time.Second)
+		expect("becomes late", "in time, later", "late on arrival")
+		time.Sleep(5 * time.Millisecond)
+		f.checkLeases(t, "after all", 6)
 	})
 }
 
--- a/permit/fleet_test.go
+++ b/permit/fleet_test.go
@@ -207,7 +207,7 @@
 	return nil
 }
 
-// newRequest returns a request that arrives now.
+// newRequest returns a request that arrives now, whose response has to be complete within the objective.
 func newRequest(work, objective time.Duration) *slipwick.PermitRequest {
 	now := clock.Now()
 	return &slipwick.PermitRequest{
@@ -215,7 +215,7 @@
 		Workspace: "workspace-1",
 		Work:      work,
 		Arrived:   now,
-		Objective: now.Add(objective),
+		Objective: now.Add(objective - work),
 		Deadline:  now.Add(objective),
 	}
 }
--- a/permit/load_test.go
+++ b/permit/load_test.go
@@ -1,6 +1,7 @@
 package permit
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math"
@@ -21,7 +22,9 @@
 	demand    float64
 	work      time.Duration
 	objective time.Duration
-	duration  time.Duration
+	// deadline is that of each request; 0 stands for 4 times the objective.
+	deadline time.Duration
+	duration time.Duration
 	// slowness returns how long requests take at a server, as a multiple of their work, at a time.
 	slowness func(server int, at time.Duration) float64
 	// capacity is the work per second that the slots can do; 0 stands for the number of slots.
@@ -201,7 +204,8 @@
 	}
 	// The estimate of the work is off by up to a quarter.
 	request.Work = time.Duration((0.75 + 0.5*rand.New(rand.NewPCG(4, uint64(work))).Float64()) * float64(work))
-	request.Deadline = request.Arrived.Add(4 * l.objective)
+	request.Objective = request.Arrived.Add(l.objective - request.Work)
+	request.Deadline = request.Arrived.Add(cmp.Or(l.deadline, 4*l.objective))
 	began, ok := p.send(context.WithValue(ctx, workKey{}, work), r, request, result)
 	ended := time.Now()
 	result.Lock()
@@ -218,7 +222,7 @@
 	case !ok:
 		result.refused++
 		result.refusals = append(result.refusals, ended.Sub(request.Arrived))
-	case ended.After(request.Objective):
+	case ended.After(request.Arrived.Add(l.objective)):
 		result.late++
 	default:
 		result.inTime++
--- a/permit/overtaking.go
+++ b/permit/overtaking.go
@@ -18,6 +18,7 @@
 type waitClass struct {
 	workspace string
 	priority  int
+	late      bool
 }
 
 // overtaking learns by what factor the requests of each class wait longer than expected when they
--- a/permit/policies_test.go
+++ b/permit/policies_test.go
@@ -187,7 +187,7 @@
 	p.demand[r]++
 	reservation := p.buckets[r].Reserve()
 	wait := reservation.Delay()
-	if time.Until(request.Objective)-request.Work-travelMargin < wait {
+	if time.Until(request.Objective)-travelMargin < wait {
 		reservation.Cancel()
 		p.mu.Unlock()
 		return began, false
--- a/permit/pool.go
+++ b/permit/pool.go
@@ -45,10 +45,7 @@
 	coordinator *Coordinator
 	name        string
 	queue       *fairqueue.Queue
-	// overdue has the requests that were held beyond their objective before the pool was overloaded.
-	// They are served first, since a refusal would come too late.
-	overdue []*fairqueue.Item
-	servers map[string]*server
+	servers     map[string]*server
 	// order has the usable servers.
 	order     []*server
 	refreshed time.Time
@@ -175,7 +172,7 @@
 		auditWait: minAuditWait,
 	}
 	l.auditAt = now.Add(p.overdueTime(l))
-	p.overtaking.record(classOf(request), w.expected, now.Sub(w.queued))
+	p.recordWait(w, now)
 	s.leases = append(s.leases, l)
 	p.workspace(request).leases++
 	w.asker.leases[w.id] = l
@@ -185,6 +182,16 @@
 	})
 }
 
+// recordWait notes for how long a request waited until now. Only the time to its objective counts of a
+// request that became late in the queue, since others have come before it from then on.
+func (p *pool) recordWait(w *waiter, now time.Time) {
+	waited := now.Sub(w.queued)
+	if !w.class.late && !w.objective.IsZero() {
+		waited = min(waited, time.Duration(refusedFactor*float64(w.objective.Sub(w.queued))))
+	}
+	p.overtaking.record(w.class, w.expected, waited)
+}
+
 // overdueTime returns after which time a lease lasts longer than expected.
 func (p *pool) overdueTime(l *lease) time.Duration {
 	expected := l.work.Seconds() * l.server.slowness.or(1)
@@ -237,7 +244,7 @@
 
 // isIdle reports whether the pool can be forgotten.
 func (p *pool) isIdle(now time.Time) bool {
-	if p.waiting() > 0 || now.Sub(p.usedAt) < poolRetention {
+	if p.queue.Len() > 0 || now.Sub(p.usedAt) < poolRetention {
 		return false
 	}
 	for _, s := range p.servers {
--- a/permit/pool_test.go
+++ b/permit/pool_test.go
@@ -1,6 +1,7 @@
 package permit
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"testing"
@@ -206,6 +207,43 @@
 	}
 }
 
+// TestOneServerLeft guards against requests that are refused or rejected though they could be served late:
+// two of three servers are gone for 6 s, and other processes slow down the one that is left 2.5 times for
+// 600 ms every 4 s. Callers want a response within 120 ms and wait for 1 s.
+func TestOneServerLeft(t *testing.T) {
+	for _, routers := range []int{31, 84} {
+		t.Run(fmt.Sprintf("%d routers", routers), func(t *testing.T) {
+			t.Parallel()
+			l := testLoad{
+				routers: routers,
+				servers: 3,
+				slots:   6,
+				// 324 requests a second.
+				demand:    0.27,
+				work:      15 * time.Millisecond,
+				objective: 120 * time.Millisecond,
+				deadline:  time.Second,
+				duration:  30 * time.Second,
+				slowness:  slowTimes,
+				faults: func(_ context.Context, f *testFleet) {
+					time.Sleep(12 * time.Second)
+					f.setGone("plain-1", true)
+					f.setGone("plain-2", true)
+					time.Sleep(6 * time.Second)
+					f.setGone("plain-1", false)
+					f.setGone("plain-2", false)
+				},
+			}
+			r := l.run(t, &permits{})
+			t.Log("permits:", r)
+			if got, want := r.refused+r.rejected, r.offered*2/100; got > want {
+				t.Errorf("got %d refused and %d rejected requests, want at most %d of %d", r.refused, r.rejected, want,
+					r.offered)
+			}
+		})
+	}
+}
+
 // TestFairShares guards against a workspace that gets more than its share because it asks for more, or
 // because its requests use few routers: six workspaces of equal weight ask for 4 times the slots in
 // all, one of them for half of that through a quarter of the routers.
@@ -341,7 +379,7 @@
 				Id:          id,
 				Pool:        testPool,
 				WorkUs:      35000,
-				ObjectiveMs: 135,
+				ObjectiveMs: 100,
 				DeadlineMs:  540,
 			}},
 		})
--- a/permit/status.go
+++ b/permit/status.go
@@ -56,7 +56,7 @@
 		return
 	}
 	status.Workspaces = make(map[string]WorkspaceStatus)
-	status.Waiting = p.waiting()
+	status.Waiting = p.queue.Len()
 	for _, s := range p.servers {
 		status.Leases += len(s.leases)
 		if s.usable {
--- a/permit/waiting.go
+++ b/permit/waiting.go
@@ -1,7 +1,6 @@
 package permit
 
 import (
-	"slices"
 	"time"
 
 	"github.com/slipwick/slipwick/fairqueue"
@@ -10,7 +9,7 @@
 
 // pump grants permits to waiting requests while servers have room.
 func (p *pool) pump(now time.Time) {
-	if p.waiting() == 0 {
+	if p.queue.Len() == 0 {
 		return
 	}
 	p.refresh(now)
@@ -20,11 +19,11 @@
 		return p.hasRoom(item.Request) && p.choose(item.Request.Exclude, a.dataCentre, share, now) != nil
 	}
 	for {
-		p.crowded = p.waiting() > crowdedQueue
-		if p.waiting() == 0 || p.choose(nil, "", share, now) == nil {
+		p.crowded = p.queue.Len() > crowdedQueue
+		if p.queue.Len() == 0 || p.choose(nil, "", share, now) == nil {
 			return
 		}
-		item := p.next(eligible, now)
+		item := p.queue.Pop(now, eligible)
 		if item == nil {
 			return
 		}
@@ -34,73 +33,29 @@
 	}
 }
 
-// waiting returns the number of waiting requests.
-func (p *pool) waiting() int {
-	return p.queue.Len() + len(p.overdue)
-}
-
-// next removes and returns the eligible request that is served next, or nil.
-func (p *pool) next(eligible func(*fairqueue.Item) bool, now time.Time) *fairqueue.Item {
-	if i := slices.IndexFunc(p.overdue, eligible); i >= 0 {
-		item := p.overdue[i]
-		p.overdue = slices.Delete(p.overdue, i, i+1)
-		return item
-	}
-	return p.queue.Pop(now, eligible)
-}
-
-// remove removes a waiting request.
-func (p *pool) remove(item *fairqueue.Item) {
-	if !p.queue.Remove(item) {
-		p.overdue = slices.DeleteFunc(p.overdue, func(other *fairqueue.Item) bool { return other == item })
-	}
-}
-
-// expire refuses waiting requests that can't be served in time any more.
+// expire ends the wait of requests that will probably not be served in time, or that have used up their
+// patience: one that was held beyond its objective is queued with those that can meet theirs, as a refusal
+// would come too late; the others are refused.
 func (p *pool) expire(now time.Time) {
 	for _, item := range p.queue.Expire(now) {
-		p.refuseItem(item, permitpb.Reason_REASON_TOO_LATE, now)
-	}
-	for _, item := range slices.Clone(p.overdue) {
-		if now.After(item.Request.Deadline) {
-			p.remove(item)
-			p.refuseItem(item, permitpb.Reason_REASON_TOO_LATE, now)
-		}
-	}
-	for _, item := range p.late(now) {
-		p.remove(item)
-		if r := item.Request; now.After(r.Objective.Add(r.Work)) {
-			p.overdue = append(p.overdue, item)
-			continue
-		}
-		p.refuseItem(item, permitpb.Reason_REASON_TOO_LATE, now)
-	}
-}
-
-// late returns the waiting requests that can no longer meet their objective, if the pool is overloaded:
-// requests that can meet theirs will stay ahead of them.
-func (p *pool) late(now time.Time) []*fairqueue.Item {
-	if !p.isOverloaded(now) {
-		return nil
-	}
-	var late []*fairqueue.Item
-	for _, a := range p.coordinator.askers {
-		for _, item := range a.waiting {
-			objective := item.Request.Objective
-			if item.Value.(*waiter).pool == p && !objective.IsZero() && now.After(objective) &&
-				!slices.Contains(p.overdue, item) {
-				late = append(late, item)
+		w, r := item.Value.(*waiter), item.Request
+		latest := w.deadline.Add(-r.Work)
+		if !w.objective.IsZero() && !w.promoted && now.After(w.objective.Add(r.Work)) && now.Before(latest) {
+			w.promoted = true
+			r.Objective, r.Deadline = latest, w.deadline
+			if _, ok := p.queue.Push(item, now); ok {
+				continue
 			}
 		}
+		p.refuseItem(item, permitpb.Reason_REASON_TOO_LATE, now)
 	}
-	return late
 }
 
 // refuseItem refuses a request that has left the queue.
 func (p *pool) refuseItem(item *fairqueue.Item, reason permitpb.Reason, now time.Time) {
 	w := item.Value.(*waiter)
 	delete(w.asker.waiting, w.id)
-	waited := time.Duration(refusedFactor * float64(now.Sub(w.queued)))
-	p.overtaking.record(classOf(item.Request), w.expected, waited)
+	w.queued = w.queued.Add(-time.Duration((refusedFactor - 1) * float64(now.Sub(w.queued))))
+	p.recordWait(w, now)
 	p.refuse(w, item.Request, reason, now)
 }
