permit: Let the correction of expected waits decay

Cause: the factor by which requests wait longer than expected was learnt only from requests that waited. A high one, as after a slowdown of the only server, let none wait, so that it stayed (517 ms expected with 14 requests ahead of 9 slots). A request that excludes all usable servers was refused, though the balancer may send it to one that is ejected.

Change: the factor decays within a second; such a request goes on without a permit. Late requests are queued among the timely ones after half of the time to their latest start, the time that was expected at most.

--- a/permit/ask.go
+++ b/permit/ask.go
@@ -22,7 +22,7 @@
 	waitShare = 0.5
 	// patience is the part of the time to its latest start after which a late request that still waits is
 	// queued with those that can meet their objective.
-	patience = 0.75
+	patience = 0.5
 )
 
 // askLocked handles an ask. One that was received before is answered as the first time.
@@ -111,7 +111,10 @@
 	free := p.hasRoom(request) && p.choose(request.Exclude, w.asker.dataCentre, share, now) != nil
 	switch {
 	case p.excludesAll(request):
-		p.refuse(w, request, permitpb.Reason_REASON_EXCLUDED, now)
+		p.answer(w, &permitpb.Answer{
+			Id:      w.id,
+			Verdict: permitpb.Verdict_VERDICT_NO_SERVER,
+		})
 		return
 	case !free && !p.fits(request, share, now) && !p.makeLate(request, share, now):
 		p.refuse(w, request, permitpb.Reason_REASON_TOO_LATE, now)
@@ -174,7 +177,7 @@
 // expectedWait returns for how long the request would wait for those ahead of it, and for those that come
 // later and overtake it.
 func (p *pool) expectedWait(request *slipwick.PermitRequest, share float64, now time.Time) time.Duration {
-	wait := float64(p.queueWait(request, share, now)) * p.overtaking.factor(classOf(request, now))
+	wait := float64(p.queueWait(request, share, now)) * p.overtaking.factor(classOf(request, now), now)
 	return time.Duration(min(wait, float64(maxLease)))
 }
 
--- a/permit/pool.go
+++ b/permit/pool.go
@@ -189,7 +189,7 @@
 	if !w.class.late && !w.objective.IsZero() {
 		waited = min(waited, time.Duration(refusedFactor*float64(w.objective.Sub(w.queued))))
 	}
-	p.overtaking.record(w.class, w.expected, waited)
+	p.overtaking.record(w.class, w.expected, waited, now)
 }
 
 // overdueTime returns after which time a lease lasts longer than expected.
