--- a/cmd/internal/events/catalogue.go
+++ b/cmd/internal/events/catalogue.go
@@ -57,8 +57,8 @@
 		Number: 108,
 		Name:   "admission-changed",
 		Level:  zerolog.InfoLevel,
-		Meaning: "Admission control started or ended, by the settings or with the first pace that a server reported; " +
-			"shares says whether requests for pools with many slots need permits too.",
+		Meaning: "The choice of backend servers by their speed started or ended, by the settings or with the first " +
+			"pace that a server reported; permits says whether requests need permits.",
 		Remedy: "None; the setting admission decides.",
 	}
 	BoxSuspended = Event{
--- a/cmd/internal/gatewayd/admissionmode.go
+++ b/cmd/internal/gatewayd/admissionmode.go
@@ -8,10 +8,8 @@
 const (
 	AdmissionOff AdmissionMode = "off"
 	AdmissionOn  AdmissionMode = "on"
-	// AdmissionAuto starts once a backend server reports its pace, which says that it shares its box with
-	// others. Servers are then chosen by their speed, and requests wait for permits of pools with few
-	// slots, which such a slowdown fills. It says nothing of workspaces that compete, so that pools with
-	// many slots need no permits.
+	// AdmissionAuto chooses servers by their speed once one of them reports its pace, which says that
+	// it shares its box with others. Requests need no permits.
 	AdmissionAuto AdmissionMode = "auto"
 )
 
--- a/cmd/internal/gatewayd/admissionswitch.go
+++ b/cmd/internal/gatewayd/admissionswitch.go
@@ -5,9 +5,9 @@
 	"sync/atomic"
 )
 
-// admissionSwitch says whether admission control is active: whether servers are chosen by their speed, and
-// whether requests of pools with few slots, and of all others, need permits. Set OnChange before the first
-// call. It is safe for concurrent use.
+// admissionSwitch says whether admission control is active: whether servers are chosen by their speed,
+// and whether requests need permits, which mode auto doesn't ask for. Set OnChange before the first call. It is
+// safe for concurrent use.
 type admissionSwitch struct {
 	// OnChange is called with the new state after each change, one call at a time. It must not call
 	// back into the switch.
@@ -18,8 +18,8 @@
 	mode     AdmissionMode
 	paceSeen bool
 	active   atomic.Bool
-	// usesShares is set in mode on.
-	usesShares atomic.Bool
+	// needsPermits is set in mode on.
+	needsPermits atomic.Bool
 }
 
 // SetMode applies the mode of the settings.
@@ -43,13 +43,13 @@
 	return s.active.Load()
 }
 
-// UsesShares reports whether requests of pools with many slots need permits too.
-func (s *admissionSwitch) UsesShares() bool {
-	return s.usesShares.Load()
+// NeedsPermits reports whether requests need permits.
+func (s *admissionSwitch) NeedsPermits() bool {
+	return s.needsPermits.Load()
 }
 
 func (s *admissionSwitch) updateLocked() {
-	s.usesShares.Store(s.mode == AdmissionOn)
+	s.needsPermits.Store(s.mode == AdmissionOn)
 	active := s.mode == AdmissionOn || s.mode == AdmissionAuto && s.paceSeen
 	if s.active.Swap(active) != active && s.OnChange != nil {
 		s.OnChange(active)
--- a/cmd/internal/gatewayd/assemble.go
+++ b/cmd/internal/gatewayd/assemble.go
@@ -125,7 +125,7 @@
 		Permits:    p.permits,
 		OnPace:     p.admission.RecordPace,
 
-		PermitsActive: p.admission.Active,
+		PermitsActive: p.admission.NeedsPermits,
 	}
 }
 
@@ -133,8 +133,7 @@
 // requests need none.
 func (p *Process) newPermitSources() *permitSources {
 	s := &permitSources{
-		Active:      p.admission.Active,
-		UsesShares:  p.admission.UsesShares,
+		Active:      p.admission.NeedsPermits,
 		Capacity:    p.balancer,
 		Routers:     func() int { return len(p.node.Routers()) },
 		SmallCounts: p.metrics.permitCounts(sourceCoordinator),
@@ -163,6 +162,6 @@
 
 func (p *Process) onAdmissionChange(active bool) {
 	events.AdmissionChanged.On(&p.Log).Bool("active", active).
-		Bool("shares", p.admission.UsesShares()).Send()
+		Bool("permits", p.admission.NeedsPermits()).Send()
 	p.balancer.SetSpeedAware(active)
 }
--- a/cmd/internal/gatewayd/metrics.go
+++ b/cmd/internal/gatewayd/metrics.go
@@ -170,7 +170,7 @@
 			name: "slipwick_admission_active",
 			help: "1 while admission control is active.",
 			read: func() float64 {
-				if p.admission.Active() {
+				if p.admission.NeedsPermits() {
 					return 1
 				}
 				return 0
--- a/cmd/internal/gatewayd/permitsources.go
+++ b/cmd/internal/gatewayd/permitsources.go
@@ -20,8 +20,6 @@
 type permitSources struct {
 	// Active reports whether admission control is active.
 	Active func() bool
-	// UsesShares reports whether pools that Large serves need permits.
-	UsesShares func() bool
 	// Small serves pools with few slots for each router, Large all others. Pools whose source is nil
 	// need no permits.
 	Small, Large slipwick.PermitSource
@@ -118,8 +116,8 @@
 	return ok && pressure.UnderPressure(pool)
 }
 
-// sourceOf returns the source that serves a pool; nil if its requests need no permits. They need none
-// without usable servers: the balancer decides whether a request may be tried at others, such as cold ones.
+// sourceOf returns the source that serves a pool. It is nil for a pool without usable servers: the
+// balancer decides whether a request may be tried at others, such as cold ones.
 func (s *permitSources) sourceOf(pool string) (source slipwick.PermitSource, isSmall bool) {
 	known, ok := s.classes.Load(pool)
 	if !ok {
@@ -133,8 +131,6 @@
 		return nil, false
 	case small:
 		return s.Small, true
-	case !s.UsesShares():
-		return nil, false
 	default:
 		return s.Large, false
 	}
--- a/cmd/internal/gatewayd/status.go
+++ b/cmd/internal/gatewayd/status.go
@@ -62,7 +62,7 @@
 		KnownParts:    p.balancer.CachedPartCount(),
 		MissingCaches: p.recovery.MissingCount(),
 		Quarantined:   p.crashTracker.QuarantinedCount(),
-		Admission:     p.admission.Active(),
+		Admission:     p.admission.NeedsPermits(),
 		Pools:         p.poolStatuses(),
 		Backends:      p.balancer.States(),
 	}
--- a/permit/ask.go
+++ b/permit/ask.go
@@ -20,8 +20,8 @@
 	// the time to its latest start that the expected wait of a late request may take. The estimates of the
 	// work are inexact: with 0.75 every twentieth response was late.
 	waitShare = 0.5
-	// patience is the part of the time to its latest start after which a late request that still waits is
-	// queued with those that can meet their objective.
+	// patience is the part of the time to its deadline after which a late request that still waits is queued
+	// with those that can meet their objective.
 	patience = 0.5
 )
 
@@ -127,11 +127,11 @@
 }
 
 func (p *pool) enqueue(w *waiter, request *slipwick.PermitRequest, now time.Time) {
-	// The queue returns a request that has used up its patience.
-	latest := request.Deadline.Add(-request.Work)
-	patient := now.Add(time.Duration(patience * float64(latest.Sub(now))))
-	if !request.Objective.IsZero() && patient.After(request.Objective) {
-		request.Deadline = patient.Add(request.Work)
+	// The queue returns a request that has used up its patience. The work has no part in it, so that requests
+	// with equal deadlines stay in the order of their arrival.
+	patient := now.Add(time.Duration(patience * float64(request.Deadline.Sub(now))))
+	if !request.Objective.IsZero() && patient.Add(-request.Work).After(request.Objective) {
+		request.Deadline = patient
 	}
 	item := &fairqueue.Item{
 		Request: request,
