exchange: Hubs don't send a router's own events back to it

A hub sent the outcomes and observations of speed of its whole group to each router of the group. So each of these routers counted its own twice, and ejected servers and changed paces on half of the evidence.

The hub now records what each router of its group sent, and sends to it the sums without that. Datagrams that only have counts are still the same for all.

--- a/exchange/codec.go
+++ b/exchange/codec.go
@@ -28,37 +28,95 @@
 func (s *Syncer) encodeWithUsage(
 	scope exchangepb.Scope, urgent bool, update balance.Update, usage []quota.Entry,
 ) [][]byte {
-	round := s.sequence.Add(1)
+	r := s.newRound(scope, urgent, update, usage)
+	packets := r.encodeRest()
+	s.sequence.Store(r.sequence)
+	return packets
+}
+
+// round is what is left to send of an update. A copy of it can be encoded with other events, for
+// receivers that already got the same datagrams.
+type round struct {
+	from   string
+	scope  exchangepb.Scope
+	urgent bool
+	number uint64
+	// sequence is the sequence number of the last datagram.
+	sequence uint64
+	isBegun  bool
+	update   balance.Update
+	usage    []quota.Entry
+}
+
+// newRound begins a round. The caller has to store the sequence number of the last datagram in s.
+func (s *Syncer) newRound(scope exchangepb.Scope, urgent bool, update balance.Update, usage []quota.Entry) *round {
+	number := s.sequence.Add(1)
+	return &round{
+		from:     s.Self,
+		scope:    scope,
+		urgent:   urgent,
+		number:   number,
+		sequence: number,
+		update:   update,
+		usage:    usage,
+	}
+}
+
+func (r *round) isDone() bool {
+	return r.isBegun && len(r.update.InFlight)+countEvents(&r.update) == 0
+}
+
+// countsInNext returns how many counts the next datagram has, and whether events are added to it.
+func (r *round) countsInNext() (n int, hasEvents bool) {
+	room := maxCounts
+	if !r.isBegun {
+		room = max(room-usageCounts(r.usage), 0)
+	}
+	n = min(len(r.update.InFlight), room)
+	return n, n+maxCounts-room < maxCounts/2
+}
+
+// encodeNext encodes the next datagram.
+func (r *round) encodeNext() []byte {
+	r.sequence++
+	e := &encoder{
+		message: &exchangepb.Told{
+			From:     r.from,
+			Sequence: r.sequence,
+			Scope:    r.scope,
+			Round:    r.number,
+			Urgent:   r.urgent,
+		},
+		indexes: make(map[uint64]uint32),
+	}
+	update := &r.update
+	n, hasEvents := r.countsInNext()
+	e.addCounts(update.InFlight[:n])
+	update.InFlight = update.InFlight[n:]
+	if !r.isBegun {
+		e.addUsage(r.usage)
+	}
+	if hasEvents {
+		n = min(len(update.CachedParts), maxCachedParts)
+		e.addCachedParts(update.CachedParts[:n])
+		update.CachedParts = update.CachedParts[n:]
+		n = min(len(update.Outcomes), maxOutcomes)
+		e.addOutcomes(update.Outcomes[:n])
+		update.Outcomes = update.Outcomes[n:]
+		n = min(len(update.Leaving), maxOutcomes-n)
+		e.addLeaving(update.Leaving[:n])
+		update.Leaving = update.Leaving[n:]
+		update.Speeds = e.addSpeeds(update.Speeds, maxOutcomes-len(e.message.GetEnded())-n)
+	}
+	r.isBegun = true
+	return marshal(e.message)
+}
+
+// encodeRest encodes all datagrams that are left.
+func (r *round) encodeRest() [][]byte {
 	var packets [][]byte
-	for first := true; first || len(update.InFlight)+countEvents(&update) > 0; first = false {
-		room := maxCounts
-		if first {
-			room = max(room-usageCounts(usage), 0)
-		}
-		e := &encoder{
-			message: s.newMessage(scope),
-			indexes: make(map[uint64]uint32),
-		}
-		e.message.Round, e.message.Urgent = round, urgent
-		n := min(len(update.InFlight), room)
-		e.addCounts(update.InFlight[:n])
-		update.InFlight = update.InFlight[n:]
-		if first {
-			e.addUsage(usage)
-		}
-		if n+maxCounts-room < maxCounts/2 {
-			n = min(len(update.CachedParts), maxCachedParts)
-			e.addCachedParts(update.CachedParts[:n])
-			update.CachedParts = update.CachedParts[n:]
-			n = min(len(update.Outcomes), maxOutcomes)
-			e.addOutcomes(update.Outcomes[:n])
-			update.Outcomes = update.Outcomes[n:]
-			n = min(len(update.Leaving), maxOutcomes-n)
-			e.addLeaving(update.Leaving[:n])
-			update.Leaving = update.Leaving[n:]
-			update.Speeds = e.addSpeeds(update.Speeds, maxOutcomes-len(e.message.GetEnded())-n)
-		}
-		packets = append(packets, marshal(e.message))
+	for !r.isDone() {
+		packets = append(packets, r.encodeNext())
 	}
 	return packets
 }
@@ -70,14 +128,6 @@
 	return len(update.CachedParts) + len(update.Outcomes) + len(update.Leaving) + len(update.Speeds)
 }
 
-func (s *Syncer) newMessage(scope exchangepb.Scope) *exchangepb.Told {
-	return &exchangepb.Told{
-		From:     s.Self,
-		Sequence: s.sequence.Add(1),
-		Scope:    scope,
-	}
-}
-
 // marshal encodes a message. The generated types never fail to encode.
 func marshal(message *exchangepb.Told) []byte {
 	packet, _ := proto.Marshal(message)
--- a/exchange/syncer.go
+++ b/exchange/syncer.go
@@ -78,9 +78,11 @@
 	own   *counts
 	usage usage
 	// groupEvents and hubEvents are the cached parts, outcomes and leaving servers that a hub has
-	// to relay: those from its own group and those from the other hubs. A router in the group of a
-	// hub receives its own outcomes with those of the fleet, and counts them twice.
+	// to relay: those from its own group and those from the other hubs.
 	groupEvents, hubEvents balance.Update
+	// memberEvents has the outcomes and observations of speed among groupEvents by the router of the
+	// group that sent them. A hub doesn't send them back, because that router has counted them already.
+	memberEvents map[string]*balance.Update
 	// urgentGroupParts and urgentHubParts are the cached parts among these that are relayed at
 	// once. They are sent again with the next update, since datagrams may be lost.
 	urgentGroupParts, urgentHubParts []balance.CachedPart
@@ -99,6 +101,8 @@
 		usage: usage{
 			received: make(map[string]receivedUsage),
 		},
+		memberEvents: make(map[string]*balance.Update),
+
 		sendSoon: make(chan struct{}, 1),
 
 		relaySoon: make(chan struct{}, 1),
@@ -179,6 +183,7 @@
 	default:
 		s.mu.Lock()
 		s.groupEvents, s.hubEvents = balance.Update{}, balance.Update{}
+		s.memberEvents = make(map[string]*balance.Update)
 		s.urgentGroupParts, s.urgentHubParts = nil, nil
 		s.mu.Unlock()
 		hub, _ := hubs.hubOf(s.Self)
@@ -206,6 +211,8 @@
 	addEvents(&update, own)
 	update.Speeds, s.groupEvents.Speeds = splitByTurn(update.Speeds, s.speedTurn)
 	hubEvents.Speeds, s.hubEvents.Speeds = splitByTurn(hubEvents.Speeds, s.speedTurn)
+	var memberEvents map[string]*balance.Update
+	memberEvents, s.memberEvents = splitMembers(s.memberEvents, s.groupEvents.Speeds)
 	s.mu.Unlock()
 	update.InFlight = groupSum.list()
 	groupUsage, fleetUsage := s.exchangeAsHub(idsOf(group), idsOf(others))
@@ -213,7 +220,7 @@
 	groupSum.add(hubSum, 1)
 	addEvents(&update, hubEvents)
 	update.InFlight = groupSum.list()
-	s.send(group, s.encodeWithUsage(exchangepb.Scope_SCOPE_FLEET, false, update, fleetUsage))
+	s.sendToGroup(group, update, fleetUsage, memberEvents)
 }
 
 // addEvents appends the events of another update, as far as the queues have room.
@@ -278,7 +285,7 @@
 		return
 	}
 	update := decode(message)
-	s.queueForRelay(message.GetScope(), message.GetUrgent(), update)
+	s.queueForRelay(message, update)
 	if hasCounts(message) {
 		s.receiveCounts(message, update.InFlight)
 	}
@@ -296,16 +303,19 @@
 
 // queueForRelay queues the events of an update for relay, unless the fleet is known to be too small
 // for hubs. If this router is in the group of a hub, its next update clears the queue.
-func (s *Syncer) queueForRelay(scope exchangepb.Scope, urgent bool, events balance.Update) {
+func (s *Syncer) queueForRelay(message *exchangepb.Told, events balance.Update) {
 	size := s.fleetSize.Load()
 	if countEvents(&events) == 0 || size > 0 && size <= maxMeshSize {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch scope {
+	urgent := message.GetUrgent()
+	switch message.GetScope() {
 	case exchangepb.Scope_SCOPE_OWN:
+		queued := len(s.groupEvents.Outcomes)
 		addEvents(&s.groupEvents, events)
+		s.recordMemberLocked(message.GetFrom(), s.groupEvents.Outcomes[queued:], events.Speeds)
 		s.queueUrgentLocked(&s.urgentGroupParts, urgent, events.CachedParts)
 	case exchangepb.Scope_SCOPE_GROUP:
 		addEvents(&s.hubEvents, events)
