exchange: One invalid entry drops no others of its datagram

They now leave out only the invalid ones, as was done for counts and leaving servers. The wire format is unchanged.

Two tests had expected the loss: TestInvalidSpeedsAreDropped wanted the first of three observations, of which the third is valid as well, and TestSnapshotIsDecodedAsEncoded wanted no parts, though the last one is valid. Both now check the exact valid entries. TestInvalidEntriesDropNoOthers failed before.

--- a/exchange/codec.go
+++ b/exchange/codec.go
@@ -184,8 +184,7 @@
 }
 
 // decode returns the update in a datagram. Invalid entries are those that one of their lists is too
-// short for, or whose index is out of range. Invalid counts and leaving servers are left out; the
-// cached parts and the outcomes end before the first invalid entry.
+// short for, or whose index is out of range; they are left out.
 func decode(message *exchangepb.Told) balance.Update {
 	var update balance.Update
 	servers := message.GetServers()
@@ -200,7 +199,7 @@
 	}
 	for i, part := range message.GetParts() {
 		if i >= len(message.GetReaders()) || int(message.GetReaders()[i]) >= len(servers) {
-			break
+			continue
 		}
 		update.CachedParts = append(update.CachedParts, balance.CachedPart{
 			Part:   part,
@@ -209,7 +208,7 @@
 	}
 	for i, index := range message.GetEnded() {
 		if int(index) >= len(servers) || i >= len(message.GetGood()) || i >= len(message.GetFailed()) {
-			break
+			continue
 		}
 		update.Outcomes = append(update.Outcomes, balance.OutcomeCounts{
 			Server: servers[index],
--- a/exchange/codec_test.go
+++ b/exchange/codec_test.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"slices"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -41,3 +42,33 @@
 		t.Errorf("got %d leaving servers, want %d", leaving, each)
 	}
 }
+
+// TestInvalidEntriesDropNoOthers guards against valid cached parts and outcomes that are lost, because
+// an entry before them has a server that is not listed.
+func TestInvalidEntriesDropNoOthers(t *testing.T) {
+	update := decode(&exchangepb.Told{
+		Servers: []uint64{5},
+		Parts:   []uint64{1, 2, 3, 4},
+		Readers: []uint32{0, 9, 0},
+		Ended:   []uint32{0, 9, 0, 0},
+		Good:    []uint32{1, 2, 3},
+		Failed:  []uint32{4, 5, 6, 7},
+	})
+	wantParts := []balance.CachedPart{{Part: 1, Server: 5}, {Part: 3, Server: 5}}
+	if !slices.Equal(update.CachedParts, wantParts) {
+		t.Errorf("got parts %v, want %v", update.CachedParts, wantParts)
+	}
+	wantOutcomes := []balance.OutcomeCounts{{Server: 5, Good: 1, Failed: 4}, {Server: 5, Good: 3, Failed: 6}}
+	if !slices.Equal(update.Outcomes, wantOutcomes) {
+		t.Errorf("got outcomes %v, want %v", update.Outcomes, wantOutcomes)
+	}
+	snapshot := decodeSnapshot(&exchangepb.Knowledge{
+		Servers: []uint64{5},
+		Covered: []bool{true, true},
+		Parts:   []uint64{1, 2, 3, 4},
+		Keepers: []uint32{0, 9, 0},
+	})
+	if !slices.Equal(snapshot.CachedParts, wantParts) || !slices.Equal(snapshot.Engines, []uint64{5}) {
+		t.Errorf("got a snapshot %+v, want engine 5 with parts %v", snapshot, wantParts)
+	}
+}
--- a/exchange/snapshot.go
+++ b/exchange/snapshot.go
@@ -141,8 +141,8 @@
 	return message
 }
 
-// decodeSnapshot leaves out engines without an entry in the list of servers. The cached parts end
-// before the first one that has no engine, or whose index is out of range.
+// decodeSnapshot leaves out engines without an entry in the list of servers, and cached parts that have
+// no engine or whose index is out of range.
 func decodeSnapshot(message *exchangepb.Knowledge) *balance.CacheSnapshot {
 	snapshot := &balance.CacheSnapshot{}
 	servers := message.GetServers()
@@ -153,7 +153,7 @@
 	}
 	for i, part := range message.GetParts() {
 		if i >= len(message.GetKeepers()) || int(message.GetKeepers()[i]) >= len(servers) {
-			break
+			continue
 		}
 		snapshot.CachedParts = append(snapshot.CachedParts, balance.CachedPart{
 			Part:   part,
--- a/exchange/snapshot_test.go
+++ b/exchange/snapshot_test.go
@@ -59,7 +59,11 @@
 	}
 	invalid := encodeSnapshot(want)
 	invalid.Keepers[1], invalid.Servers = 17, invalid.Servers[:1]
-	if got := decodeSnapshot(invalid); len(got.CachedParts) != 0 || len(got.Engines) != 1 {
-		t.Errorf("invalid: got %+v, want only the valid entries", got)
+	valid := &balance.CacheSnapshot{
+		Engines:     []uint64{7},
+		CachedParts: []balance.CachedPart{{Part: 2, Server: 7}},
+	}
+	if got := decodeSnapshot(invalid); fmt.Sprint(got) != fmt.Sprint(valid) {
+		t.Errorf("invalid: got %+v, want only the valid entries %+v", got, valid)
 	}
 }
--- a/exchange/speeds.go
+++ b/exchange/speeds.go
@@ -48,8 +48,8 @@
 	return list[n:]
 }
 
-// decodeSpeeds returns the observations in a datagram, up to the first invalid entry. The balancer
-// checks the values.
+// decodeSpeeds returns the observations in a datagram without invalid entries. The balancer checks the
+// values.
 func decodeSpeeds(message *exchangepb.Told) []balance.SpeedCounts {
 	servers := message.GetServers()
 	var list []balance.SpeedCounts
@@ -57,7 +57,7 @@
 		len(message.GetPacedReported()), len(message.GetPacedRejections()))
 	for i, index := range message.GetPaced() {
 		if i >= complete || int(index) >= len(servers) {
-			break
+			continue
 		}
 		list = append(list, balance.SpeedCounts{
 			Server:      servers[index],
--- a/exchange/speeds_test.go
+++ b/exchange/speeds_test.go
@@ -67,14 +67,14 @@
 	message := &exchangepb.Told{
 		Servers:         []uint64{7},
 		Paced:           []uint32{0, 1, 0},
-		PacedResponses:  []uint32{1, 1, 1},
+		PacedResponses:  []uint32{1, 2, 3},
 		PacedSlowdowns:  []int32{5, 5, 5},
 		PacedReports:    []uint32{1, 1, 1},
 		PacedReported:   []int32{5, 5, 5},
 		PacedRejections: []uint32{0, 0, 0},
 	}
-	if got := decode(message).Speeds; len(got) != 1 {
-		t.Errorf("got %d observations with an index out of range, want the first", len(got))
+	if got := decode(message).Speeds; len(got) != 2 || got[0].Responses != 1 || got[1].Responses != 3 {
+		t.Errorf("got %+v with an index out of range, want the first and the third", got)
 	}
 	message.Paced, message.PacedReported = []uint32{0, 0}, []int32{5}
 	if got := decode(message).Speeds; len(got) != 1 {
