exchange: Keep the bound of the queues of a hub

A queue took a whole update as long as it was below maxQueued, and so could hold twice that. Urgent parts of the hub itself were appended without any bound. Queues now take as many events as fit.

The same function put together what a hub sends, with the effect that the hub's own events were lost beside a full queue. What is sent is made of queues that are bounded, and is no longer cut.

TestQueuesKeepTheirBound failed before: 8,190 events queued, and an own event left out.

--- a/exchange/members.go
+++ b/exchange/members.go
@@ -20,7 +20,7 @@
 		s.memberEvents[id] = member
 	}
 	member.Outcomes = append(member.Outcomes, outcomes...)
-	member.Speeds = addSpeeds(member.Speeds, speeds)
+	member.Speeds = queueSpeeds(member.Speeds, speeds)
 }
 
 // splitMembers divides what each router of the group sent into what is part of this update and the
--- a/exchange/speeds.go
+++ b/exchange/speeds.go
@@ -1,6 +1,8 @@
 package exchange
 
 import (
+	"math"
+
 	"github.com/slipwick/slipwick/balance"
 	"github.com/slipwick/slipwick/exchange/exchangepb"
 )
@@ -71,8 +73,17 @@
 	return list
 }
 
-// addSpeeds adds more observations to a list by server, as far as a hub has room for servers.
+// addSpeeds adds more observations to a list by server.
 func addSpeeds(list, more []balance.SpeedCounts) []balance.SpeedCounts {
+	return addSpeedsUpTo(math.MaxInt, list, more)
+}
+
+// queueSpeeds adds more observations to a list by server, as far as a hub has room for servers.
+func queueSpeeds(list, more []balance.SpeedCounts) []balance.SpeedCounts {
+	return addSpeedsUpTo(maxQueued, list, more)
+}
+
+func addSpeedsUpTo(limit int, list, more []balance.SpeedCounts) []balance.SpeedCounts {
 	if len(more) == 0 {
 		return list
 	}
@@ -85,7 +96,7 @@
 		switch {
 		case known:
 			list[index].Add(&more[i])
-		case len(list) < maxQueued:
+		case len(list) < limit:
 			indexes[more[i].Server] = len(list)
 			list = append(list, more[i])
 		}
--- a/exchange/syncer.go
+++ b/exchange/syncer.go
@@ -223,20 +223,27 @@
 	s.sendToGroup(group, update, fleetUsage, memberEvents)
 }
 
-// addEvents appends the events of another update, as far as the queues have room.
+// addEvents appends the events of another update.
 func addEvents(events *balance.Update, more balance.Update) {
-	if len(events.CachedParts) < maxQueued {
-		events.CachedParts = append(events.CachedParts, more.CachedParts...)
-	}
-	if len(events.Outcomes) < maxQueued {
-		events.Outcomes = append(events.Outcomes, more.Outcomes...)
-	}
-	if len(events.Leaving) < maxQueued {
-		events.Leaving = append(events.Leaving, more.Leaving...)
-	}
+	events.CachedParts = append(events.CachedParts, more.CachedParts...)
+	events.Outcomes = append(events.Outcomes, more.Outcomes...)
+	events.Leaving = append(events.Leaving, more.Leaving...)
 	events.Speeds = addSpeeds(events.Speeds, more.Speeds)
 }
 
+// queueEvents appends the events of another update, as far as the queues have room.
+func queueEvents(events *balance.Update, more balance.Update) {
+	events.CachedParts = appendBounded(events.CachedParts, more.CachedParts)
+	events.Outcomes = appendBounded(events.Outcomes, more.Outcomes)
+	events.Leaving = appendBounded(events.Leaving, more.Leaving)
+	events.Speeds = queueSpeeds(events.Speeds, more.Speeds)
+}
+
+// appendBounded appends as many items to a queue as fit maxQueued.
+func appendBounded[T any](queue, items []T) []T {
+	return append(queue, items[:min(len(items), maxQueued-len(queue))]...)
+}
+
 // sumCounts returns the counts of the group including this router, and those of the other hubs. It
 // forgets the counts of all other routers.
 func (s *Syncer) sumCounts(group, hubs []string) (groupSum, hubSum *counts) {
@@ -314,11 +321,11 @@
 	switch message.GetScope() {
 	case exchangepb.Scope_SCOPE_OWN:
 		queued := len(s.groupEvents.Outcomes)
-		addEvents(&s.groupEvents, events)
+		queueEvents(&s.groupEvents, events)
 		s.recordMemberLocked(message.GetFrom(), s.groupEvents.Outcomes[queued:], events.Speeds)
 		s.queueUrgentLocked(&s.urgentGroupParts, urgent, events.CachedParts)
 	case exchangepb.Scope_SCOPE_GROUP:
-		addEvents(&s.hubEvents, events)
+		queueEvents(&s.hubEvents, events)
 	case exchangepb.Scope_SCOPE_NEWS:
 		s.queueUrgentLocked(&s.urgentHubParts, urgent, events.CachedParts)
 	default:
--- a/exchange/syncer_test.go
+++ b/exchange/syncer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -329,3 +330,49 @@
 		}
 	}
 }
+
+// TestQueuesKeepTheirBound guards against memory that a hub fills with the events of one large update, and
+// against events of the hub itself that it doesn't send because a queue of events to relay is full.
+func TestQueuesKeepTheirBound(t *testing.T) {
+	var update balance.Update
+	for i := range uint64(maxQueued - 1) {
+		update.CachedParts = append(update.CachedParts, balance.CachedPart{Part: i})
+		update.Outcomes = append(update.Outcomes, balance.OutcomeCounts{Server: i, Failed: 1})
+		update.Leaving = append(update.Leaving, i)
+	}
+	hub := NewSyncer("hub")
+	hub.Balancer = balance.New("d")
+	hub.Routers = func() []slipwick.Router { return nil }
+	for range 3 {
+		for _, scope := range []exchangepb.Scope{exchangepb.Scope_SCOPE_OWN, exchangepb.Scope_SCOPE_GROUP} {
+			hub.queueForRelay(&exchangepb.Told{
+				From:   "r",
+				Scope:  scope,
+				Urgent: true,
+			}, update)
+		}
+		hub.queueForRelay(&exchangepb.Told{
+			Scope:  exchangepb.Scope_SCOPE_NEWS,
+			Urgent: true,
+		}, update)
+	}
+	for _, events := range []balance.Update{hub.groupEvents, hub.hubEvents} {
+		for _, got := range []int{len(events.CachedParts), len(events.Outcomes), len(events.Leaving)} {
+			if got != maxQueued {
+				t.Errorf("got %d events of a kind queued, want %d", got, maxQueued)
+			}
+		}
+	}
+	for _, parts := range [][]balance.CachedPart{hub.urgentGroupParts, hub.urgentHubParts} {
+		if got := len(parts); got != maxQueued {
+			t.Errorf("got %d urgent parts queued, want %d", got, maxQueued)
+		}
+	}
+	sent := hub.groupEvents
+	addEvents(&sent, balance.Update{
+		Leaving: []uint64{1 << 60},
+	})
+	if !slices.Contains(sent.Leaving, 1<<60) {
+		t.Error("got an own event of the hub left out beside a full queue, want it sent")
+	}
+}
--- a/exchange/urgent.go
+++ b/exchange/urgent.go
@@ -18,8 +18,8 @@
 		CachedParts: s.Balancer.TakeCachedParts(),
 	}
 	s.mu.Lock()
-	addEvents(&s.groupEvents, update)
-	s.urgentGroupParts = append(s.urgentGroupParts, update.CachedParts...)
+	queueEvents(&s.groupEvents, update)
+	s.urgentGroupParts = appendBounded(s.urgentGroupParts, update.CachedParts)
 	s.mu.Unlock()
 	s.relayUrgent()
 }
@@ -47,9 +47,9 @@
 // queueUrgentLocked queues the parts of an urgent datagram, which have to be relayed at once. Parts
 // are dropped while the queue is full.
 func (s *Syncer) queueUrgentLocked(queue *[]balance.CachedPart, urgent bool, parts []balance.CachedPart) {
-	if !urgent || len(parts) == 0 || len(*queue) >= maxQueued {
+	if !urgent || len(parts) == 0 {
 		return
 	}
-	*queue = append(*queue, parts...)
+	*queue = appendBounded(*queue, parts)
 	signal(s.relaySoon)
 }
