exchange: Drop events queued before the first update of a mesh

A router that doesn't know the size of the fleet yet queues events for relay. In a full mesh they stayed queued, also those of a hub whose fleet had become smaller, and were relayed when the router became a hub: then all routers counted old failures once more. Each update of a mesh now clears the queues, as each update of a router in a group did.

TestEarlyEventsAreNotRelayedLater failed before.

--- a/exchange/members_test.go
+++ b/exchange/members_test.go
@@ -17,6 +17,8 @@
 	outcomes  map[string]int
 	speeds    map[string]balance.SpeedCounts
 	maxPacket int
+	// parts counts the cached parts that all routers receive.
+	parts int
 }
 
 func (s *eventSums) Send(address string, packet []byte) {
@@ -29,6 +31,7 @@
 }
 
 func (s *eventSums) add(router string, update balance.Update) {
+	s.parts += len(update.CachedParts)
 	for _, o := range update.Outcomes {
 		s.outcomes[router] += 1000*o.Failed + o.Good
 	}
--- a/exchange/syncer.go
+++ b/exchange/syncer.go
@@ -172,6 +172,7 @@
 	s.mu.Unlock()
 	switch {
 	case len(hubs.chosen) == 0:
+		s.clearQueues()
 		peers := excluding(hubs.routers, s.Self)
 		s.Balancer.SetPeers(idsOf(peers), otherCount)
 		if !urgent {
@@ -181,11 +182,7 @@
 	case hubs.isHub(s.Self):
 		s.sendHubUpdates(hubs, update, otherCount)
 	default:
-		s.mu.Lock()
-		s.groupEvents, s.hubEvents = balance.Update{}, balance.Update{}
-		s.memberEvents = make(map[string]*balance.Update)
-		s.urgentGroupParts, s.urgentHubParts = nil, nil
-		s.mu.Unlock()
+		s.clearQueues()
 		hub, _ := hubs.hubOf(s.Self)
 		s.Balancer.SetPeers([]string{fleetSource}, otherCount)
 		s.mu.Lock()
@@ -198,6 +195,16 @@
 	}
 }
 
+// clearQueues drops the events queued for relay, because this router is no hub: it received them before
+// its first update, or as a hub of a fleet that has become smaller.
+func (s *Syncer) clearQueues() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.groupEvents, s.hubEvents = balance.Update{}, balance.Update{}
+	s.memberEvents = make(map[string]*balance.Update)
+	s.urgentGroupParts, s.urgentHubParts = nil, nil
+}
+
 // sendHubUpdates sends the counts and events of the group to the other hubs, and those of the fleet
 // to the group.
 func (s *Syncer) sendHubUpdates(hubs *hubs, own balance.Update, otherCount int) {
@@ -309,7 +316,7 @@
 }
 
 // queueForRelay queues the events of an update for relay, unless the fleet is known to be too small
-// for hubs. If this router is in the group of a hub, its next update clears the queue.
+// for hubs. If this router turns out to be no hub, its next update clears the queue.
 func (s *Syncer) queueForRelay(message *exchangepb.Told, events balance.Update) {
 	size := s.fleetSize.Load()
 	if countEvents(&events) == 0 || size > 0 && size <= maxMeshSize {
--- a/exchange/syncer_test.go
+++ b/exchange/syncer_test.go
@@ -376,3 +376,35 @@
 		t.Error("got an own event of the hub left out beside a full queue, want it sent")
 	}
 }
+
+// TestEarlyEventsAreNotRelayedLater guards against outcomes that a router of a full mesh receives before
+// its first update, and relays minutes later, once the fleet has grown and the router is a hub.
+func TestEarlyEventsAreNotRelayedLater(t *testing.T) {
+	syncers, _ := newSyncers(50)
+	routers := syncers[0].Routers()
+	hubs := chooseHubs(routers)
+	self := hubs.chosen[0].ID
+	hub := syncers[slices.IndexFunc(syncers, func(s *Syncer) bool { return s.Self == self })]
+	received := newEventSums(t)
+	hub.Transport = received
+	other := hubs.groupOf(self)[0]
+	for _, packet := range NewSyncer(other.ID).encode(exchangepb.Scope_SCOPE_OWN, true, balance.Update{
+		CachedParts: []balance.CachedPart{{Part: 7}},
+		Outcomes:    []balance.OutcomeCounts{{Failed: 1}},
+	}) {
+		hub.Receive("", packet)
+	}
+	hub.Routers = func() []slipwick.Router { return routers[:2] }
+	hub.sendUpdate(false)
+	hub.Routers = func() []slipwick.Router { return routers }
+	hub.sendUpdate(false)
+	hub.relayUrgent()
+	for id, got := range received.outcomes {
+		if got != 0 {
+			t.Errorf("router %s: got %d failures of before the first update, want none", id, got/1000)
+		}
+	}
+	if received.parts != 0 {
+		t.Errorf("got %d parts of before the first update, want none", received.parts)
+	}
+}
