exchange: Sequence numbers of crashes increase over restarts

The sequence of CrashGossiper started at 0 in each process, though the definition of the message says that it increases with each datagram that a router sends. Nothing reads it yet. It now starts as that of Syncer does.

TestCrashSequenceSurvivesRestart failed before.

--- a/exchange/gossip.go
+++ b/exchange/gossip.go
@@ -53,13 +53,15 @@
 // NewCrashGossiper returns a gossiper for the router with this ID. Set the other exported fields
 // before Run.
 func NewCrashGossiper(self string) *CrashGossiper {
-	return &CrashGossiper{
+	g := &CrashGossiper{
 		Self:    self,
 		Shuffle: rand.Shuffle,
 
 		trigger: make(chan struct{}, 1),
 		done:    make(chan struct{}),
 	}
+	g.sequence.Store(firstSequence())
+	return g
 }
 
 // Done returns a channel that is closed when Run has returned.
--- a/exchange/gossip_test.go
+++ b/exchange/gossip_test.go
@@ -216,3 +216,23 @@
 		t.Errorf("shortened list: got %v, want %v", got, crashes[:1])
 	}
 }
+
+// TestCrashSequenceSurvivesRestart guards against datagrams of a restarted router that look older than
+// those that it sent before, in the order that the definition of the message promises.
+func TestCrashSequenceSurvivesRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first := NewCrashGossiper("r")
+		last := uint64(0)
+		for range 1000 {
+			sequence := first.encode(nil).GetSequence()
+			if sequence <= last {
+				t.Fatalf("got sequence %d after %d, want it to increase", sequence, last)
+			}
+			last = sequence
+		}
+		time.Sleep(time.Second)
+		if got := NewCrashGossiper("r").encode(nil).GetSequence(); got <= last {
+			t.Errorf("got sequence %d after a restart, want more than %d", got, last)
+		}
+	})
+}
--- a/exchange/syncer.go
+++ b/exchange/syncer.go
@@ -110,12 +110,16 @@
 
 		done: make(chan struct{}),
 	}
-	// The sequence starts at the time of day, so that the datagrams of a restarted router are newer
-	// than those it sent before.
-	s.sequence.Store(uint64(time.Now().UnixMilli()) << sequenceBits)
+	s.sequence.Store(firstSequence())
 	return s
 }
 
+// firstSequence returns the sequence number from which a process counts its datagrams: it is taken from
+// the time of day, so that the datagrams of a restarted router are newer than those it sent before.
+func firstSequence() uint64 {
+	return uint64(time.Now().UnixMilli()) << sequenceBits
+}
+
 // Done returns a channel that is closed when Run has returned.
 func (s *Syncer) Done() <-chan struct{} {
 	return s.done
