quarantine: Send crashes beyond the bound later

A tracker that saw more than 512 new crashes before its gossiper took them dropped the others. RecentCrashes returns only requests with several crashes, so that other routers never learned of a single one, and a request needed up to three crashes at one router to be quarantined there.

The tracker now remembers the requests concerned, and returns their crashes with the next calls of TakePending, 512 at a time.

TestCrashesBeyondTheBoundAreSentLater failed before: the other router knew 512 of 1,536 requests.

--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -16,8 +16,8 @@
 	// maxRecords bounds the requests that are remembered, at about 300 bytes each. A server that
 	// crashes adds a few dozen, and requests that are retried are kept as the most recently used.
 	maxRecords = 4096
-	// maxPending bounds the crashes that wait to be sent to the other routers. Crashes beyond that
-	// are sent only if RecentCrashes returns them.
+	// maxPending bounds the crashes that TakePending returns at a time, so that many crashes at once
+	// don't become a burst of hundreds of datagrams. The others are sent next.
 	maxPending = 512
 	// recentPeriod is how long RecentCrashes returns the crashes of a record after a change.
 	recentPeriod = 10 * time.Second
@@ -49,6 +49,8 @@
 	completedAt *lru.LRU[Key, time.Time]
 	running     map[Key][]*Attempt
 	pending     []Crash
+	// overflow has the requests with crashes that found no room in pending, oldest first.
+	overflow *lru.LRU[Key, struct{}]
 	// changes are the requests whose status changed and whose callbacks were not called yet.
 	changes []statusChange
 }
@@ -65,6 +67,7 @@
 	// NewLRU fails only for sizes that are not positive.
 	records, _ := lru.NewLRU[Key, *record](maxRecords, nil)
 	completedAt, _ := lru.NewLRU[Key, time.Time](maxRecords, nil)
+	overflow, _ := lru.NewLRU[Key, struct{}](maxRecords, nil)
 	return &Tracker{
 		Self:          self,
 		Routers:       func() []slipwick.Router { return nil },
@@ -74,6 +77,7 @@
 		records:       records,
 		completedAt:   completedAt,
 		running:       make(map[Key][]*Attempt),
+		overflow:      overflow,
 	}
 }
 
@@ -175,6 +179,8 @@
 	}
 	if len(t.pending) < maxPending {
 		t.pending = append(t.pending, crash)
+	} else {
+		t.overflow.Add(crash.Key, struct{}{})
 	}
 	crashes := r.countCrashes()
 	quarantined := crashes >= quarantineThreshold
@@ -241,12 +247,23 @@
 	}
 }
 
-// TakePending removes and returns the crashes that were not yet sent to the other routers.
+// TakePending removes and returns crashes that were not yet sent to the other routers, up to maxPending.
+// It calls OnPending if there are more.
 func (t *Tracker) TakePending() []Crash {
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	crashes := t.pending
 	t.pending = nil
+	for len(t.pending) <= maxPending-maxCrashesPerRequest {
+		key, _, ok := t.overflow.RemoveOldest()
+		if !ok {
+			break
+		}
+		// Which of the crashes were sent already is not known.
+		if r, isKnown := t.records.Peek(key); isKnown {
+			t.pending = append(t.pending, r.crashes...)
+		}
+	}
+	t.unlockAndNotify()
 	return crashes
 }
 
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -273,3 +273,26 @@
 		}
 	})
 }
+
+// TestCrashesBeyondTheBoundAreSentLater guards against single crashes of requests that other routers never
+// learn of, because more servers crashed at once than the tracker sends crashes of at a time.
+func TestCrashesBeyondTheBoundAreSentLater(t *testing.T) {
+	const requests = 3 * maxPending
+	tracker, other := NewTracker("a"), NewTracker("b")
+	isPending := false
+	tracker.OnPending = func() { isPending = true }
+	for key := range Key(requests) {
+		runAttempt(t, tracker, key, "a", 0, OutcomeCrashed)
+	}
+	for isPending {
+		isPending = false
+		crashes := tracker.TakePending()
+		if len(crashes) > maxPending {
+			t.Fatalf("got %d crashes at a time, want at most %d", len(crashes), maxPending)
+		}
+		other.Merge(crashes)
+	}
+	if got := other.records.Len(); got != requests {
+		t.Errorf("got the crashes of %d requests at the other router, want %d", got, requests)
+	}
+}
