quarantine: Routers keep the same crashes of a request

A record with 16 crashes evicted the excused one that it had received first, and took none without an excused one. Routers that received the same crashes in another order kept others, so that what one of them excused later still counted at another. Records now keep the 16 highest by an order that doesn't depend on their arrival: crashes that are not excused, then newer incarnations.

What remains is listed as a suspicion: a crash that is evicted while excused and arrives again unexcused counts.

--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Crash records that a backend server crashed while it ran a request.
 type Crash struct {
@@ -25,3 +28,15 @@
 	apart := time.Duration(c.Incarnation-other.Incarnation) * time.Millisecond
 	return c.ServerIDHash == other.ServerIDHash && apart.Abs() < incarnationTolerance
 }
+
+// compare orders crashes by what they say of the request: excused ones are lower than others, and among
+// these those of older incarnations.
+func (c *Crash) compare(other *Crash) int {
+	if c.Excused != other.Excused {
+		if c.Excused {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(c.Incarnation, other.Incarnation), cmp.Compare(c.ServerIDHash, other.ServerIDHash))
+}
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -50,7 +50,7 @@
 		}
 		return isNewlyExcused
 	}
-	if len(r.crashes) >= maxCrashesPerRequest && !r.evictExcused() {
+	if len(r.crashes) >= maxCrashesPerRequest && !r.evictBelow(&crash) {
 		return false
 	}
 	r.crashes = append(r.crashes, crash)
@@ -61,14 +61,20 @@
 	return true
 }
 
-// evictExcused removes an excused crash to make room for another; it returns false if there is
-// none.
-func (r *record) evictExcused() bool {
-	at := slices.IndexFunc(r.crashes, func(c Crash) bool { return c.Excused })
-	if at < 0 {
+// evictBelow removes the lowest crash to make room for another; it returns false if the other one is
+// lower than all. The order of crashes doesn't depend on when they were received, so that routers keep
+// the same ones.
+func (r *record) evictBelow(crash *Crash) bool {
+	lowest := 0
+	for i := range r.crashes {
+		if r.crashes[i].compare(&r.crashes[lowest]) < 0 {
+			lowest = i
+		}
+	}
+	if crash.compare(&r.crashes[lowest]) <= 0 {
 		return false
 	}
-	r.crashes = slices.Delete(r.crashes, at, at+1)
+	r.crashes = slices.Delete(r.crashes, lowest, lowest+1)
 	return true
 }
 
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -296,3 +296,35 @@
 		t.Errorf("got the crashes of %d requests at the other router, want %d", got, requests)
 	}
 }
+
+// TestRoutersKeepTheSameCrashes guards against routers that keep other crashes of a request than others
+// do, because they received more than they keep in another order: then what one of them excuses later
+// counts at another, and only one of them quarantines the request.
+func TestRoutersKeepTheSameCrashes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var crashes []Crash
+		for server := range rapid.IntRange(0, 3*maxCrashesPerRequest).Draw(t, "servers") {
+			crashes = append(crashes, Crash{
+				Key:          1,
+				ServerIDHash: uint64(server),
+				Incarnation:  int64(rapid.IntRange(1, 3).Draw(t, "incarnation")) * 5_000,
+				Excused:      rapid.IntRange(0, 3).Draw(t, "excused") > 0,
+			})
+		}
+		a, b := NewTracker("a"), NewTracker("b")
+		a.Merge(crashes)
+		b.Merge(rapid.Permutation(crashes).Draw(t, "order"))
+		got, want := sortedCrashes(b), sortedCrashes(a)
+		if !slices.Equal(got, want) {
+			t.Errorf("got crashes %v, want %v", got, want)
+		}
+	})
+}
+
+func sortedCrashes(tracker *Tracker) []Crash {
+	r, isKnown := tracker.records.Peek(1)
+	if !isKnown {
+		return nil
+	}
+	return slices.SortedFunc(slices.Values(r.crashes), func(x, y Crash) int { return x.compare(&y) })
+}
