upstream: Close connections of exchanges that outlive the client

An exchange that ended after Client.Close put its connection into a new pool, which nobody closed: the connection stayed open until the backend server closed it. The client now remembers that it is closed, and closes such a connection.

TestExchangeThatOutlivesTheClientLeavesNoConnection failed before.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -62,6 +62,8 @@
 	dialTimes map[string]time.Duration
 	// maxIdleConns is the limit that SetMaxIdleConns set; 0 stands for maxIdleConnsPerServer.
 	maxIdleConns int
+	// isClosed says that no connection is kept any more.
+	isClosed bool
 	// open counts the open connections. It has a lock of its own, as connections are closed under mu.
 	open openConns
 	// unread counts the bodies that backend servers have not read.
@@ -182,6 +184,10 @@
 func (c *Client) pushIdle(key string, conn *connection) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.isClosed {
+		_ = conn.Close()
+		return
+	}
 	c.idle[key] = append(c.idle[key], conn)
 }
 
@@ -287,6 +293,10 @@
 	conn.idleSince, conn.idleUntil = now, now.Add(maxIdleTime)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.isClosed {
+		_ = conn.Close()
+		return
+	}
 	if c.idle == nil {
 		c.idle = make(map[string][]*connection)
 	}
@@ -320,10 +330,12 @@
 	maps.DeleteFunc(c.dialTimes, func(key string, _ time.Duration) bool { return !known(key) })
 }
 
-// Close closes all idle connections.
+// Close closes all idle connections. Those of exchanges that are still in progress are closed when these
+// end.
 func (c *Client) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.isClosed = true
 	for _, idle := range c.idle {
 		for _, conn := range idle {
 			_ = conn.Close()
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -227,6 +227,31 @@
 	}
 }
 
+// TestExchangeThatOutlivesTheClientLeavesNoConnection guards against a connection that stays open, because
+// its exchange ended after the client was closed.
+func TestExchangeThatOutlivesTheClientLeavesNoConnection(t *testing.T) {
+	closed := make(chan struct{})
+	server := serve(t, func(conn net.Conn, requests *bufio.Reader) {
+		script(responseText("1", "one"))(conn, requests)
+		close(closed)
+	})
+	client := &Client{}
+	response, err := client.Do(t.Context(), "key", server.address, request("1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadAll(response); err != nil {
+		t.Fatal(err)
+	}
+	client.Close()
+	response.Close()
+	select {
+	case <-closed:
+	case <-time.After(2 * time.Second):
+		t.Error("got the connection open 2 s after the exchange, want it closed")
+	}
+}
+
 func TestClientLimitsIdleConnections(t *testing.T) {
 	hold := make(chan struct{})
 	server := serve(t, func(conn net.Conn, requests *bufio.Reader) {
