upstream: Informational responses have a limit of their own

A client read at most three responses to find the one to its request, and counted informational ones among those to earlier requests. A backend server that sent three informational responses, or one besides two late ones, failed each exchange. Up to 5 informational responses are now skipped besides up to 2 responses to earlier requests, as before.

TestInformationalResponsesAreNoStrayOnes failed before.

--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -101,6 +101,30 @@
 	}
 }
 
+// TestInformationalResponsesAreNoStrayOnes guards against exchanges that fail because a backend server sends
+// informational responses, alone or besides responses to an earlier request. Both kinds stay bounded.
+func TestInformationalResponsesAreNoStrayOnes(t *testing.T) {
+	hint, stray, response := "HTTP/1.1 103 Early Hints\r\n\r\n", responseText("1", "one"), responseText("2", "two")
+	for _, test := range []struct {
+		hints, strays int
+		isServed      bool
+	}{
+		{maxInformational, 0, true},
+		{maxInformational, maxStrayResponses, true},
+		{maxInformational + 1, 0, false},
+		{0, maxStrayResponses + 1, false},
+	} {
+		server := serve(t, script(stray, strings.Repeat(hint, test.hints)+strings.Repeat(stray, test.strays)+response))
+		client := &Client{}
+		mustExchange(t, client, server.address, request("1"), "one")
+		got, err := exchange(t, client, server.address, request("2"))
+		if test.isServed != (err == nil) || err == nil && got != "two" {
+			t.Errorf("%+v: got %q and error %v", test, got, err)
+		}
+		client.Close()
+	}
+}
+
 // TestClientDiscardsConnectionsWithUnreadBytes has the duplicate response arrive before the next
 // request is sent.
 func TestClientDiscardsConnectionsWithUnreadBytes(t *testing.T) {
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -84,9 +84,12 @@
 	return result
 }
 
-// maxResponsesRead is how many responses are read to find the one to the current request. Those to
-// earlier requests, and informational ones, are skipped.
-const maxResponsesRead = 3
+const (
+	// maxStrayResponses bounds the responses to earlier requests that are skipped before the one to the
+	// current request, maxInformational the informational ones.
+	maxStrayResponses = 2
+	maxInformational  = 5
+)
 
 // readHead reads the header of the response to the request. Responses to other requests are
 // skipped: a backend server may respond to a request twice, and the right response follows.
@@ -94,18 +97,23 @@
 	httpRequest := &http.Request{
 		Method: request.Method,
 	}
-	for range maxResponsesRead {
+	for skipped, informational := 0, 0; skipped <= maxStrayResponses; {
 		response, err := http.ReadResponse(c.reader, httpRequest)
 		if err != nil {
 			return nil, err
 		}
 		if response.StatusCode/100 == 1 {
+			informational++
+			if informational > maxInformational {
+				return nil, errors.New("too many informational responses")
+			}
 			continue
 		}
 		id := response.Header.Get(request.IDHeader)
 		if request.ID == "" || id == "" || id == request.ID {
 			return response, nil
 		}
+		skipped++
 		strays.Add(1)
 		// The next response can be found only if the body has a known end.
 		if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
