directory: Don't abandon a list that is being received

listPeers counted the responses being received by their begins and ends, which arrive by two channels. If an end was handled before its begin, the count was one too low, and after the deadline the only list being received was abandoned, or another router was asked for one beside it. The calls whose response has begun are now kept by index, in whatever order their events are handled.

--- a/directory/peerquery.go
+++ b/directory/peerquery.go
@@ -23,8 +23,8 @@
 	// loadingFor is how long a first list counts as under way at a router that receives one or
 	// sends its copy to others.
 	loadingFor time.Duration
-	// began is true if a response began, even if the call failed later.
-	began bool
+	// index is that of the router in the list of those to ask.
+	index int
 }
 
 // candidates returns the routers to ask, in order: the relays that this one follows, in rotation,
@@ -97,16 +97,20 @@
 func (s *SharedFeed) listPeers(ctx context.Context, ids []string, timeout time.Duration) peerResponse {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	responses, begins := make(chan peerResponse, len(ids)), make(chan struct{}, len(ids))
+	responses, begins := make(chan peerResponse, len(ids)), make(chan int, len(ids))
 	asked := 0
+	// receiving are the calls, by index, whose response has begun and not ended. The end of a call may
+	// be handled before its begin; it is then among ended.
+	receiving, ended := make(map[int]bool), make(map[int]bool)
 	askNext := func() {
 		if asked == len(ids) {
 			return
 		}
-		id := ids[asked]
+		i := asked
 		asked++
 		go func() {
-			f := s.queryPeer(ctx, id, timeout, func() { begins <- struct{}{} }, s.fetchFromPeer)
+			f := s.queryPeer(ctx, ids[i], timeout, func() { begins <- i }, s.fetchFromPeer)
+			f.index = i
 			responses <- f
 		}()
 	}
@@ -116,14 +120,13 @@
 	defer deadline.Stop()
 	askNext()
 	var best peerResponse
-	receiving, isLate := 0, false
+	isLate := false
 	for responded := 0; responded < asked; {
 		select {
 		case f := <-responses:
 			responded++
-			if f.began {
-				receiving--
-			}
+			delete(receiving, f.index)
+			ended[f.index] = true
 			if f.isCurrent {
 				return f
 			}
@@ -132,17 +135,19 @@
 			if !isLate {
 				askNext()
 			}
-		case <-begins:
-			receiving++
+		case i := <-begins:
+			if !ended[i] {
+				receiving[i] = true
+			}
 			s.setLoading(storeRetryInterval)
 		case <-hedge.C:
-			if receiving <= 0 && !isLate {
+			if len(receiving) == 0 && !isLate {
 				askNext()
 			}
 		case <-deadline.C:
 			isLate = true
 		}
-		if isLate && receiving <= 0 {
+		if isLate && len(receiving) == 0 {
 			return best
 		}
 	}
@@ -198,9 +203,7 @@
 		}
 	})
 	batch, err := call(hooked, s.Peers.PeerFeed(id, s.FeedName))
-	f := peerResponse{
-		began: began.Load(),
-	}
+	var f peerResponse
 	if err == nil && s.isSuperseded(&batch) {
 		// The router has not learnt of the current timeline yet.
 		f.responded = true
