configuration: A wait without a first state is no error

If the platform's own wait ended before there was any state, its response 304 gave an empty object, which the follower decoded and reported as an invalid state; then it waited up to 30 s before it watched again. It now goes on watching.

TestWaitThatEndsBeforeTheFirstStateIsNoError failed before.

--- a/configuration/follower.go
+++ b/configuration/follower.go
@@ -122,6 +122,10 @@
 	if err != nil {
 		return err
 	}
+	if object.Version == version && len(object.Value) == 0 {
+		// The platform's own wait ended first, perhaps before there is any state.
+		return nil
+	}
 	return f.Offer(object)
 }
 
--- a/configuration/follower_test.go
+++ b/configuration/follower_test.go
@@ -1,6 +1,7 @@
 package configuration
 
 import (
+	"context"
 	"testing"
 
 	"github.com/slipwick/slipwick"
@@ -31,3 +32,41 @@
 		t.Errorf("got %v and version %d for a broken state, want an error and 7", err, f.Current().Version)
 	}
 }
+
+// watchedStore returns the next of its objects from each Watch, and blocks after the last one.
+type watchedStore struct {
+	slipwick.Store
+	objects chan slipwick.Object
+}
+
+func (s *watchedStore) Watch(ctx context.Context, _ string, _ slipwick.Version) (slipwick.Object, error) {
+	select {
+	case object := <-s.objects:
+		return object, nil
+	case <-ctx.Done():
+		return slipwick.Object{}, ctx.Err()
+	}
+}
+
+// TestWaitThatEndsBeforeTheFirstStateIsNoError guards against an empty value of the platform, whose own wait
+// ended without a state, that is reported as a state that can't be decoded.
+func TestWaitThatEndsBeforeTheFirstStateIsNoError(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	store := &watchedStore{
+		objects: make(chan slipwick.Object, 2),
+	}
+	store.objects <- slipwick.Object{}
+	store.objects <- slipwick.Object{
+		Value:   []byte(`{}`),
+		Version: 1,
+	}
+	f := &Follower{
+		Store:    store,
+		OnChange: func(*Snapshot) { cancel() },
+		OnError:  func(err error) { t.Errorf("got error %v, want none", err) },
+	}
+	f.Run(ctx)
+	if got := f.Current(); got == nil || got.Version != 1 {
+		t.Errorf("got %+v in force, want version 1", got)
+	}
+}
