engine: A response 404 keeps the engine's statement

For a 404 the client ignored the headers with which an engine states that it did not run the request, or that it is leaving. The outcome was unknown, so that a request that must not be repeated was not sent to another engine, and the caller got the 404.

TestNotFoundKeepsTheEnginesStatement failed before.

--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -56,3 +57,41 @@
 		t.Errorf("got %d requests received, want 2", got)
 	}
 }
+
+// TestNotFoundKeepsTheEnginesStatement guards against a request that is not sent to another engine, because
+// a response 404 hides that the engine did not run it, or that it is leaving.
+func TestNotFoundKeepsTheEnginesStatement(t *testing.T) {
+	header := http.Header{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for name, values := range header {
+			w.Header()[name] = values
+		}
+		w.WriteHeader(http.StatusNotFound)
+	}))
+	defer server.Close()
+	client := &Client{
+		Address: server.Listener.Addr().String(),
+		HTTP:    httpclient.New(),
+	}
+	for _, test := range []struct {
+		notRun, leaving string
+		outcome         slipwick.Outcome
+		isLeaving       bool
+	}{
+		{"", "", slipwick.OutcomeUnknown, false},
+		{"true", "", slipwick.OutcomeNotRun, false},
+		{"true", "true", slipwick.OutcomeNotRun, true},
+	} {
+		header.Set(NotRunHeader, test.notRun)
+		header.Set(LeavingHeader, test.leaving)
+		_, err := client.Stream(t.Context(), slipwick.ChatRequest{
+			ID:   "r",
+			Body: []byte("{}"),
+		})
+		failure, ok := slipwick.AsError(err)
+		if !ok || failure.Kind != slipwick.KindNotFound || failure.Outcome != test.outcome ||
+			errors.Is(err, ErrLeaving) != test.isLeaving {
+			t.Errorf("%+v: got %+v", test, failure)
+		}
+	}
+}
--- a/engine/errors.go
+++ b/engine/errors.go
@@ -26,20 +26,20 @@
 // responseError converts an error response of an engine to a *slipwick.Error and closes the body.
 func responseError(response *http.Response) error {
 	text := httpclient.ErrorBody(response)
+	failure := &slipwick.Error{
+		Kind:    slipwick.KindBackendError,
+		Message: "the engine returned " + response.Status + ": " + text,
+		Remedy:  "correct the request, or contact the operators of the engine",
+		Outcome: slipwick.OutcomeFailed,
+	}
 	if response.StatusCode == http.StatusNotFound {
-		return &slipwick.Error{
+		failure = &slipwick.Error{
 			Kind:    slipwick.KindNotFound,
 			Message: "the engine does not know this request or path",
 			Remedy:  "send the request again if it is safe to repeat",
 			Outcome: slipwick.OutcomeUnknown,
 		}
 	}
-	failure := &slipwick.Error{
-		Kind:    slipwick.KindBackendError,
-		Message: "the engine returned " + response.Status + ": " + text,
-		Remedy:  "correct the request, or contact the operators of the engine",
-		Outcome: slipwick.OutcomeFailed,
-	}
 	if response.Header.Get(NotRunHeader) == "true" {
 		failure.Outcome = slipwick.OutcomeNotRun
 		failure.Remedy = "try again"
