engine: A load report that is not JSON is a response

The client reported "no response from the engine" for a response that it couldn't decode, with the outcome unknown. It now reports an error of the engine. The evidence for the engine's health is the same as before: a failed probe.

TestInvalidLoadReportIsAResponse failed before.

--- a/engine/client.go
+++ b/engine/client.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/httpclient"
 )
@@ -105,10 +107,17 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	if err := json.NewDecoder(response.Body).Decode(into); err != nil {
+	err = json.NewDecoder(response.Body).Decode(into)
+	var syntax *json.SyntaxError
+	var mismatch *json.UnmarshalTypeError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &syntax), errors.As(err, &mismatch):
+		return invalidResponseError(path, err)
+	default:
 		return connectionError(err)
 	}
-	return nil
 }
 
 // control makes a call whose response is not a stream of events. The body can be read until
--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -95,3 +95,33 @@
 		}
 	}
 }
+
+// TestInvalidLoadReportIsAResponse guards against operators who look for an engine that doesn't respond,
+// though it does respond, with something else than a load report. A response that is cut off is no response.
+func TestInvalidLoadReportIsAResponse(t *testing.T) {
+	body, length := "", ""
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if length != "" {
+			w.Header().Set("Content-Length", length)
+		}
+		_, _ = io.WriteString(w, body)
+	}))
+	defer server.Close()
+	client := &Client{
+		Address: server.Listener.Addr().String(),
+		HTTP:    httpclient.New(),
+	}
+	for _, test := range []struct {
+		body, length string
+		want         slipwick.Kind
+	}{
+		{"<html>", "", slipwick.KindBackendError},
+		{`["a list"]`, "", slipwick.KindBackendError},
+		{`{"leaving":`, "100", slipwick.KindBackendUnreachable},
+	} {
+		body, length = test.body, test.length
+		if _, err := client.Load(t.Context()); !slipwick.IsKind(err, test.want) {
+			t.Errorf("%s: got %v, want an error of the kind %s", test.body, err, test.want)
+		}
+	}
+}
--- a/engine/errors.go
+++ b/engine/errors.go
@@ -23,6 +23,17 @@
 	}
 }
 
+// invalidResponseError returns the error of a response that arrived, but isn't what the path promises.
+func invalidResponseError(path string, cause error) error {
+	return &slipwick.Error{
+		Kind:    slipwick.KindBackendError,
+		Message: "the engine's response to " + path + " is not valid JSON for it",
+		Remedy:  "check the version of the engine, and what listens at its address",
+		Outcome: slipwick.OutcomeFailed,
+		Cause:   cause,
+	}
+}
+
 // responseError converts an error response of an engine to a *slipwick.Error and closes the body.
 func responseError(response *http.Response) error {
 	text := httpclient.ErrorBody(response)
