engine: An event that is too long is no missing end marker

Such an event was reported as "the response ended without its end marker", and the response was resumed, though the engine sends the same event again. It is now an error of the engine that names the cause and isn't resumed. The outcome is unknown as before.

TestLongEventIsNoMissingEnd failed before.

--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -5,11 +5,13 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/httpclient"
+	"github.com/slipwick/slipwick/sse"
 )
 
 // TestStreamSendsOnce guards against net/http retrying a request by itself. It does so when a reused
@@ -125,3 +127,30 @@
 		}
 	}
 }
+
+// TestLongEventIsNoMissingEnd guards against a response with an event that is too long being reported as one
+// without an end marker, and resumed in vain.
+func TestLongEventIsNoMissingEnd(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "id: r/0\ndata: "+strings.Repeat("x", sse.MaxEventBytes)+"\n\n")
+	}))
+	defer server.Close()
+	client := &Client{
+		Address: server.Listener.Addr().String(),
+		HTTP:    httpclient.New(),
+	}
+	events, err := client.Stream(t.Context(), slipwick.ChatRequest{
+		ID:   "r",
+		Body: []byte("{}"),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = events.Close() }()
+	_, err = events.Next(t.Context())
+	failure, ok := slipwick.AsError(err)
+	if !ok || failure.Kind != slipwick.KindBackendError || failure.Outcome != slipwick.OutcomeUnknown ||
+		!errors.Is(err, sse.ErrTooLong) {
+		t.Errorf("got %+v, want an error of the engine with the outcome unknown", failure)
+	}
+}
--- a/engine/eventstream.go
+++ b/engine/eventstream.go
@@ -36,6 +36,9 @@
 	if ctx.Err() != nil {
 		return slipwick.StreamEvent{}, ctx.Err()
 	}
+	if errors.Is(err, sse.ErrTooLong) {
+		return slipwick.StreamEvent{}, longEventError(err)
+	}
 	if err != nil {
 		return slipwick.StreamEvent{}, brokenStreamError(err)
 	}
@@ -69,3 +72,15 @@
 		Cause:   cause,
 	}
 }
+
+// longEventError is not of KindStreamBroken, since the engine would send the same event again after a
+// resumption.
+func longEventError(cause error) error {
+	return &slipwick.Error{
+		Kind:    slipwick.KindBackendError,
+		Message: "the response has an event that is too long",
+		Remedy:  "configure the engine to send smaller events",
+		Outcome: slipwick.OutcomeUnknown,
+		Cause:   cause,
+	}
+}
