membership: Ignore incarnations that have no successor

A report of a router's death with the incarnation 2^64-1 wrapped its refutation to 0, which no router accepted: all took it for dead until its restart, and after it too. Updates above 2^62 are now ignored, by their subject and by all others; incarnations are start times in milliseconds.

TestIncarnationWithoutSuccessorIsIgnored failed before.

--- a/membership/node_test.go
+++ b/membership/node_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -140,6 +141,34 @@
 	})
 }
 
+// TestIncarnationWithoutSuccessorIsIgnored guards against a report that can't be refuted, since there is no
+// higher incarnation: the router's own would wrap to 0, and all others would take it for dead.
+func TestIncarnationWithoutSuccessorIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newTestNode()
+		before := n.self().update.GetIncarnation()
+		n.applyUpdate(&memberpb.News{
+			Id:          "other",
+			State:       memberpb.State_STATE_LIVE,
+			Incarnation: 5,
+		})
+		for _, id := range []string{"self", "other"} {
+			n.applyUpdate(&memberpb.News{
+				Id:          id,
+				State:       memberpb.State_STATE_DEAD,
+				Incarnation: math.MaxUint64,
+			})
+		}
+		if got := n.self().update; got.GetState() != memberpb.State_STATE_LIVE || got.GetIncarnation() != before {
+			t.Errorf("own state: got %s of %d, want live of %d", got.GetState(), got.GetIncarnation(), before)
+		}
+		if got := n.members["other"].update; got.GetState() != memberpb.State_STATE_LIVE {
+			t.Errorf("another router: got %s of %d, want it live", got.GetState(), got.GetIncarnation())
+		}
+		time.Sleep(time.Second)
+	})
+}
+
 // TestRepeatedListingStateIsIgnored checks that a changed state in the platform's listing is
 // applied, and that a repeated one is not, because the owner may have a newer state.
 func TestRepeatedListingStateIsIgnored(t *testing.T) {
--- a/membership/updates.go
+++ b/membership/updates.go
@@ -9,8 +9,15 @@
 // pushDelay batches updates that arrive close together into one packet.
 const pushDelay = 20 * time.Millisecond
 
-// apply merges an update; one that does not supersede the known state is ignored.
+// maxIncarnation bounds the incarnations of accepted updates. Incarnations are start times in Unix
+// milliseconds, and somewhat more after refutations. One near the largest number could not be superseded.
+const maxIncarnation = 1 << 62
+
+// apply merges an update; one that is invalid or does not supersede the known state is ignored.
 func (n *Node) apply(update *memberpb.News) {
+	if update.GetIncarnation() > maxIncarnation {
+		return
+	}
 	if update.GetId() == n.Self.ID && !update.GetBackend() {
 		n.refute(update)
 		return
