membership: A response has room for 1,000 routers

A response had at most 24 packets of 14 updates, 336 boxes: enough for the fleets tested, but not for the largest one, of about 1,000 routers. It may now have 80 packets, 1,120 boxes. A starting router still asks for two at a time.

--- a/membership/catchup.go
+++ b/membership/catchup.go
@@ -36,11 +36,11 @@
 	maxKnownInPacket    = 300
 	maxKnownWithUpdates = 120
 	// maxUpdatesInResponse bounds the updates in one packet of a response, and maxResponsePackets the
-	// packets of a response: enough for the largest supported fleet. A starting router requests
+	// packets of a response: enough for a fleet of 1,000 routers. A starting router requests
 	// only startupPackets and asks other routers for the rest: when many routers start at once,
 	// nearly all of them ask the few seeds.
 	maxUpdatesInResponse = 14
-	maxResponsePackets   = 24
+	maxResponsePackets   = 80
 	startupPackets       = 2
 )
 
--- a/membership/catchup_test.go
+++ b/membership/catchup_test.go
@@ -11,6 +11,8 @@
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/membership/memberpb"
 )
@@ -121,6 +123,54 @@
 	}
 }
 
+// updateCounter counts the updates and the largest packet that a node sends.
+type updateCounter struct {
+	t                *testing.T
+	updates, largest int
+}
+
+func (c *updateCounter) Send(_ string, packet []byte) {
+	message := &memberpb.Packet{}
+	if err := proto.Unmarshal(packet, message); err != nil {
+		c.t.Fatal(err)
+	}
+	c.updates += len(message.GetNews())
+	c.largest = max(c.largest, len(packet))
+}
+
+// TestResponseHasAWholeFleet guards against a router that learns of only a part of the largest fleet from a
+// response, and has to ask again.
+func TestResponseHasAWholeFleet(t *testing.T) {
+	const size = 1000
+	counter := &updateCounter{
+		t: t,
+	}
+	n := NewNode(slipwick.Router{
+		ID:      "self",
+		Address: "10.0.0.1:1",
+	}, counter, DefaultPolicy(), rand.New(rand.NewPCG(1, 1)))
+	for i := range size - 1 {
+		m := &member{}
+		n.members[fmt.Sprint("router-", i)] = m
+		n.set(m, &memberpb.News{
+			Id:          fmt.Sprint("router-", i),
+			Address:     fmt.Sprintf("10.0.%d.%d:7340", i/250, i%250),
+			DataCentre:  "dc-1",
+			Incarnation: 1_700_000_000_000,
+		})
+	}
+	n.respond("10.0.0.2:1", &memberpb.Packet{
+		Kind:    memberpb.Kind_KIND_SYNC,
+		Packets: maxResponsePackets,
+	})
+	if counter.updates != size {
+		t.Errorf("got %d routers in a response, want %d", counter.updates, size)
+	}
+	if counter.largest > 1450 {
+		t.Errorf("got a packet of %d bytes, want at most 1,450 without headers", counter.largest)
+	}
+}
+
 // TestCatchUpEndsWithoutOtherRouters starts a router whose seeds are all down.
 func TestCatchUpEndsWithoutOtherRouters(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
