admission: A server that stays remains paused or ejected

A backend server that announced to leave and then revoked it was restored at once, also within an ejection or a pause that it had asked for itself, and all routers sent requests to it. It now returns to what is in force, and is restored at the end of that.

TestServerThatStaysIsRestoredAfterItsEjectionOrPause failed before.

--- a/admission/coordinator_test.go
+++ b/admission/coordinator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -111,3 +112,42 @@
 		}
 	})
 }
+
+// TestServerThatStaysIsRestoredAfterItsEjectionOrPause guards against a backend server that gets requests while
+// it is ejected, or in a pause that it asked for, because it announced meanwhile that it leaves, and then
+// that it doesn't.
+func TestServerThatStaysIsRestoredAfterItsEjectionOrPause(t *testing.T) {
+	const wait = 20 * time.Second
+	for name, begin := range map[string]func(*Coordinator, *ownedBackend){
+		"ejection": func(c *Coordinator, o *ownedBackend) {
+			c.Policy.EjectTime = wait
+			c.eject(o)
+		},
+		"pause": func(c *Coordinator, o *ownedBackend) { c.setPause(o, wait) },
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newSoleCoordinator(t)
+			var reported []Health
+			c.OnHealth = func(_ string, health Health) { reported = append(reported, health) }
+			var o *ownedBackend
+			c.withLock(func() {
+				for _, o = range c.owned {
+					break
+				}
+				begin(c, o)
+				c.markLeaving(o)
+			})
+			time.Sleep(wait / 2)
+			c.ClearLeaving(o.backend.ID)
+			time.Sleep(wait / 4)
+			if want := []Health{HealthEjected, HealthLeaving, HealthEjected}; !slices.Equal(reported, want) {
+				t.Errorf("%s: got health %v after three quarters of it, want %v", name, reported, want)
+			}
+			time.Sleep(wait)
+			if got := reported[len(reported)-1]; got != HealthGood {
+				t.Errorf("%s: got health %v after its end, want it good", name, got)
+			}
+			time.Sleep(time.Minute)
+		})
+	}
+}
--- a/admission/ejection.go
+++ b/admission/ejection.go
@@ -84,15 +84,26 @@
 const backendReportLag = 3 * time.Second
 
 // ClearLeaving is called when a backend server's own load report says that it is not, or no longer,
-// leaving. An owned one is restored, unless it announced in a response shortly before that it
-// leaves.
+// leaving. An owned one is restored, once no ejection or pause is in force, unless it announced in a
+// response shortly before that it leaves.
 func (c *Coordinator) ClearLeaving(backend string) {
 	c.withLock(func() {
 		o := c.owned[placement.IDHash(backend)]
 		if o == nil || o.health.state != HealthLeaving || time.Since(o.lastLeavingAt) < backendReportLag {
 			return
 		}
-		o.health.restore(c.Policy.RampUpTime, time.Now())
+		now := time.Now()
+		until := o.health.ejectedUntil
+		if o.pausedUntil.After(until) {
+			until = o.pausedUntil
+		}
+		if now.Before(until) {
+			o.health.state = HealthEjected
+			c.OnHealth(o.backend.ID, HealthEjected)
+			c.restoreAfter(o, until.Sub(now))
+			return
+		}
+		o.health.restore(c.Policy.RampUpTime, now)
 		c.OnHealth(o.backend.ID, HealthGood)
 	})
 }
