admission: Tell the owner where a chat went after a redirection

The owner of a chat's first choice was told which backend server serves the chat instead, unless it had redirected the chat. If the server that it named was full too, it was not told either, and went on redirecting the chat there, while another server had its prefix. It is now told unless the slot is at the server that it named.

With the default of 3 attempts this takes a first choice that has become unusable meanwhile; the test has 4 attempts. TestOwnerLearnsWhereAChatWentAfterAFailedRedirection failed before.

--- a/admission/acquire.go
+++ b/admission/acquire.go
@@ -149,10 +149,10 @@
 }
 
 // acceptGrant completes an acquisition with the slot that an owner granted. If the slot is not at
-// the chat's first choice, it notifies the owner of that choice, unless that owner redirected the
-// request.
+// the chat's first choice, it notifies the owner of that choice, unless that owner named the backend
+// server itself.
 func (c *Coordinator) acceptGrant(a *acquisition) {
-	if a.position != 0 && !a.redirected {
+	if a.position != 0 && (!a.redirected || a.position != a.redirectedTo) {
 		c.sendPlaced(a)
 	}
 	c.recordSlot(a, false)
--- a/admission/acquisition.go
+++ b/admission/acquisition.go
@@ -19,8 +19,9 @@
 	tried    []bool
 	attempts int
 	// redirected is true if the owner of the first choice named another backend server, which was
-	// then asked.
-	redirected bool
+	// then asked, at the position redirectedTo.
+	redirected   bool
+	redirectedTo int
 	// answered is true if any router has answered as the owner of a backend server. If none has, this
 	// router grants itself a slot.
 	answered bool
--- a/admission/answers.go
+++ b/admission/answers.go
@@ -53,7 +53,7 @@
 		c.tryNext(a)
 		return
 	}
-	a.redirected = true
+	a.redirected, a.redirectedTo = true, position
 	// The first choice may be asked again if the redirection fails.
 	a.tried[a.position] = false
 	c.sendAttempt(a, position, peerpb.Try_TRY_OTHER)
--- a/admission/coordinator_test.go
+++ b/admission/coordinator_test.go
@@ -151,3 +151,47 @@
 		})
 	}
 }
+
+// TestOwnerLearnsWhereAChatWentAfterAFailedRedirection guards against an owner that redirects a chat to the same
+// full backend server again and again, while another one has its prefix.
+func TestOwnerLearnsWhereAChatWentAfterAFailedRedirection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const chat = 7
+		c := NewCoordinator("self", discardTransport{}, DefaultPolicy())
+		c.Policy.MaxAttempts = 4
+		pool := newPool(3, 1.25, func(int) uint32 { return 1 })
+		c.SetView(placement.NewView([]placement.Pool{*pool}, []slipwick.Router{
+			{
+				ID: "self",
+			},
+		}))
+		ranked := c.view.Pools["p"]
+		ranking := ranked.Rank(nil, chat)
+		engine := func(position int) uint64 { return hashOf(&ranked.Backends[ranking[position]]) }
+		// The chat was served by its third choice, and has to go to the second one now.
+		key := displacedKey{
+			engine: engine(0),
+			chat:   chat,
+		}
+		c.displaced.Add(key, engine(2))
+		c.withLock(func() {
+			for _, position := range []int{0, 2} {
+				c.setPause(c.owned[engine(position)], time.Minute)
+			}
+		})
+		grant, err := c.Acquire(t.Context(), slipwick.AcquireRequest{
+			Pool: "p",
+			Chat: chat,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if want := ranked.Backends[ranking[1]].ID; grant.Backend.ID != want {
+			t.Fatalf("got a slot at %s, want the second choice, %s", grant.Backend.ID, want)
+		}
+		if got, _ := c.displaced.Get(key); got != engine(1) {
+			t.Errorf("got %d as the server of the chat, want the one that serves it, %d", got, engine(1))
+		}
+		time.Sleep(2 * time.Minute)
+	})
+}
