placement: Rank all backend servers of a large pool

A pool's backend servers beyond the first 1,024 were not ranked, and so never got a request by admission. Rank now keeps the scores of more servers on the heap; up to 1,024 it allocates nothing, as before.

TestLargePoolIsRankedCompletely failed before, with 1,024 of 2,049.

--- a/placement/ranker.go
+++ b/placement/ranker.go
@@ -9,9 +9,9 @@
 
 var _ slipwick.Placement = (*Ranker)(nil)
 
-// maxBackends limits the number of ranked backend servers, so that Rank can hold their scores in a
-// buffer on the stack.
-const maxBackends = 1024
+// bufferedBackends is the number of backend servers up to which Rank holds their scores in a buffer on the
+// stack. It allocates for more.
+const bufferedBackends = 1024
 
 // Ranker ranks the backend servers of one pool. It is immutable and safe for concurrent use.
 type Ranker struct {
@@ -22,11 +22,8 @@
 }
 
 // NewRanker returns a Ranker of the backend servers. The indexes that Rank returns are indexes of
-// backends. Only the first 1024 backend servers are ranked.
+// backends.
 func NewRanker(backends []slipwick.Backend) *Ranker {
-	if len(backends) > maxBackends {
-		backends = backends[:maxBackends]
-	}
 	ranker := &Ranker{
 		hashes:       make([]uint64, len(backends)),
 		weights:      make([]float64, len(backends)),
@@ -54,7 +51,7 @@
 // Rank appends the indexes of all ranked backend servers to dst, the best for the chat first, and
 // returns the extended slice. The chat is given by its ChatKey.
 func (r *Ranker) Rank(dst []int, chat uint64) []int {
-	var buffer [maxBackends]backendScore
+	var buffer [bufferedBackends]backendScore
 	ranked := buffer[:0]
 	for i := range r.hashes {
 		ranked = append(ranked, backendScore{
--- a/placement/ranker_test.go
+++ b/placement/ranker_test.go
@@ -99,3 +99,17 @@
 		dst = ranker.Rank(dst[:0], key)
 	}
 }
+
+// TestLargePoolIsRankedCompletely guards against backend servers that never get a request, because the pool has
+// more than fit the buffer of the scores.
+func TestLargePoolIsRankedCompletely(t *testing.T) {
+	const count = 2*bufferedBackends + 1
+	ranked := NewRanker(newBackends(count, unitWeight)).Rank(nil, 7)
+	seen := make(map[int]bool)
+	for _, index := range ranked {
+		seen[index] = true
+	}
+	if len(ranked) != count || len(seen) != count {
+		t.Errorf("got %d ranked, %d different ones, want all %d", len(ranked), len(seen), count)
+	}
+}
