stream: Next fails again after a failed resumption

A response that could not be resumed has no stream any more, and another call of Next panicked. It now returns the same error again.

TestNextAfterAFailedResumeFailsAgain failed before, with a panic.

--- a/stream/response.go
+++ b/stream/response.go
@@ -27,6 +27,8 @@
 	next    int
 	resumes int
 	ended   bool
+	// failure is why the response is broken, if it could not be resumed.
+	failure error
 }
 
 // Start sends the request exactly once and blocks until the response has started. The Outcome of
@@ -68,6 +70,9 @@
 	if r.ended {
 		return slipwick.StreamEvent{}, io.EOF
 	}
+	if r.failure != nil {
+		return slipwick.StreamEvent{}, r.failure
+	}
 	for {
 		event, err := r.receive(ctx)
 		if err == nil {
@@ -129,9 +134,9 @@
 		return r.Engine.Resume(ctx, r.Request.ID, r.next)
 	})
 	if err != nil {
-		return cause
+		r.failure = cause
 	}
-	return nil
+	return r.failure
 }
 
 // Close closes the connection and cancels a response that has not ended. It blocks for up to
--- a/stream/response_test.go
+++ b/stream/response_test.go
@@ -259,3 +259,46 @@
 		}
 	}
 }
+
+// breakingEngine breaks each stream at once, and fails to resume one.
+type breakingEngine struct {
+	*fakeEngine
+}
+
+func (*breakingEngine) Resume(context.Context, string, int) (slipwick.EventStream, error) {
+	return nil, brokenStreamError("the engine is gone")
+}
+
+// TestNextAfterAFailedResumeFailsAgain guards against a panic of a caller that asks once more for an event of a
+// response that could not be resumed.
+func TestNextAfterAFailedResumeFailsAgain(t *testing.T) {
+	r := &Response{
+		Engine: &breakingEngine{
+			fakeEngine: &fakeEngine{
+				wrap: func(slipwick.EventStream) slipwick.EventStream { return brokenStream{} },
+			},
+		},
+		Limits: Limits{
+			FirstToken:    time.Second,
+			BetweenTokens: time.Second,
+			Resumes:       1,
+		},
+	}
+	if err := r.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	for range 2 {
+		if _, err := r.Next(t.Context()); !slipwick.IsKind(err, slipwick.KindStreamBroken) {
+			t.Errorf("got %v, want that the stream is broken", err)
+		}
+	}
+}
+
+type brokenStream struct{}
+
+func (brokenStream) Next(context.Context) (slipwick.StreamEvent, error) {
+	return slipwick.StreamEvent{}, brokenStreamError("stream cut")
+}
+
+func (brokenStream) Close() error { return nil }
