dispatch: Retries don't write into the caller's slice

A retry appended the failed backend server to the slice of excluded ones of the caller, and could so write into an array that another call uses.

TestRetriesDontWriteIntoTheCallersSlice failed before.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -100,6 +101,8 @@
 	budget := d.budgets.ForPool(call.Pools[0])
 	budget.CountRequest()
 	request := call.Request
+	// Appending must not write into the caller's slice.
+	request.Exclude = slices.Clip(request.Exclude)
 	isTrial, err := d.checkQuarantine(call.QuarantineKey)
 	if err != nil {
 		return err
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -269,3 +269,40 @@
 		t.Errorf("got %v after asking %v, want both pools asked", err, admission.requests)
 	}
 }
+
+// TestRetriesDontWriteIntoTheCallersSlice guards against excluded backend servers of one call that appear in
+// another's, because both use parts of one array.
+func TestRetriesDontWriteIntoTheCallersSlice(t *testing.T) {
+	array := []string{"excluded", "another call's"}
+	first := &fakeEngine{
+		startErr: newFailure(slipwick.KindBackendUnreachable, slipwick.OutcomeNotRun),
+	}
+	d := &Dispatcher{
+		Admission: &fakeAdmission{
+			engines: []string{"first", "second"},
+		},
+		Engine: func(b slipwick.Backend) slipwick.Engine {
+			if b.ID == "first" {
+				return first
+			}
+			return &fakeEngine{}
+		},
+		Limits: stream.Limits{
+			FirstToken:    time.Second,
+			BetweenTokens: time.Second,
+		},
+	}
+	if err := d.Chat(t.Context(), Call{
+		Pools: []string{"p"},
+		Request: slipwick.AcquireRequest{
+			Exclude: array[:1],
+		},
+	}, slipwick.ChatRequest{
+		ID: "r",
+	}, func(slipwick.StreamEvent) error { return nil }); err != nil {
+		t.Fatal(err)
+	}
+	if array[1] != "another call's" {
+		t.Errorf("got %q in the array behind the caller's slice, want it unchanged", array[1])
+	}
+}
