daemon: A failed start leaves no socket open

If a later address was in use, or the TLS files could not be read, Run returned with the sockets that it had opened. In a process that goes on, as tests and embedding programs do, their addresses stayed in use.

--- a/cmd/internal/daemon/listeners.go
+++ b/cmd/internal/daemon/listeners.go
@@ -13,7 +13,7 @@
 	membershipUDP *net.UDPConn
 }
 
-// open listens on the addresses of the settings. On an error some listeners may be open.
+// open listens on the addresses of the settings. On an error some listeners may be open; close them.
 func (l *listeners) open(listen *Listen) error {
 	var err error
 	if l.callers, err = net.Listen("tcp", listen.Callers); err != nil {
@@ -25,6 +25,18 @@
 	return errors.Wrap(l.openPeers(listen.Peers), "listen for routers; choose a free address in listen.peers")
 }
 
+// close closes the sockets that are open.
+func (l *listeners) close() {
+	for _, listener := range []net.Listener{l.callers, l.operators, l.peers} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+	if l.membershipUDP != nil {
+		_ = l.membershipUDP.Close()
+	}
+}
+
 // openPeers listens on the same port over TCP and UDP.
 func (l *listeners) openPeers(address string) error {
 	// With port 0 the system chooses a port that is free for TCP but may be in use for UDP.
--- a/cmd/internal/daemon/router.go
+++ b/cmd/internal/daemon/router.go
@@ -107,10 +107,12 @@
 func (r *Router) Run(ctx context.Context) error {
 	defer close(r.done)
 	if err := r.listeners.open(&r.Settings.Listen); err != nil {
+		r.listeners.close()
 		return err
 	}
 	r.assemble()
 	if err := r.enableTLS(); err != nil {
+		r.listeners.close()
 		return err
 	}
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
