daemon: Name the time limit of request headers

The finding that ReadHeaderTimeout ignores limits.write is no fault: limits.write bounds "the time of one write to a slow caller", and not how long a caller may take to send a header. Only the constant that both used suggested otherwise. It has a name of its own now, with the same value.

--- a/cmd/internal/daemon/router.go
+++ b/cmd/internal/daemon/router.go
@@ -146,10 +146,14 @@
 	return err
 }
 
+// readHeaderTimeout bounds the time in which a caller has to send the header of a request; limits.write
+// bounds only what is sent to callers.
+const readHeaderTimeout = 10 * time.Second
+
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           handler,
-		ReadHeaderTimeout: defaultWrite,
+		ReadHeaderTimeout: readHeaderTimeout,
 	}
 }
 
