daemon: Report faults of the router as such

An error that came from none of the router's parts as a typed one was reported as backend_unreachable with 502, and sent operators to a backend server. It has a kind of its own now, `internal`, with 500. The outcome stays unknown and X-Should-Retry false, so that callers do the same.

--- a/cmd/internal/daemon/failure.go
+++ b/cmd/internal/daemon/failure.go
@@ -47,6 +47,7 @@
 	slipwick.KindBackendError:       http.StatusBadGateway,
 	slipwick.KindStreamBroken:       http.StatusBadGateway,
 	slipwick.KindTimeout:            http.StatusGatewayTimeout,
+	slipwick.KindInternal:           http.StatusInternalServerError,
 	slipwick.KindCancelled:          statusClientDisconnected,
 }
 
@@ -57,9 +58,9 @@
 		return failure
 	}
 	return &slipwick.Error{
-		Kind:    slipwick.KindBackendUnreachable,
+		Kind:    slipwick.KindInternal,
 		Message: err.Error(),
-		Remedy:  "send the request again if it may be repeated",
+		Remedy:  "send the request again if it may be repeated; report the message to the operators of the router",
 		Outcome: slipwick.OutcomeUnknown,
 	}
 }
--- a/kind.go
+++ b/kind.go
@@ -53,6 +53,8 @@
 	KindHistoryLost Kind = "history_lost"
 	// KindNotCurrent is a stale copy of the store's state: it was not confirmed recently.
 	KindNotCurrent Kind = "not_current"
+	// KindInternal is a fault of the router itself.
+	KindInternal Kind = "internal"
 	// KindInvalidConfiguration is an invalid configuration file or setting.
 	KindInvalidConfiguration Kind = "invalid_configuration"
 )
