keyfiles: Reload files replaced by ones with older times

The loader read the files again only if one was modified later than all before. A replacement that keeps its earlier modification time, as cp -p and archives do, was never read, and the old certificate was used until it expired. Any change of a file, its time or its size now counts.

TestFilesReplacedByOlderOnesAreReloaded failed before.

--- a/keyfiles/loader.go
+++ b/keyfiles/loader.go
@@ -4,6 +4,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,10 +31,10 @@
 	files Files
 
 	mu sync.Mutex
-	// checkedAt is when the files were last checked for changes, changedAt the latest modification
-	// time among them when they were last read.
+	// checkedAt is when the files were last checked for changes, infos describe them just before they
+	// were last read.
 	checkedAt   time.Time
-	changedAt   time.Time
+	infos       []os.FileInfo
 	certificate *tls.Certificate
 	pool        *x509.CertPool
 }
@@ -41,13 +42,13 @@
 // NewLoader reads the files. The error names the file that can't be used.
 func NewLoader(files Files) (*Loader, error) {
 	l := &Loader{
-		files: files,
+		files:     files,
+		checkedAt: time.Now(),
 	}
+	l.infos = l.stat()
 	if err := l.read(); err != nil {
 		return nil, err
 	}
-	l.checkedAt = time.Now()
-	l.changedAt = l.modifiedAt()
 	return l, nil
 }
 
@@ -72,15 +73,26 @@
 	return nil
 }
 
-// modifiedAt returns when the file that was modified last was modified.
-func (l *Loader) modifiedAt() time.Time {
-	var newest time.Time
+// stat describes the files. The entry of one that can't be read is nil.
+func (l *Loader) stat() []os.FileInfo {
+	var infos []os.FileInfo
 	for _, name := range []string{l.files.Certificate, l.files.Key, l.files.Authorities} {
-		if info, err := os.Stat(name); err == nil && info.ModTime().After(newest) {
-			newest = info.ModTime()
+		info, err := os.Stat(name)
+		if err != nil {
+			info = nil
 		}
+		infos = append(infos, info)
+	}
+	return infos
+}
+
+// isSameFile reports whether both describe the same content. A file may be replaced by one that was
+// modified earlier, such as a copy that keeps its modification time.
+func isSameFile(a, b os.FileInfo) bool {
+	if a == nil || b == nil {
+		return a == nil && b == nil
 	}
-	return newest
+	return os.SameFile(a, b) && a.ModTime().Equal(b.ModTime()) && a.Size() == b.Size()
 }
 
 // current returns the files' content. If the files can't be read, for example because
@@ -90,8 +102,8 @@
 	defer l.mu.Unlock()
 	if now := time.Now(); now.Sub(l.checkedAt) >= checkInterval {
 		l.checkedAt = now
-		if newest := l.modifiedAt(); newest.After(l.changedAt) && l.read() == nil {
-			l.changedAt = newest
+		if infos := l.stat(); !slices.EqualFunc(infos, l.infos, isSameFile) && l.read() == nil {
+			l.infos = infos
 		}
 	}
 	return l.certificate, l.pool
--- a/keyfiles/loader_test.go
+++ b/keyfiles/loader_test.go
@@ -113,6 +113,33 @@
 	}
 }
 
+// TestFilesReplacedByOlderOnesAreReloaded guards against a certificate that is used until it expires, because its
+// replacement was made before the current files were written, and keeps its modification time.
+func TestFilesReplacedByOlderOnesAreReloaded(t *testing.T) {
+	fleet := authority(t)
+	folder, replacement := t.TempDir(), t.TempDir()
+	files, newer := issue(t, fleet, folder, 2), issue(t, fleet, replacement, 9)
+	earlier := time.Now().Add(-time.Hour)
+	for _, name := range []string{newer.Certificate, newer.Key} {
+		if err := os.Chtimes(name, earlier, earlier); err != nil {
+			t.Fatal(err)
+		}
+	}
+	server, client := load(t, files), load(t, issue(t, fleet, t.TempDir(), 3))
+	if got, _ := handshake(t, server.ServerConfig(), client.ClientConfig()); got != 2 {
+		t.Fatalf("got serial number %d, want 2", got)
+	}
+	for from, to := range map[string]string{newer.Certificate: files.Certificate, newer.Key: files.Key} {
+		if err := os.Rename(from, to); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(1100 * time.Millisecond)
+	if got, _ := handshake(t, server.ServerConfig(), client.ClientConfig()); got != 9 {
+		t.Errorf("got serial number %d, want 9", got)
+	}
+}
+
 func authority(t *testing.T) *standin.Authority {
 	t.Helper()
 	a, err := standin.NewAuthority()
