objectapi: Reject objects over the limit

read took one byte more than the limit of an object, so as to notice a longer body, but never looked: such a body was cut off and returned as the whole object. It is now an error.

TestObjectOverTheLimitIsRejected failed before.

--- a/objectapi/client.go
+++ b/objectapi/client.go
@@ -87,6 +87,10 @@
 	if err != nil {
 		return slipwick.Object{}, unavailableError(err)
 	}
+	if len(value) > slipwick.MaxObjectBytes {
+		return slipwick.Object{}, unavailableError(
+			errors.Errorf("%s has more than %d bytes, the limit for objects", key, slipwick.MaxObjectBytes))
+	}
 	version, err := versionOf(response)
 	return slipwick.Object{
 		Key:     key,
