chat: EnableStreaming refuses the body null

The body null is valid JSON and gave a nil map, which EnableStreaming wrote to: it panicked for callers that had not called Parse before. It is now refused as an invalid request.

TestEnableStreamingRefusesNull failed before, with a panic.

--- a/chat/request.go
+++ b/chat/request.go
@@ -80,6 +80,9 @@
 	if err := json.Unmarshal(body, &fields); err != nil {
 		return nil, invalidRequestError("the body is not a JSON object", err)
 	}
+	if fields == nil {
+		return nil, invalidRequestError("the body is null", nil)
+	}
 	fields["stream"] = json.RawMessage(`true`)
 	fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
 	return json.Marshal(fields)
--- a/chat/request_test.go
+++ b/chat/request_test.go
@@ -60,3 +60,12 @@
 		}
 	})
 }
+
+// TestEnableStreamingRefusesNull guards against a panic on a body that is valid JSON, but no object.
+func TestEnableStreamingRefusesNull(t *testing.T) {
+	for _, body := range []string{"null", "[]", "1"} {
+		if _, err := EnableStreaming([]byte(body)); !slipwick.IsKind(err, slipwick.KindInvalidRequest) {
+			t.Errorf("%s: got %v, want it refused as invalid", body, err)
+		}
+	}
+}
