jsonfile: Exact paths for entries of maps

An error at an entry of a map named a path that the document doesn't have, and a wrong line, if the key contains a dot, a slash, a tilde or brackets, as names of models do: "a.b" became /entries/a/b.

TestPathsOfMapEntriesAreExact failed before.

--- a/jsonfile/document_test.go
+++ b/jsonfile/document_test.go
@@ -87,3 +87,29 @@
 		t.Errorf("got %v, want one error on line 2", err)
 	}
 }
+
+// TestPathsOfMapEntriesAreExact guards against errors that name a place, and so a line, which the document doesn't
+// have, because a key of a map contains characters that separate the parts of a path.
+func TestPathsOfMapEntriesAreExact(t *testing.T) {
+	type mapFile struct {
+		Entries map[string]entry   `json:"entries" validate:"dive"`
+		Lists   map[string][]entry `json:"lists" validate:"dive,dive"`
+	}
+	document, err := Parse("f", []byte("{\"entries\": {\n"+
+		"\"a.b\": {\"name\": \"\"},\n"+
+		"\"a/b~\": {\"name\": \"\"},\n"+
+		"\"a[1]b\": {\"name\": \"\"}},\n"+
+		"\"lists\": {\"x.y\": [{\"name\": \"a\"},\n{\"name\": \"\"}]}}"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, m := range document.Decode(&mapFile{}) {
+		got = append(got, string(rune('0'+m.Line))+" "+m.Path)
+	}
+	slices.Sort(got)
+	want := []string{"2 /entries/a.b/name", "3 /entries/a~1b~0/name", "4 /entries/a[1]b/name", "6 /lists/x.y/1/name"}
+	if !slices.Equal(got, want) {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
--- a/jsonfile/valuecheck.go
+++ b/jsonfile/valuecheck.go
@@ -34,8 +34,9 @@
 	return errs
 }
 
-// elementIndex matches the index of a list or map in a namespace of the validator.
-var elementIndex = regexp.MustCompile(`\[([^\]]*)\]`)
+// elementIndex matches the index of a list or the key of a map in a namespace of the validator. A key may
+// contain dots, slashes and brackets.
+var elementIndex = regexp.MustCompile(`\[(.*?)\](\.|\[|$)`)
 
 // pointerOf turns a field's namespace, as the validator reports it, into a JSON pointer:
 // "File.pools[0].name", with the name of the decoded struct, into "/pools/0/name".
@@ -44,8 +45,23 @@
 	if !found {
 		return ""
 	}
-	path = elementIndex.ReplaceAllString(path, ".$1")
-	return "/" + strings.ReplaceAll(path, ".", "/")
+	pointer := ""
+	for path != "" {
+		if path[0] == '[' {
+			if match := elementIndex.FindStringSubmatchIndex(path); match != nil {
+				pointer += "/" + escape(path[match[2]:match[3]])
+				path = strings.TrimPrefix(path[match[3]+len("]"):], ".")
+				continue
+			}
+		}
+		end := strings.IndexAny(path[1:], ".[") + 1
+		if end == 0 {
+			end = len(path)
+		}
+		pointer += "/" + escape(path[:end])
+		path = strings.TrimPrefix(path[end:], ".")
+	}
+	return pointer
 }
 
 func message(field validator.FieldError) string {
