jsonfile: Describe whole numbers as such

The type of a field was described as a duration for each int64, also for numbers such as body_bytes, and the remedy was refused again.

TestWholeNumberIsNoDuration failed before.

--- a/jsonfile/document_test.go
+++ b/jsonfile/document_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -113,3 +114,25 @@
 		t.Errorf("got %q, want %q", got, want)
 	}
 }
+
+// TestWholeNumberIsNoDuration guards against a remedy that suggests a duration for a number, which is refused again.
+func TestWholeNumberIsNoDuration(t *testing.T) {
+	type limits struct {
+		Bytes int64    `json:"bytes"`
+		Wait  Duration `json:"wait"`
+	}
+	document, err := Parse("f", []byte(`{"bytes": "1s", "wait": "soon"}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	errs := document.Decode(&limits{})
+	if len(errs) != 2 {
+		t.Fatalf("got %v, want an error for each field", errs)
+	}
+	if got := errs[0].Remedy; got != "write a whole number" {
+		t.Errorf("got the remedy %q for a number, want a whole number", got)
+	}
+	if got := errs[1].Remedy; !strings.Contains(got, "duration") {
+		t.Errorf("got the remedy %q for a duration", got)
+	}
+}
--- a/jsonfile/typecheck.go
+++ b/jsonfile/typecheck.go
@@ -112,14 +112,15 @@
 
 // describe returns the term that messages use for a type.
 func describe(goType reflect.Type) string {
+	if goType == reflect.TypeFor[Duration]() {
+		return `duration such as "1.5s", or a whole number`
+	}
 	switch goType.Kind() {
 	case reflect.String:
 		return "string"
 	case reflect.Bool:
 		return "boolean (true or false)"
-	case reflect.Int64:
-		return `duration such as "1.5s", or a whole number`
-	case reflect.Int, reflect.Int32, reflect.Uint32, reflect.Uint64:
+	case reflect.Int, reflect.Int32, reflect.Int64, reflect.Uint32, reflect.Uint64:
 		return "whole number"
 	case reflect.Float64:
 		return "number"
