--- a/claims/segment.go
+++ b/claims/segment.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"strconv"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -27,6 +29,12 @@
 	return fmt.Sprintf("%s%04d", keyPrefix(journal), slot)
 }
 
+// slotOfKey returns the slot of the object with the key; ok is false if the key is of no slot of the journal.
+func slotOfKey(key string, journal int) (slot uint64, ok bool) {
+	slot, err := strconv.ParseUint(strings.TrimPrefix(key, keyPrefix(journal)), 10, 64)
+	return slot, err == nil && objectKey(journal, slot) == key
+}
+
 // expires returns when the last entry of the segment expires.
 func (s *segment) expires() time.Time {
 	var last uint64
--- a/claims/takeover.go
+++ b/claims/takeover.go
@@ -53,20 +53,17 @@
 	return nil
 }
 
-// decode returns the segments of a journal by slot.
+// decode returns the segments of a journal by slot. Slots may be missing, because an operator moved an
+// object away.
 func decode(objects []slipwick.Object, number int) (map[uint64]*segment, error) {
 	slots := make(map[uint64]*segment, len(objects))
-	slotByObjectKey := make(map[string]uint64, len(objects))
-	// Slots are filled from 0 on without gaps.
-	for slot := range uint64(len(objects)) {
-		slotByObjectKey[objectKey(number, slot)] = slot
-	}
 	for _, object := range objects {
+		slot, ok := slotOfKey(object.Key, number)
 		content := &claimspb.Segment{}
-		if err := proto.Unmarshal(object.Value, content); err != nil {
-			return nil, errors.Wrapf(err, "object %s is not a journal segment; move it out of the prefix", object.Key)
+		if !ok || proto.Unmarshal(object.Value, content) != nil {
+			return nil, errors.Errorf("object %s is not a journal segment; move it out of the prefix", object.Key)
 		}
-		slots[slotByObjectKey[object.Key]] = &segment{
+		slots[slot] = &segment{
 			content: content,
 			version: object.Version,
 		}
