burn: No burn rate without a first-token objective

FirstToken returned 0 for a workspace without an objective, which `slipwick report burn` showed as an objective that is met. It is now null in JSON and empty in the table, as for availability.

--- a/burn/rate.go
+++ b/burn/rate.go
@@ -1,5 +1,7 @@
 package burn
 
+import "time"
+
 // firstTokenRatio is the ratio of requests whose first token must arrive in the time that the
 // workspace's first-token objective allows: the objective is a 95th percentile.
 const firstTokenRatio = 0.95
@@ -15,8 +17,11 @@
 	return rate(counts.Bad, counts.Total, objective)
 }
 
-// FirstToken returns the burn rate for the first-token objective.
-func FirstToken(counts Counts) Rate {
+// FirstToken returns the burn rate for a first-token objective; 0 stands for none.
+func FirstToken(counts Counts, objective time.Duration) Rate {
+	if objective <= 0 {
+		return nil
+	}
 	return rate(counts.SlowFirstTokens, counts.FirstTokens, firstTokenRatio)
 }
 
--- a/cmd/slipwick/report/burn/burn.go
+++ b/cmd/slipwick/report/burn/burn.go
@@ -104,7 +104,7 @@
 				Window:       windowLabel(burn.Windows[i]),
 				Counts:       window,
 				Availability: burn.Availability(window, workspace.Objectives.Availability),
-				FirstToken:   burn.FirstToken(window),
+				FirstToken:   burn.FirstToken(window, time.Duration(workspace.Objectives.FirstToken)),
 			})
 		}
 	}
