--- a/cmd/slipwick/diff/diff.go
+++ b/cmd/slipwick/diff/diff.go
@@ -47,9 +47,6 @@
 		return err
 	}
 	changes := configuration.Diff(&current, &state)
-	if changes == nil {
-		changes = []configuration.Change{}
-	}
 	table := cli.Table{
 		Header: []string{"CHANGE", "ENTRY", "BEFORE", "AFTER"},
 	}
--- a/configuration/diff.go
+++ b/configuration/diff.go
@@ -30,7 +30,7 @@
 // Diff returns the changes from one state to the other, sorted by entry.
 func Diff(from, to *State) []Change {
 	before, after := from.entries(), to.entries()
-	var changes []Change
+	changes := []Change{}
 	for entry, old := range before {
 		now, kept := after[entry]
 		switch {
--- a/configuration/diff_test.go
+++ b/configuration/diff_test.go
@@ -1,6 +1,7 @@
 package configuration
 
 import (
+	"encoding/json"
 	"testing"
 
 	"github.com/slipwick/slipwick"
@@ -33,7 +34,12 @@
 		changes[1].Entry != "workspace/w" || changes[1].Kind != ChangeAdded {
 		t.Errorf("got %+v, want the backend server changed and the workspace added", changes)
 	}
-	if changes := Diff(&before, &before); len(changes) != 0 {
+	changes = Diff(&before, &before)
+	if len(changes) != 0 {
 		t.Errorf("got %+v for the same state, want none", changes)
 	}
+	// Scripts read this list as the JSON output of commands: null is no list.
+	if text, err := json.Marshal(changes); err != nil || string(text) != "[]" {
+		t.Errorf("got %s and error %v as JSON for the same state, want an empty list", text, err)
+	}
 }
