docs: Say which findings are no faults

ShiftAt and DecodeRollout do what their comments and tests ask for; the comments now say why. A load report after HandleRouterFailure would not be sent, because the number of leases has not changed.

--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -20,7 +20,8 @@
 // version gets at most Exposure of all requests: a small share first, and all of them from the
 // earliest time at which the total does not exceed Exposure. A version that turns bad at any time
 // has thus received no more than is allowed, no matter when that is detected, and requests that run
-// on the old version have some time to end before it stops.
+// on the old version have some time to end before it stops. The exception is an Exposure below about
+// minShiftFraction, of which the new version may get more.
 type Plan struct {
 	Start    time.Time
 	Duration time.Duration
