emulation: A chat ends if all routers are stopped

anyRouter drew routers until it found a running one, with the world locked, and so never returned if all were stopped. The request is now refused as not run. The draws of all other schedules are the same.

TestNoRouterIsChosenIfAllAreStopped failed before.

--- a/emulation/chat.go
+++ b/emulation/chat.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/slipwick/slipwick"
@@ -135,6 +136,14 @@
 func (c *Chat) attempt(request slipwick.AcquireRequest) (engine string, err error) {
 	w := c.world
 	router := w.anyRouter(c.random)
+	if router == nil {
+		return "", &slipwick.Error{
+			Kind:    slipwick.KindNotReady,
+			Message: "all routers are stopped",
+			Remedy:  "start one",
+			Outcome: slipwick.OutcomeNotRun,
+		}
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), maxSlotWait)
 	defer cancel()
 	started := time.Now()
@@ -189,10 +198,13 @@
 }
 
 // anyRouter returns the admission of a random running router, as the platform's
-// load balancer would choose it.
+// load balancer would choose it; nil if all are stopped.
 func (w *World) anyRouter(random *rand.Rand) slipwick.Admission {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if !slices.ContainsFunc(w.routers, func(r *Router) bool { return !r.isStopped() }) {
+		return nil
+	}
 	for {
 		r := w.routers[random.IntN(len(w.routers))]
 		if !r.isStopped() {
