emulation: Only load reports are delayed and lost as such

Envelopes with claims, the configuration, notices or crashes alone counted as load reports, so that faults meant for these hit the others too.

TestOnlyLoadsAreLostAsLoads, which tries each field of an envelope, failed before for seven of them.

--- a/emulation/network.go
+++ b/emulation/network.go
@@ -151,8 +151,9 @@
 // counts as such too, because these are not checked.
 func loadsOnly(e *peerpb.Envelope) bool {
 	others := len(e.GetRequests()) + len(e.GetAnswers()) + len(e.GetReleases()) + len(e.GetRenewals()) +
-		len(e.GetHandovers()) + len(e.GetPlaced())
-	return others == 0
+		len(e.GetHandovers()) + len(e.GetPlaced()) + len(e.GetClaimRequests()) + len(e.GetClaimAnswers()) +
+		len(e.GetClaimEndings()) + len(e.GetMarks()) + len(e.GetNotices())
+	return others == 0 && e.ConfigurationAfter == nil && e.GetConfigurationObject() == nil
 }
 
 // packetTransport sends one router's packets.
