demofleet: A failed start stops what runs

newWorld returned an error with the platform, engines and routers that it had started still running, and waited forever for a first router that could not start.

TestFailedStartStopsWhatRuns failed before, with 4 goroutines left.

--- a/cmd/internal/demofleet/world.go
+++ b/cmd/internal/demofleet/world.go
@@ -69,38 +69,46 @@
 }
 
 // newWorld starts everything and waits until all routers are ready and know each
-// other.
+// other. On an error it stops what it has started.
 func newWorld(ctx context.Context, s *Scenario) (*world, error) {
 	w := &world{
 		started:  time.Now(),
 		platform: standin.NewPlatform(),
 		client:   httpclient.New(),
 	}
+	if err := w.start(ctx, s); err != nil {
+		w.stop()
+		return nil, err
+	}
+	return w, nil
+}
+
+func (w *world) start(ctx context.Context, s *Scenario) error {
 	var err error
 	var address string
 	if w.platformServer, address, err = serve(w.platform); err != nil {
-		return nil, err
+		return err
 	}
 	w.platformURL = "http://" + address
 	w.platform.ListDelay = listDelay
 	for i := range s.Engines {
 		e, err := startEngine(fmt.Sprintf("engine-%02d", i), engineProfile)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		w.engines = append(w.engines, e)
 		w.platform.SetBox(w.box(e, slipwick.BoxLive))
 	}
 	if err := w.applyConfiguration(ctx); err != nil {
-		return nil, err
+		return err
 	}
 	for i := range s.Routers {
 		w.startRouter(ctx, i)
 	}
 	if err := w.waitReady(ctx); err != nil {
-		return nil, err
+		return err
 	}
-	return w, w.waitMembers(ctx)
+	return w.waitMembers(ctx)
 }
 
 func (w *world) box(e *runningEngine, state slipwick.BoxState) slipwick.Box {
@@ -174,8 +182,12 @@
 func (w *world) startRouter(ctx context.Context, i int) {
 	var seeds []string
 	if i > 0 {
-		<-w.routers[0].Started()
-		seeds = append(seeds, w.routers[0].PeersAddress())
+		select {
+		case <-w.routers[0].Started():
+			seeds = append(seeds, w.routers[0].PeersAddress())
+		case <-w.routers[0].Done():
+			// waitReady reports that the router has not started.
+		}
 	}
 	router := daemon.NewRouter(&daemon.Settings{
 		ID:         fmt.Sprintf("router-%02d", i),
@@ -257,7 +269,10 @@
 	for _, e := range w.engines {
 		_ = e.server.Close()
 	}
-	_ = w.platformServer.Close()
+	if w.platformServer != nil {
+		_ = w.platformServer.Close()
+	}
+	w.client.CloseIdleConnections()
 }
 
 // sampleInterval is the time between samples of the engines' loads.
--- /dev/null
+++ b/cmd/internal/demofleet/world_test.go
@@ -0,0 +1,35 @@
+package demofleet
+
+import (
+	"context"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// TestFailedStartStopsWhatRuns guards against servers and routers that keep running, with their ports, after a
+// world that could not be started.
+func TestFailedStartStopsWhatRuns(t *testing.T) {
+	before := runtime.NumGoroutine()
+	for name, wait := range map[string]time.Duration{
+		"before the configuration": 0,
+		"while routers start":      300 * time.Millisecond,
+	} {
+		ctx, cancel := context.WithTimeout(t.Context(), wait)
+		if _, err := newWorld(ctx, &Scenario{
+			Routers: 3,
+			Engines: 3,
+		}); err == nil {
+			t.Fatalf("%s: got no error after the end of the context", name)
+		}
+		cancel()
+		deadline := time.Now().Add(5 * time.Second)
+		for runtime.NumGoroutine() > before {
+			if time.Now().After(deadline) {
+				t.Fatalf("%s: got %d goroutines 5 s after the failure, %d before",
+					name, runtime.NumGoroutine(), before)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
