demofleet: Count control bytes from the callers' start

The rate of control traffic had the bytes since each router's start over the time since the callers'. It now counts both from the same time.

TestControlBytesCountFromTheCallersStart failed before.

--- a/cmd/internal/demofleet/result.go
+++ b/cmd/internal/demofleet/result.go
@@ -62,8 +62,8 @@
 	w.mu.Lock()
 	r.SkewMax = w.skewMax
 	w.mu.Unlock()
-	for _, router := range w.routers {
-		r.ControlBytes += float64(router.ControlBytes()) / elapsed.Seconds() / float64(len(w.routers))
+	for i, router := range w.routers {
+		r.ControlBytes += float64(router.ControlBytes()-w.startBytes[i]) / elapsed.Seconds() / float64(len(w.routers))
 	}
 	return r
 }
--- a/cmd/internal/demofleet/world.go
+++ b/cmd/internal/demofleet/world.go
@@ -61,8 +61,10 @@
 	engines        []*runningEngine
 	routers        []*daemon.Router
 	stopRouter     []func()
-	client         *http.Client
-	goroutines     sync.WaitGroup
+	// startBytes has the control bytes of each router when the callers started.
+	startBytes []int64
+	client     *http.Client
+	goroutines sync.WaitGroup
 
 	mu      sync.Mutex
 	skewMax float64
@@ -256,6 +258,9 @@
 		}
 	}
 	time.Sleep(settleTime)
+	for _, router := range w.routers {
+		w.startBytes = append(w.startBytes, router.ControlBytes())
+	}
 	w.started = time.Now()
 	return nil
 }
--- a/cmd/internal/demofleet/world_test.go
+++ b/cmd/internal/demofleet/world_test.go
@@ -33,3 +33,23 @@
 		}
 	}
 }
+
+// TestControlBytesCountFromTheCallersStart guards against a rate of control traffic that contains the bytes of the
+// start, but not its time.
+func TestControlBytesCountFromTheCallersStart(t *testing.T) {
+	w, err := newWorld(t.Context(), &Scenario{
+		Routers: 3,
+		Engines: 3,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.stop()
+	start := 0.0
+	for _, router := range w.routers {
+		start += float64(router.ControlBytes()) / float64(len(w.routers))
+	}
+	if got := w.result(nil, time.Second).ControlBytes; got > start/10 {
+		t.Errorf("got %.0f bytes at once after the start, %.0f in it, want only those after it", got, start)
+	}
+}
