--- a/admission/grants.go
+++ b/admission/grants.go
@@ -149,7 +149,6 @@
 		key:      key,
 		request:  request,
 		priority: int(request.GetPriority()),
-		deadline: now.Add(wait),
 	}
 	o.queue.push(queued, c.workspaceWeight(request.GetWorkspace()))
 	c.sendAnswer(key, peerpb.Decision_DECISION_HELD, 0)
--- a/emulation/network.go
+++ b/emulation/network.go
@@ -23,8 +23,6 @@
 	faults       Faults
 	traffic      map[string]*Traffic
 	slotRequests int
-	// onSend, if set, is called with each envelope and its size in bytes.
-	onSend func(*peerpb.Envelope, int)
 }
 
 // NewNetwork creates a network without routers, where each message takes a
@@ -114,9 +112,6 @@
 	}
 	n.slotRequests += len(envelope.GetRequests())
 	size := proto.Size(envelope) + streamFraming + tcpHeaders
-	if n.onSend != nil {
-		n.onSend(envelope, size)
-	}
 	// The envelope is not copied, so neither side may change it later.
 	handle := func() { to.receive(t.from.Self.ID, envelope) }
 	copies, delay := n.applyFaults(envelope)
--- a/emulation/world.go
+++ b/emulation/world.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -20,7 +19,6 @@
 	Meter   *Meter
 
 	mu      sync.Mutex
-	random  *rand.Rand
 	routers []*Router
 	// admissions holds each router's coordinator or baseline by the router's ID.
 	admissions map[string]slipwick.Admission
@@ -62,7 +60,6 @@
 		Setup:       setup,
 		Network:     NewNetwork(setup.Seed),
 		Meter:       newMeter(setup.LoadFactor),
-		random:      rand.New(rand.NewPCG(setup.Seed, 2)),
 		admissions:  make(map[string]slipwick.Admission),
 		engines:     make(map[string]*engineState),
 		started:     time.Now(),
--- a/quarantine/simulation_test.go
+++ b/quarantine/simulation_test.go
@@ -50,8 +50,6 @@
 	crashes    int
 	completed  int
 	executions int
-	// suspectAll also counts crashes later than crashWindow after the first event of the response.
-	suspectAll bool
 }
 
 // execution is one attempt of a request at one engine.
@@ -133,7 +131,7 @@
 	for _, e := range executions {
 		delete(s.running, e)
 		outcome := OutcomeCrashed
-		if e.key != crashingKey && s.now-e.began > firstEventDelay+crashWindow && !s.suspectAll {
+		if e.key != crashingKey && s.now-e.began > firstEventDelay+crashWindow {
 			outcome = OutcomeInconclusive
 		}
 		s.schedule(crashDetectionDelay, func() { e.attempt.End(outcome) })
