admission: Guard the health that a test records

TestServerThatStaysIsRestoredAfterItsEjectionOrPause appended to a slice from a timer of the coordinator and read it without a lock: the race detector reported it. The test now also checks the complete order.

--- a/admission/coordinator_test.go
+++ b/admission/coordinator_test.go
@@ -127,8 +127,18 @@
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			c := newSoleCoordinator(t)
+			var mu sync.Mutex
 			var reported []Health
-			c.OnHealth = func(_ string, health Health) { reported = append(reported, health) }
+			c.OnHealth = func(_ string, health Health) {
+				mu.Lock()
+				defer mu.Unlock()
+				reported = append(reported, health)
+			}
+			soFar := func() []Health {
+				mu.Lock()
+				defer mu.Unlock()
+				return slices.Clone(reported)
+			}
 			var o *ownedBackend
 			c.withLock(func() {
 				for _, o = range c.owned {
@@ -140,12 +150,13 @@
 			time.Sleep(wait / 2)
 			c.ClearLeaving(o.backend.ID)
 			time.Sleep(wait / 4)
-			if want := []Health{HealthEjected, HealthLeaving, HealthEjected}; !slices.Equal(reported, want) {
-				t.Errorf("%s: got health %v after three quarters of it, want %v", name, reported, want)
+			got, want := soFar(), []Health{HealthEjected, HealthLeaving, HealthEjected}
+			if !slices.Equal(got, want) {
+				t.Errorf("%s: got health %v after three quarters of it, want %v", name, got, want)
 			}
 			time.Sleep(wait)
-			if got := reported[len(reported)-1]; got != HealthGood {
-				t.Errorf("%s: got health %v after its end, want it good", name, got)
+			if got, want = soFar(), append(want, HealthGood); !slices.Equal(got, want) {
+				t.Errorf("%s: got health %v after its end, want %v", name, got, want)
 			}
 			time.Sleep(time.Minute)
 		})
