exchange: Measure an update of a hub of 330 routers

The benchmark shows what the datagrams cost that each router of a group gets without its own events.

--- a/exchange/syncer_bench_test.go
+++ b/exchange/syncer_bench_test.go
@@ -77,3 +77,55 @@
 		})
 	}
 }
+
+// BenchmarkHubUpdate measures one update of a hub of 330 routers: each router of its group has requests at 465 of 930
+// engines, and sends the outcomes and observations of speed of some of them.
+func BenchmarkHubUpdate(b *testing.B) {
+	const size, engines = 330, 930
+	var routers []slipwick.Router
+	for i := range size {
+		routers = append(routers, slipwick.Router{
+			ID: fmt.Sprintf("r-%04d", i),
+		})
+	}
+	hubs := chooseHubs(routers)
+	hub := NewSyncer(hubs.chosen[0].ID)
+	hub.Balancer = balance.New("d")
+	hub.Balancer.SetBackends(testBackends(engines))
+	hub.Transport = discardTransport{}
+	hub.Routers = func() []slipwick.Router { return routers }
+	hub.Address = func(r slipwick.Router) string { return r.ID }
+	for _, events := range []int{0, 2, 40} {
+		b.Run(fmt.Sprint(events), func(b *testing.B) {
+			for b.Loop() {
+				b.StopTimer()
+				for i, member := range hubs.groupOf(hub.Self) {
+					var update balance.Update
+					for engine := range uint64(engines / 2) {
+						update.InFlight = append(update.InFlight, balance.InFlight{
+							Server: engine + uint64(i),
+							Count:  1,
+						})
+					}
+					for engine := range uint64(events) {
+						update.Outcomes = append(update.Outcomes, balance.OutcomeCounts{
+							Server: engine,
+							Failed: 1,
+						})
+						update.Speeds = append(update.Speeds, balance.SpeedCounts{
+							Server:    engine,
+							Responses: 1,
+						})
+					}
+					sender := NewSyncer(member.ID)
+					sender.sequence.Store(hub.sequence.Load())
+					for _, packet := range sender.encode(exchangepb.Scope_SCOPE_OWN, false, update) {
+						hub.Receive("", packet)
+					}
+				}
+				b.StartTimer()
+				hub.sendUpdate(false)
+			}
+		})
+	}
+}
