--- a/admission/coordinator_test.go
+++ b/admission/coordinator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -111,3 +112,97 @@
 		}
 	})
 }
+
+// TestServerThatStaysIsRestoredAfterItsEjectionOrPause guards against a backend server that gets requests while
+// it is ejected, or in a pause that it asked for, because it announced meanwhile that it leaves, and then
+// that it doesn't.
+func TestServerThatStaysIsRestoredAfterItsEjectionOrPause(t *testing.T) {
+	const wait = 20 * time.Second
+	for name, begin := range map[string]func(*Coordinator, *ownedBackend){
+		"ejection": func(c *Coordinator, o *ownedBackend) {
+			c.Policy.EjectTime = wait
+			c.eject(o)
+		},
+		"pause": func(c *Coordinator, o *ownedBackend) { c.setPause(o, wait) },
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newSoleCoordinator(t)
+			var mu sync.Mutex
+			var reported []Health
+			c.OnHealth = func(_ string, health Health) {
+				mu.Lock()
+				defer mu.Unlock()
+				reported = append(reported, health)
+			}
+			soFar := func() []Health {
+				mu.Lock()
+				defer mu.Unlock()
+				return slices.Clone(reported)
+			}
+			var o *ownedBackend
+			c.withLock(func() {
+				for _, o = range c.owned {
+					break
+				}
+				begin(c, o)
+				c.markLeaving(o)
+			})
+			time.Sleep(wait / 2)
+			c.ClearLeaving(o.backend.ID)
+			time.Sleep(wait / 4)
+			got, want := soFar(), []Health{HealthEjected, HealthLeaving, HealthEjected}
+			if !slices.Equal(got, want) {
+				t.Errorf("%s: got health %v after three quarters of it, want %v", name, got, want)
+			}
+			time.Sleep(wait)
+			if got, want = soFar(), append(want, HealthGood); !slices.Equal(got, want) {
+				t.Errorf("%s: got health %v after its end, want %v", name, got, want)
+			}
+			time.Sleep(time.Minute)
+		})
+	}
+}
+
+// TestOwnerLearnsWhereAChatWentAfterAFailedRedirection guards against an owner that redirects a chat to the same
+// full backend server again and again, while another one has its prefix.
+func TestOwnerLearnsWhereAChatWentAfterAFailedRedirection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const chat = 7
+		c := NewCoordinator("self", discardTransport{}, DefaultPolicy())
+		c.Policy.MaxAttempts = 4
+		pool := newPool(3, 1.25, func(int) uint32 { return 1 })
+		c.SetView(placement.NewView([]placement.Pool{*pool}, []slipwick.Router{
+			{
+				ID: "self",
+			},
+		}))
+		ranked := c.view.Pools["p"]
+		ranking := ranked.Rank(nil, chat)
+		engine := func(position int) uint64 { return hashOf(&ranked.Backends[ranking[position]]) }
+		// The chat was served by its third choice, and has to go to the second one now.
+		key := displacedKey{
+			engine: engine(0),
+			chat:   chat,
+		}
+		c.displaced.Add(key, engine(2))
+		c.withLock(func() {
+			for _, position := range []int{0, 2} {
+				c.setPause(c.owned[engine(position)], time.Minute)
+			}
+		})
+		grant, err := c.Acquire(t.Context(), slipwick.AcquireRequest{
+			Pool: "p",
+			Chat: chat,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if want := ranked.Backends[ranking[1]].ID; grant.Backend.ID != want {
+			t.Fatalf("got a slot at %s, want the second choice, %s", grant.Backend.ID, want)
+		}
+		if got, _ := c.displaced.Get(key); got != engine(1) {
+			t.Errorf("got %d as the server of the chat, want the one that serves it, %d", got, engine(1))
+		}
+		time.Sleep(2 * time.Minute)
+	})
+}
--- a/cmd/internal/daemon/router.go
+++ b/cmd/internal/daemon/router.go
@@ -107,10 +107,12 @@
 func (r *Router) Run(ctx context.Context) error {
 	defer close(r.done)
 	if err := r.listeners.open(&r.Settings.Listen); err != nil {
+		r.listeners.close()
 		return err
 	}
 	r.assemble()
 	if err := r.enableTLS(); err != nil {
+		r.listeners.close()
 		return err
 	}
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -144,10 +146,14 @@
 	return err
 }
 
+// readHeaderTimeout bounds the time in which a caller has to send the header of a request; limits.write
+// bounds only what is sent to callers.
+const readHeaderTimeout = 10 * time.Second
+
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           handler,
-		ReadHeaderTimeout: defaultWrite,
+		ReadHeaderTimeout: readHeaderTimeout,
 	}
 }
 
--- a/emulation/network.go
+++ b/emulation/network.go
@@ -23,8 +23,6 @@
 	faults       Faults
 	traffic      map[string]*Traffic
 	slotRequests int
-	// onSend, if set, is called with each envelope and its size in bytes.
-	onSend func(*peerpb.Envelope, int)
 }
 
 // NewNetwork creates a network without routers, where each message takes a
@@ -114,9 +112,6 @@
 	}
 	n.slotRequests += len(envelope.GetRequests())
 	size := proto.Size(envelope) + streamFraming + tcpHeaders
-	if n.onSend != nil {
-		n.onSend(envelope, size)
-	}
 	// The envelope is not copied, so neither side may change it later.
 	handle := func() { to.receive(t.from.Self.ID, envelope) }
 	copies, delay := n.applyFaults(envelope)
@@ -151,8 +146,9 @@
 // counts as such too, because these are not checked.
 func loadsOnly(e *peerpb.Envelope) bool {
 	others := len(e.GetRequests()) + len(e.GetAnswers()) + len(e.GetReleases()) + len(e.GetRenewals()) +
-		len(e.GetHandovers()) + len(e.GetPlaced())
-	return others == 0
+		len(e.GetHandovers()) + len(e.GetPlaced()) + len(e.GetClaimRequests()) + len(e.GetClaimAnswers()) +
+		len(e.GetClaimEndings()) + len(e.GetMarks()) + len(e.GetNotices())
+	return others == 0 && e.ConfigurationAfter == nil && e.GetConfigurationObject() == nil
 }
 
 // packetTransport sends one router's packets.
--- a/exchange/speeds.go
+++ b/exchange/speeds.go
@@ -1,6 +1,8 @@
 package exchange
 
 import (
+	"math"
+
 	"github.com/slipwick/slipwick/balance"
 	"github.com/slipwick/slipwick/exchange/exchangepb"
 )
@@ -48,8 +50,8 @@
 	return list[n:]
 }
 
-// decodeSpeeds returns the observations in a datagram, up to the first invalid entry. The balancer
-// checks the values.
+// decodeSpeeds returns the observations in a datagram without invalid entries. The balancer checks the
+// values.
 func decodeSpeeds(message *exchangepb.Told) []balance.SpeedCounts {
 	servers := message.GetServers()
 	var list []balance.SpeedCounts
@@ -57,7 +59,7 @@
 		len(message.GetPacedReported()), len(message.GetPacedRejections()))
 	for i, index := range message.GetPaced() {
 		if i >= complete || int(index) >= len(servers) {
-			break
+			continue
 		}
 		list = append(list, balance.SpeedCounts{
 			Server:      servers[index],
@@ -71,8 +73,17 @@
 	return list
 }
 
-// addSpeeds adds more observations to a list by server, as far as a hub has room for servers.
+// addSpeeds adds more observations to a list by server.
 func addSpeeds(list, more []balance.SpeedCounts) []balance.SpeedCounts {
+	return addSpeedsUpTo(math.MaxInt, list, more)
+}
+
+// queueSpeeds adds more observations to a list by server, as far as a hub has room for servers.
+func queueSpeeds(list, more []balance.SpeedCounts) []balance.SpeedCounts {
+	return addSpeedsUpTo(maxQueued, list, more)
+}
+
+func addSpeedsUpTo(limit int, list, more []balance.SpeedCounts) []balance.SpeedCounts {
 	if len(more) == 0 {
 		return list
 	}
@@ -85,7 +96,7 @@
 		switch {
 		case known:
 			list[index].Add(&more[i])
-		case len(list) < maxQueued:
+		case len(list) < limit:
 			indexes[more[i].Server] = len(list)
 			list = append(list, more[i])
 		}
--- a/exchange/syncer.go
+++ b/exchange/syncer.go
@@ -78,9 +78,11 @@
 	own   *counts
 	usage usage
 	// groupEvents and hubEvents are the cached parts, outcomes and leaving servers that a hub has
-	// to relay: those from its own group and those from the other hubs. A router in the group of a
-	// hub receives its own outcomes with those of the fleet, and counts them twice.
+	// to relay: those from its own group and those from the other hubs.
 	groupEvents, hubEvents balance.Update
+	// memberEvents has the outcomes and observations of speed among groupEvents by the router of the
+	// group that sent them. A hub doesn't send them back, because that router has counted them already.
+	memberEvents map[string]*balance.Update
 	// urgentGroupParts and urgentHubParts are the cached parts among these that are relayed at
 	// once. They are sent again with the next update, since datagrams may be lost.
 	urgentGroupParts, urgentHubParts []balance.CachedPart
@@ -99,6 +101,8 @@
 		usage: usage{
 			received: make(map[string]receivedUsage),
 		},
+		memberEvents: make(map[string]*balance.Update),
+
 		sendSoon: make(chan struct{}, 1),
 
 		relaySoon: make(chan struct{}, 1),
@@ -106,12 +110,16 @@
 
 		done: make(chan struct{}),
 	}
-	// The sequence starts at the time of day, so that the datagrams of a restarted router are newer
-	// than those it sent before.
-	s.sequence.Store(uint64(time.Now().UnixMilli()) << sequenceBits)
+	s.sequence.Store(firstSequence())
 	return s
 }
 
+// firstSequence returns the sequence number from which a process counts its datagrams: it is taken from
+// the time of day, so that the datagrams of a restarted router are newer than those it sent before.
+func firstSequence() uint64 {
+	return uint64(time.Now().UnixMilli()) << sequenceBits
+}
+
 // Done returns a channel that is closed when Run has returned.
 func (s *Syncer) Done() <-chan struct{} {
 	return s.done
@@ -168,6 +176,7 @@
 	s.mu.Unlock()
 	switch {
 	case len(hubs.chosen) == 0:
+		s.clearQueues()
 		peers := excluding(hubs.routers, s.Self)
 		s.Balancer.SetPeers(idsOf(peers), otherCount)
 		if !urgent {
@@ -177,10 +186,7 @@
 	case hubs.isHub(s.Self):
 		s.sendHubUpdates(hubs, update, otherCount)
 	default:
-		s.mu.Lock()
-		s.groupEvents, s.hubEvents = balance.Update{}, balance.Update{}
-		s.urgentGroupParts, s.urgentHubParts = nil, nil
-		s.mu.Unlock()
+		s.clearQueues()
 		hub, _ := hubs.hubOf(s.Self)
 		s.Balancer.SetPeers([]string{fleetSource}, otherCount)
 		s.mu.Lock()
@@ -193,6 +199,16 @@
 	}
 }
 
+// clearQueues drops the events queued for relay, because this router is no hub: it received them before
+// its first update, or as a hub of a fleet that has become smaller.
+func (s *Syncer) clearQueues() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.groupEvents, s.hubEvents = balance.Update{}, balance.Update{}
+	s.memberEvents = make(map[string]*balance.Update)
+	s.urgentGroupParts, s.urgentHubParts = nil, nil
+}
+
 // sendHubUpdates sends the counts and events of the group to the other hubs, and those of the fleet
 // to the group.
 func (s *Syncer) sendHubUpdates(hubs *hubs, own balance.Update, otherCount int) {
@@ -206,6 +222,8 @@
 	addEvents(&update, own)
 	update.Speeds, s.groupEvents.Speeds = splitByTurn(update.Speeds, s.speedTurn)
 	hubEvents.Speeds, s.hubEvents.Speeds = splitByTurn(hubEvents.Speeds, s.speedTurn)
+	var memberEvents map[string]*balance.Update
+	memberEvents, s.memberEvents = splitMembers(s.memberEvents, s.groupEvents.Speeds)
 	s.mu.Unlock()
 	update.InFlight = groupSum.list()
 	groupUsage, fleetUsage := s.exchangeAsHub(idsOf(group), idsOf(others))
@@ -213,23 +231,30 @@
 	groupSum.add(hubSum, 1)
 	addEvents(&update, hubEvents)
 	update.InFlight = groupSum.list()
-	s.send(group, s.encodeWithUsage(exchangepb.Scope_SCOPE_FLEET, false, update, fleetUsage))
+	s.sendToGroup(group, update, fleetUsage, memberEvents)
 }
 
-// addEvents appends the events of another update, as far as the queues have room.
+// addEvents appends the events of another update.
 func addEvents(events *balance.Update, more balance.Update) {
-	if len(events.CachedParts) < maxQueued {
-		events.CachedParts = append(events.CachedParts, more.CachedParts...)
-	}
-	if len(events.Outcomes) < maxQueued {
-		events.Outcomes = append(events.Outcomes, more.Outcomes...)
-	}
-	if len(events.Leaving) < maxQueued {
-		events.Leaving = append(events.Leaving, more.Leaving...)
-	}
+	events.CachedParts = append(events.CachedParts, more.CachedParts...)
+	events.Outcomes = append(events.Outcomes, more.Outcomes...)
+	events.Leaving = append(events.Leaving, more.Leaving...)
 	events.Speeds = addSpeeds(events.Speeds, more.Speeds)
 }
 
+// queueEvents appends the events of another update, as far as the queues have room.
+func queueEvents(events *balance.Update, more balance.Update) {
+	events.CachedParts = appendBounded(events.CachedParts, more.CachedParts)
+	events.Outcomes = appendBounded(events.Outcomes, more.Outcomes)
+	events.Leaving = appendBounded(events.Leaving, more.Leaving)
+	events.Speeds = queueSpeeds(events.Speeds, more.Speeds)
+}
+
+// appendBounded appends as many items to a queue as fit maxQueued.
+func appendBounded[T any](queue, items []T) []T {
+	return append(queue, items[:min(len(items), maxQueued-len(queue))]...)
+}
+
 // sumCounts returns the counts of the group including this router, and those of the other hubs. It
 // forgets the counts of all other routers.
 func (s *Syncer) sumCounts(group, hubs []string) (groupSum, hubSum *counts) {
@@ -278,7 +303,7 @@
 		return
 	}
 	update := decode(message)
-	s.queueForRelay(message.GetScope(), message.GetUrgent(), update)
+	s.queueForRelay(message, update)
 	if hasCounts(message) {
 		s.receiveCounts(message, update.InFlight)
 	}
@@ -295,20 +320,23 @@
 }
 
 // queueForRelay queues the events of an update for relay, unless the fleet is known to be too small
-// for hubs. If this router is in the group of a hub, its next update clears the queue.
-func (s *Syncer) queueForRelay(scope exchangepb.Scope, urgent bool, events balance.Update) {
+// for hubs. If this router turns out to be no hub, its next update clears the queue.
+func (s *Syncer) queueForRelay(message *exchangepb.Told, events balance.Update) {
 	size := s.fleetSize.Load()
 	if countEvents(&events) == 0 || size > 0 && size <= maxMeshSize {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch scope {
+	urgent := message.GetUrgent()
+	switch message.GetScope() {
 	case exchangepb.Scope_SCOPE_OWN:
-		addEvents(&s.groupEvents, events)
+		queued := len(s.groupEvents.Outcomes)
+		queueEvents(&s.groupEvents, events)
+		s.recordMemberLocked(message.GetFrom(), s.groupEvents.Outcomes[queued:], events.Speeds)
 		s.queueUrgentLocked(&s.urgentGroupParts, urgent, events.CachedParts)
 	case exchangepb.Scope_SCOPE_GROUP:
-		addEvents(&s.hubEvents, events)
+		queueEvents(&s.hubEvents, events)
 	case exchangepb.Scope_SCOPE_NEWS:
 		s.queueUrgentLocked(&s.urgentHubParts, urgent, events.CachedParts)
 	default:
--- a/jsonfile/document_test.go
+++ b/jsonfile/document_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -87,3 +88,51 @@
 		t.Errorf("got %v, want one error on line 2", err)
 	}
 }
+
+// TestPathsOfMapEntriesAreExact guards against errors that name a place, and so a line, which the document doesn't
+// have, because a key of a map contains characters that separate the parts of a path.
+func TestPathsOfMapEntriesAreExact(t *testing.T) {
+	type mapFile struct {
+		Entries map[string]entry   `json:"entries" validate:"dive"`
+		Lists   map[string][]entry `json:"lists" validate:"dive,dive"`
+	}
+	document, err := Parse("f", []byte("{\"entries\": {\n"+
+		"\"a.b\": {\"name\": \"\"},\n"+
+		"\"a/b~\": {\"name\": \"\"},\n"+
+		"\"a[1]b\": {\"name\": \"\"}},\n"+
+		"\"lists\": {\"x.y\": [{\"name\": \"a\"},\n{\"name\": \"\"}]}}"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, m := range document.Decode(&mapFile{}) {
+		got = append(got, string(rune('0'+m.Line))+" "+m.Path)
+	}
+	slices.Sort(got)
+	want := []string{"2 /entries/a.b/name", "3 /entries/a~1b~0/name", "4 /entries/a[1]b/name", "6 /lists/x.y/1/name"}
+	if !slices.Equal(got, want) {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
+// TestWholeNumberIsNoDuration guards against a remedy that suggests a duration for a number, which is refused again.
+func TestWholeNumberIsNoDuration(t *testing.T) {
+	type limits struct {
+		Bytes int64    `json:"bytes"`
+		Wait  Duration `json:"wait"`
+	}
+	document, err := Parse("f", []byte(`{"bytes": "1s", "wait": "soon"}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	errs := document.Decode(&limits{})
+	if len(errs) != 2 {
+		t.Fatalf("got %v, want an error for each field", errs)
+	}
+	if got := errs[0].Remedy; got != "write a whole number" {
+		t.Errorf("got the remedy %q for a number, want a whole number", got)
+	}
+	if got := errs[1].Remedy; !strings.Contains(got, "duration") {
+		t.Errorf("got the remedy %q for a duration", got)
+	}
+}
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -273,3 +273,58 @@
 		}
 	})
 }
+
+// TestCrashesBeyondTheBoundAreSentLater guards against single crashes of requests that other routers never
+// learn of, because more servers crashed at once than the tracker sends crashes of at a time.
+func TestCrashesBeyondTheBoundAreSentLater(t *testing.T) {
+	const requests = 3 * maxPending
+	tracker, other := NewTracker("a"), NewTracker("b")
+	isPending := false
+	tracker.OnPending = func() { isPending = true }
+	for key := range Key(requests) {
+		runAttempt(t, tracker, key, "a", 0, OutcomeCrashed)
+	}
+	for isPending {
+		isPending = false
+		crashes := tracker.TakePending()
+		if len(crashes) > maxPending {
+			t.Fatalf("got %d crashes at a time, want at most %d", len(crashes), maxPending)
+		}
+		other.Merge(crashes)
+	}
+	if got := other.records.Len(); got != requests {
+		t.Errorf("got the crashes of %d requests at the other router, want %d", got, requests)
+	}
+}
+
+// TestRoutersKeepTheSameCrashes guards against routers that keep other crashes of a request than others
+// do, because they received more than they keep in another order: then what one of them excuses later
+// counts at another, and only one of them quarantines the request.
+func TestRoutersKeepTheSameCrashes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var crashes []Crash
+		for server := range rapid.IntRange(0, 3*maxCrashesPerRequest).Draw(t, "servers") {
+			crashes = append(crashes, Crash{
+				Key:          1,
+				ServerIDHash: uint64(server),
+				Incarnation:  int64(rapid.IntRange(1, 3).Draw(t, "incarnation")) * 5_000,
+				Excused:      rapid.IntRange(0, 3).Draw(t, "excused") > 0,
+			})
+		}
+		a, b := NewTracker("a"), NewTracker("b")
+		a.Merge(crashes)
+		b.Merge(rapid.Permutation(crashes).Draw(t, "order"))
+		got, want := sortedCrashes(b), sortedCrashes(a)
+		if !slices.Equal(got, want) {
+			t.Errorf("got crashes %v, want %v", got, want)
+		}
+	})
+}
+
+func sortedCrashes(tracker *Tracker) []Crash {
+	r, isKnown := tracker.records.Peek(1)
+	if !isKnown {
+		return nil
+	}
+	return slices.SortedFunc(slices.Values(r.crashes), func(x, y Crash) int { return x.compare(&y) })
+}
