gateway: Ask again whether a response that must not be repeated is overdue

A server that reports that it is slow has up to four times as long to respond. If it reported that after a request was sent that must not be repeated, the first check recorded nothing and the send then waited without a limit: a server that hung was not counted as failing for that request. The send now asks every 100 ms until the server counts as overdue, which is after four times the usual timeout at the latest.

--- a/gateway/timeouts.go
+++ b/gateway/timeouts.go
@@ -31,7 +31,7 @@
 	// do not wait for longer.
 	maxIdleTimeout = 4 * time.Second
 	// retryPollInterval is how often a timed-out send that still waits tries to acquire the lease
-	// for a retry.
+	// for a retry, or asks whether its server has had all the time that it may take.
 	retryPollInterval = 100 * time.Millisecond
 )
 
@@ -87,6 +87,9 @@
 		h.reported = c.gateway.Balancer.RecordOverdue(h.lease)
 	}
 	if !h.mayRetry || clock.Until(c.deadline) < c.minRetryTime() {
+		if !h.reported {
+			return retryPollInterval
+		}
 		return upstream.NoTimeout
 	}
 	if c.nextLease = c.acquireNextLease(); c.nextLease == nil {
--- a/gateway/timeouts_test.go
+++ b/gateway/timeouts_test.go
@@ -236,33 +236,38 @@
 }
 
 // TestOverdueServerThatReportsSlownessIsRecorded guards against a server that reports that it is slow
-// after a request was sent, and then counts as on time for however long that request takes.
+// after a request was sent, and then counts as on time for however long that request takes, whether it
+// may be repeated or not.
 func TestOverdueServerThatReportsSlownessIsRecorded(t *testing.T) {
-	const hangs = 800 * time.Millisecond
-	b := newBackend(t, "b1", func(b *backend, w http.ResponseWriter, r *http.Request) {
-		switch r.URL.Path {
-		case "/repeatable/hang":
-			time.Sleep(hangs)
-		case "/repeatable/report":
-			w.Header().Set("Slipwick-Load", "1,0,4,300")
-		}
-		respondWith(http.StatusOK, "answer")(b, w, r)
-	})
-	f := newFixture(t, b)
-	f.gateway.Balancer.SetSpeedAware(true)
-	for range 40 {
-		f.post(t, "/repeatable/x")
-	}
-	ended := make(chan reply)
-	go func() { ended <- f.post(t, "/repeatable/hang") }()
-	time.Sleep(25 * time.Millisecond)
-	for range 10 {
-		f.post(t, "/repeatable/report")
-	}
-	if got := <-ended; got.status != http.StatusOK {
-		t.Errorf("got %d, want 200", got.status)
-	}
-	if got := f.gateway.Balancer.States()[0]; got.ErrorRate == 0 || got.PaceReported != 300 {
-		t.Errorf("got an error rate of %v after a response that took %v, want more than 0", got.ErrorRate, hangs)
+	for _, route := range []string{"/repeatable/", "/single/"} {
+		t.Run(route, func(t *testing.T) {
+			const hangs = 800 * time.Millisecond
+			b := newBackend(t, "b1", func(b *backend, w http.ResponseWriter, r *http.Request) {
+				switch r.URL.Path {
+				case route + "hang":
+					time.Sleep(hangs)
+				case route + "report":
+					w.Header().Set("Slipwick-Load", "1,0,4,300")
+				}
+				respondWith(http.StatusOK, "answer")(b, w, r)
+			})
+			f := newFixture(t, b)
+			f.gateway.Balancer.SetSpeedAware(true)
+			for range 40 {
+				f.post(t, route+"x")
+			}
+			ended := make(chan reply)
+			go func() { ended <- f.post(t, route+"hang") }()
+			time.Sleep(25 * time.Millisecond)
+			for range 10 {
+				f.post(t, route+"report")
+			}
+			if got := <-ended; got.status != http.StatusOK {
+				t.Errorf("got %d, want 200", got.status)
+			}
+			if got := f.gateway.Balancer.States()[0]; got.ErrorRate == 0 || got.PaceReported != 300 {
+				t.Errorf("got an error rate of %v after a response that took %v, want more than 0", got.ErrorRate, hangs)
+			}
+		})
 	}
 }
