gateway: Count requests that are cut off in the estimate of the work

The work of a route was the mean over delivered responses alone. In an overload, the requests that take long are those that their deadlines cut off, so that the estimate fell, more requests were sent too late to finish, and more were cut off. A request that is cut off now counts as the estimate or, if it has exceeded that, as the time that it has taken, at most four times the estimate, so that a server that hangs doesn't multiply it.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -274,9 +274,8 @@
 	if !upstream.IsResponseTimeout(attempt.Err) {
 		c.abandonNextLease()
 	}
-	if sendResult == resultDelivered {
-		c.recordWork(lease, sentAt)
-	} else {
+	c.recordWork(lease, sentAt, sendResult)
+	if sendResult != resultDelivered {
 		attempt.Result, attempt.Duration = sendResult.String(), clock.Since(started)
 		attempt.Events = c.progress.events - events
 		c.gateway.Observer.AttemptFailed(attempt)
--- a/gateway/work.go
+++ b/gateway/work.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"github.com/slipwick/slipwick/balance"
@@ -26,16 +27,23 @@
 	return total, start
 }
 
-// recordWork notes how long a request whose response was delivered occupied its slot. A request whose
-// prompt was fetched from another engine says nothing about the output time.
-func (c *call) recordWork(lease *balance.Lease, sentAt time.Time) {
+// recordWork notes how long the request occupied its slot, if its response was delivered or it was cut off
+// at its deadline: without the latter, the estimate would fall the more requests are cut off. A request
+// whose prompt was fetched from another engine says nothing about the output time.
+func (c *call) recordWork(lease *balance.Lease, sentAt time.Time, sendResult result) {
 	if !c.gateway.usesPermits() || lease.FetchFrom != "" {
 		return
 	}
-	total := clock.Since(sentAt)
-	start := total
+	isCutOff := c.ctx.Err() == context.DeadlineExceeded && (sendResult == resultBroken || sendResult == resultCut)
+	total, start := clock.Since(sentAt), time.Duration(0)
 	if !c.responseStart.IsZero() {
 		start = c.responseStart.Sub(sentAt)
 	}
-	c.gateway.workEstimator().Record(c.pool, c.route.Name, lease.TokensToPrefill(), start, total)
+	tokens := lease.TokensToPrefill()
+	switch {
+	case isCutOff:
+		c.gateway.workEstimator().RecordCutOff(c.pool, c.route.Name, tokens, start, total)
+	case sendResult == resultDelivered:
+		c.gateway.workEstimator().Record(c.pool, c.route.Name, tokens, start, total)
+	}
 }
--- a/gateway/work_test.go
+++ b/gateway/work_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -32,3 +33,31 @@
 	}
 	source.checkNoLeak(t, f, 4)
 }
+
+// TestCutOffRequestsDontLowerTheWork guards against an estimate that only the quick requests decide: half
+// of the requests take 20 ms and the others are cut off by their deadline of 150 ms.
+func TestCutOffRequestsDontLowerTheWork(t *testing.T) {
+	var requests atomic.Int64
+	release := make(chan struct{})
+	defer close(release)
+	source := newPermits(1)
+	f := newPermitFixture(t, source, newBackend(t, "b1", func(b *backend, w http.ResponseWriter, r *http.Request) {
+		if requests.Add(1)%2 == 0 {
+			<-release
+		}
+		respondAfter(20*time.Millisecond, "answer")(b, w, r)
+	}))
+	f.gateway.Budget.Ratio, f.gateway.Budget.Extra = 0, 0
+	const rounds = 16
+	for range rounds {
+		f.post(t, "/short/x")
+		if got := f.post(t, "/short/x"); got.status != http.StatusGatewayTimeout {
+			t.Fatalf("got %d, want 504 for a request that is cut off", got.status)
+		}
+	}
+	got, _, known := f.gateway.workEstimator().Estimate("p", "short", 0)
+	if !known || got < 60*time.Millisecond || got > 110*time.Millisecond {
+		t.Errorf("got %v of work, %t; want about the mean of 20ms and 150ms", got, known)
+	}
+	source.checkNoLeak(t, f, 2*rounds)
+}
--- a/pace/work.go
+++ b/pace/work.go
@@ -19,6 +19,9 @@
 	// minWorkErrors how many are needed.
 	workErrorWindow = 128
 	minWorkErrors   = 16
+	// cutOffFactor bounds what a request that was cut off counts as, relative to its estimate: a slow server
+	// may take four times as long as usual, and one that takes longer probably hangs.
+	cutOffFactor = 4
 )
 
 // WorkEstimator estimates for how long a request will occupy a slot of its pool: the time to prefill
@@ -81,6 +84,35 @@
 	defer e.mu.Unlock()
 	known, _ := e.knownLocked(pool, route)
 	slowdown := float64(took) / float64(max(prefill+time.Duration(known.output), 1))
+	e.recordLocked(pool, route, output, delay, slowdown)
+}
+
+// RecordCutOff adds a request that was ended before its response was complete, the given time after its
+// send. start is zero if the response had not begun. Both would have taken longer, so that they count as
+// estimated or, if they have exceeded the estimate, as the time that they have taken.
+func (e *WorkEstimator) RecordCutOff(pool, route string, tokens int, start, took time.Duration) {
+	if took <= 0 || tokens < 0 {
+		return
+	}
+	prefill := e.prefillTime(pool, tokens)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	known, ok := e.knownLocked(pool, route)
+	if !ok {
+		return
+	}
+	output, delay := time.Duration(known.output), time.Duration(known.delay)
+	total := prefill + output
+	took = min(took, cutOffFactor*total)
+	if start > 0 {
+		delay = max(start-prefill, 0)
+	} else {
+		delay = max(took-prefill, delay)
+	}
+	e.recordLocked(pool, route, max(took-prefill, output), delay, max(float64(took)/float64(max(total, 1)), 1))
+}
+
+func (e *WorkEstimator) recordLocked(pool, route string, output, delay time.Duration, slowdown float64) {
 	e.workLocked(workKey{pool: pool, route: route}).record(output, delay, slowdown)
 	if route != "" {
 		e.workLocked(workKey{pool: pool}).record(output, delay, slowdown)
--- a/pace/work_test.go
+++ b/pace/work_test.go
@@ -77,6 +77,33 @@
 	}
 }
 
+// TestCutOffRequestsCountAsLongerThanTheyTook guards against estimates that fall with the time after which
+// requests are cut off, and against one request to a server that hangs that multiplies the estimate.
+func TestCutOffRequestsCountAsLongerThanTheyTook(t *testing.T) {
+	const usual = 40 * time.Millisecond
+	for _, test := range []struct {
+		cutOff, want time.Duration
+	}{
+		{10 * time.Millisecond, usual},
+		{100 * time.Millisecond, 100 * time.Millisecond},
+		{time.Minute, cutOffFactor * usual},
+	} {
+		e := NewWorkEstimator(testPrefillTime)
+		e.RecordCutOff("plain", "lookups", 0, 0, test.cutOff)
+		if _, _, known := e.Estimate("plain", "lookups", 0); known {
+			t.Errorf("%v: got an estimate after a request that was cut off alone, want none", test.cutOff)
+		}
+		for range 100 {
+			e.Record("plain", "lookups", 0, usual/2, usual)
+		}
+		e.RecordCutOff("plain", "lookups", 0, 0, test.cutOff)
+		want := usual + time.Duration(outputWeight*float64(test.want-usual))
+		if got, _, _ := e.Estimate("plain", "lookups", 0); (got - want).Abs() > time.Microsecond {
+			t.Errorf("%v: got %v of work, want %v", test.cutOff, got, want)
+		}
+	}
+}
+
 // TestWorkRoutesAreBounded guards against memory that grows with the routes of many configurations.
 func TestWorkRoutesAreBounded(t *testing.T) {
 	e := NewWorkEstimator(testPrefillTime)
