gateway: Count only a request's own wait for permits

The time that was spent asking for a permit for another send, while the first one's response was awaited, counted as a wait of the request, up to 5 ms for each of several tries. Summaries and metrics then reported waits of requests that were sent at once.

TestHedgeDoesNotWaitForAPermit got a wait of 10.6 and 19.1 ms without the change.

--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -9,7 +9,6 @@
 
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/balance"
-	"github.com/slipwick/slipwick/clock"
 )
 
 const (
@@ -67,7 +66,7 @@
 ) (*balance.Lease, heldPermit, error) {
 	request := c.newPermitRequest(&selection, isRetry)
 	for asks := 1; ; asks++ {
-		permit, err := c.acquirePermit(ctx, request)
+		permit, err := c.gateway.Permits.Acquire(ctx, request)
 		if err != nil {
 			return nil, heldPermit{}, &refusedPermit{
 				cause: err,
@@ -93,16 +92,6 @@
 	}
 }
 
-// acquirePermit asks the permit source and adds the time that this took to the request's wait.
-func (c *call) acquirePermit(ctx context.Context, request *slipwick.PermitRequest) (slipwick.Permit, error) {
-	asked := clock.Now()
-	permit, err := c.gateway.Permits.Acquire(ctx, request)
-	if took := clock.Since(asked); took >= minCountedWait {
-		c.waited += took
-	}
-	return permit, err
-}
-
 // newPermitRequest returns the description of the next send. The source may keep it, so that each
 // send after the first has a description of its own.
 func (c *call) newPermitRequest(selection *balance.Request, isRetry bool) *slipwick.PermitRequest {
--- a/gateway/permits_test.go
+++ b/gateway/permits_test.go
@@ -377,6 +377,12 @@
 	if got.body != "first" || took > defaultFirstByteTimeout+400*time.Millisecond {
 		t.Errorf("got %d %q after %v, want the late response of the first server", got.status, got.body, took)
 	}
+	if got := len(source.calls()); got < 2 {
+		t.Errorf("got %d permits asked for, want those of the send and of others meanwhile", got)
+	}
+	if got := f.observer.summaries[0].Waited; got != 0 {
+		t.Errorf("got a wait of %v reported for a request that was sent at once, want none", got)
+	}
 	source.checkNoLeak(t, f, 1)
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -93,7 +93,11 @@
 	if !c.gateway.usesPermits() {
 		return c.gateway.Balancer.Acquire(&c.selection)
 	}
+	asked := clock.Now()
 	lease, permit, err := c.acquireWithPermit(c.ctx, c.selection, c.possibleRuns > 0)
+	if took := clock.Since(asked); took >= minCountedWait {
+		c.waited += took
+	}
 	c.permit = permit
 	return lease, err
 }
