--- a/balance/speed_test.go
+++ b/balance/speed_test.go
@@ -143,6 +143,17 @@
 	}
 }
 
+// TestFewObservationsCorrectAReport guards against a server that reports a pace a hundred times too slow and
+// gets so few requests because of it that the correction takes long.
+func TestFewObservationsCorrectAReport(t *testing.T) {
+	s, now := newSpeed(), clock.Now()
+	s.reports.add(now, 30*math.Log(100), 30)
+	s.observations.add(now, 0, 30)
+	if fast, slow := s.paces(now); fast > 1.1 || slow > 1.1 {
+		t.Errorf("got %.2f and %.2f after 30 responses that took as long as usual, want 1.1 at most", fast, slow)
+	}
+}
+
 // TestEstimatesReturnToUsual guards against a server that is avoided for good: it gets few requests,
 // so that no news may come of it. A clock that jumps forward makes all news old, one that jumps back
 // changes nothing.
