fairqueue: Keep a workspace's history when its only request becomes late

Moving a request to the late class removed it from its workspace, which ended the workspace's backlog if it had no other. The expected wait of its next requests was then computed without the part of the work that the workspace had got, and was too short for a workspace that gets little.

TestLateRequestKeepsItsWorkspacesHistory got 10 ms instead of 0.5 s without the change.

--- a/fairqueue/queue.go
+++ b/fairqueue/queue.go
@@ -232,10 +232,7 @@
 func (q *Queue) moveLate(now time.Time) {
 	for q.objectives.Len() > 0 && now.After(q.objectives.items[0].Request.Objective) {
 		item := heap.Pop(&q.objectives).(*Item)
-		l := item.level
-		l.remove(item)
-		item.class = classLate
-		l.insert(item, now, q.served)
+		item.level.makeLate(item)
 		q.checkHope(item, now)
 	}
 }
