Revert "fairqueue: Keep a workspace's history when its only request becomes late"

TestStepsOfDemand/330 of quota failed with it: less than 0.85 of the slots were in use for 580 ms while requests waited, instead of 480 ms; the bound is 500 ms.

--- a/fairqueue/level.go
+++ b/fairqueue/level.go
@@ -61,15 +61,6 @@
 	item.level, item.account = nil, nil
 }
 
-// makeLate moves an item to the late class. Its workspace keeps the history of its backlog.
-func (l *level) makeLate(item *Item) {
-	item.account.lists[item.class].remove(item)
-	l.arrivals(item.class).remove(item)
-	item.class = classLate
-	item.account.lists[item.class].insert(item)
-	l.arrivals(item.class).insert(item)
-}
-
 // accountOf returns the account of a request's workspace, which starts no earlier than the virtual
 // time.
 func (l *level) accountOf(request *slipwick.PermitRequest) *account {
--- a/fairqueue/queue.go
+++ b/fairqueue/queue.go
@@ -232,7 +232,10 @@
 func (q *Queue) moveLate(now time.Time) {
 	for q.objectives.Len() > 0 && now.After(q.objectives.items[0].Request.Objective) {
 		item := heap.Pop(&q.objectives).(*Item)
-		item.level.makeLate(item)
+		l := item.level
+		l.remove(item)
+		item.class = classLate
+		l.insert(item, now, q.served)
 		q.checkHope(item, now)
 	}
 }
