gatewayd: Start the choice by speed with the pace that another router received

With admission auto, each router started to choose servers by speed only after it had received a pace itself. Routers of one fleet then chose differently for as long as one of them got no response with a pace, as one with few requests, though it received the paces of the others with their updates. The first count of reports of another router now starts it too. An engine's reports of a usual pace aren't exchanged, so that for these a router still depends on its own responses.

TestOneRoutersPaceStartsTheChoiceBySpeedAtOthers didn't see it start within 5 s without the change.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -35,6 +35,9 @@
 	// OnInvalidPace is called with the text of the first invalid pace that a backend server reports.
 	// It must not call back into the balancer.
 	OnInvalidPace func(backend slipwick.Backend, text string)
+	// OnRemotePace is called when another router has received the pace of a backend server that this
+	// router knows.
+	OnRemotePace func()
 	// EntriesReused says that a backend server may be replaced by another under the same entry,
 	// as in a list that operators write. A server's announcement that it is leaving then
 	// expires.
@@ -110,6 +113,7 @@
 		OnEjected:       func(slipwick.Backend, time.Duration) {},
 		OnNotice:        func(slipwick.Backend, slipwick.Notice) {},
 		OnInvalidPace:   func(slipwick.Backend, string) {},
+		OnRemotePace:    func() {},
 		Random:          rand.Float64,
 		servers:         make(map[string]*server),
 		serversByHash:   make(map[uint64]*server),
--- a/balance/speed_test.go
+++ b/balance/speed_test.go
@@ -338,3 +338,29 @@
 		}
 	})
 }
+
+// TestPaceOfAnotherRouterIsAnnounced guards against a router that knows only of the paces that it received
+// itself, and one that takes observations or unknown servers for them.
+func TestPaceOfAnotherRouterIsAnnounced(t *testing.T) {
+	b := newTestBalancer(1)
+	hash := b.servers["p-0"].hash
+	for _, test := range []struct {
+		counts SpeedCounts
+		want   int
+	}{
+		{SpeedCounts{Server: hash, Reports: 1}, 1},
+		{SpeedCounts{Server: hash, Responses: 1, Rejections: 1}, 0},
+		{SpeedCounts{Server: hash, Reports: -1}, 0},
+		{SpeedCounts{Server: hash + 1, Reports: 1}, 0},
+	} {
+		got := 0
+		b.OnRemotePace = func() {
+			got++
+			b.SetSpeedAware(true)
+		}
+		b.ReceiveSpeedCounts([]SpeedCounts{test.counts})
+		if got != test.want {
+			t.Errorf("%+v: got %d calls of OnRemotePace, want %d", test.counts, got, test.want)
+		}
+	}
+}
--- a/balance/speedcounts.go
+++ b/balance/speedcounts.go
@@ -58,14 +58,23 @@
 
 // ReceiveSpeedCounts takes what other routers observed. Counts that are not possible are dropped.
 func (b *Balancer) ReceiveSpeedCounts(list []SpeedCounts) {
+	if b.applySpeedCounts(list) {
+		b.OnRemotePace()
+	}
+}
+
+// applySpeedCounts reports whether one of the counts has reports of a pace.
+func (b *Balancer) applySpeedCounts(list []SpeedCounts) (hasReports bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := clock.Now()
 	for i := range list {
 		if s := b.serversByHash[list[i].Server]; s != nil && list[i].isValid() {
 			b.applySpeedCountsLocked(s, &list[i], now)
+			hasReports = hasReports || list[i].Reports > 0
 		}
 	}
+	return hasReports
 }
 
 func (b *Balancer) applySpeedCountsLocked(s *server, c *SpeedCounts, now time.Time) {
--- a/cmd/internal/gatewayd/admission_test.go
+++ b/cmd/internal/gatewayd/admission_test.go
@@ -3,8 +3,10 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/balance"
 )
 
 // TestAdmissionFollowsTheSettings has a running gateway read settings with admission on, auto and off:
@@ -73,6 +75,34 @@
 	checkPoolStatus(t, readStatus(t, r))
 }
 
+// TestOneRoutersPaceStartsTheChoiceBySpeedAtOthers guards against routers of one fleet that choose servers
+// differently until each of them has received a pace itself.
+func TestOneRoutersPaceStartsTheChoiceBySpeedAtOthers(t *testing.T) {
+	f := newFixture(t)
+	first := startReady(t, f, "r1")
+	second := startReady(t, f, "r2", first.Settings.Listen.Peers)
+	for _, r := range []*testGateway{first, second} {
+		r.admission.SetMode(AdmissionAuto)
+	}
+	first.gateway.RecordPace()
+	lease, err := first.balancer.Acquire(&balance.Request{
+		Pool: "p",
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.balancer.Abandon(lease)
+	for deadline := time.Now().Add(5 * time.Second); !second.admission.Active(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("got servers not chosen by their speed 5 s after another router received a pace, want by it")
+		}
+		first.balancer.RecordLoad(lease, balance.Load{
+			Running: 1,
+			Pace:    100,
+		})
+	}
+}
+
 // checkPoolStatus checks the status of the one pool of TestAdmissionFollowsTheSettings.
 func checkPoolStatus(t *testing.T, s *Status) {
 	t.Helper()
--- a/cmd/internal/gatewayd/assemble.go
+++ b/cmd/internal/gatewayd/assemble.go
@@ -54,6 +54,7 @@
 	p.crashTracker, p.crashGossiper = p.newCrashTracker()
 	p.permits = p.newPermitSources()
 	p.gateway = p.newGateway()
+	p.balancer.OnRemotePace = p.gateway.RecordPace
 	p.recovery = p.newRecovery()
 	p.metrics.registerGauges(p)
 }
