permit: Remember the size of a fleet whose routers are lost one by one

A router that is cut off from the others must use no more than its part of a pool. It was noticed only if at least half of the fleet was lost between two looks at the list of routers, which are 20 ms apart under load; but membership takes the others for dead one after the other within some seconds. The cut-off router then granted all slots of its pools as their coordinator, and without one divided the rate by one. The largest size within the last 30 s now counts.

--- a/permit/fleet.go
+++ b/permit/fleet.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/slipwick/slipwick"
-	"github.com/slipwick/slipwick/clock"
 	"github.com/slipwick/slipwick/placement"
 )
 
@@ -15,7 +14,8 @@
 	// detect a change.
 	fleetInterval = 20 * time.Millisecond
 	// fleetMemory is for how long a fleet that has lost at least half of its routers counts with its
-	// former size. A router that is cut off from the others takes them for dead.
+	// former size. A router that is cut off from the others takes them for dead, one after the other within
+	// some seconds.
 	fleetMemory = 30 * time.Second
 )
 
@@ -31,9 +31,14 @@
 	byAddress map[string]slipwick.Router
 	// coordinators are those of the pools that were asked for since the list changed.
 	coordinators map[string]slipwick.Router
-	// largest is the size of the fleet that was last seen at largestAt.
-	largest   int
-	largestAt time.Time
+	// sizes has the sizes of the fleet within fleetMemory, each larger than all later ones.
+	sizes []fleetSize
+}
+
+// fleetSize is the number of live routers, last seen at a time.
+type fleetSize struct {
+	at      time.Time
+	routers int
 }
 
 // refreshLocked fetches the list again if the copy is old.
@@ -54,9 +59,26 @@
 			f.byAddress[f.address(r)] = r
 		}
 	}
-	if 2*len(live) > f.largest || now.Sub(f.largestAt) > fleetMemory {
-		f.largest, f.largestAt = len(live), now
+	f.recordSizeLocked(len(live), now)
+}
+
+func (f *fleet) recordSizeLocked(routers int, now time.Time) {
+	f.sizes = slices.DeleteFunc(f.sizes, func(s fleetSize) bool {
+		return s.routers <= routers || now.Sub(s.at) > fleetMemory
+	})
+	f.sizes = append(f.sizes, fleetSize{
+		at:      now,
+		routers: routers,
+	})
+}
+
+// sizeLocked returns the number of live routers, or the largest one within fleetMemory if half of these
+// or more were lost.
+func (f *fleet) sizeLocked() int {
+	if largest := f.sizes[0].routers; 2*len(f.live) <= largest {
+		return largest
 	}
+	return len(f.live)
 }
 
 func (f *fleet) isSelf(r slipwick.Router) bool {
@@ -96,7 +118,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.refreshLocked(now)
-	return f.largest
+	return f.sizeLocked()
 }
 
 // part returns the part of the fleet that this router sees: 1 unless half of the fleet or more was
@@ -105,14 +127,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.refreshLocked(now)
-	return float64(len(f.live)) / float64(f.largest)
+	return float64(len(f.live)) / float64(f.sizeLocked())
 }
 
 func newFleet(self slipwick.Router, routers func() []slipwick.Router, address func(slipwick.Router) string) *fleet {
 	return &fleet{
-		self:      self,
-		routers:   routers,
-		address:   address,
-		largestAt: clock.Now(),
+		self:    self,
+		routers: routers,
+		address: address,
 	}
 }
--- a/permit/fleet_test.go
+++ b/permit/fleet_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/slipwick/slipwick"
@@ -233,3 +234,41 @@
 		}
 	}
 }
+
+// TestFleetThatShrinksSlowlyCountsWithItsFormerSize guards against a router that is cut off, takes the others
+// for dead one after the other, and then uses all slots of a pool: none of the steps loses half of the fleet.
+func TestFleetThatShrinksSlowlyCountsWithItsFormerSize(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const routers = 100
+		all := newFleetOf(routers, 1, 1).live
+		live := all
+		f := newFleet(all[0], func() []slipwick.Router { return live }, func(r slipwick.Router) string { return r.Address })
+		check := func(when string, wantSize int, wantPart float64) {
+			t.Helper()
+			if size, part := f.size(clock.Now()), f.part(clock.Now()); size != wantSize || part != wantPart {
+				t.Errorf("%s: got a fleet of %d and a part of %.2f, want %d and %.2f", when, size, part, wantSize, wantPart)
+			}
+		}
+		check("all live", routers, 1)
+		for len(live) > 1 {
+			time.Sleep(2 * fleetInterval)
+			live = live[:len(live)-1]
+			f.size(clock.Now())
+		}
+		time.Sleep(fleetInterval)
+		check("all others lost", routers, 1.0/routers)
+		time.Sleep(fleetMemory * 8 / 10)
+		check("a little earlier than forgotten", routers, 1.0/routers)
+		time.Sleep(fleetMemory / 4)
+		check("forgotten", 1, 1)
+		live = all[:60]
+		time.Sleep(fleetInterval)
+		check("grown", 60, 1)
+		live = all[:31]
+		time.Sleep(fleetInterval)
+		check("less than half lost", 31, 1)
+		live = all[:30]
+		time.Sleep(fleetInterval)
+		check("half lost", 60, 0.5)
+	})
+}
