gateway: Count no failure of a server whose response the caller's end cut off

A response that is read to its end before it is forwarded counted as a failure of its backend server if the deadline of the request passed meanwhile, and the rest of a large response also if the caller disconnected. Callers with short deadlines, or who leave during long responses, could so have servers ejected. Streams have always been counted as now all responses are.

--- a/gateway/largeresponse.go
+++ b/gateway/largeresponse.go
@@ -58,7 +58,8 @@
 		switch {
 		case errors.Is(err, io.EOF):
 			return resultDelivered, slipwick.EvidenceGood, nil
-		case err != nil && l.stalled:
+		case err != nil && (l.stalled || l.call.ctx.Err() != nil):
+			// The caller or the deadline of the request has ended the response, or may have.
 			return resultCut, slipwick.EvidenceNone, err
 		case err != nil:
 			return resultCut, slipwick.EvidenceError, err
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -100,6 +100,9 @@
 	switch {
 	case err != nil && c.request.Context().Err() != nil:
 		return resultDisconnected, slipwick.EvidenceNone, err
+	case err != nil && c.ctx.Err() != nil:
+		// The deadline of the request has ended the response.
+		return resultBroken, slipwick.EvidenceNone, err
 	case err != nil:
 		return resultBroken, slipwick.EvidenceError, err
 	case c.progress.headWritten || isFailure(response.Status):
