gateway: End a send whose handler panics

If the handler panicked during a send, as in a write to the caller, the HTTP server recovered, but the request stayed in flight at its backend server for good in the balancer's counts, its connection stayed open and its attempt in the quarantine unfinished. Only the permit was released.

--- a/gateway/permits_test.go
+++ b/gateway/permits_test.go
@@ -480,7 +480,8 @@
 
 func (panickingWriter) Write([]byte) (int, error) { panic("write") }
 
-// TestPanicReleasesThePermit has a panic in the middle of a response, and a response that is cut.
+// TestPanicReleasesThePermit has a panic in the middle of a response, and a response that is cut. Neither may
+// leave a permit or a request in flight behind.
 func TestPanicReleasesThePermit(t *testing.T) {
 	source := newPermits(1)
 	f := newPermitFixture(t, source, newBackend(t, "b1", respondWith(http.StatusOK, "answer")),
@@ -503,6 +504,9 @@
 	if got := source.outstanding(); got != 0 || len(source.invalid) != 0 || source.lastID != 2 {
 		t.Errorf("got %d permits held of %d, %d released twice; want 0 of 2, 0", got, source.lastID, len(source.invalid))
 	}
+	if got := f.gateway.Balancer.RequestsInFlight("p"); got != 0 {
+		t.Errorf("got %v requests in flight after two panics, want 0", got)
+	}
 }
 
 // TestNoPermitLeaksUnderFaults sends requests of all kinds at the same time to servers that respond,
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -247,7 +247,15 @@
 	c.gateway.Balancer.RecordSend(lease)
 	c.responseStart = time.Time{}
 	sentAt := clock.Now()
-	response, err := c.gateway.Client.Do(watch.ctx, lease.Backend.Incarnation(), lease.Backend.Address, request)
+	var response *upstream.Response
+	var err error
+	released := false
+	defer func() {
+		if !released {
+			c.releaseAfterPanic(lease, watch, response)
+		}
+	}()
+	response, err = c.gateway.Client.Do(watch.ctx, lease.Backend.Incarnation(), lease.Backend.Address, request)
 	attempt := &FailedAttempt{
 		RequestID: c.id,
 		Key:       c.key,
@@ -272,6 +280,7 @@
 		evidence = slipwick.EvidenceNone
 	}
 	c.gateway.Balancer.Release(lease, evidence)
+	released = true
 	c.noteRejection(sendResult, evidence)
 	c.permit.release(evidence)
 	watch.recordOutcome(sendResult, attempt.Err)
@@ -287,6 +296,16 @@
 	return sendResult
 }
 
+// releaseAfterPanic ends what belongs to a send that panicked, as in a write to the caller: the HTTP server
+// recovers, and the request would count as in flight for good.
+func (c *call) releaseAfterPanic(lease *balance.Lease, watch *crashWatch, response *upstream.Response) {
+	if response != nil {
+		response.Close()
+	}
+	c.gateway.Balancer.Release(lease, slipwick.EvidenceNone)
+	watch.recordOutcome(resultDisconnected, nil)
+}
+
 // classifyError returns the result of an exchange without a response, and what it says about the
 // backend server.
 func (c *call) classifyError(err error) (result, slipwick.Evidence) {
