permit: Keep a place for the last answer to a request that waits

The channel of a request has room for two answers, of which one was meant for the last one. Two confirmations, as of an ask that was repeated before the first one arrived, filled it if the request's goroutine had not read them yet. A grant that followed was dropped: the request waited on until it decided without the coordinator, and gave the permit back unused. A second confirmation is now dropped instead.

TestConfirmationsLeaveRoomForTheAnswer got a confirmation as the last answer without the change.

--- a/permit/client.go
+++ b/permit/client.go
@@ -215,12 +215,11 @@
 	}
 	if answer.Verdict != permitpb.Verdict_VERDICT_QUEUED {
 		delete(c.waiting, answer.Id)
+	} else if len(w.answers) == answerCapacity-1 {
+		// The last place is for the last answer. The request reads a confirmation next anyway.
+		return
 	}
-	select {
-	case w.answers <- answer:
-	default:
-		// Only repeated confirmations can fill the channel: the last answer has a place of its own.
-	}
+	w.answers <- answer
 }
 
 // ping returns a datagram that asks a coordinator whether it is there.
--- a/permit/fault_test.go
+++ b/permit/fault_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/clock"
+	"github.com/slipwick/slipwick/permit/permitpb"
 )
 
 // usualWork is that of a short request, longWork that of one whose end isn't expected during a test.
@@ -625,3 +626,39 @@
 		}
 	})
 }
+
+// TestConfirmationsLeaveRoomForTheAnswer guards against a grant that is lost because the request has not yet
+// read the confirmations before it, as of an ask that was repeated: the request would then go on without
+// its coordinator, and the permit be given back unused.
+func TestConfirmationsLeaveRoomForTheAnswer(t *testing.T) {
+	const address, id = "10.0.0.1:7003", 7
+	c := NewClient()
+	w := &waitingRequest{
+		id:          id,
+		pool:        newPoolState(testPool),
+		coordinator: address,
+		answers:     make(chan *permitpb.Answer, answerCapacity),
+	}
+	c.waiting[id] = w
+	packet := &permitpb.Packet{
+		Run: c.run,
+	}
+	for range answerCapacity + 1 {
+		packet.Answers = append(packet.Answers, &permitpb.Answer{
+			Id:      id,
+			Verdict: permitpb.Verdict_VERDICT_QUEUED,
+		})
+	}
+	packet.Answers = append(packet.Answers, &permitpb.Answer{
+		Id:      id,
+		Backend: "plain-0",
+	})
+	c.Receive(address, packet)
+	var last *permitpb.Answer
+	for len(w.answers) > 0 {
+		last = <-w.answers
+	}
+	if last == nil || last.Verdict != permitpb.Verdict_VERDICT_GRANTED {
+		t.Errorf("got %v as the last answer, want the grant", last)
+	}
+}
