gateway: Count a body that arrives as a sign of life of its server

A server with requests in flight that sends nothing for a while gets no new ones. Only the start of a response and the pieces of a stream counted as signs: a server that sent a long or slow body for more than half a second, while another request waited there, counted as unresponsive.

TestServerThatSendsABodySlowlyIsResponsive found the server unresponsive in both cases without the change.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -327,7 +327,15 @@
 	b.Release(lease, slipwick.EvidenceNone)
 }
 
-// RecordProgress notes that the backend server has sent more of its response.
+// RecordActivity notes that the backend server has sent more of a response that is no stream.
+func (b *Balancer) RecordActivity(lease *Lease) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	lease.lastActivityAt = clock.Now()
+	lease.server.lastActivityAt = lease.lastActivityAt
+}
+
+// RecordProgress notes that the backend server has sent more of its response, which is a stream.
 func (b *Balancer) RecordProgress(lease *Lease) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/slipwick/slipwick/balance"
 	"github.com/slipwick/slipwick/memory"
 	"github.com/slipwick/slipwick/upstream"
 )
@@ -28,10 +29,26 @@
 	reserved int64
 }
 
-// bufferResponse reads a response to its end; tooLarge means that it is larger than maxBufferedBytes
+// bodyProgress reads the body of a response and notes at the balancer that its server sends something.
+type bodyProgress struct {
+	call     *call
+	lease    *balance.Lease
+	response *upstream.Response
+}
+
+// Read implements io.Reader.
+func (p *bodyProgress) Read(into []byte) (int, error) {
+	n, err := p.response.Read(into)
+	if n > 0 {
+		p.call.gateway.Balancer.RecordActivity(p.lease)
+	}
+	return n, err
+}
+
+// bufferResponse reads a response, whose body is source, to its end; tooLarge means that it is larger than maxBufferedBytes
 // or than the memory that the router has for it, and the rest is still to be read.
 func bufferResponse(
-	response *upstream.Response, held *memory.Reservation,
+	response *upstream.Response, source io.Reader, held *memory.Reservation,
 ) (buffered *bufferedResponse, tooLarge bool, err error) {
 	b := &bufferedResponse{
 		status: response.Status,
@@ -45,7 +62,7 @@
 		if len(b.body) == cap(b.body) && !b.growTo(min(2*cap(b.body), maxBufferedBytes+1)) {
 			return b, true, nil
 		}
-		n, err := response.Read(b.body[len(b.body):cap(b.body)])
+		n, err := source.Read(b.body[len(b.body):cap(b.body)])
 		b.body = b.body[:len(b.body)+n]
 		switch {
 		case errors.Is(err, io.EOF):
--- a/gateway/evidence_test.go
+++ b/gateway/evidence_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -62,3 +63,44 @@
 		})
 	}
 }
+
+// TestServerThatSendsABodySlowlyIsResponsive guards against a server that gets no more requests because it
+// sends a response body for longer than a server may be silent, while another request waits there.
+func TestServerThatSendsABodySlowlyIsResponsive(t *testing.T) {
+	const pieces, interval = 24, 50 * time.Millisecond
+	for name, size := range map[string]int{
+		"buffered": 100,
+		"large":    maxBufferedBytes + 100,
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, newBackend(t, "b1", func(b *backend, w http.ResponseWriter, r *http.Request) {
+				if strings.HasSuffix(r.URL.Path, "/wait") {
+					time.Sleep(pieces * interval)
+					respondWith(http.StatusOK, "answer")(b, w, r)
+					return
+				}
+				respondWith(http.StatusOK, strings.Repeat("x", size))(b, w, r)
+				for range pieces {
+					_ = http.NewResponseController(w).Flush()
+					time.Sleep(interval)
+					_, _ = io.WriteString(w, "x")
+				}
+			}))
+			var both sync.WaitGroup
+			both.Go(func() { f.post(t, "/single/wait") })
+			both.Go(func() {
+				if got := f.post(t, "/single/slow"); len(got.body) != size+pieces {
+					t.Errorf("got %d bytes, want %d", len(got.body), size+pieces)
+				}
+			})
+			for range pieces - 4 {
+				time.Sleep(interval)
+				if f.gateway.Balancer.States()[0].Unresponsive {
+					t.Error("got a server that counts as unresponsive while it sends a response, want it usable")
+					break
+				}
+			}
+			both.Wait()
+		})
+	}
+}
--- a/gateway/largeresponse.go
+++ b/gateway/largeresponse.go
@@ -26,6 +26,8 @@
 	call     *call
 	lease    *balance.Lease
 	response *upstream.Response
+	// source is the body of the response.
+	source io.Reader
 	// stalled says that a write took longer than callerStallTime.
 	stalled bool
 }
@@ -51,7 +53,7 @@
 	buffer, release := l.copyBuffer()
 	defer release()
 	for {
-		n, err := l.response.Read(buffer)
+		n, err := l.source.Read(buffer)
 		if writeErr := l.write(buffer[:n]); writeErr != nil {
 			return resultDisconnected, slipwick.EvidenceNone, writeErr
 		}
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -95,7 +95,12 @@
 func (c *call) forwardBuffered(
 	lease *balance.Lease, response *upstream.Response,
 ) (result, slipwick.Evidence, error) {
-	buffered, tooLarge, err := bufferResponse(response, c.held)
+	source := &bodyProgress{
+		call:     c,
+		lease:    lease,
+		response: response,
+	}
+	buffered, tooLarge, err := bufferResponse(response, source, c.held)
 	defer c.releaseUnlessKept(buffered)
 	switch {
 	case err != nil && c.request.Context().Err() != nil:
@@ -118,6 +123,7 @@
 			call:     c,
 			lease:    lease,
 			response: response,
+			source:   source,
 		}
 		return large.forward(buffered)
 	}
