dispatch: Count attempts that reach no backend server on their own

A request was tried at three backend servers, those included that refused the connection. After three of four engines had crashed, a chat whose prompt ranks the engine that was left last got a 502 without having been sent there. That is why TestChatThatCrashesEnginesIsRefused depended on its text: the text decides which engines crash. Up to six unreached servers no longer count as attempts, as in gateway.

--- a/cmd/internal/daemon/quarantine_test.go
+++ b/cmd/internal/daemon/quarantine_test.go
@@ -38,25 +38,30 @@
 }
 
 // TestChatThatCrashesEnginesIsRefused repeats a chat that crashes engines until it is refused as
-// quarantined. Another chat must still be served, by an engine that is left.
+// quarantined. Another chat must still be served, by the engine that is left: the texts decide whether that
+// is the first one or the last one that the chat is sent to.
 func TestChatThatCrashesEnginesIsRefused(t *testing.T) {
-	f := newFixture(t, 4)
-	bad := strings.ReplaceAll(bufferedChat, "hello", "ends engines")
-	for i, e := range f.engines {
-		e.SetFaults(standin.Faults{
-			CrashOn: "ends engines",
-			OnCrash: func() { _ = f.servers[i].Config.Close() },
+	for _, text := range []string{"ends engines", "crashes engines"} {
+		t.Run(text, func(t *testing.T) {
+			f := newFixture(t, 4)
+			bad := strings.ReplaceAll(bufferedChat, "hello", text)
+			for i, e := range f.engines {
+				e.SetFaults(standin.Faults{
+					CrashOn: text,
+					OnCrash: func() { _ = f.servers[i].Config.Close() },
+				})
+			}
+			var status int
+			waitUntil(t, "the chat is refused", func() bool {
+				response, content := f.post(t, chatPath, bad)
+				status = response.StatusCode
+				return status == http.StatusServiceUnavailable && strings.Contains(content, "quarantined")
+			})
+			if response, content := f.post(t, chatPath, bufferedChat); response.StatusCode != http.StatusOK {
+				t.Errorf("got status %d for another chat, want 200: %s", response.StatusCode, content)
+			}
 		})
 	}
-	var status int
-	waitUntil(t, "the chat is refused", func() bool {
-		response, content := f.post(t, chatPath, bad)
-		status = response.StatusCode
-		return status == http.StatusServiceUnavailable && strings.Contains(content, "quarantined")
-	})
-	if response, content := f.post(t, chatPath, bufferedChat); response.StatusCode != http.StatusOK {
-		t.Errorf("got status %d for another chat, want 200: %s", response.StatusCode, content)
-	}
 }
 
 // TestRefusesConnections checks a backend server that listens and one that no longer does.
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -13,8 +13,12 @@
 	"github.com/slipwick/slipwick/stream"
 )
 
-// maxAttempts limits the number of backend servers that are tried for one request.
-const maxAttempts = 3
+// maxAttempts limits the number of backend servers that are reached for one request, maxUnreached the number
+// of those that are not: each costs the caller one round trip, and the servers nothing.
+const (
+	maxAttempts  = 3
+	maxUnreached = 6
+)
 
 // Dispatcher sends requests to backend servers. Set the exported fields before the first call; the
 // methods are safe for concurrent use.
@@ -106,12 +110,18 @@
 	}
 	// ambiguousErr is the error of the latest attempt that may have run the request.
 	var ambiguousErr error
-	for attempts := 1; ; attempts++ {
+	for reached, unreached := 0, 0; ; {
 		backend, retryable, err := d.runAttempt(ctx, call, request, isTrial, attempt)
 		if err == nil {
 			return nil
 		}
-		if !retryable || attempts == maxAttempts || d.isQuarantined(call.QuarantineKey) || !budget.Take() {
+		if isUnreached(err) {
+			unreached++
+		} else {
+			reached++
+		}
+		retryable = retryable && reached < maxAttempts && unreached < maxUnreached
+		if !retryable || d.isQuarantined(call.QuarantineKey) || !budget.Take() {
 			return finalError(ambiguousErr, err)
 		}
 		request.Exclude = append(request.Exclude, backend)
@@ -164,6 +174,11 @@
 	return ok && failure.Outcome == slipwick.OutcomeNotRun
 }
 
+// isUnreached reports whether err states that no connection to the backend server could be opened.
+func isUnreached(err error) bool {
+	return isNotRun(err) && slipwick.IsKind(err, slipwick.KindBackendUnreachable)
+}
+
 // acquire waits for a slot in the first pool that has a usable backend server.
 func (d *Dispatcher) acquire(
 	ctx context.Context, pools []string, request slipwick.AcquireRequest,
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"slices"
 	"testing"
@@ -269,3 +270,52 @@
 		t.Errorf("got %v after asking %v, want both pools asked", err, admission.requests)
 	}
 }
+
+// TestUnreachableEnginesLeaveAttempts guards against a request that fails though an engine could serve it,
+// because it was first sent to engines that have just crashed, and against a request that tries every
+// engine of a large pool.
+func TestUnreachableEnginesLeaveAttempts(t *testing.T) {
+	for _, tc := range []struct {
+		crashed  int
+		rejected int
+		want     slipwick.Outcome
+	}{
+		{crashed: 3, want: slipwick.OutcomeCompleted},
+		{crashed: 4, rejected: 2, want: slipwick.OutcomeCompleted},
+		{crashed: maxUnreached, want: slipwick.OutcomeNotRun},
+		{rejected: maxAttempts, want: slipwick.OutcomeNotRun},
+	} {
+		admission, engines := &fakeAdmission{}, make(map[string]*fakeEngine)
+		for i := range tc.crashed + tc.rejected + 1 {
+			id, e := fmt.Sprint("e", i), &fakeEngine{}
+			switch {
+			case i < tc.crashed:
+				e.startErr = newFailure(slipwick.KindBackendUnreachable, slipwick.OutcomeNotRun)
+			case i < tc.crashed+tc.rejected:
+				e.startErr = newFailure(slipwick.KindBackendError, slipwick.OutcomeNotRun)
+			}
+			engines[id], admission.engines = e, append(admission.engines, id)
+		}
+		d := &Dispatcher{
+			Admission:   admission,
+			Engine:      func(backend slipwick.Backend) slipwick.Engine { return engines[backend.ID] },
+			MaxSlotWait: time.Second,
+			Limits: stream.Limits{
+				FirstToken:    time.Second,
+				BetweenTokens: time.Second,
+			},
+		}
+		err := d.Chat(t.Context(), Call{
+			Pools: []string{"p"},
+		}, slipwick.ChatRequest{
+			ID: "r",
+		}, func(slipwick.StreamEvent) error { return nil })
+		got := slipwick.OutcomeCompleted
+		if failure, ok := slipwick.AsError(err); ok {
+			got = failure.Outcome
+		}
+		if got != tc.want {
+			t.Errorf("%d crashed, %d that reject: got %v, want %v", tc.crashed, tc.rejected, got, tc.want)
+		}
+	}
+}
--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -45,8 +45,8 @@
 	return n, err
 }
 
-// bufferResponse reads a response, whose body is source, to its end; tooLarge means that it is larger than maxBufferedBytes
-// or than the memory that the router has for it, and the rest is still to be read.
+// bufferResponse reads a response, whose body is source, to its end; tooLarge means that it is larger than
+// maxBufferedBytes or than the memory that the router has for it, and the rest is still to be read.
 func bufferResponse(
 	response *upstream.Response, source io.Reader, held *memory.Reservation,
 ) (buffered *bufferedResponse, tooLarge bool, err error) {
