memory: Test that releases serve requests that wait

No test failed if a release woke no waiting request, if room that was released before a wait began wasn't used, or if the peak, by which the limit is checked, was never counted. Each of these changes now fails a test.

--- a/memory/account_test.go
+++ b/memory/account_test.go
@@ -33,8 +33,8 @@
 		})
 	}
 	all.Wait()
-	if a.Peak() > a.Limit || a.Held() != 0 || granted.Load() == 0 || a.waiterCount.Load() != 0 {
-		t.Errorf("got peak %d, held %d, %d granted, %d waiting; want at most %d, 0, some, 0",
+	if a.Peak() > a.Limit || a.Peak() == 0 || a.Held() != 0 || granted.Load() == 0 || a.waiterCount.Load() != 0 {
+		t.Errorf("got peak %d, held %d, %d granted, %d waiting; want 1 to %d, 0, some, 0",
 			a.Peak(), a.Held(), granted.Load(), a.waiterCount.Load(), a.Limit)
 	}
 	for _, use := range Uses() {
@@ -122,3 +122,39 @@
 		}
 	})
 }
+
+// TestReleaseServesThoseWhoWait guards against requests that wait until their time is over though another
+// has given back the room that they need.
+func TestReleaseServesThoseWhoWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := &Account{
+			Limit: 100,
+		}
+		full := a.NewReservation()
+		full.TryGrow(Body, 100)
+		started := time.Now()
+		time.AfterFunc(10*time.Millisecond, func() { full.Shrink(Body, 60) })
+		var all sync.WaitGroup
+		for range 2 {
+			all.Go(func() {
+				if !a.NewReservation().Await(t.Context(), Body, 30, time.Second) || time.Since(started) != 10*time.Millisecond {
+					t.Errorf("got room, or none, after %v, want it after 10ms", time.Since(started))
+				}
+			})
+		}
+		all.Wait()
+	})
+}
+
+// TestRoomReleasedBeforeTheWaitIsUsed guards against a request that waits though room was released between
+// its first try and the moment from which releases wake it.
+func TestRoomReleasedBeforeTheWaitIsUsed(t *testing.T) {
+	a := &Account{
+		Limit: 100,
+	}
+	select {
+	case <-a.enqueue(10).granted:
+	default:
+		t.Error("got no room in an empty account, want it")
+	}
+}
