--- a/gateway/largeresponse.go
+++ b/gateway/largeresponse.go
@@ -26,6 +26,8 @@
 	call     *call
 	lease    *balance.Lease
 	response *upstream.Response
+	// source is the body of the response.
+	source io.Reader
 	// stalled says that a write took longer than callerStallTime.
 	stalled bool
 }
@@ -51,14 +53,15 @@
 	buffer, release := l.copyBuffer()
 	defer release()
 	for {
-		n, err := l.response.Read(buffer)
+		n, err := l.source.Read(buffer)
 		if writeErr := l.write(buffer[:n]); writeErr != nil {
 			return resultDisconnected, slipwick.EvidenceNone, writeErr
 		}
 		switch {
 		case errors.Is(err, io.EOF):
 			return resultDelivered, slipwick.EvidenceGood, nil
-		case err != nil && l.stalled:
+		case err != nil && (l.stalled || l.call.ctx.Err() != nil):
+			// The caller or the deadline of the request has ended the response, or may have.
 			return resultCut, slipwick.EvidenceNone, err
 		case err != nil:
 			return resultCut, slipwick.EvidenceError, err
--- a/gateway/permits_test.go
+++ b/gateway/permits_test.go
@@ -377,6 +377,12 @@
 	if got.body != "first" || took > defaultFirstByteTimeout+400*time.Millisecond {
 		t.Errorf("got %d %q after %v, want the late response of the first server", got.status, got.body, took)
 	}
+	if got := len(source.calls()); got < 2 {
+		t.Errorf("got %d permits asked for, want those of the send and of others meanwhile", got)
+	}
+	if got := f.observer.summaries[0].Waited; got != 0 {
+		t.Errorf("got a wait of %v reported for a request that was sent at once, want none", got)
+	}
 	source.checkNoLeak(t, f, 1)
 }
 
@@ -474,7 +480,8 @@
 
 func (panickingWriter) Write([]byte) (int, error) { panic("write") }
 
-// TestPanicReleasesThePermit has a panic in the middle of a response, and a response that is cut.
+// TestPanicReleasesThePermit has a panic in the middle of a response, and a response that is cut. Neither may
+// leave a permit or a request in flight behind.
 func TestPanicReleasesThePermit(t *testing.T) {
 	source := newPermits(1)
 	f := newPermitFixture(t, source, newBackend(t, "b1", respondWith(http.StatusOK, "answer")),
@@ -497,6 +504,9 @@
 	if got := source.outstanding(); got != 0 || len(source.invalid) != 0 || source.lastID != 2 {
 		t.Errorf("got %d permits held of %d, %d released twice; want 0 of 2, 0", got, source.lastID, len(source.invalid))
 	}
+	if got := f.gateway.Balancer.RequestsInFlight("p"); got != 0 {
+		t.Errorf("got %v requests in flight after two panics, want 0", got)
+	}
 }
 
 // TestNoPermitLeaksUnderFaults sends requests of all kinds at the same time to servers that respond,
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -93,7 +93,11 @@
 	if !c.gateway.usesPermits() {
 		return c.gateway.Balancer.Acquire(&c.selection)
 	}
+	asked := clock.Now()
 	lease, permit, err := c.acquireWithPermit(c.ctx, c.selection, c.possibleRuns > 0)
+	if took := clock.Since(asked); took >= minCountedWait {
+		c.waited += took
+	}
 	c.permit = permit
 	return lease, err
 }
@@ -243,7 +247,15 @@
 	c.gateway.Balancer.RecordSend(lease)
 	c.responseStart = time.Time{}
 	sentAt := clock.Now()
-	response, err := c.gateway.Client.Do(watch.ctx, lease.Backend.Incarnation(), lease.Backend.Address, request)
+	var response *upstream.Response
+	var err error
+	released := false
+	defer func() {
+		if !released {
+			c.releaseAfterPanic(lease, watch, response)
+		}
+	}()
+	response, err = c.gateway.Client.Do(watch.ctx, lease.Backend.Incarnation(), lease.Backend.Address, request)
 	attempt := &FailedAttempt{
 		RequestID: c.id,
 		Key:       c.key,
@@ -268,15 +280,15 @@
 		evidence = slipwick.EvidenceNone
 	}
 	c.gateway.Balancer.Release(lease, evidence)
+	released = true
 	c.noteRejection(sendResult, evidence)
 	c.permit.release(evidence)
 	watch.recordOutcome(sendResult, attempt.Err)
 	if !upstream.IsResponseTimeout(attempt.Err) {
 		c.abandonNextLease()
 	}
-	if sendResult == resultDelivered {
-		c.recordWork(lease, sentAt)
-	} else {
+	c.recordWork(lease, sentAt, sendResult)
+	if sendResult != resultDelivered {
 		attempt.Result, attempt.Duration = sendResult.String(), clock.Since(started)
 		attempt.Events = c.progress.events - events
 		c.gateway.Observer.AttemptFailed(attempt)
@@ -284,6 +296,16 @@
 	return sendResult
 }
 
+// releaseAfterPanic ends what belongs to a send that panicked, as in a write to the caller: the HTTP server
+// recovers, and the request would count as in flight for good.
+func (c *call) releaseAfterPanic(lease *balance.Lease, watch *crashWatch, response *upstream.Response) {
+	if response != nil {
+		response.Close()
+	}
+	c.gateway.Balancer.Release(lease, slipwick.EvidenceNone)
+	watch.recordOutcome(resultDisconnected, nil)
+}
+
 // classifyError returns the result of an exchange without a response, and what it says about the
 // backend server.
 func (c *call) classifyError(err error) (result, slipwick.Evidence) {
