--- a/claims/fakestore_test.go
+++ b/claims/fakestore_test.go
@@ -137,6 +137,13 @@
 	return objects, nil
 }
 
+// objectCount returns the number of objects in the store.
+func (f *fakeStore) objectCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.objects)
+}
+
 func (f *fakeStore) set(change func(*fakeStore)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/claims/segments_test.go
+++ b/claims/segments_test.go
@@ -30,7 +30,9 @@
 		policy.Journals, policy.MaxSegments = 1, 3
 		policy.KeyLifetime, policy.MaxClockSkew = 20*time.Second, time.Second
 		f := newFleet(1, 1, policy)
+		f.mu.Lock()
 		f.random = rand.New(rand.NewPCG(1, 1))
+		f.mu.Unlock()
 		n := f.node(f.ids[0])
 		granted, refused := 0, 0
 		for range 400 {
@@ -48,7 +50,7 @@
 		}
 		// A claim may end before the journal has finished its write, so the count waits for it.
 		f.stop()
-		if got := len(f.store.objects); got > policy.MaxSegments {
+		if got := f.store.objectCount(); got > policy.MaxSegments {
 			t.Errorf("got %d objects, want at most %d", got, policy.MaxSegments)
 		}
 		// Three segments hold a few dozen claims, so 400 claims need each of them many times.
--- a/directory/discovery_test.go
+++ b/directory/discovery_test.go
@@ -16,7 +16,7 @@
 			peers.isWatcher = true
 			peers.fleetKnown = make(chan struct{})
 			for _, r := range peers.relays {
-				r.hangs = true
+				r.setHangs(true)
 			}
 			started := time.Now()
 			time.AfterFunc(discoveryInterval+peerTimeout/2, func() { close(peers.fleetKnown) })
@@ -24,8 +24,8 @@
 				t.Fatal(err)
 			}
 			limit := discoveryInterval + time.Duration(listPeersFactor*float64(peerTimeout))
-			if took := time.Since(started); took > limit || store.lists != 1 {
-				t.Errorf("got the copy after %v with %d lists from the store, want it within %v with 1", took, store.lists, limit)
+			if took, lists := time.Since(started), store.listCount(); took > limit || lists != 1 {
+				t.Errorf("got the copy after %v with %d lists from the store, want it within %v with 1", took, lists, limit)
 			}
 		})
 	}
--- a/directory/fakefeed_test.go
+++ b/directory/fakefeed_test.go
@@ -32,10 +32,12 @@
 	return f
 }
 
-func (f *fakeFeed) query(ctx context.Context, query func() (slipwick.FeedBatch, error)) (slipwick.FeedBatch, error) {
+func (f *fakeFeed) query(
+	ctx context.Context, query func(*Mirror) (slipwick.FeedBatch, error),
+) (slipwick.FeedBatch, error) {
 	f.mu.Lock()
 	f.calls++
-	hangs, failure, age := f.hangs, f.err, f.age
+	mirror, hangs, failure, age := f.Mirror, f.hangs, f.err, f.age
 	f.mu.Unlock()
 	if f.delay > 0 {
 		time.Sleep(f.delay)
@@ -50,7 +52,7 @@
 	if failure != nil {
 		return slipwick.FeedBatch{}, failure
 	}
-	b, err := query()
+	b, err := query(mirror)
 	b.Age += age
 	return b, err
 }
@@ -62,6 +64,15 @@
 	f.err = err
 }
 
+// restore has the store return to an earlier state, as from a backup.
+func (f *fakeFeed) restore(first *slipwick.FeedBatch) {
+	mirror := NewMirror()
+	mirror.Apply(first)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Mirror = mirror
+}
+
 // setHangs makes further calls block until their context ends, or ends that. Calls that already
 // hang keep hanging.
 func (f *fakeFeed) setHangs(hangs bool) {
@@ -95,18 +106,19 @@
 	f.mu.Lock()
 	f.lists++
 	f.mu.Unlock()
-	return f.query(ctx, func() (slipwick.FeedBatch, error) { return f.Mirror.List(ctx) })
+	return f.query(ctx, func(m *Mirror) (slipwick.FeedBatch, error) { return m.List(ctx) })
 }
 
 func (f *fakeFeed) Watch(ctx context.Context, after slipwick.Position, wait time.Duration) (slipwick.FeedBatch, error) {
-	return f.query(ctx, func() (slipwick.FeedBatch, error) { return f.Mirror.Watch(ctx, after, wait) })
+	return f.query(ctx, func(m *Mirror) (slipwick.FeedBatch, error) { return m.Watch(ctx, after, wait) })
 }
 
 // keepConfirmed keeps copies current until ctx ends, as routers that follow the store do.
 func keepConfirmed(ctx context.Context, copies ...*fakeFeed) {
 	for ctx.Err() == nil {
 		for _, c := range copies {
-			c.Apply(withTimeline(c.position.Timeline, batch(c.position.Revision, false)))
+			position := c.Position()
+			c.Apply(withTimeline(position.Timeline, batch(position.Revision, false)))
 		}
 		sleep(ctx, 100*time.Millisecond)
 	}
--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -178,8 +178,7 @@
 		state()
 		store.setError(errors.New("down"))
 		time.Sleep(2 * testTiming.WatchWait)
-		store.Mirror = NewMirror()
-		store.Apply(batch(3, true, "a3"))
+		store.restore(batch(3, true, "a3"))
 		store.setError(nil)
 		time.Sleep(2 * maxBackoff)
 		if got, want := state(), []string{"a5", "b5"}; !slices.Equal(got, want) {
@@ -236,7 +235,7 @@
 func (f *historyLosingFeed) Watch(
 	ctx context.Context, _ slipwick.Position, _ time.Duration,
 ) (slipwick.FeedBatch, error) {
-	return f.query(ctx, func() (slipwick.FeedBatch, error) { return slipwick.FeedBatch{}, timelineChangedError() })
+	return f.query(ctx, func(*Mirror) (slipwick.FeedBatch, error) { return slipwick.FeedBatch{}, timelineChangedError() })
 }
 
 // TestFollowerBacksOffWhenHistoryIsLostRepeatedly bounds the calls to a store that cannot return
--- a/directory/relayserver_test.go
+++ b/directory/relayserver_test.go
@@ -89,9 +89,13 @@
 		})
 	}
 	all.Wait()
+	mu.Lock()
+	defer mu.Unlock()
 	if sent > maxBytes {
 		t.Errorf("got %d bytes to %d routers, want at most %d", sent, routers, maxBytes)
 	}
+	relayServer.mu.Lock()
+	defer relayServer.mu.Unlock()
 	if got := len(relayServer.encoded); got != 1 {
 		t.Errorf("got %d encodings, want 1 for all routers", got)
 	}
--- a/directory/sharedfeed_test.go
+++ b/directory/sharedfeed_test.go
@@ -38,9 +38,9 @@
 				t.Fatal(err)
 			}
 		}
-		if store.calls != 0 || peers.relays["r1"].calls != 5 || peers.relays["r2"].calls != 5 {
-			t.Errorf("got %d calls to the store, %d and %d to the routers; want 0, 5 and 5",
-				store.calls, peers.relays["r1"].calls, peers.relays["r2"].calls)
+		calls, first, second := store.callCount(), peers.relays["r1"].callCount(), peers.relays["r2"].callCount()
+		if calls != 0 || first != 5 || second != 5 {
+			t.Errorf("got %d calls to the store, %d and %d to the routers; want 0, 5 and 5", calls, first, second)
 		}
 	})
 }
@@ -49,9 +49,9 @@
 // change at the store has to arrive within 2 s.
 func TestSharedFeedLearnsOfChangeThoughRoutersFail(t *testing.T) {
 	for name, fail := range map[string]func(*fakeFeed){
-		"hang":        func(f *fakeFeed) { f.hangs = true },
-		"refuse":      func(f *fakeFeed) { f.err = errors.New("refused") },
-		"are stale":   func(f *fakeFeed) { f.age = testTiming.MaxAge },
+		"hang":        func(f *fakeFeed) { f.setHangs(true) },
+		"refuse":      func(f *fakeFeed) { f.setError(errors.New("refused")) },
+		"are stale":   func(f *fakeFeed) { f.addAge(testTiming.MaxAge) },
 		"are failing": func(f *fakeFeed) { f.MarkUnconfirmed() },
 	} {
 		synctest.Test(t, func(t *testing.T) {
@@ -105,7 +105,7 @@
 func TestSharedFeedStartsFromRoutersWhileStoreIsUnresponsive(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		shared, store, _ := newSharedFeed()
-		store.hangs = true
+		store.setHangs(true)
 		started := time.Now()
 		got, err := shared.List(t.Context())
 		if took := time.Since(started); err != nil || took > 500*time.Millisecond {
--- a/exchange/gossip_test.go
+++ b/exchange/gossip_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -85,8 +86,11 @@
 }
 
 func (f *gossipFleet) countQuarantining(key quarantine.Key) int {
+	f.mu.Lock()
+	trackers := slices.Collect(maps.Values(f.trackers))
+	f.mu.Unlock()
 	n := 0
-	for _, tracker := range f.trackers {
+	for _, tracker := range trackers {
 		if tracker.IsQuarantined(key) {
 			n++
 		}
@@ -163,7 +167,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		f := newGossipFleet(ctx, 8, 0.1, 1)
+		f.mu.Lock()
 		f.partitioned["router-5"] = true
+		f.mu.Unlock()
 		for i := range 3 {
 			f.crashUnder(7, 0, fmt.Sprint("engine-", i))
 		}
--- a/exchange/recoveringfleet_test.go
+++ b/exchange/recoveringfleet_test.go
@@ -187,6 +187,13 @@
 	return r
 }
 
+// listedEngines returns the number of engines that listed their cache.
+func (f *recoveringFleet) listedEngines() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.lists)
+}
+
 // startAll starts routers with a pause after each, and waits until all have recovered.
 func (f *recoveringFleet) startAll(t *testing.T, n int, pause time.Duration) []*Recovery {
 	t.Helper()
--- a/exchange/recovery_test.go
+++ b/exchange/recovery_test.go
@@ -124,12 +124,12 @@
 			}
 		}
 		time.Sleep(balance.RelistWindow)
-		lists := len(f.lists)
+		lists := f.listedEngines()
 		for _, r := range started {
 			r.Balancer.SetBackends(testBackends(testEngines + 1))
 		}
 		time.Sleep(time.Second)
-		if got := len(f.lists); got != lists {
+		if got := f.listedEngines(); got != lists {
 			t.Errorf("an engine that comes later: got %d engines asked, want %d as before: it is new", got, lists)
 		}
 	})
