--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -122,6 +123,20 @@
 	o.summaries = append(o.summaries, *summary)
 }
 
+// ended returns the summaries so far.
+func (o *recordingObserver) ended() []RequestSummary {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Clone(o.summaries)
+}
+
+// refused returns the refusals so far.
+func (o *recordingObserver) refused() []Refusal {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Clone(o.refusals)
+}
+
 // fixture is a gateway in front of backend servers that all belong to the one pool of all routes.
 type fixture struct {
 	gateway  *Gateway
--- a/gateway/permits_fixture_test.go
+++ b/gateway/permits_fixture_test.go
@@ -113,6 +113,13 @@
 	}
 }
 
+// evidence returns the evidence of each release so far.
+func (p *permits) evidence() []slipwick.Evidence {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]slipwick.Evidence(nil), p.released...)
+}
+
 func (p *permits) outstanding() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
