standin, daemon, gatewayd: Change fakes in tests under their locks

Tests replaced the handler of an engine's server while the router probes it, and set fields of the service's stand-in and of a permit source that requests read. The stand-in now has methods for that, and engines a handler that may be replaced. A test waited 100 ms for a notice to reach the owner; it now waits until the owner's status shows it.

--- a/cmd/internal/daemon/fixture_test.go
+++ b/cmd/internal/daemon/fixture_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,8 +33,9 @@
 type fixture struct {
 	router  *Router
 	engines []*standin.Engine
-	// servers are the HTTP servers of the engines, in the same order.
-	servers []*httptest.Server
+	// servers are the HTTP servers of the engines, in the same order, and handlers their handlers.
+	servers  []*httptest.Server
+	handlers []*engineHandler
 	service *standin.Service
 
 	platform *standin.Platform
@@ -55,7 +57,10 @@
 			TokenInterval: 20 * time.Millisecond,
 		})
 		f.engines = append(f.engines, e)
-		entry, server := startBackend(t, string(rune('a'+i)), e)
+		handler := &engineHandler{}
+		handler.set(e)
+		entry, server := startBackend(t, string(rune('a'+i)), handler)
+		f.handlers = append(f.handlers, handler)
 		backends = append(backends, entry)
 		f.servers = append(f.servers, server)
 	}
@@ -106,6 +111,18 @@
 	return f
 }
 
+// engineHandler passes requests to a handler that a test may replace while the router sends some, such as
+// its probes.
+type engineHandler struct {
+	current atomic.Pointer[http.Handler]
+}
+
+func (h *engineHandler) set(handler http.Handler) { h.current.Store(&handler) }
+
+func (h *engineHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	(*h.current.Load()).ServeHTTP(w, r)
+}
+
 // startBackend starts a backend server and returns its entry for the configuration.
 func startBackend(t *testing.T, id string, handler http.Handler) (slipwick.Backend, *httptest.Server) {
 	t.Helper()
--- a/cmd/internal/daemon/keyclaim_test.go
+++ b/cmd/internal/daemon/keyclaim_test.go
@@ -33,7 +33,7 @@
 			second: slipwick.OutcomeUnknown,
 		},
 	} {
-		f.service.DropAfterBody = tc.drops
+		f.service.SetDropAfterBody(tc.drops)
 		key, err := uuid.NewV7()
 		if err != nil {
 			t.Fatal(err)
--- a/cmd/internal/daemon/notices_test.go
+++ b/cmd/internal/daemon/notices_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/admission"
 	"github.com/slipwick/slipwick/engine"
 	"github.com/slipwick/slipwick/standin"
 )
@@ -64,8 +65,8 @@
 func (f *fixture) countArrivals(engineIndex int) (early, late *atomic.Int64) {
 	early, late = new(atomic.Int64), new(atomic.Int64)
 	startedAt := new(atomic.Int64)
-	handler := f.servers[engineIndex].Config.Handler
-	f.servers[engineIndex].Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	engineServer := f.engines[engineIndex]
+	f.handlers[engineIndex].set(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == engine.CompletionsPath {
 			if at := startedAt.Load(); at == 0 || time.Now().UnixNano()-at < int64(noticeDelay) {
 				early.Add(1)
@@ -77,8 +78,8 @@
 				startedAt:      startedAt,
 			}
 		}
-		handler.ServeHTTP(w, r)
-	})
+		engineServer.ServeHTTP(w, r)
+	}))
 	return early, late
 }
 
@@ -130,7 +131,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, 1)
 			var calls atomic.Int64
-			f.service.Intercept = func(w http.ResponseWriter) bool {
+			f.service.SetIntercept(func(w http.ResponseWriter) bool {
 				calls.Add(1)
 				for i := 0; i+1 < len(header); i += 2 {
 					w.Header().Set(header[i], header[i+1])
@@ -139,10 +140,17 @@
 					w.WriteHeader(http.StatusServiceUnavailable)
 				}
 				return name == "pauses"
-			}
+			})
 			f.post(t, servicesPath+"records/add", "first")
-			// The notice reaches the owner asynchronously.
-			time.Sleep(noticeDelay)
+			// The response may reach the caller before the notice reaches the owner, which is this router.
+			waitUntil(t, "the owner knows of the notice", func() bool {
+				for _, owned := range f.router.CurrentStatus().Owned {
+					if owned.Pool == "records" {
+						return owned.Health != admission.HealthGood.String()
+					}
+				}
+				return false
+			})
 			response, _ := f.post(t, servicesPath+"records/add", "second")
 			if got := calls.Load(); got != 1 {
 				t.Errorf("got %d calls at the server, want only the first", got)
--- a/cmd/internal/daemon/router_test.go
+++ b/cmd/internal/daemon/router_test.go
@@ -195,7 +195,7 @@
 	if response.StatusCode != http.StatusOK || body != "first" {
 		t.Fatalf("got %d %q, want 200 first", response.StatusCode, body)
 	}
-	f.service.DropAfterBody = true
+	f.service.SetDropAfterBody(true)
 	response, _ = f.post(t, servicesPath+"records/add", "second")
 	if got := response.Header.Get(slipwick.OutcomeHeader); got != "unknown" {
 		t.Errorf("got outcome %q, want unknown", got)
--- a/cmd/internal/gatewayd/admission_test.go
+++ b/cmd/internal/gatewayd/admission_test.go
@@ -68,7 +68,7 @@
 	post("off", http.StatusOK)
 	check("off", 1)
 	reload(AdmissionOn)
-	source.refuses = true
+	source.set(func(source *fakeSource) { source.refuses = true })
 	post("on, full", http.StatusServiceUnavailable)
 	checkPoolStatus(t, readStatus(t, r))
 }
--- a/cmd/internal/gatewayd/permitsources_test.go
+++ b/cmd/internal/gatewayd/permitsources_test.go
@@ -57,9 +57,24 @@
 	delete(f.held, permit)
 }
 
-func (f *fakeSource) UnderPressure(string) bool { return f.pressure }
+func (f *fakeSource) UnderPressure(string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.pressure
+}
+
+func (f *fakeSource) PermitStatus(string) slipwick.PermitStatus {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.status
+}
 
-func (f *fakeSource) PermitStatus(string) slipwick.PermitStatus { return f.status }
+// set changes the source.
+func (f *fakeSource) set(change func(*fakeSource)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f)
+}
 
 // counts returns how many permits were granted, are held and were released wrongly.
 func (f *fakeSource) counts() (granted, held, invalid int) {
@@ -155,7 +170,7 @@
 // and against requests that wait for permits of a pool without usable servers or without source.
 func TestNoPermitsWithoutNeed(t *testing.T) {
 	f := newSourcesFixture(100)
-	f.large.pressure = true
+	f.large.set(func(source *fakeSource) { source.pressure = true })
 	f.active = false
 	if got := f.acquire(t); got != (slipwick.Permit{}) || f.UnderPressure("p") || f.SourceName("p") != sourceNone {
 		t.Errorf("not active: got %+v, want the zero permit without pressure", got)
--- a/standin/service.go
+++ b/standin/service.go
@@ -10,21 +10,36 @@
 // not an inference engine. It responds to each request with the request's body and
 // records how often each request ran.
 type Service struct {
-	// DropAfterBody aborts the connection after the request's body has been read.
-	// The request counts as run.
-	DropAfterBody bool
-	// Intercept, if set, is called for each request. If it returns true, it has
-	// written the response, and the request does not count as run.
-	Intercept func(w http.ResponseWriter) bool
-
 	mu   sync.Mutex
 	runs map[string]int
+	// dropAfterBody and intercept are set by the methods of these names.
+	dropAfterBody bool
+	intercept     func(w http.ResponseWriter) bool
+}
+
+// SetDropAfterBody makes the service abort the connection after it has read the
+// body of a request, or ends that. Such a request counts as run.
+func (s *Service) SetDropAfterBody(drops bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropAfterBody = drops
+}
+
+// SetIntercept has a function called for each request; nil has none called. If it
+// returns true, it has written the response, and the request does not count as run.
+func (s *Service) SetIntercept(intercept func(w http.ResponseWriter) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.intercept = intercept
 }
 
 // ServeHTTP serves requests to any path.
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
-	if err != nil || s.Intercept != nil && s.Intercept(w) {
+	s.mu.Lock()
+	intercept, drops := s.intercept, s.dropAfterBody
+	s.mu.Unlock()
+	if err != nil || intercept != nil && intercept(w) {
 		return
 	}
 	s.mu.Lock()
@@ -33,7 +48,7 @@
 	}
 	s.runs[string(body)]++
 	s.mu.Unlock()
-	if s.DropAfterBody {
+	if drops {
 		panic(http.ErrAbortHandler)
 	}
 	_, _ = w.Write(body)
