soak: Let overlapping faults neither count a crash twice nor overwrite entries

Two crash requests at one server both passed the check for a restart and counted a crash each. A server that restarted, or whose entry was invalid for a while, could write it as ready after another fault had written it as draining or removed it, so that gateways would send requests to a server that leaves. The entry is now written under a lock with the check. A test whose gateways don't start ends its poller and the first gateway before it reads that gateway's output, which the process still wrote.

--- a/cmd/internal/daemon/fixture_test.go
+++ b/cmd/internal/daemon/fixture_test.go
@@ -36,7 +36,7 @@
 	// servers are the HTTP servers of the engines, in the same order, and handlers their handlers.
 	servers  []*httptest.Server
 	handlers []*engineHandler
-	service *standin.Service
+	service  *standin.Service
 
 	platform *standin.Platform
 	stop     context.CancelFunc
--- a/cmd/slipwickd/soak/backend_test.go
+++ b/cmd/slipwickd/soak/backend_test.go
@@ -30,9 +30,14 @@
 	mu     sync.Mutex
 	server *http.Server
 	// startedAt is when the current incarnation started, in Unix milliseconds. isShutDown is set
-	// once no other incarnation may follow.
-	startedAt  int64
-	isShutDown bool
+	// once no other incarnation may follow, isRestarting while one follows after a crash.
+	startedAt                int64
+	isShutDown, isRestarting bool
+
+	// entryMu guards the server's entry in the store: faults that overlap must not write it as ready
+	// once it is draining or removed. isRemoved is set once it is removed.
+	entryMu   sync.Mutex
+	isRemoved bool
 
 	// slots are those of a server of poolPlain; nil for an engine. inFlight counts all requests that
 	// have arrived and are not over, for whatever incarnation.
@@ -102,6 +107,40 @@
 	}
 }
 
+// writeReady writes the server's entry as ready, unless the server is leaving or was removed.
+func (b *backend) writeReady() {
+	b.entryMu.Lock()
+	defer b.entryMu.Unlock()
+	if b.leavingAt.Load() == 0 && !b.isRemoved {
+		b.store.put("servers", b.id, b.specification("ready"))
+	}
+}
+
+// writeInvalid replaces the server's entry by an invalid one, under the same condition.
+func (b *backend) writeInvalid(specification any) {
+	b.entryMu.Lock()
+	defer b.entryMu.Unlock()
+	if b.leavingAt.Load() == 0 && !b.isRemoved {
+		b.store.put("servers", b.id, specification)
+	}
+}
+
+// writeDraining writes the server's entry as draining, for good.
+func (b *backend) writeDraining() {
+	b.entryMu.Lock()
+	defer b.entryMu.Unlock()
+	b.store.put("servers", b.id, b.specification("draining"))
+	b.leavingAt.Store(time.Now().UnixNano())
+}
+
+// removeEntry removes the server's entry, for good.
+func (b *backend) removeEntry() {
+	b.entryMu.Lock()
+	defer b.entryMu.Unlock()
+	b.isRemoved = true
+	b.store.removeServer(b.id)
+}
+
 // shutDown closes the server and all its connections at once, so that requests in flight fail. The
 // server does not restart.
 func (b *backend) shutDown() {
@@ -127,11 +166,18 @@
 	notices.mu.Lock()
 	hasNotices := notices.leaving || notices.shedding
 	notices.mu.Unlock()
-	mustNotRestart := hasNotices || b.isShutDown || time.Since(time.UnixMilli(startedAt)) < restartDelay
+	mustNotRestart := hasNotices || b.isShutDown || b.isRestarting || b.leavingAt.Load() != 0 ||
+		time.Since(time.UnixMilli(startedAt)) < restartDelay
+	b.isRestarting = b.isRestarting || !mustNotRestart
 	b.mu.Unlock()
-	if mustNotRestart || b.leavingAt.Load() != 0 {
+	if mustNotRestart {
 		return
 	}
+	defer func() {
+		b.mu.Lock()
+		b.isRestarting = false
+		b.mu.Unlock()
+	}()
 	b.proxy.close()
 	_ = server.Close()
 	b.recorder.recordCrash(b)
@@ -148,9 +194,7 @@
 		return
 	}
 	b.proxy.setMode(proxyForwards)
-	if b.leavingAt.Load() == 0 {
-		b.store.put("servers", b.id, b.specification("ready"))
-	}
+	b.writeReady()
 }
 
 // ServeHTTP runs a request unless it rejects it. It responds with an event stream if the request
--- a/cmd/slipwickd/soak/fleet_test.go
+++ b/cmd/slipwickd/soak/fleet_test.go
@@ -107,7 +107,7 @@
 	id, zone := fmt.Sprintf("b%d", f.backendCount), fmt.Sprintf("zone-%d", f.backendCount%2)
 	b := newBackend(f.t, f.store, f.recorder, loopback.Host(), id, pool, zone)
 	f.backends, f.started = append(f.backends, b), append(f.started, b)
-	f.store.put("servers", b.id, b.specification("ready"))
+	b.writeReady()
 }
 
 // takeBackend removes a random backend server from f.backends and returns it, so that no later
--- a/cmd/slipwickd/soak/invalidentries_test.go
+++ b/cmd/slipwickd/soak/invalidentries_test.go
@@ -16,10 +16,10 @@
 	name := fmt.Sprintf("foreign-%d", random.Uint32())
 	f.store.put("servers", name, invalid[random.IntN(len(invalid))])
 	b := f.randomBackend(random)
-	f.store.put("servers", b.id, invalid[random.IntN(len(invalid))])
+	b.writeInvalid(invalid[random.IntN(len(invalid))])
 	time.Sleep(duration)
-	if b.leavingAt.Load() == 0 && f.isListed(b) {
-		f.store.put("servers", b.id, b.specification("ready"))
+	if f.isListed(b) {
+		b.writeReady()
 	}
 	f.store.removeServer(name)
 }
--- a/cmd/slipwickd/soak/notices_test.go
+++ b/cmd/slipwickd/soak/notices_test.go
@@ -121,10 +121,9 @@
 	n.leaving = true
 	n.mu.Unlock()
 	time.Sleep(maxLeaveDelay)
-	f.store.put("servers", b.id, b.specification("draining"))
-	b.leavingAt.Store(time.Now().UnixNano())
+	b.writeDraining()
 	time.Sleep(maxLeaveDelay + time.Second)
-	f.store.removeServer(b.id)
+	b.removeEntry()
 	b.shutDown()
 }
 
--- a/cmd/slipwickd/soak/recorder_test.go
+++ b/cmd/slipwickd/soak/recorder_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"hash/fnv"
 	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -73,6 +74,13 @@
 	r.violations = append(r.violations, fmt.Sprintf(format, arguments...))
 }
 
+// violationsSoFar returns the violations found so far.
+func (r *recorder) violationsSoFar() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.violations)
+}
+
 // addRequest records a request before it is sent.
 func (r *recorder) addRequest(s *sentRequest) {
 	r.mu.Lock()
--- a/cmd/slipwickd/soak/soak_test.go
+++ b/cmd/slipwickd/soak/soak_test.go
@@ -62,6 +62,10 @@
 			break
 		}
 		if time.Since(started) > startTimeout {
+			close(done)
+			tasks.Wait()
+			// The output is complete once the process has exited.
+			f.gateways[0].kill()
 			t.Fatalf("no gateway is ready after %v; output of the first: %s", startTimeout, f.gateways[0].output)
 		}
 	}
@@ -89,7 +93,7 @@
 			t.Errorf("got %d served %s requests, too few for a meaningful run", served[route], route)
 		}
 	}
-	for _, v := range f.recorder.violations {
+	for _, v := range f.recorder.violationsSoFar() {
 		t.Errorf("seed %d: %s", seed, v)
 	}
 	if t.Failed() {
@@ -241,7 +245,7 @@
 	}
 	b.shutDown()
 	time.Sleep(duration)
-	f.store.removeServer(b.id)
+	b.removeEntry()
 	f.addBackend(b.pool)
 }
 
@@ -253,10 +257,9 @@
 		return
 	}
 	f.addBackend(b.pool)
-	f.store.put("servers", b.id, b.specification("draining"))
-	b.leavingAt.Store(time.Now().UnixNano())
+	b.writeDraining()
 	time.Sleep(maxLeaveDelay + time.Second)
-	f.store.removeServer(b.id)
+	b.removeEntry()
 	b.shutDown()
 }
 
