--- a/permit/fleet_test.go
+++ b/permit/fleet_test.go
@@ -177,7 +177,10 @@
 // coordinator returns the router that all live routers see as the coordinator.
 func (f *testFleet) coordinator() *testRouter {
 	address := func(r slipwick.Router) string { return r.Address }
-	want, _ := newFleet(f.live[0], func() []slipwick.Router { return f.live }, address).coordinator(testPool, time.Now())
+	f.mu.Lock()
+	live := f.live
+	f.mu.Unlock()
+	want, _ := newFleet(live[0], func() []slipwick.Router { return live }, address).coordinator(testPool, time.Now())
 	return f.routers[slices.IndexFunc(f.routers, func(r *testRouter) bool { return r.ID == want.ID })]
 }
 
