balance: Count no failure before the usual response of a pool

A send is checked when half of its caller's time is over, if that is before the usual timeout. The check counted a failure of the server at any time: callers with little time could have a healthy server ejected, as an engine that has their prompts, though its responses arrived in time.

--- a/balance/ejection.go
+++ b/balance/ejection.go
@@ -187,7 +187,7 @@
 
 // RecordOverdue counts a failure for a backend server that has let a request wait for so long
 // that the response will be late. The request goes on. It returns false, and counts nothing, if the server
-// reports that it is slow and may take longer.
+// may take longer: because it reports that it is slow, or because other responses of its pool do.
 func (b *Balancer) RecordOverdue(lease *Lease) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/balance/ejection_test.go
+++ b/balance/ejection_test.go
@@ -337,3 +337,35 @@
 		}
 	})
 }
+
+// TestShortDeadlinesAreNoFailuresOfTheServer guards against a server that is ejected because its callers have
+// little time: a request is asked about when half of its time is over, which may be before the usual
+// response.
+func TestShortDeadlinesAreNoFailuresOfTheServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const usual = 300 * time.Millisecond
+		b := newTestBalancer(1)
+		send := func() *Lease {
+			lease := acquire(t, b, plainRequest)
+			b.RecordSend(lease)
+			return lease
+		}
+		for range minSlowdownSamples {
+			lease := send()
+			time.Sleep(usual)
+			b.RecordResponseStart(lease)
+			b.RecordResponseTime(lease)
+			b.Release(lease, slipwick.EvidenceGood)
+		}
+		lease := send()
+		time.Sleep(usual / 2)
+		if b.RecordOverdue(lease) || b.States()[0].ErrorRate != 0 {
+			t.Errorf("got a failure after %v, want none before the usual response after %v", usual/2, usual)
+		}
+		time.Sleep(usual)
+		if !b.RecordOverdue(lease) || b.States()[0].ErrorRate == 0 {
+			t.Errorf("got no failure after %v, want one for a response that is late", usual*3/2)
+		}
+		b.Release(lease, slipwick.EvidenceNone)
+	})
+}
--- a/balance/slowtime.go
+++ b/balance/slowtime.go
@@ -14,11 +14,17 @@
 }
 
 // isOverdueLocked reports whether the lease's request has waited for longer than its server may take.
-// A server may have reported only after the request was sent that it is slow.
+// A server may have reported only after the request was sent that it is slow, and a request with little
+// time may ask before the usual responses of the pool have begun.
 func (b *Balancer) isOverdueLocked(lease *Lease, now time.Time) bool {
-	factor := b.slowTimeLocked(lease.server, now)
-	if factor == 1 || lease.sentAt.IsZero() {
+	if lease.sentAt.IsZero() {
 		return true
 	}
-	return float64(now.Sub(lease.sentAt)) >= factor*float64(b.firstByteTimeoutLocked(lease))
+	elapsed := now.Sub(lease.sentAt)
+	late := b.timingsLocked(lease.server.Pool).responseTimeQuantile(lateQuantile, lease.tokensToPrefill)
+	if elapsed < late {
+		return false
+	}
+	factor := b.slowTimeLocked(lease.server, now)
+	return factor == 1 || float64(elapsed) >= factor*float64(b.firstByteTimeoutLocked(lease))
 }
