--- a/permit/fleet_test.go
+++ b/permit/fleet_test.go
@@ -272,3 +272,23 @@
 		check("half lost", 60, 0.5)
 	})
 }
+
+// TestCutOffRouterWithoutLoadKnowsTheFleet guards against a router that learns the size of the fleet only from
+// requests, and takes itself for the whole fleet if it is cut off before the first one.
+func TestCutOffRouterWithoutLoadKnowsTheFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleetOf(10, 1, 4)
+		r := f.routers[0]
+		r.start(t.Context())
+		time.Sleep(fleetMemory / 2)
+		f.mu.Lock()
+		f.views[r.ID] = []slipwick.Router{r.Router}
+		f.mu.Unlock()
+		time.Sleep(fleetMemory / 2)
+		if got := r.endpoint.fleet.size(clock.Now()); got != 10 {
+			t.Errorf("got a fleet of %d, want the 10 routers of %v ago", got, fleetMemory/2)
+		}
+		r.stop()
+		<-r.endpoint.Done()
+	})
+}
