permit: Let the lease of a long request last until its deadline

The time left that a router sends with a request was capped to a minute, which is for requests without a deadline. The lease of a request with more time ended after a minute while the request still ran, so that its server got more requests than it has slots for. Leases whose release is lost are still found by asking their router.

TestLongRequestKeepsItsLease got no lease four minutes after a request with five minutes without the change.

--- a/permit/acquisition.go
+++ b/permit/acquisition.go
@@ -96,12 +96,15 @@
 	}
 }
 
+// maxTimeLeft bounds the time left in an ask: the gateway caps callers' time limits to a day.
+const maxTimeLeft = 24 * time.Hour
+
 // timeLeft returns the milliseconds until a time, at least 1; 0 for the zero time.
 func timeLeft(t, now time.Time) uint32 {
 	if t.IsZero() {
 		return 0
 	}
-	return max(milliseconds(t.Sub(now)), 1)
+	return max(uint32(min(max(t.Sub(now), 0), maxTimeLeft)/time.Millisecond), 1)
 }
 
 // confirm notes that the request is queued. It returns false if this router may not queue it.
--- a/permit/fault_test.go
+++ b/permit/fault_test.go
@@ -627,6 +627,23 @@
 	})
 }
 
+// TestLongRequestKeepsItsLease guards against the lease of a request with minutes left that ends after one,
+// while the request still runs: its server then gets more requests than it has slots for.
+func TestLongRequestKeepsItsLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, _, other := newStartedFleet(t, 31, 4)
+		request := newRequest(usualWork, 5*time.Minute)
+		permit, err := other.client().Acquire(t.Context(), request)
+		if err != nil || permit.ID == 0 {
+			t.Fatalf("got %+v, %v, want a permit", permit, err)
+		}
+		time.Sleep(4 * time.Minute)
+		f.checkLeases(t, "a minute before the deadline", 1)
+		time.Sleep(time.Minute + 2*leaseInterval)
+		f.checkLeases(t, "after the deadline", 0)
+	})
+}
+
 // TestConfirmationsLeaveRoomForTheAnswer guards against a grant that is lost because the request has not yet
 // read the confirmations before it, as of an ask that was repeated: the request would then go on without
 // its coordinator, and the permit be given back unused.
