--- a/gateway/timeouts_test.go
+++ b/gateway/timeouts_test.go
@@ -247,7 +247,7 @@
 // failures counts the failures among outcomes.
 func failures(outcomes []balance.OutcomeCounts) (count int) {
 	for _, outcome := range outcomes {
-		count += int(outcome.Failed)
+		count += outcome.Failed
 	}
 	return count
 }
