quota: Give the least urgent priority the starvation guard's part

With three priorities that demand 1.5 to 3 times the slots, the least urgent one got 0.001 to 0.03 of the slots and was refused while 5 to 17 of 100 slots were free, for four reasons:

- A router kept a standard deviation of its limit free, 25 of 100 slots at 330 routers, also where a slot is released within milliseconds.
It now keeps free what urgent requests need beyond what is released within an eighth of their time to the objective.
- These slots were kept from lower priorities also when the most urgent one used up all others, so that the guard could serve nobody.
Lower priorities may now always use the guard's part.
- The wait was estimated without the guard, which made a request of a lower priority look hopeless.
It now waits if the guard alone will serve it in time.
- Of three priorities, the guard left a sixteenth of a sixteenth to the last one in the fleet's shares.

--- a/fairqueue/queue.go
+++ b/fairqueue/queue.go
@@ -252,6 +252,19 @@
 	}
 }
 
+// WorkFrom returns the work, in seconds, of the waiting requests of a priority and those below it that can
+// meet their objective: what the starvation guard has to serve before a new request of the priority.
+func (q *Queue) WorkFrom(priority int, now time.Time) float64 {
+	q.moveLate(now)
+	work := 0.0
+	for _, l := range q.levels {
+		if l.priority >= priority {
+			work += l.timely.work
+		}
+	}
+	return work
+}
+
 // Expire removes and returns the requests that can't be served by their deadline any more, and those
 // that have become late and probably won't be.
 func (q *Queue) Expire(now time.Time) []*Item {
--- a/quota/allocation.go
+++ b/quota/allocation.go
@@ -5,10 +5,10 @@
 const guardShare = 1.0 / 16
 
 // allocate sets the targets of the claims: the slots go to the priorities in order, less the guard's
-// part, and within a priority to the workspaces by weight. The claims are sorted by priority. It returns
-// the slots that nobody wants.
+// part of all slots, and within a priority to the workspaces by weight. The claims are sorted by
+// priority. It returns the slots that nobody wants.
 func allocate(slots float64, claims []*claim) (spare float64) {
-	lower := 0.0
+	lower, guarded := 0.0, slots*guardShare
 	for _, c := range claims {
 		lower += c.demand()
 	}
@@ -19,7 +19,8 @@
 			n++
 		}
 		lower = max(lower-demand, 0)
-		available := slots - min(slots*guardShare, lower)
+		// Priorities that have no more than the guard's part together divide it by demand.
+		available := slots - min(guarded, lower, slots*ratio(lower, lower+demand))
 		slots -= fill(min(available, demand), claims[:n])
 		claims = claims[n:]
 	}
--- a/quota/harness_test.go
+++ b/quota/harness_test.go
@@ -149,6 +149,8 @@
 	refusalTimes                    []time.Duration
 	returned, returnedOK            int
 	served                          int
+	// refusedLeast are the refusals of the least urgent priority while a tenth of the slots was free.
+	refusedLeast int
 	// maxInFlight is the most in flight at once, inFlightAt a sample every 20 ms.
 	maxInFlight int
 	// held is the work that the slots have done for each workspace so far, also for requests that
@@ -513,6 +515,9 @@
 	}
 	typed, _ := slipwick.AsError(err)
 	f.noteRefusal(r, typed.RetryAfter)
+	if r.Priority == leastPriority && f.counts() && float64(f.running) < 0.9*float64(f.slots) {
+		f.stats.refusedLeast++
+	}
 	if !f.returns || r.returns >= f.maxReturns {
 		if r.Returning && f.counts() {
 			f.stats.returned++
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -47,6 +47,11 @@
 	decisions []decision
 
 	inFlight int
+	// lessUrgent counts the requests in flight below urgentPriority, guarded is how many of them the
+	// starvation guard lets this router have.
+	lessUrgent, guarded int
+	// releases are the permits that ended recently.
+	releases recent
 	// limit is this router's part of the slots, allowed the rounded limit.
 	limit   float64
 	allowed int
@@ -142,6 +147,9 @@
 
 func (p *pool) grant(r *record, request *slipwick.PermitRequest, now time.Time) uint64 {
 	p.inFlight++
+	if r.priority > p.urgentPriority {
+		p.lessUrgent++
+	}
 	r.count(1)
 	r.drain(p.fairRates.of(r), now)
 	r.lead += request.Work.Seconds()
@@ -158,7 +166,11 @@
 		return
 	}
 	p.inFlight--
+	if r.priority > p.urgentPriority {
+		p.lessUrgent--
+	}
 	r.count(-1)
+	p.releases.add(0, now)
 	p.serve(now)
 }
 
--- a/quota/refresh.go
+++ b/quota/refresh.go
@@ -35,7 +35,7 @@
 	p.hasShares = len(claims) > 0
 	p.assign(claims)
 	p.roundLimit(len(capacity.Servers))
-	p.setReserve(claims)
+	p.setReserve(claims, now)
 	p.setFairRates(now)
 	p.serve(now)
 }
--- a/quota/refusal.go
+++ b/quota/refusal.go
@@ -47,6 +47,6 @@
 	r := p.removeWaiting(item)
 	p.decisions = append(p.decisions, decision{
 		item: item,
-		err:  p.refuse(r, item.Request, reason, p.expectedWait(r, item.Request, now), now),
+		err:  p.refuse(r, item.Request, reason, p.expectedWait(r, item.Request, now).wait, now),
 	})
 }
--- a/quota/reserve.go
+++ b/quota/reserve.go
@@ -1,29 +1,50 @@
 package quota
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// reserveShare and reserveDeviations bound the slots that a router keeps free for the most urgent
-	// priority: a part of its limit, and a multiple of the limit's square root, which is how much the
-	// requests that arrive at it vary by chance. Without them an urgent request has to wait until a less
-	// urgent one ends, which is long at a router with few slots.
+	// priority: a part of its limit, and a multiple of the square root of the slots that its requests
+	// use, which is how much these vary by chance. Without them an urgent request has to wait until a
+	// less urgent one ends, which is long at a router with few slots.
 	reserveShare      = 0.25
-	reserveDeviations = 1
+	reserveDeviations = 2
+	// reserveWaitShare is the part of their time to the objective for which urgent requests may wait for
+	// a slot. What is released within it isn't kept free in addition.
+	reserveWaitShare = 1.0 / 8
 )
 
 // setReserve sets which requests may not use all slots, and how many they leave free.
-func (p *pool) setReserve(claims []*claim) {
+func (p *pool) setReserve(claims []*claim, now time.Time) {
 	p.reserve, p.urgentPriority = 0, math.MaxInt
 	for _, c := range claims {
 		p.urgentPriority = min(p.urgentPriority, c.priority)
 	}
-	reserve := min(reserveShare*p.limit, reserveDeviations*math.Sqrt(p.limit))
+	p.lessUrgent = 0
+	for _, r := range p.records {
+		if r.priority > p.urgentPriority {
+			p.lessUrgent += r.inFlight
+		}
+	}
+	p.guarded = int(guardShare*p.limit + dither(p.self, 2, p.round))
+	if p.urgentPriority == math.MaxInt {
+		return
+	}
+	p.releases.decay(now)
+	wait := reserveWaitShare * p.arrivals.patience(p.urgentPriority, now).Seconds()
+	released := p.releases.count / recentTime.Seconds() * wait
+	needed := reserveDeviations*math.Sqrt(p.arrivals.rate(p.urgentPriority+1, now)) - released
+	reserve := max(min(reserveShare*p.limit, needed), 0)
 	p.reserve = int(reserve + dither(p.self, 1, p.round))
 }
 
-// hasSlotFor reports whether a request of a priority may start.
+// hasSlotFor reports whether a request of a priority may start. The less urgent ones may always use the part
+// of the slots that the starvation guard gives them.
 func (p *pool) hasSlotFor(priority int) bool {
-	if priority > p.urgentPriority {
+	if priority > p.urgentPriority && p.lessUrgent >= p.guarded {
 		return p.inFlight < p.allowed-p.reserve
 	}
 	return p.inFlight < p.allowed
--- a/quota/wait.go
+++ b/quota/wait.go
@@ -38,13 +38,13 @@
 			value:  value,
 		},
 	}
-	wait := p.expectedWait(r, &request, now)
-	if reason := p.refusalReason(r, &request, wait, now); reason != "" {
-		return nil, p.refuse(r, &request, reason, wait, now)
+	expected := p.expectedWait(r, &request, now)
+	if reason := p.refusalReason(&request, &expected, now); reason != "" {
+		return nil, p.refuse(r, &request, reason, expected.wait, now)
 	}
 	evicted, ok := p.queue.Push(item, now)
 	if !ok {
-		return nil, p.refuse(r, &request, "the queue of the pool is full", wait, now)
+		return nil, p.refuse(r, &request, "the queue of the pool is full", expected.wait, now)
 	}
 	r.addWaiting(item)
 	p.waitingWork += request.Work
@@ -55,19 +55,46 @@
 	return item, nil
 }
 
-// expectedWait returns how long a request will wait in the queue and for the limits of operators. What
-// arrives later with a higher priority passes it.
-func (p *pool) expectedWait(r *record, request *slipwick.PermitRequest, now time.Time) time.Duration {
+// estimate is an expected wait, and by what it is multiplied when it is compared with the objective or the
+// deadline.
+type estimate struct {
+	wait   time.Duration
+	margin float64
+}
+
+// expectedWait returns how long a request will wait in the queue and for the limits of operators: in its
+// turn, passed by what arrives later with a higher priority, or until the starvation guard serves it.
+func (p *pool) expectedWait(r *record, request *slipwick.PermitRequest, now time.Time) estimate {
 	left := p.rateLeft(p.arrivals.rate(request.Priority, now))
-	wait := p.queue.ExpectedWait(request, now, left)
+	expected := estimate{
+		wait:   p.queue.ExpectedWait(request, now, left),
+		margin: waitMargin,
+	}
 	if p.isPassedByOthers(r, request) {
-		wait = max(wait, p.fairWait(r, now), p.timelyWait(request, left, now))
+		expected.wait = max(expected.wait, p.fairWait(r, now), p.timelyWait(request, left, now))
+		expected.margin = limitedMargin
+	}
+	if request.Priority > p.urgentPriority {
+		guarded := estimate{
+			wait:   p.guardWait(request, now),
+			margin: waitMargin,
+		}
+		if startAfter(guarded.wait, guarded.margin, now).Before(startAfter(expected.wait, expected.margin, now)) {
+			expected = guarded
+		}
 	}
 	if r.allowance != nil {
 		r.allowance.refill(now)
-		wait = max(wait, r.allowance.wait(r.waitingWork+request.Work))
+		expected.wait = max(expected.wait, r.allowance.wait(r.waitingWork+request.Work))
 	}
-	return wait
+	return expected
+}
+
+// guardWait returns how long a request waits at most for the starvation guard, which gives the lower
+// priorities a part of the work, the oldest request first, whatever arrives later.
+func (p *pool) guardWait(request *slipwick.PermitRequest, now time.Time) time.Duration {
+	wait := p.queue.WorkFrom(request.Priority, now) / (guardShare * p.rate())
+	return time.Duration(min(wait, maxWait.Seconds()) * float64(time.Second))
 }
 
 // isPassedByOthers reports whether requests of other workspaces that arrive later will be served first:
@@ -110,20 +137,14 @@
 
 // refusalReason returns why a request that has to wait is refused; empty if it may wait. A request that
 // can't meet its objective may wait for its deadline.
-func (p *pool) refusalReason(
-	r *record, request *slipwick.PermitRequest, wait time.Duration, now time.Time,
-) string {
-	margin := waitMargin
-	if p.isPassedByOthers(r, request) {
-		margin = limitedMargin
-	}
-	if start := startAfter(wait, margin, now); request.Objective.IsZero() || !start.After(request.Objective) {
+func (p *pool) refusalReason(request *slipwick.PermitRequest, expected *estimate, now time.Time) string {
+	if start := startAfter(expected.wait, expected.margin, now); request.Objective.IsZero() || !start.After(request.Objective) {
 		if canEnd(request, start) {
 			return ""
 		}
 		return "the request can't be done by its deadline"
 	}
-	late := max(wait, p.expectedLateWait(now))
+	late := max(expected.wait, p.expectedLateWait(now))
 	if !request.Deadline.IsZero() && canEnd(request, startAfter(late, limitedMargin, now)) {
 		return ""
 	}
