--- a/quota/pool.go
+++ b/quota/pool.go
@@ -38,7 +38,6 @@
 	waitingWork time.Duration
 	// waitingBy counts them by priority.
 	waitingBy map[int]int
-	bookings  bookings
 	arrivals  arrivals
 	fairRates fairRates
 	// last is memory for timelyWait.
@@ -48,6 +47,11 @@
 	decisions []decision
 
 	inFlight int
+	// lessUrgent counts the requests in flight below urgentPriority, guarded is how many of them the
+	// starvation guard lets this router have.
+	lessUrgent, guarded int
+	// releases are the permits that ended recently.
+	releases recent
 	// limit is this router's part of the slots, allowed the rounded limit.
 	limit   float64
 	allowed int
@@ -136,10 +140,16 @@
 func (p *pool) noteArrival(r *record, request *slipwick.PermitRequest, now time.Time) {
 	p.arrivals.add(request, now)
 	r.offered.add(request.Work, now)
+	if request.Returning {
+		r.bookings.noteReturn(request.Work, now)
+	}
 }
 
 func (p *pool) grant(r *record, request *slipwick.PermitRequest, now time.Time) uint64 {
 	p.inFlight++
+	if r.priority > p.urgentPriority {
+		p.lessUrgent++
+	}
 	r.count(1)
 	r.drain(p.fairRates.of(r), now)
 	r.lead += request.Work.Seconds()
@@ -156,7 +166,11 @@
 		return
 	}
 	p.inFlight--
+	if r.priority > p.urgentPriority {
+		p.lessUrgent--
+	}
 	r.count(-1)
+	p.releases.add(0, now)
 	p.serve(now)
 }
 
