--- a/upstream/client.go
+++ b/upstream/client.go
@@ -182,6 +182,10 @@
 func (c *Client) pushIdle(key string, conn *connection) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.idle == nil {
+		// Close was called meanwhile.
+		c.idle = make(map[string][]*connection)
+	}
 	c.idle[key] = append(c.idle[key], conn)
 }
 
@@ -283,6 +287,11 @@
 // to the same backend server, the longest idle first, that are over the limit or have been idle for
 // too long.
 func (c *Client) putIdle(key string, conn *connection, maxIdleTime time.Duration) {
+	closeAll(c.addIdle(key, conn, maxIdleTime))
+}
+
+// addIdle adds an idle connection and returns those that have to be closed.
+func (c *Client) addIdle(key string, conn *connection, maxIdleTime time.Duration) []*connection {
 	now := clock.Now()
 	conn.idleSince, conn.idleUntil = now, now.Add(maxIdleTime)
 	c.mu.Lock()
@@ -296,28 +305,54 @@
 		limit = maxIdleConnsPerServer
 	}
 	// The slice is ordered by idle time, longest first.
-	for len(idle) > 0 && (len(idle) >= limit || now.After(idle[0].idleUntil)) {
-		_ = idle[0].Close()
-		idle = idle[1:]
+	dropped := 0
+	for dropped < len(idle) && (len(idle)-dropped >= limit || now.After(idle[dropped].idleUntil)) {
+		dropped++
 	}
-	c.idle[key] = append(idle, conn)
+	c.idle[key] = append(idle[dropped:], conn)
+	return idle[:dropped]
 }
 
 // Retain closes the idle connections of all backend servers whose key is not known any more, and
-// forgets their dial times.
+// forgets their dial times. known is called without a lock: whoever knows the keys may ask for idle
+// connections meanwhile.
 func (c *Client) Retain(known func(key string) bool) {
+	unknown := c.keys()
+	maps.DeleteFunc(unknown, func(key string, _ struct{}) bool { return known(key) })
+	closeAll(c.forget(unknown))
+}
+
+// keys returns the keys of all backend servers to which connections are idle or were opened.
+func (c *Client) keys() map[string]struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for key, idle := range c.idle {
-		if known(key) {
-			continue
-		}
-		for _, conn := range idle {
-			_ = conn.Close()
-		}
+	keys := make(map[string]struct{}, len(c.dialTimes))
+	for key := range c.idle {
+		keys[key] = struct{}{}
+	}
+	for key := range c.dialTimes {
+		keys[key] = struct{}{}
+	}
+	return keys
+}
+
+// forget removes what is known of backend servers and returns their idle connections.
+func (c *Client) forget(keys map[string]struct{}) []*connection {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var idle []*connection
+	for key := range keys {
+		idle = append(idle, c.idle[key]...)
 		delete(c.idle, key)
+		delete(c.dialTimes, key)
+	}
+	return idle
+}
+
+func closeAll(connections []*connection) {
+	for _, conn := range connections {
+		_ = conn.Close()
 	}
-	maps.DeleteFunc(c.dialTimes, func(key string, _ time.Duration) bool { return !known(key) })
 }
 
 // Close closes all idle connections.
