balance: Prefer servers of plain services to which a connection is idle

Most connections to plain services were opened by routers with few requests: 84 routers with 200 requests a second for 4 servers send each of them one in 1.7 s, and a request that must not be repeated uses no connection idle for more than 2 s.

The choice draws a server as before. If there is a usable connection to it, it gets the request: routers with many requests change nothing. Otherwise the request goes to one of the few servers that this router prefers, as many as its rate of requests keeps connections to. Which ones they are depends on the router's position among those of its data centre, so that each server is preferred by equally many. Only servers equal in data centre, speed and slots replace the drawn one, if the expected delay there is higher by a round trip at most, and none that is new, full, slowed or loaded above the others. Sends are counted at the drawn server: expected excess takes this router's sends for those of all others, and would make routers avoid the server that they prefer.

--- a/balance/backendlist.go
+++ b/balance/backendlist.go
@@ -107,6 +107,7 @@
 		s.poolIndex = len(b.pools[s.Pool])
 		b.pools[s.Pool] = append(b.pools[s.Pool], s)
 	}
+	delete(b.rings, s.Pool)
 	return s, isNew
 }
 
@@ -120,6 +121,7 @@
 
 // removeFromPoolLocked removes a server from its pool by moving the last one to its index.
 func (b *Balancer) removeFromPoolLocked(s *server) {
+	delete(b.rings, s.Pool)
 	pool := b.pools[s.Pool]
 	last := len(pool) - 1
 	pool[s.poolIndex] = pool[last]
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -44,6 +44,8 @@
 	HoldVersions bool
 	// Switches select alternative decisions for comparisons.
 	Switches Switches
+	// Connections knows the idle connections to backend servers. If it is nil, they don't matter.
+	Connections slipwick.ConnectionSource
 	// Random returns a random number in [0, 1). New sets the default.
 	Random func() float64
 
@@ -98,6 +100,12 @@
 	speedAware bool
 	// slowServers has the servers whose load weight is above 1.
 	slowServers map[*server]bool
+	// positionIndex and positionCount are the position of this router among those of its data centre;
+	// the count is 0 until it is known. rings has the servers by pool and data centre in an order that
+	// is the same at all routers, once it was needed. choices counts the choices of a preferred server.
+	positionIndex, positionCount int
+	rings                        map[string]map[string][]*server
+	choices                      uint64
 }
 
 // New returns a balancer without backend servers.
@@ -124,6 +132,7 @@
 		versions:        make(map[string]map[string]time.Time),
 		createdAt:       clock.Now(),
 		slowServers:     make(map[*server]bool),
+		rings:           make(map[string]map[string][]*server),
 	}
 }
 
@@ -152,7 +161,9 @@
 	if len(request.Prompt) > 0 {
 		lease = b.chooseByPromptLocked(request, pool, usable, now, decay)
 	} else {
-		lease = newLease(b.leastLoadedLocked(usable, now, decay))
+		drawn := b.leastLoadedLocked(usable, now, decay)
+		lease = newLease(b.preferConnectedLocked(request, usable, drawn, now))
+		lease.drawn = drawn
 	}
 	if b.isColdLocked(lease.server, now) {
 		lease.server.coldSends = append(lease.server.coldSends, now)
@@ -166,7 +177,7 @@
 	}
 	lease.server.inFlight++
 	b.active[lease.server] = true
-	lease.server.countSend(decay)
+	lease.drawn.countSend(decay)
 	lease.server.prefillTokens += lease.pendingPrefill
 	if lease.hasPrompt && lease.pendingPrefill >= b.timingsLocked(request.Pool).prefill.TokensWithin(longPrefillTime) {
 		b.OnLongPrefill()
@@ -227,6 +238,7 @@
 	return &Lease{
 		Backend: s.Backend,
 		server:  s,
+		drawn:   s,
 	}
 }
 
--- a/balance/lease.go
+++ b/balance/lease.go
@@ -19,6 +19,9 @@
 	PrefillDone <-chan struct{}
 
 	server *server
+	// drawn is the server that would get the request if connections didn't matter. Other routers draw
+	// alike, but prefer other servers, so that only the draws say what those probably sent.
+	drawn *server
 	// hasPrompt says that the request has a prompt, tokensToPrefill how many of its
 	// tokens the engine had to prefill when it was chosen, sentAt when the request was sent.
 	hasPrompt       bool
--- a/balance/request.go
+++ b/balance/request.go
@@ -1,6 +1,9 @@
 package balance
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Request describes what a request needs from a backend server.
 type Request struct {
@@ -19,6 +22,9 @@
 	// other rules apply too: if it isn't one of the servers that the request could be sent to, the
 	// request gets none.
 	Backend string
+	// MaxIdleTime is the longest time for which a connection may have been idle to be used for the
+	// request; 0 sets no bound.
+	MaxIdleTime time.Duration
 	// HealthyOnly excludes ejected and unresponsive backend servers even if no others are left.
 	HealthyOnly bool
 }
--- a/balance/server.go
+++ b/balance/server.go
@@ -31,6 +31,12 @@
 	// one, also if it arrives late. The hash also determines the server's rank. If the ID did,
 	// a restarted server would get the same prompts again although its cache is lost.
 	hash uint64
+	// incarnation is the key of the connections to the server.
+	incarnation string
+	// equalIn is the number of the last choice of a preferred server in which this one was as good as the
+	// drawn one, equalLoad its load then.
+	equalIn   uint64
+	equalLoad float64
 	// listedAt is when the server was first listed, zero if it may have been running before the
 	// router.
 	listedAt time.Time
@@ -94,12 +100,14 @@
 }
 
 func newServer(entry Entry, listedAt time.Time) *server {
+	incarnation := entry.Incarnation()
 	return &server{
-		Entry:     entry,
-		hash:      placement.IDHash(entry.Incarnation()),
-		poolIndex: -1,
-		listedAt:  listedAt,
-		speed:     newSpeed(),
+		Entry:       entry,
+		hash:        placement.IDHash(incarnation),
+		incarnation: incarnation,
+		poolIndex:   -1,
+		listedAt:    listedAt,
+		speed:       newSpeed(),
 		// The cache of a server that starts after the router is empty.
 		cacheKnown: !listedAt.IsZero(),
 	}
--- a/balance/speedfleet_test.go
+++ b/balance/speedfleet_test.go
@@ -34,6 +34,7 @@
 type speedFleet struct {
 	routers []*Balancer
 	servers []*speedServer
+	entries []Entry
 	random  *rand.Rand
 	began   time.Time
 	events  eventQueue
@@ -49,8 +50,8 @@
 	// with a prompt that was sent to the first engine before: those sent there again, and the others.
 	engines     map[uint64]int
 	kept, moved int
-	// onSend, if not nil, is called for each request that was sent.
-	onSend func(*speedJob)
+	// onSend, if not nil, is called for each request that was sent, onEnd when its exchange has ended.
+	onSend, onEnd func(*speedJob)
 }
 
 // event is something that happens at a time.
@@ -87,7 +88,6 @@
 		rejected: make([]int, len(paces)),
 		engines:  make(map[uint64]int),
 	}
-	var entries []Entry
 	for i, pace := range paces {
 		f.servers = append(f.servers, &speedServer{
 			slots:    slots,
@@ -95,7 +95,7 @@
 			pace:     pace,
 			reported: pace,
 		})
-		entries = append(entries, Entry{
+		f.entries = append(f.entries, Entry{
 			Backend: slipwick.Backend{
 				ID:         fmt.Sprint(i),
 				DataCentre: "dc-0",
@@ -109,7 +109,7 @@
 		b.Random = f.random.Float64
 		b.SetSpeedAware(true)
 		b.OnEjected = func(slipwick.Backend, time.Duration) { f.ejected++ }
-		b.SetBackends(entries)
+		b.SetBackends(f.entries)
 		b.SetPeers([]string{"fleet"}, routers-1)
 		f.routers = append(f.routers, b)
 	}
@@ -246,6 +246,9 @@
 			return
 		}
 		f.rejected[index]++
+		if f.onEnd != nil {
+			f.onEnd(job)
+		}
 		b.Release(lease, slipwick.EvidenceShed)
 	}
 }
@@ -309,6 +312,9 @@
 func (f *speedFleet) end(index int, job *speedJob) {
 	s := f.servers[index]
 	s.running--
+	if f.onEnd != nil {
+		f.onEnd(job)
+	}
 	f.routers[job.router].Release(job.lease, slipwick.EvidenceGood)
 	if len(s.queue) > 0 {
 		next := s.queue[0]
--- a/balance/timings.go
+++ b/balance/timings.go
@@ -59,6 +59,8 @@
 	streamGaps *pace.Window
 	// usual has the times until responses began at servers that aren't full.
 	usual *pace.SlowdownEstimator
+	// sendRate is the rate of this router's requests, if they have no prompts.
+	sendRate sendRate
 }
 
 // timingsLocked returns the timings of a pool, and creates them if needed.
