gatewayd: Let the balancer know the connections and the router's position

The gateway tells the balancer for how long a connection may have been idle that the request uses, gatewayd which connections exist and the position of the router among the live ones of its data centre, by ID. Without them the balancer chooses as before.

--- a/cmd/internal/gatewayd/assemble.go
+++ b/cmd/internal/gatewayd/assemble.go
@@ -28,8 +28,8 @@
 	p.seeds.Store(&s.Seeds)
 	p.gracePeriod.Store(int64(s.GracePeriod))
 	p.bounds.Store(&s.Bounds)
-	p.balancer = p.newBalancer()
 	p.client = &upstream.Client{}
+	p.balancer = p.newBalancer()
 	p.memory = newAccount(s)
 	p.client.SetMaxUnreadBytes(maxUnreadBytes(p.memory))
 	p.backends = directory.NewBackends(p.onBackendsChanged)
@@ -66,6 +66,7 @@
 	b.OnInvalidPace = p.onInvalidPace
 	b.EntriesReused = p.Feeds.Private
 	b.HoldVersions = p.followsRollouts()
+	b.Connections = p.client
 	b.SetLoadBound(p.Settings.Bounds.LoadFactor, p.Settings.Bounds.LoadSlack)
 	return b
 }
--- a/cmd/internal/gatewayd/coldlimits.go
+++ b/cmd/internal/gatewayd/coldlimits.go
@@ -15,7 +15,8 @@
 }
 
 // setRouters sets the live routers, among which the balancer splits the limits on cold
-// servers. Until this router knows the others it sends nothing to cold servers.
+// servers, and the position of this one among those of its data centre, which prefer different
+// connections. Until this router knows the others it sends nothing to cold servers.
 func (p *Process) setRouters(routers []slipwick.Router) {
 	select {
 	case <-p.node.FleetKnown():
@@ -27,6 +28,23 @@
 		ids = append(ids, r.ID)
 	}
 	p.balancer.SetRouters(p.Settings.ID, ids)
+	p.balancer.SetPosition(positionIn(p.Settings.DataCentre, p.Settings.ID, routers))
+}
+
+// positionIn returns the index of a router by ID among those of its data centre, and their number. The
+// router need not be in the list.
+func positionIn(dataCentre, id string, routers []slipwick.Router) (index, count int) {
+	count = 1
+	for _, r := range routers {
+		if r.DataCentre != dataCentre || r.ID == id {
+			continue
+		}
+		count++
+		if r.ID < id {
+			index++
+		}
+	}
+	return index, count
 }
 
 // setFirstRouters sets the live routers as soon as they are first known.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -115,12 +115,19 @@
 		IDHeader: names.RequestID,
 	}
 	request.Timeouts = c.timeoutsFor(lease)
-	if !c.route.MayRepeat() {
-		request.MaxIdleTime = c.gateway.Client.SafeIdleTime()
-	}
+	request.MaxIdleTime = c.maxIdleTime()
 	return request
 }
 
+// maxIdleTime returns for how long a connection may have been idle that is used for the request; 0 sets
+// no bound.
+func (c *call) maxIdleTime() time.Duration {
+	if c.route.MayRepeat() {
+		return 0
+	}
+	return c.gateway.Client.SafeIdleTime()
+}
+
 // Priorities range from 0, the most urgent, to lowestPriority. The workspace's priority takes
 // precedence over the route's: each workspace priority has routePriorities values of its own, among
 // which the route's priority chooses.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -205,6 +205,7 @@
 	c.key = quarantine.KeyOf(c.workspaceName(), r.Method, r.RequestURI, body)
 	c.selection.Pool = c.pool
 	c.selection.Regions = routing.AllowedRegions(route, workspace)
+	c.selection.MaxIdleTime = c.maxIdleTime()
 	if route.Affinity {
 		c.selection.Prompt, c.selection.UniqueTokens = promptParts(r.Header.Get(g.Headers.Prompt))
 	}
