quota: Admit requests past those that wait for operators' limits

While a request waited for max_in_flight or max_work of its workspace, each other request went through the queue, whose estimate counts the work that waits: a request of another workspace was refused with 9 of 10 slots free. It now starts if a slot is left after the waiting requests that may start. Pools without such limits decide as before.

--- a/quota/harness_test.go
+++ b/quota/harness_test.go
@@ -485,6 +485,7 @@
 	if permit, ok := router.pool.admit(&r.PermitRequest, f.clock()); ok {
 		r.permit = permit
 		f.send(r)
+		f.take(router)
 		return
 	}
 	if _, err := router.pool.enqueue(&r.PermitRequest, r, f.clock()); err != nil {
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -104,7 +104,7 @@
 	p := l.lockPool(request.Pool)
 	now := clock.Now()
 	if id, ok := p.admit(request, now); ok {
-		p.mu.Unlock()
+		p.unlockAndNotify()
 		return newPermit(request, id), nil
 	}
 	w := &waiter{
--- a/quota/limiter_test.go
+++ b/quota/limiter_test.go
@@ -227,3 +227,38 @@
 		f.refresh(0)
 	}
 }
+
+// TestLimitedWorkspaceDoesNotBlockOthers has a request that waits for the limit of operators of its workspace
+// while slots are free. It guards against refusals of other workspaces for the work that waits.
+func TestLimitedWorkspaceDoesNotBlockOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newTestLimiter(10)
+		newLimited := func() *slipwick.PermitRequest {
+			request := newTestRequest("limited", time.Minute)
+			request.MaxInFlight = 1
+			request.Objective, request.Deadline = time.Time{}, request.Arrived.Add(time.Hour)
+			return request
+		}
+		held := mustAcquire(t, l, newLimited())
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			permit, err := l.Acquire(t.Context(), newLimited())
+			if err != nil {
+				t.Errorf("got %v for the second request of the limited workspace, want a permit at last", err)
+			}
+			l.Release(permit, slipwick.EvidenceGood)
+		})
+		synctest.Wait()
+		if status, _ := l.PoolStatus("pool"); status.Waiting != 1 {
+			t.Fatalf("got %d waiting requests, want that of the limited workspace", status.Waiting)
+		}
+		start := time.Now()
+		permit, err := l.Acquire(t.Context(), newTestRequest("other", 100*time.Millisecond))
+		if err != nil || time.Since(start) != 0 {
+			t.Errorf("got %v after %v with 9 free slots, want a permit at once", err, time.Since(start))
+		}
+		l.Release(permit, slipwick.EvidenceGood)
+		l.Release(held, slipwick.EvidenceGood)
+		wg.Wait()
+	})
+}
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -122,9 +122,18 @@
 
 // admit gives a request that arrives a permit if nothing speaks against it.
 func (p *pool) admit(request *slipwick.PermitRequest, now time.Time) (permit uint64, ok bool) {
-	if !p.hasSlotFor(request.Priority) || p.queue.Len() > 0 {
+	if !p.hasSlotFor(request.Priority) {
 		return 0, false
 	}
+	if p.queue.Len() > 0 {
+		if len(p.allowances) == 0 {
+			return 0, false
+		}
+		// Requests that still wait afterwards wait for the limits of operators.
+		if p.serve(now); !p.hasSlotFor(request.Priority) {
+			return 0, false
+		}
+	}
 	r := p.recordOf(request, now)
 	if r.allowance != nil {
 		r.allowance.refill(now)
