fairqueue: Judge late requests by the slots of their priority

A late request was refused as hopeless by the slots that were told last for any priority: of two urgent requests that could be served by their deadline, both were refused because a less urgent one arrived. The slots are now kept by priority.

--- a/fairqueue/queue.go
+++ b/fairqueue/queue.go
@@ -19,10 +19,12 @@
 	history history
 	// served is the work served so far, in seconds.
 	served float64
-	// slots is the rate of service, in slots, that ExpectedWait was told last; 0 before that.
-	slots    float64
-	sequence uint64
-	bytes    int64
+	// slots has the rate of service, in slots, that ExpectedWait was told last for each priority, since urgent
+	// requests may use slots that others may not, and lastSlots that for any; 0 before that.
+	slots     map[int]float64
+	lastSlots float64
+	sequence  uint64
+	bytes     int64
 	// objectives has the items that can meet their objective, expiries those that have a deadline.
 	objectives, expiries itemHeap
 	length               int
@@ -35,6 +37,7 @@
 func New(limits Limits) *Queue {
 	return &Queue{
 		limits: limits,
+		slots:  make(map[int]float64),
 		objectives: itemHeap{
 			which: heapObjective,
 			key:   func(i *Item) time.Time { return i.Request.Objective },
@@ -243,10 +246,14 @@
 // checkHope lets an item expire that has become late and will probably not be served by its deadline,
 // as others that can meet their objective keep arriving: it must not wait only to be refused later.
 func (q *Queue) checkHope(item *Item, now time.Time) {
-	if q.slots <= 0 || item.expiry.IsZero() {
+	slots, isTold := q.slots[item.Request.Priority]
+	if !isTold {
+		slots = q.lastSlots
+	}
+	if slots <= 0 || item.expiry.IsZero() {
 		return
 	}
-	if wait := q.expectedWait(item.Request, classLate, now); wait > item.expiry.Sub(now) {
+	if wait := q.expectedWait(item.Request, classLate, slots, now); wait > item.expiry.Sub(now) {
 		item.expiry = item.Request.Objective
 		heap.Fix(&q.expiries, item.positions[heapExpiry])
 	}
@@ -282,15 +289,15 @@
 // divided by the slots, which is the slot-seconds of work served per second. It assumes that as much
 // keeps arriving ahead of it as was served lately. It is Unbounded if there are no slots.
 func (q *Queue) ExpectedWait(request *slipwick.PermitRequest, now time.Time, slots float64) time.Duration {
-	q.slots = slots
+	q.slots[request.Priority], q.lastSlots = slots, slots
 	if slots <= 0 {
 		return Unbounded
 	}
 	q.moveLate(now)
-	return q.expectedWait(request, classOf(request, now), now)
+	return q.expectedWait(request, classOf(request, now), slots, now)
 }
 
-func (q *Queue) expectedWait(request *slipwick.PermitRequest, c class, now time.Time) time.Duration {
+func (q *Queue) expectedWait(request *slipwick.PermitRequest, c class, slots float64, now time.Time) time.Duration {
 	if q.length == 0 {
 		return 0
 	}
@@ -315,8 +322,8 @@
 	if lowerWaits {
 		work /= 1 - guardShare
 	}
-	work = max(work/q.history.shareLeft(request.Priority, c == classLate, q.slots), fair)
-	if wait := work / q.slots * float64(time.Second); wait < float64(Unbounded) {
+	work = max(work/q.history.shareLeft(request.Priority, c == classLate, slots), fair)
+	if wait := work / slots * float64(time.Second); wait < float64(Unbounded) {
 		return time.Duration(wait)
 	}
 	return Unbounded
