--- a/quota/wait.go
+++ b/quota/wait.go
@@ -138,7 +138,8 @@
 // refusalReason returns why a request that has to wait is refused; empty if it may wait. A request that
 // can't meet its objective may wait for its deadline.
 func (p *pool) refusalReason(request *slipwick.PermitRequest, expected *estimate, now time.Time) string {
-	if start := startAfter(expected.wait, expected.margin, now); request.Objective.IsZero() || !start.After(request.Objective) {
+	start := startAfter(expected.wait, expected.margin, now)
+	if request.Objective.IsZero() || !start.After(request.Objective) {
 		if canEnd(request, start) {
 			return ""
 		}
