permit: Drop a reason that is no longer given

Requests that exclude all usable servers go on without a permit, so that no refusal has that reason; both cases without a server are one now.

--- a/permit/ask.go
+++ b/permit/ask.go
@@ -100,7 +100,8 @@
 
 // admit grants, queues or refuses a new request.
 func (p *pool) admit(w *waiter, request *slipwick.PermitRequest, now time.Time) {
-	if len(p.order) == 0 {
+	if p.excludesAll(request) {
+		// The router's balancer may send it to a server that is ejected.
 		p.answer(w, &permitpb.Answer{
 			Id:      w.id,
 			Verdict: permitpb.Verdict_VERDICT_NO_SERVER,
@@ -110,12 +111,6 @@
 	share := p.share(now)
 	free := p.hasRoom(request) && p.choose(request.Exclude, w.asker.dataCentre, share, now) != nil
 	switch {
-	case p.excludesAll(request):
-		p.answer(w, &permitpb.Answer{
-			Id:      w.id,
-			Verdict: permitpb.Verdict_VERDICT_NO_SERVER,
-		})
-		return
 	case !free && !p.fits(request, share, now) && !p.makeLate(request, share, now):
 		p.refuse(w, request, permitpb.Reason_REASON_TOO_LATE, now)
 		return
@@ -165,6 +160,7 @@
 	})
 }
 
+// excludesAll reports whether no usable server may get the request.
 func (p *pool) excludesAll(request *slipwick.PermitRequest) bool {
 	for _, s := range p.order {
 		if !slices.Contains(request.Exclude, s.ID) {
--- a/permit/decisions.go
+++ b/permit/decisions.go
@@ -15,10 +15,11 @@
 	// LocalGranted and LocalRefused requests were decided by this router, since the coordinator did
 	// not answer.
 	LocalGranted, LocalRefused atomic.Int64
-	// Unserved requests went on without a permit, since the coordinator knows no usable server.
+	// Unserved requests went on without a permit, since the coordinator knows no usable server that they
+	// don't exclude.
 	Unserved atomic.Int64
 	// Refused requests, by reason.
-	RefusedTooLate, RefusedQueueFull, RefusedWorkLimit, RefusedExcluded atomic.Int64
+	RefusedTooLate, RefusedQueueFull, RefusedWorkLimit atomic.Int64
 	// Cancelled requests ended before the decision.
 	Cancelled atomic.Int64
 }
@@ -29,8 +30,6 @@
 		d.RefusedQueueFull.Add(1)
 	case permitpb.Reason_REASON_WORK_LIMIT:
 		d.RefusedWorkLimit.Add(1)
-	case permitpb.Reason_REASON_EXCLUDED:
-		d.RefusedExcluded.Add(1)
 	default:
 		d.RefusedTooLate.Add(1)
 	}
--- a/permit/errors.go
+++ b/permit/errors.go
@@ -26,8 +26,6 @@
 		return "its queue is full"
 	case permitpb.Reason_REASON_WORK_LIMIT:
 		return "the workspace is at its limit of work"
-	case permitpb.Reason_REASON_EXCLUDED:
-		return "all its usable backend servers have failed the request"
 	default:
 		return "the response would be too late"
 	}
