--- a/balance/lease.go
+++ b/balance/lease.go
@@ -42,7 +42,7 @@
 	// known, tokensBefore how many tokens it had yet to prefill for them.
 	loadBefore   float64
 	tokensBefore int
-	// loadReported is how many requests the server reported in its response.
+	// loadReported is how many requests the server reported in its response, including this one.
 	loadReported int
 	// isCold says that the backend server was cold when it was chosen.
 	isCold bool
--- a/balance/observation.go
+++ b/balance/observation.go
@@ -30,7 +30,7 @@
 // take, at an engine for an unknown part of their output, so that its response time is not used.
 func (b *Balancer) observeSpeedLocked(lease *Lease, elapsed time.Duration, now time.Time) {
 	s, p := lease.server, b.timingsLocked(lease.server.Pool)
-	load := max(lease.loadBefore, float64(lease.loadReported))
+	load := max(lease.loadBefore, float64(lease.loadReported-1))
 	utilization := (load + 1) / float64(s.slots())
 	if p.hasPrompts && utilization > 1 {
 		return
--- a/balance/speed.go
+++ b/balance/speed.go
@@ -10,7 +10,9 @@
 	// in the fast one, in reports or observations: without recent ones the estimates return to it.
 	usualWeight = 2
 	// levelWeight is how many observations it takes until half of the difference between what a
-	// server reports and what routers observe there is attributed to its reports.
+	// server reports and what routers observe there is attributed to its reports. The rest falls with the
+	// square of their number, so that a report a hundred times too slow is corrected to within a tenth
+	// after thirty, though such a server gets few requests.
 	levelWeight = 4
 	// A server's requests weigh as its slow estimate says from fullWeightPace on, and as usual up to
 	// plainWeightPace: a short slowdown moves no prompts to other engines.
@@ -55,7 +57,8 @@
 	if reported < 1 {
 		latest = &s.observations
 	} else {
-		level = (s.observations.slow.Mean() - s.reports.slow.Mean()) * observed / (observed + levelWeight)
+		level = (s.observations.slow.Mean() - s.reports.slow.Mean()) * observed * observed /
+			(observed*observed + levelWeight*levelWeight)
 	}
 	weight := max(observed, reported)
 	slow = (latest.slow.Mean() + level) * weight / (weight + usualWeight)
--- a/balance/speed_test.go
+++ b/balance/speed_test.go
@@ -143,6 +143,17 @@
 	}
 }
 
+// TestFewObservationsCorrectAReport guards against a server that reports a pace a hundred times too slow and
+// gets so few requests because of it that the correction takes long.
+func TestFewObservationsCorrectAReport(t *testing.T) {
+	s, now := newSpeed(), clock.Now()
+	s.reports.add(now, 30*math.Log(100), 30)
+	s.observations.add(now, 0, 30)
+	if fast, slow := s.paces(now); fast > 1.1 || slow > 1.1 {
+		t.Errorf("got %.2f and %.2f after 30 responses that took as long as usual, want 1.1 at most", fast, slow)
+	}
+}
+
 // TestEstimatesReturnToUsual guards against a server that is avoided for good: it gets few requests,
 // so that no news may come of it. A clock that jumps forward makes all news old, one that jumps back
 // changes nothing.
@@ -193,6 +204,38 @@
 	})
 }
 
+// TestReportedLoadContainsTheRequestItself guards against a server with one slot that looks twice as fast as
+// one with six: both report the request whose response has the report, and nothing else.
+func TestReportedLoadContainsTheRequestItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New("dc-0")
+		b.SetSpeedAware(true)
+		b.SetBackends(testEntries(2))
+		for range 60 {
+			for id, slots := range map[string]int{"p-0": 1, "p-1": 6} {
+				s := b.servers[id]
+				s.reportedSlots = slots
+				lease := newLease(s)
+				b.noteLoadLocked(lease, clock.Now())
+				s.inFlight++
+				b.RecordSend(lease)
+				time.Sleep(40 * time.Millisecond)
+				b.RecordLoad(lease, Load{
+					Running: 1,
+					Slots:   slots,
+				})
+				b.RecordResponseTime(lease)
+				b.Release(lease, slipwick.EvidenceGood)
+			}
+		}
+		for _, state := range b.States() {
+			if _, slow := b.servers[state.ID].speed.paces(clock.Now()); slow < 0.95 || slow > 1.05 {
+				t.Errorf("%s: got a slow estimate of %.2f, want 1", state.ID, slow)
+			}
+		}
+	})
+}
+
 // TestServerThatRejectsIsFull guards against requests that all go to a server which has just rejected
 // one, at this router and at one that only heard of it.
 func TestServerThatRejectsIsFull(t *testing.T) {
