gatewayd: Bound how late a request may arrive after a notice

A router that holds a request and sends it to a leaving or paused server after the notice then passed at any time. Requests that arrive more than 1 s after the notice, half of the bound for leaving servers, now count as before, whenever they were sent.

--- a/cmd/internal/gatewayd/notices_test.go
+++ b/cmd/internal/gatewayd/notices_test.go
@@ -19,6 +19,9 @@
 	// inFlightMargin is how long after a notice callers may still send requests that reach the server. A
 	// busy machine may delay requests on their way by more than that, so that their arrival tells nothing.
 	inFlightMargin = 500 * time.Millisecond
+	// maxTransit is how long after a notice requests may still arrive whose callers sent them before. Half of
+	// the bound for leaving servers: a router must not hold such a request and send it after the notice.
+	maxTransit = time.Second
 	// requestedPause is the pause that servers ask for.
 	requestedPause = 2 * time.Second
 	// noticeRequestInterval is the interval between two requests to a router, and the pause after
@@ -108,7 +111,7 @@
 		return 0
 	}
 	for _, a := range s.arrivals[router] {
-		if a.sentAt.Sub(s.noticesSent[router][0]) > inFlightMargin {
+		if notice := s.noticesSent[router][0]; a.sentAt.Sub(notice) > inFlightMargin || a.at.Sub(notice) > maxTransit {
 			late++
 		}
 	}
@@ -123,7 +126,8 @@
 	defer s.mu.Unlock()
 	for _, a := range s.arrivals[router] {
 		for _, noticeAt := range s.noticesSent[router] {
-			if a.sentAt.Sub(noticeAt) > inFlightMargin && a.at.Sub(noticeAt) < requestedPause {
+			since := a.at.Sub(noticeAt)
+			if since < requestedPause && (a.sentAt.Sub(noticeAt) > inFlightMargin || since > maxTransit) {
 				count++
 				break
 			}
