balance: Prefer idle connections only while admission control is active

The preference applied to all deployments, although what is new has to take effect only where the configuration and settings call for it. gatewayd now turns it on and off with the choice by speed. TestConnectionsDontMatterUnlessAskedFor fails without the check of the switch.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -101,6 +101,8 @@
 	scratch   scratch
 	// speedAware says that the speed of servers decides where requests go.
 	speedAware bool
+	// prefersConnected says that plain services prefer servers with idle connections.
+	prefersConnected bool
 	// slowServers has the servers whose load weight is above 1.
 	slowServers map[*server]bool
 	// positionIndex and positionCount are the position of this router among those of its data centre;
--- a/balance/connections.go
+++ b/balance/connections.go
@@ -51,6 +51,13 @@
 	b.positionIndex, b.positionCount = index, count
 }
 
+// SetPreferConnected turns the preference for servers with idle connections on or off.
+func (b *Balancer) SetPreferConnected(on bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.prefersConnected = on
+}
+
 // preferConnectedLocked returns the server of a plain service that gets the request if there is no usable
 // connection to the drawn one, to open fewer connections. A router with many requests keeps connections
 // to all servers, and nothing changes there. One with few sends the requests for which it would have to
@@ -62,7 +69,7 @@
 func (b *Balancer) preferConnectedLocked(
 	request *Request, usable []*server, drawn *server, now time.Time,
 ) *server {
-	if b.Connections == nil || b.positionCount == 0 {
+	if !b.prefersConnected || b.Connections == nil || b.positionCount == 0 {
 		return drawn
 	}
 	perSecond, idleTime := b.timingsLocked(request.Pool).sendRate.add(now), keptIdleTime
--- a/balance/connections_bench_test.go
+++ b/balance/connections_bench_test.go
@@ -30,6 +30,7 @@
 					balancer.SetPeers([]string{"fleet"}, 294)
 					balancer.Connections = connections
 					balancer.SetPosition(100, 295)
+					balancer.SetPreferConnected(true)
 					var list []InFlight
 					for _, s := range balancer.pools["p"] {
 						list = append(list, InFlight{
--- a/balance/connections_test.go
+++ b/balance/connections_test.go
@@ -134,6 +134,7 @@
 				b.Connections = connections
 			}
 			b.SetPosition(i, c.routers)
+			b.SetPreferConnected(true)
 			b.SetSpeedAware(c.speedAware)
 			if c.weight == nil {
 				sum++
@@ -427,6 +428,7 @@
 	}
 	r.Connections = r.connections
 	r.SetPosition(0, 1)
+	r.SetPreferConnected(true)
 	return r
 }
 
@@ -449,6 +451,21 @@
 	return lease.server, drawn
 }
 
+// TestConnectionsDontMatterUnlessAskedFor guards against a preference for connections in deployments that
+// don't use admission control.
+func TestConnectionsDontMatterUnlessAskedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newUnconnectedRouter(4, "dc-0")
+		if r.send(t); r.connections.drawn == "" {
+			t.Error("asked for: got no look at the connections, want one")
+		}
+		r.SetPreferConnected(false)
+		if r.send(t); r.connections.drawn != "" {
+			t.Errorf("not asked for: got a look at the connections to %s, want none", r.connections.drawn)
+		}
+	})
+}
+
 // TestFullServerGetsNothingForConnections guards against a router that sends its few requests to the
 // server that it prefers although that one has just rejected one.
 func TestFullServerGetsNothingForConnections(t *testing.T) {
@@ -594,6 +611,7 @@
 		b.Connections = connections
 		b.SetSpeedAware(true)
 		b.SetPosition(0, 1)
+		b.SetPreferConnected(true)
 		request := &Request{
 			Pool:        "p",
 			MaxIdleTime: time.Millisecond,
--- a/cmd/internal/gatewayd/assemble.go
+++ b/cmd/internal/gatewayd/assemble.go
@@ -166,4 +166,5 @@
 	events.AdmissionChanged.On(&p.Log).Bool("active", active).
 		Bool("permits", p.admission.NeedsPermits()).Send()
 	p.balancer.SetSpeedAware(active)
+	p.balancer.SetPreferConnected(active)
 }
--- a/gateway/connections_test.go
+++ b/gateway/connections_test.go
@@ -43,6 +43,7 @@
 	}
 	f.gateway.Balancer.Connections = asked
 	f.gateway.Balancer.SetPosition(0, 1)
+	f.gateway.Balancer.SetPreferConnected(true)
 	// On a busy machine, a connection may be closed too late to count as forgotten.
 	for range 20 {
 		send(t, f.request(t, "/single/x", ""))
