balance: Learn nothing from rejections before the first updates

After a loss of power of all boxes, callers saw refusals for 2 s more. The routers of a restarted fleet sent the requests that had waited for them; a plain server's slots and queue were full, and it rejected some. Each router knew only its own requests there, took the server for one that rejects despite free slots, ejected it for 1 s and counted it with half of its slots, so that the others got too much. Rejections within 1 s of the first list count only once the other routers' requests are known. The tests fail without the check: 1 server ejected, 192 of 256 slots.

--- a/balance/ejection.go
+++ b/balance/ejection.go
@@ -107,6 +107,9 @@
 		b.countSpeedLocked(s, &SpeedCounts{
 			Rejections: 1,
 		}, now)
+		if b.awaitsFirstUpdatesLocked(now) {
+			return
+		}
 		b.learnRejectionLocked(s, b.loadsLocked([]*server{s}, now)[0])
 		if s.notices.isPaused(now) || b.hasFreeSlotLocked(s, now) {
 			b.recordOutcomeLocked(s, true)
--- a/balance/shedding_test.go
+++ b/balance/shedding_test.go
@@ -150,3 +150,54 @@
 		}
 	}
 }
+
+// TestRejectionsBeforeFirstUpdatesSayNothing has the routers of a restarted fleet send the requests that
+// waited for it, so that a server's slots and queue are full. Each router knows only its own requests there.
+// The server was ejected by all routers and counted with half of its slots, while the others had to take
+// its load.
+func TestRejectionsBeforeFirstUpdatesSayNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBalancer(4)
+		b.SetPeers([]string{"hub"}, 83)
+		s := b.servers["p-0"]
+		before := b.PoolCapacity("p")
+		want := before.Slots()
+		reject := func() {
+			for range 20 {
+				s.inFlight++
+				b.Release(newLease(s), slipwick.EvidenceShed)
+			}
+		}
+		reject()
+		if got := unavailableCount(b); got != 0 {
+			t.Errorf("got %d servers ejected before the first updates, want none", got)
+		}
+		capacity := b.PoolCapacity("p")
+		if got := capacity.Slots(); got != want {
+			t.Errorf("got %d slots before the first updates, want %d", got, want)
+		}
+		b.ReceiveCounts("hub", 1, nil)
+		reject()
+		if got := unavailableCount(b); got != 1 {
+			t.Errorf("got %d servers ejected once the others' requests are known, want 1", got)
+		}
+	})
+}
+
+// TestRejectionsCountThoughUpdatesAreMissing guards against a router that is cut off from the others when
+// it starts and never ejects a server that rejects all requests.
+func TestRejectionsCountThoughUpdatesAreMissing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBalancer(4)
+		b.SetPeers([]string{"hub"}, 83)
+		time.Sleep(remoteCountsTTL)
+		s := b.servers["p-0"]
+		for range 20 {
+			s.inFlight++
+			b.Release(newLease(s), slipwick.EvidenceShed)
+		}
+		if got := unavailableCount(b); got != 1 {
+			t.Errorf("got %d servers ejected, want 1", got)
+		}
+	})
+}
--- a/balance/update.go
+++ b/balance/update.go
@@ -249,3 +249,10 @@
 	}
 	return len(b.peers) > 0
 }
+
+// awaitsFirstUpdatesLocked reports whether this router has just started and can't know the requests of
+// other routers yet. When a whole fleet restarts, the requests that callers kept for it fill the servers
+// at once, so that a rejection says nothing about a server that seems to have free slots.
+func (b *Balancer) awaitsFirstUpdatesLocked(now time.Time) bool {
+	return now.Sub(b.firstListAt) < remoteCountsTTL && len(b.peers) > 0 && !b.hasAllUpdatesLocked(now)
+}
