balance: Let healthy servers of small pools return from an ejection

Callers of a plain service of two servers got refusals and late responses for 16 s after a restart of the fleet: one server was ejected again and again, for 4 s each, though it failed no more requests than the other. Causes: routers sent each other outcomes only with failures, so that in a fleet of 84 the failures of a few counted and the successes of the others did not; the rate covered the last 10 of 100 outcomes a second, so that two failures in a row ejected a server; outcomes of requests from before an ejection counted at its end. Now pools of up to 10 servers send successes as well, the rate covers the outcomes of the last 500 ms if these are more than 10, and outcomes don't count during an ejection. Larger pools with few outcomes are unchanged.

--- a/balance/ejection.go
+++ b/balance/ejection.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"math"
 	"time"
 
 	"github.com/slipwick/slipwick"
@@ -9,9 +8,6 @@
 )
 
 const (
-	// outcomeWeight is the weight of the latest outcome in the error rate, which thus covers
-	// about the last ten outcomes of all routers.
-	outcomeWeight = 0.1
 	// errorLimit is the error rate above which a backend server is ejected, if it is also
 	// errorFactor times as high as that of the others: requests that fail on every server are
 	// no reason to eject one.
@@ -33,58 +29,26 @@
 	// the others have to carry the load. Servers that are unresponsive or asked for a pause count
 	// as ejected.
 	ejectableOneIn = 3
-	// maxUnsentSuccesses bounds the successes that are sent together with the next failure.
-	// More would only say that the server was healthy long before.
-	maxUnsentSuccesses = 20
+	// smallPool is the number of servers up to which routers tell each other of all successes. In a small
+	// pool an ejection by mistake costs much of the capacity, and in a large fleet the failures that a few
+	// routers saw are no measure of what all of them see.
+	smallPool = 10
 )
 
-// errorRate is a moving average of the failures among a backend server's latest requests.
-type errorRate struct {
-	rate float64
-	// good and failed count the outcomes of this router that were not sent to other routers
-	// yet.
-	good, failed int
-}
-
-// add takes outcomes of any router.
-func (e *errorRate) add(good, failed int) {
-	n := good + failed
-	if n <= 0 {
-		return
-	}
-	kept := math.Pow(1-outcomeWeight, float64(n))
-	e.rate = e.rate*kept + float64(failed)/float64(n)*(1-kept)
-}
-
-// record takes an outcome of this router.
-func (e *errorRate) record(failed bool) {
-	if failed {
-		e.failed++
-		e.add(0, 1)
-		return
-	}
-	e.good = min(e.good+1, maxUnsentSuccesses)
-	e.add(1, 0)
-}
-
-// takeUnsent returns and resets the counts to send. Successes alone are not worth an update, so
-// without a failure it returns zeros and keeps the counts.
-func (e *errorRate) takeUnsent() (good, failed int) {
-	if e.failed == 0 {
-		return 0, 0
-	}
-	good, failed = e.good, e.failed
-	e.good, e.failed = 0, 0
-	return good, failed
-}
-
 // recordOutcomeLocked records the outcome of a request of this router, for the next update as
 // well.
-func (b *Balancer) recordOutcomeLocked(s *server, failed bool) {
-	s.errors.record(failed)
+func (b *Balancer) recordOutcomeLocked(s *server, failed bool, now time.Time) {
+	s.errors.record(failed, s.outcomesCount(now), now)
 	b.active[s] = true
 }
 
+// outcomesCount reports whether outcomes that become known now say anything new about the server. During an
+// ejection they are those of requests that were sent before it, and would eject the server again when it
+// ends.
+func (s *server) outcomesCount(now time.Time) bool {
+	return !now.Before(s.ejectedUntil)
+}
+
 // recordEvidenceLocked updates a server's state by the evidence that a request of this router
 // gave.
 func (b *Balancer) recordEvidenceLocked(s *server, evidence slipwick.Evidence, now time.Time) {
@@ -98,7 +62,7 @@
 		// Each router sends to one server so seldom that all would have to find out for
 		// themselves, so the failure is sent to them. A broken network path is not sent, as it
 		// concerns only this router.
-		b.recordOutcomeLocked(s, true)
+		b.recordOutcomeLocked(s, true, now)
 		if s.eject(now, minEjection) {
 			b.OnEjected(s.Backend, s.ejectedUntil.Sub(now))
 		}
@@ -112,7 +76,7 @@
 		}
 		b.learnRejectionLocked(s, b.loadsLocked([]*server{s}, now)[0])
 		if s.notices.isPaused(now) || b.hasFreeSlotLocked(s, now) {
-			b.recordOutcomeLocked(s, true)
+			b.recordOutcomeLocked(s, true, now)
 			b.ejectIfFailingLocked(s, now)
 		}
 	case slipwick.EvidenceGood, slipwick.EvidenceError:
@@ -120,7 +84,7 @@
 		if evidence == slipwick.EvidenceGood {
 			b.learnCompletionLocked(s)
 		}
-		b.recordOutcomeLocked(s, evidence == slipwick.EvidenceError)
+		b.recordOutcomeLocked(s, evidence == slipwick.EvidenceError, now)
 		b.ejectIfFailingLocked(s, now)
 	}
 }
@@ -148,7 +112,8 @@
 		return
 	}
 	if s.eject(now, errorEjection) {
-		s.errors.rate, s.ejectedForErrors = rateAfterEjection, true
+		s.errors.restart(rateAfterEjection)
+		s.ejectedForErrors = true
 		b.OnEjected(s.Backend, s.ejectedUntil.Sub(now))
 	}
 }
@@ -157,10 +122,7 @@
 // the rates of the others in its pool.
 func (b *Balancer) errorRateLimitLocked(s *server) float64 {
 	others := b.otherServersErrorRateLocked(s)
-	// This is the standard deviation of the moving average for a server that fails as often as
-	// the others.
-	deviation := math.Sqrt(others * (1 - others) * outcomeWeight / (2 - outcomeWeight))
-	return max(errorLimit, errorFactor*others, others+chanceDeviations*deviation)
+	return max(errorLimit, errorFactor*others, others+chanceDeviations*s.errors.deviation(others))
 }
 
 // atEjectionLimitLocked reports whether the ejection of the server would exceed the limit of one in
@@ -198,7 +160,7 @@
 	if !b.isOverdueLocked(lease, now) {
 		return false
 	}
-	b.recordOutcomeLocked(lease.server, true)
+	b.recordOutcomeLocked(lease.server, true, now)
 	b.ejectIfFailingLocked(lease.server, now)
 	return true
 }
@@ -209,11 +171,13 @@
 	defer b.mu.Unlock()
 	now := clock.Now()
 	for _, o := range outcomes {
-		if s := b.serversByHash[o.Server]; s != nil {
-			s.errors.add(o.Good, o.Failed)
-			b.ejectIfFailingLocked(s, now)
-		} else {
+		s := b.serversByHash[o.Server]
+		switch {
+		case s == nil:
 			b.receiveCanaryCountsLocked(&o)
+		case s.outcomesCount(now):
+			s.errors.add(o.Good, o.Failed, now)
+			b.ejectIfFailingLocked(s, now)
 		}
 	}
 }
--- a/balance/ejection_test.go
+++ b/balance/ejection_test.go
@@ -92,8 +92,12 @@
 }
 
 func TestOutcomesAreSentOnceAndOnlyWithFailures(t *testing.T) {
-	b := newTestBalancer(1)
-	end := func(evidence slipwick.Evidence) { b.Release(acquire(t, b, plainRequest), evidence) }
+	b := newTestBalancer(smallPool + 1)
+	end := func(evidence slipwick.Evidence) {
+		s := b.servers["p-0"]
+		s.inFlight++
+		b.Release(newLease(s), evidence)
+	}
 	for range 3 * maxUnsentSuccesses {
 		end(slipwick.EvidenceGood)
 	}
@@ -110,6 +114,21 @@
 	}
 }
 
+// TestSmallPoolsSendSuccesses guards against the failures of a few routers that count as the error rate
+// of a server, because the others, which saw none, send nothing.
+func TestSmallPoolsSendSuccesses(t *testing.T) {
+	b := newTestBalancer(smallPool)
+	lease := acquire(t, b, plainRequest)
+	b.Release(lease, slipwick.EvidenceGood)
+	got := b.TakeUpdate().Outcomes
+	if len(got) != 1 || got[0].Server != lease.server.hash || got[0].Good != 1 || got[0].Failed != 0 {
+		t.Errorf("got %v, want 1 good of %s", got, lease.Backend.ID)
+	}
+	if got := b.TakeUpdate().Outcomes; len(got) != 0 {
+		t.Errorf("in the next update: got %v, want no outcomes", got)
+	}
+}
+
 func TestFailingEngineIsStillFetchedFrom(t *testing.T) {
 	b := newTestBalancer(4)
 	b.MarkCachesKnown()
--- a/balance/update.go
+++ b/balance/update.go
@@ -75,7 +75,7 @@
 			delete(b.active, s)
 			continue
 		}
-		if good, failed := s.errors.takeUnsent(); failed > 0 {
+		if good, failed := s.errors.takeUnsent(len(b.pools[s.Pool]) <= smallPool); good+failed > 0 {
 			update.Outcomes = append(update.Outcomes, OutcomeCounts{
 				Server: s.hash,
 				Good:   good,
--- a/balance/update_test.go
+++ b/balance/update_test.go
@@ -37,7 +37,11 @@
 // start and end, and servers are removed from the list and listed again.
 func TestUpdateHasAllServersInUse(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b := newTestBalancer(8)
+		least, most := 4, 8
+		if rapid.Bool().Draw(t, "large") {
+			least, most = smallPool+1, smallPool+5
+		}
+		b := newTestBalancer(most)
 		var leases []*Lease
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			switch rapid.SampledFrom([]string{"acquire", "acquire", "good", "error", "list", "update"}).Draw(t, "step") {
@@ -54,7 +58,7 @@
 					leases = leases[1:]
 				}
 			case "list":
-				b.SetBackends(testEntries(rapid.IntRange(4, 8).Draw(t, "listed")))
+				b.SetBackends(testEntries(rapid.IntRange(least, most).Draw(t, "listed")))
 			case "update":
 				want := fullUpdate(b)
 				if got := formatUpdate(b.TakeUpdate()); !slices.Equal(got, want) {
@@ -70,7 +74,7 @@
 func fullUpdate(b *Balancer) []string {
 	update := Update{}
 	for _, s := range b.servers {
-		if s.errors.failed > 0 {
+		if s.errors.failed > 0 || (s.errors.good > 0 && len(b.pools["p"]) <= smallPool) {
 			update.Outcomes = append(update.Outcomes, OutcomeCounts{
 				Server: s.hash,
 				Good:   s.errors.good,
