balance: Eject no server for failures whose load the others can't take

With two plain servers left, one that failed a quarter of its requests was ejected, and the other rejected more requests than that. With the choice by speed, a server is ejected for failures only if fewer requests would exceed the slots of the others than fail at it.

--- a/balance/ejection.go
+++ b/balance/ejection.go
@@ -108,7 +108,8 @@
 	}
 	// errorRateLimitLocked is at least errorLimit and iterates over the pool, so the cheap
 	// comparison comes first.
-	if s.errors.rate <= errorLimit || s.errors.rate <= b.errorRateLimitLocked(s) || b.atEjectionLimitLocked(s, now) {
+	if s.errors.rate <= errorLimit || s.errors.rate <= b.errorRateLimitLocked(s) || b.atEjectionLimitLocked(s, now) ||
+		b.isEjectionWorseLocked(s, now) {
 		return
 	}
 	if s.eject(now, errorEjection) {
