permit: Refuse again when an ask arrives after its refusal

No slot leaks: a coordinator remembered released permits, but not refused requests. A doubled ask that arrived up to 1 s after its refusal was admitted as a new one, and took a slot until its router gave the permit back or an audit ended it.

A coordinator now remembers refusals and ended leases for 2 s as well, and answers a late ask of a refused request with the same refusal. A router that repeats an ask because the refusal was lost still gets it.

--- a/permit/ask.go
+++ b/permit/ask.go
@@ -27,7 +27,8 @@
 
 // askLocked handles an ask. One that was received before is answered as the first time.
 func (c *Coordinator) askLocked(a *asker, ask *permitpb.Ask, now time.Time) {
-	if _, ok := a.released[ask.Id]; ok {
+	if d, ok := a.decided[ask.Id]; ok {
+		c.repeatLocked(a, d)
 		return
 	}
 	if l := a.leases[ask.Id]; l != nil {
@@ -53,6 +54,15 @@
 	}, request, now)
 }
 
+// repeatLocked answers an ask for a request that was decided before.
+func (c *Coordinator) repeatLocked(a *asker, d decision) {
+	if d.answer == nil {
+		return
+	}
+	packet := c.out.packet(a.address, a.run)
+	packet.Answers = append(packet.Answers, d.answer)
+}
+
 func (c *Coordinator) poolLocked(name string, now time.Time) *pool {
 	p := c.pools[name]
 	if p == nil {
@@ -102,10 +112,10 @@
 func (p *pool) admit(w *waiter, request *slipwick.PermitRequest, now time.Time) {
 	if p.excludesAll(request) {
 		// The router's balancer may send it to a server that is ejected.
-		p.answer(w, &permitpb.Answer{
+		p.decide(w, &permitpb.Answer{
 			Id:      w.id,
 			Verdict: permitpb.Verdict_VERDICT_NO_SERVER,
-		})
+		}, now)
 		return
 	}
 	share := p.share(now)
@@ -217,12 +227,21 @@
 func (p *pool) refuse(w *waiter, request *slipwick.PermitRequest, reason permitpb.Reason, now time.Time) {
 	share := p.share(now)
 	after := p.backlog.plan(request.Work, p.expectedWait(request, share, now), p.rate(share, now), now)
-	p.answer(w, &permitpb.Answer{
+	p.decide(w, &permitpb.Answer{
 		Id:      w.id,
 		Verdict: permitpb.Verdict_VERDICT_REFUSED,
 		WaitMs:  milliseconds(after),
 		Reason:  reason,
-	})
+	}, now)
+}
+
+// decide sends the last answer for a request that gets no permit, and remembers it.
+func (p *pool) decide(w *waiter, answer *permitpb.Answer, now time.Time) {
+	w.asker.decided[w.id] = decision{
+		at:     now,
+		answer: answer,
+	}
+	p.answer(w, answer)
 }
 
 func milliseconds(d time.Duration) uint32 {
--- a/permit/asker.go
+++ b/permit/asker.go
@@ -7,10 +7,11 @@
 )
 
 const (
-	// askerRetention is for how long a router without leases is remembered, tombstoneRetention for how
-	// long a released permit is: datagrams that arrive later count as new.
-	askerRetention     = 10 * time.Second
-	tombstoneRetention = time.Second
+	// askerRetention is for how long a router without leases is remembered.
+	askerRetention = 10 * time.Second
+	// decisionRetention is for how long a released permit or a refusal is remembered: asks that arrive
+	// later count as new. Datagrams are up to 1 s late.
+	decisionRetention = 2 * time.Second
 )
 
 // asker is a router that asks the coordinator for permits.
@@ -24,26 +25,25 @@
 	live    bool
 	leases  map[uint64]*lease
 	waiting map[uint64]*fairqueue.Item
-	// released has the IDs of permits that were released, with the times. An ask that arrives after its
-	// release is ignored.
-	released map[uint64]time.Time
+	// decided has the IDs of requests that were refused and of permits that were released.
+	decided map[uint64]decision
 }
 
 func newAsker(address string, run uint64) *asker {
 	return &asker{
-		address:  address,
-		run:      run,
-		leases:   make(map[uint64]*lease),
-		waiting:  make(map[uint64]*fairqueue.Item),
-		released: make(map[uint64]time.Time),
+		address: address,
+		run:     run,
+		leases:  make(map[uint64]*lease),
+		waiting: make(map[uint64]*fairqueue.Item),
+		decided: make(map[uint64]decision),
 	}
 }
 
-// forgetReleased drops old IDs.
-func (a *asker) forgetReleased(now time.Time) {
-	for id, at := range a.released {
-		if now.Sub(at) > tombstoneRetention {
-			delete(a.released, id)
+// forgetDecided drops old IDs.
+func (a *asker) forgetDecided(now time.Time) {
+	for id, d := range a.decided {
+		if now.Sub(d.at) > decisionRetention {
+			delete(a.decided, id)
 		}
 	}
 }
--- a/permit/coordinator.go
+++ b/permit/coordinator.go
@@ -175,7 +175,7 @@
 			continue
 		}
 		a.live = a.live || live
-		a.forgetReleased(now)
+		a.forgetDecided(now)
 		for _, l := range a.leases {
 			switch {
 			case now.After(l.expires):
@@ -208,13 +208,18 @@
 }
 
 func (c *Coordinator) endLocked(l *lease, now time.Time) {
+	l.asker.decided[l.id] = decision{
+		at: now,
+	}
 	l.pool.end(l)
 	l.pool.pump(now)
 }
 
 // releaseLocked ends a permit or the wait for one.
 func (c *Coordinator) releaseLocked(a *asker, r *permitpb.Release, now time.Time) {
-	a.released[r.Id] = now
+	a.decided[r.Id] = decision{
+		at: now,
+	}
 	if item := a.waiting[r.Id]; item != nil {
 		delete(a.waiting, r.Id)
 		item.Value.(*waiter).pool.queue.Remove(item)
