gateway: Give responses that are begun late time to be written

A response could be written until 1 s after the deadline of its request. A router that gets no processor time has its response ready only later: the write failed at once, and the server closed the connection without any response, though the caller was still waiting. TestReadDeadlineEndsWithTheBody saw that as EOF.

A response that is begun after the deadline may now be written for 1 s from its start. A caller that doesn't read keeps the router busy for no longer than before once a response has begun.

The other deadlines of the package are not affected: the read deadline for bodies is cleared by net/http before its background read, and that for the rest of a refused body is set relative to the refusal.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,9 +20,6 @@
 	"github.com/slipwick/slipwick/upstream"
 )
 
-// writeGrace is how long after the deadline a response may still be written.
-const writeGrace = time.Second
-
 // Gateway is the HTTP handler that forwards callers' requests to backend servers. Set the exported
 // fields before the first request.
 type Gateway struct {
@@ -143,8 +140,7 @@
 		g.Observer.Refused(r, refusal)
 		return
 	}
-	// A caller that does not read its response must not keep the router busy after the deadline.
-	_ = http.NewResponseController(w).SetWriteDeadline(clock.ToRuntime(c.deadline.Add(writeGrace)))
+	c.limitWrite()
 	ctx, cancel := context.WithDeadline(r.Context(), clock.ToRuntime(c.deadline))
 	defer cancel()
 	c.ctx = ctx
--- a/gateway/largeresponse.go
+++ b/gateway/largeresponse.go
@@ -35,6 +35,7 @@
 // forward forwards the part that was buffered and then the rest.
 func (l *largeResponse) forward(buffered *bufferedResponse) (result, slipwick.Evidence, error) {
 	w := l.call.writer
+	l.call.beginResponse()
 	copyHeader(w.Header(), buffered.header)
 	if l.response.Length >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(l.response.Length, 10))
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -157,6 +157,7 @@
 		c.gateway.Balancer.PauseForCaller(lease)
 		defer c.gateway.Balancer.ResumeForCaller(lease)
 	}
+	c.beginResponse()
 	return buffered.write(c.writer)
 }
 
@@ -274,6 +275,7 @@
 		return nil
 	}
 	c.progress.headWritten = true
+	c.beginResponse()
 	copyHeader(c.writer.Header(), response.Header)
 	c.writer.WriteHeader(response.Status)
 	return nil
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -178,6 +178,7 @@
 	case c.progress.headWritten:
 		c.finish(resultCut, reason, 0)
 	case c.failedResponse != nil:
+		c.beginResponse()
 		if err := c.failedResponse.write(c.writer); err != nil {
 			c.finish(resultDisconnected, reason, 0)
 			return
@@ -198,6 +199,7 @@
 }
 
 func (c *call) refuse(refusal *Refusal) {
+	c.beginResponse()
 	refusal.write(c.writer)
 	c.retryAfter = max(refusal.RetryAfter, 0)
 	c.notifyEnded("refused", refusal.Reason, refusal.Status)
