gateway: Close the connection of a caller that has disconnected

For a request whose caller has disconnected the handler returned without writing anything, for which net/http writes a 200 with an empty body. A caller that has only closed its sending side, which counts as disconnected, received it and took it for the response of the backend server. The handler aborts the connection now.

TestDisconnectedCallerGetsNoSuccess: got 200 OK before; the connection is closed without a response after.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -115,8 +115,8 @@
 }
 
 // ServeHTTP forwards one request and blocks until its response has been written. If the response
-// breaks off after a part was written, it panics with http.ErrAbortHandler, so that the caller does
-// not take it for complete.
+// breaks off after a part was written, or the caller has disconnected, it panics with
+// http.ErrAbortHandler, so that the caller does not take it for complete.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -206,10 +206,12 @@
 }
 
 // finish reports the end of the request to the observer. A response that was cut also has to close
-// its connection, so that the caller does not take it for complete.
+// its connection, so that the caller does not take it for complete. So has the end of a request whose
+// caller has disconnected: the server would write an empty 200, which a caller that has closed only its
+// sending side receives.
 func (c *call) finish(sendResult result, reason string, status int) {
 	c.notifyEnded(sendResult.String(), reason, status)
-	if sendResult == resultCut {
+	if sendResult == resultCut || sendResult == resultDisconnected {
 		panic(http.ErrAbortHandler)
 	}
 }
