gateway: Excuse a server for its caller's stall only for a while

One pause because of the caller excused the backend server for the rest of the response: one that broke off a stream minutes later was not counted as failed. The excuse now ends once the router has waited for more of the response for a second in total since the pause: what the server had sent by then arrives within some round trips.

--- a/gateway/largeresponse.go
+++ b/gateway/largeresponse.go
@@ -28,8 +28,8 @@
 	response *upstream.Response
 	// source is the body of the response.
 	source io.Reader
-	// stalled says that a write took longer than callerStallTime.
-	stalled bool
+	// stall has the writes that took longer than callerStallTime.
+	stall callerStall
 }
 
 // forward forwards the part that was buffered and then the rest.
@@ -54,14 +54,16 @@
 	buffer, release := l.copyBuffer()
 	defer release()
 	for {
+		started := time.Now()
 		n, err := l.source.Read(buffer)
+		l.stall.recordWait(time.Since(started))
 		if writeErr := l.write(buffer[:n]); writeErr != nil {
 			return resultDisconnected, slipwick.EvidenceNone, writeErr
 		}
 		switch {
 		case errors.Is(err, io.EOF):
 			return resultDelivered, slipwick.EvidenceGood, nil
-		case err != nil && (l.stalled || l.call.ctx.Err() != nil):
+		case err != nil && (l.stall.explainsEnd() || l.call.ctx.Err() != nil):
 			// The caller or the deadline of the request has ended the response, or may have.
 			return resultCut, slipwick.EvidenceNone, err
 		case err != nil:
@@ -84,8 +86,11 @@
 		return nil
 	}
 	started := time.Now()
-	defer func() { l.stalled = l.stalled || time.Since(started) > callerStallTime }()
-	return l.call.writeWhilePaused(l.lease, data)
+	err := l.call.writeWhilePaused(l.lease, data)
+	if time.Since(started) > callerStallTime {
+		l.stall.begin()
+	}
+	return err
 }
 
 // writeWhilePaused writes to the caller; meanwhile the silence of the backend server doesn't count.
--- a/gateway/readahead.go
+++ b/gateway/readahead.go
@@ -36,9 +36,11 @@
 
 	mu sync.Mutex
 	// isWriting says that a write is in progress, isRunning that the goroutine was started, isPaused that
-	// nothing is read because of the caller, and wasPaused that this was the case before.
-	isWriting, isRunning, isClosed, isPaused, wasPaused bool
-	queue                                               readAheadQueue
+	// nothing is read because of the caller.
+	isWriting, isRunning, isClosed, isPaused bool
+	// stall has the pauses because of the caller.
+	stall callerStall
+	queue readAheadQueue
 	// err ended the reading; it is returned by Read once the queue is empty.
 	err error
 	// arrived receives a value when the queue or err have changed, taken when bytes were taken from the
@@ -73,13 +75,21 @@
 
 // readResponse reads from the connection and reports what arrived to the balancer.
 func (r *readAhead) readResponse(into []byte) (int, error) {
+	started := time.Now()
 	n, err := r.response.Read(into)
+	r.recordWait(time.Since(started))
 	if n > 0 {
 		r.call.gateway.Balancer.RecordProgress(r.lease)
 	}
 	return n, err
 }
 
+func (r *readAhead) recordWait(took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stall.recordWait(took)
+}
+
 // take takes bytes from the queue without blocking.
 func (r *readAhead) take(into []byte) (int, error) {
 	r.mu.Lock()
@@ -183,7 +193,8 @@
 
 func (r *readAhead) pauseLocked() {
 	if !r.isPaused {
-		r.isPaused, r.wasPaused = true, true
+		r.isPaused = true
+		r.stall.begin()
 		r.call.gateway.Balancer.PauseForCaller(r.lease)
 	}
 }
@@ -195,12 +206,12 @@
 	}
 }
 
-// stalled reports whether the response was not read for some time because of the caller, which may be
-// why the backend server ended it.
+// stalled reports whether the response was not read for some time because of the caller, shortly before
+// it ended, which may be why the backend server ended it.
 func (r *readAhead) stalled() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.wasPaused
+	return r.stall.explainsEnd()
 }
 
 // close ends the reading and gives back the memory of the buffer. If the goroutine still reads, it
--- a/gateway/readahead_test.go
+++ b/gateway/readahead_test.go
@@ -279,3 +279,62 @@
 		}
 	}
 }
+
+// TestStallExcusesNoLaterFailure has a caller stall in a stream and then read again. The engine goes on for
+// longer than stallExcuse and then breaks the stream off, which has to count as its failure.
+func TestStallExcusesNoLaterFailure(t *testing.T) {
+	t.Parallel()
+	f := newMemoryFixture(t, 4<<20, newBackend(t, "b1", func(b *backend, w http.ResponseWriter, r *http.Request) {
+		sendStream(largeEvents(2_000), func() {
+			for range 30 {
+				time.Sleep(stallExcuse / 10)
+				_, _ = io.WriteString(w, event("more"))
+				_ = http.NewResponseController(w).Flush()
+			}
+			panic(http.ErrAbortHandler)
+		})(b, w, r)
+	}))
+	conn := f.startStalledCaller(t)
+	awaitCondition(t, "pause", func() bool { return f.gateway.Memory.HeldFor(memory.Stream) > 60<<10 })
+	time.Sleep(4 * stallDelay)
+	// The outcomes taken here are those until the response began: on a busy machine it may be overdue.
+	f.gateway.Balancer.TakeUpdate()
+	if got := readResponse(t, conn); got.bodyErr == nil {
+		t.Error("got a complete response, want it broken off")
+	}
+	_ = conn.Close()
+	f.awaitReleased(t)
+	failed := 0.0
+	for _, outcome := range f.gateway.Balancer.TakeUpdate().Outcomes {
+		failed += float64(outcome.Failed)
+	}
+	if failed != 1 {
+		t.Errorf("got %v failures of the engine, want 1", failed)
+	}
+}
+
+// TestCallerStallExplainsASoonEnd guards against a server that is excused for the rest of a
+// response because its caller stalled once, and against one that is blamed soon after the stall.
+func TestCallerStallExplainsASoonEnd(t *testing.T) {
+	t.Parallel()
+	for waited, want := range map[time.Duration]bool{
+		0:               true,
+		stallExcuse / 2: true,
+		stallExcuse:     false,
+	} {
+		s := &callerStall{}
+		s.recordWait(time.Hour)
+		if s.explainsEnd() {
+			t.Error("got a response that ends because of its caller, who never stalled")
+		}
+		s.begin()
+		s.recordWait(waited)
+		if got := s.explainsEnd(); got != want {
+			t.Errorf("%v after the stall: got %v, want %v", waited, got, want)
+		}
+		s.begin()
+		if !s.explainsEnd() {
+			t.Error("got no excuse after another stall, want it")
+		}
+	}
+}
