gateway: Notice a server that hangs in a body at the deadline

When the deadline of a request ended a response in the middle of its body, the server was never at fault. One that hangs in the middle of each body wasn't noticed while its other responses began. It now counts as overdue if it has sent nothing for as long as it may take to start a response; a server that sends until the deadline doesn't.

--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -7,7 +7,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/slipwick/slipwick/balance"
 	"github.com/slipwick/slipwick/memory"
 	"github.com/slipwick/slipwick/upstream"
 )
@@ -29,22 +28,6 @@
 	reserved int64
 }
 
-// bodyProgress reads the body of a response and notes at the balancer that its server sends something.
-type bodyProgress struct {
-	call     *call
-	lease    *balance.Lease
-	response *upstream.Response
-}
-
-// Read implements io.Reader.
-func (p *bodyProgress) Read(into []byte) (int, error) {
-	n, err := p.response.Read(into)
-	if n > 0 {
-		p.call.gateway.Balancer.RecordActivity(p.lease)
-	}
-	return n, err
-}
-
 // bufferResponse reads a response, whose body is source, to its end; tooLarge means that it is larger than
 // maxBufferedBytes or than the memory that the router has for it, and the rest is still to be read.
 func bufferResponse(
--- a/gateway/evidence_test.go
+++ b/gateway/evidence_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -64,6 +65,45 @@
 	}
 }
 
+// TestHungBodyCountsAtTheDeadline guards against a server that hangs in the middle of each body and isn't
+// noticed, because its next responses begin before it counts as unresponsive. A server that sends a body
+// until the deadline of the request is not at fault.
+func TestHungBodyCountsAtTheDeadline(t *testing.T) {
+	const deadline = 3 * defaultFirstByteTimeout
+	sendSlowly := func(b *backend, w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Slipwick-Stamp", b.id)
+		for r.Context().Err() == nil {
+			_, _ = io.WriteString(w, "x")
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(defaultFirstByteTimeout / 10)
+		}
+	}
+	for name, test := range map[string]struct {
+		handle func(*backend, http.ResponseWriter, *http.Request)
+		want   int
+	}{
+		"hangs":        {sendPartThenWait(100), 1},
+		"sends slowly": {sendSlowly, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, newBackend(t, "b1", test.handle))
+			r := f.request(t, "/single/x", "question")
+			r.Header.Set("Slipwick-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
+			if got := send(t, r); got.status != http.StatusGatewayTimeout {
+				t.Errorf("got %d, want 504", got.status)
+			}
+			got := 0
+			for _, outcome := range f.gateway.Balancer.TakeUpdate().Outcomes {
+				got += outcome.Failed
+			}
+			if got != test.want {
+				t.Errorf("got %d failures of the server, want %d", got, test.want)
+			}
+		})
+	}
+}
+
 // TestServerThatSendsABodySlowlyIsResponsive guards against a server that gets no more requests because it
 // sends a response body for longer than a server may be silent, while another request waits there.
 func TestServerThatSendsABodySlowlyIsResponsive(t *testing.T) {
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -99,6 +99,7 @@
 		call:     c,
 		lease:    lease,
 		response: response,
+		readAt:   c.responseStart,
 	}
 	buffered, tooLarge, err := bufferResponse(response, source, c.held)
 	defer c.releaseUnlessKept(buffered)
@@ -107,6 +108,7 @@
 		return resultDisconnected, slipwick.EvidenceNone, err
 	case err != nil && c.ctx.Err() != nil:
 		// The deadline of the request has ended the response.
+		source.recordHang()
 		return resultBroken, slipwick.EvidenceNone, err
 	case err != nil:
 		return resultBroken, slipwick.EvidenceError, err
--- a/gateway/timeouts.go
+++ b/gateway/timeouts.go
@@ -56,12 +56,9 @@
 		mayRetry: c.route.MayRepeat() && c.possibleRuns+1 < c.route.MaxAttempts && c.sends < c.maxSends(),
 	}
 	timeouts := upstream.Timeouts{
-		FirstByte: c.gateway.Balancer.FirstByteTimeout(lease),
+		FirstByte: c.firstByteTimeout(lease),
 		OnTimeout: h.onTimeout,
 	}
-	if timeouts.FirstByte == 0 {
-		timeouts.FirstByte = max(objectiveFactor*c.route.ResponseObjective, defaultFirstByteTimeout)
-	}
 	if h.mayRetry {
 		left := time.Duration((1 - retryTimeShare) * float64(clock.Until(c.deadline)))
 		timeouts.FirstByte = max(min(timeouts.FirstByte, left), time.Millisecond)
@@ -70,6 +67,14 @@
 	return timeouts
 }
 
+// firstByteTimeout returns how long the backend server may take to start its response.
+func (c *call) firstByteTimeout(lease *balance.Lease) time.Duration {
+	if timeout := c.gateway.Balancer.FirstByteTimeout(lease); timeout > 0 {
+		return timeout
+	}
+	return max(objectiveFactor*c.route.ResponseObjective, defaultFirstByteTimeout)
+}
+
 // idleTimeout returns how long the backend server may stay silent in the middle of a stream.
 func (c *call) idleTimeout(lease *balance.Lease) time.Duration {
 	timeout := gapObjectiveFactor * c.route.GapObjective
