memory: Let small requests pass a large one that waits

Requests got memory in the order in which they asked for it, so that small ones waited behind a large one although there was room for them, for up to an eighth of their objective. They may pass it now until they have got as many bytes as it needs, so that it isn't passed for ever.

--- a/memory/account.go
+++ b/memory/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -32,6 +33,8 @@
 type waiter struct {
 	bytes   int64
 	granted chan struct{}
+	// passed is the sum of the bytes that later calls have got before this one.
+	passed int64
 }
 
 // NewReservation returns an empty reservation for one request.
@@ -88,23 +91,46 @@
 	}
 }
 
-// grantLocked reserves the bytes of those who wait, in order, as long as there is room.
+// grantLocked reserves the bytes of those who wait, in order, as long as there is room. A call for which
+// there is no room is passed by later ones until these have got as many bytes as it needs, so that it
+// neither holds up all others nor waits for ever.
 func (a *Account) grantLocked() {
-	for len(a.waiters) > 0 && a.tryAdd(a.waiters[0].bytes, a.Limit) {
-		close(a.waiters[0].granted)
-		a.waiters = a.waiters[1:]
-		a.waiterCount.Add(-1)
+	var blocked []*waiter
+	// passable is how many bytes may still pass the blocked calls.
+	passable := int64(math.MaxInt64)
+	for i, w := range a.waiters {
+		if passable <= 0 {
+			blocked = append(blocked, a.waiters[i:]...)
+			break
+		}
+		if w.bytes <= passable && a.tryAdd(w.bytes, a.Limit) {
+			for _, earlier := range blocked {
+				earlier.passed += w.bytes
+			}
+			passable -= w.bytes
+			close(w.granted)
+			continue
+		}
+		blocked = append(blocked, w)
+		passable = min(passable, w.bytes-w.passed)
 	}
+	a.waiterCount.Add(int64(len(blocked) - len(a.waiters)))
+	a.waiters = blocked
 }
 
 // await reserves bytes. It blocks while there is no room, for wait at most, and reports whether it
-// reserved them. Calls are served in order.
+// reserved them. Calls are served in order, but for small ones that pass a large one.
 func (a *Account) await(ctx context.Context, bytes int64, wait time.Duration) bool {
 	if a.waiterCount.Load() == 0 && a.tryAdd(bytes, a.Limit) {
 		return true
 	}
-	a.waited.Add(1)
 	w := a.enqueue(bytes)
+	select {
+	case <-w.granted:
+		return true
+	default:
+	}
+	a.waited.Add(1)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
