--- a/gateway/response.go
+++ b/gateway/response.go
@@ -99,6 +99,7 @@
 		call:     c,
 		lease:    lease,
 		response: response,
+		readAt:   c.responseStart,
 	}
 	buffered, tooLarge, err := bufferResponse(response, source, c.held)
 	defer c.releaseUnlessKept(buffered)
@@ -107,6 +108,7 @@
 		return resultDisconnected, slipwick.EvidenceNone, err
 	case err != nil && c.ctx.Err() != nil:
 		// The deadline of the request has ended the response.
+		source.recordHang()
 		return resultBroken, slipwick.EvidenceNone, err
 	case err != nil:
 		return resultBroken, slipwick.EvidenceError, err
@@ -157,6 +159,7 @@
 		c.gateway.Balancer.PauseForCaller(lease)
 		defer c.gateway.Balancer.ResumeForCaller(lease)
 	}
+	c.beginResponse()
 	return buffered.write(c.writer)
 }
 
@@ -274,6 +277,7 @@
 		return nil
 	}
 	c.progress.headWritten = true
+	c.beginResponse()
 	copyHeader(c.writer.Header(), response.Header)
 	c.writer.WriteHeader(response.Status)
 	return nil
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -178,6 +178,7 @@
 	case c.progress.headWritten:
 		c.finish(resultCut, reason, 0)
 	case c.failedResponse != nil:
+		c.beginResponse()
 		if err := c.failedResponse.write(c.writer); err != nil {
 			c.finish(resultDisconnected, reason, 0)
 			return
@@ -198,16 +199,19 @@
 }
 
 func (c *call) refuse(refusal *Refusal) {
+	c.beginResponse()
 	refusal.write(c.writer)
 	c.retryAfter = max(refusal.RetryAfter, 0)
 	c.notifyEnded("refused", refusal.Reason, refusal.Status)
 }
 
 // finish reports the end of the request to the observer. A response that was cut also has to close
-// its connection, so that the caller does not take it for complete.
+// its connection, so that the caller does not take it for complete. So has the end of a request whose
+// caller has disconnected: the server would write an empty 200, which a caller that has closed only its
+// sending side receives.
 func (c *call) finish(sendResult result, reason string, status int) {
 	c.notifyEnded(sendResult.String(), reason, status)
-	if sendResult == resultCut {
+	if sendResult == resultCut || sendResult == resultDisconnected {
 		panic(http.ErrAbortHandler)
 	}
 }
