quota: Test Jain's index of many workspaces against its aim

Each workspace has about 9 slots in the fleet and its demand at 330 routers, of which updates list 2 to 4 workspaces within 24 KB/s, so that routers serve most of them without knowing what these have in flight elsewhere.

--- a/quota/fair_test.go
+++ b/quota/fair_test.go
@@ -174,10 +174,7 @@
 // slots that stay idle because their use is summed up.
 func TestManyWorkspaces(t *testing.T) {
 	t.Parallel()
-	routers := fleetSizes[len(fleetSizes)-1]
-	f := newFleet(routers)
-	names := f.offerEvenly("w", int(testSlots*330/2880), 0, 3, allRouters(routers))
-	f.stats.from = 3 * time.Second
+	f, names := newManyWorkspaces()
 	f.run(8 * time.Second)
 	goodput := total(f.stats.inTime) / (testSlots * 5)
 	jain := jainOf(names, f.stats.held)
@@ -187,6 +184,26 @@
 	}
 }
 
+// TestJainOfManyWorkspaces has the same load. It guards against workspaces of equal weight and demand that get
+// unequal parts of the slots within any 2 s.
+func TestJainOfManyWorkspaces(t *testing.T) {
+	t.Parallel()
+	f, names := newManyWorkspaces()
+	f.run(8 * time.Second)
+	if got := f.leastJain(names); got < 0.98 {
+		t.Errorf("got a Jain's index of %.3f over 2 s, want at least 0.98", got)
+	}
+}
+
+// newManyWorkspaces returns the largest fleet with demand of 3 times the slots by 330 workspaces for 2,880 slots.
+func newManyWorkspaces() (f *fleet, names []string) {
+	routers := fleetSizes[len(fleetSizes)-1]
+	f = newFleet(routers)
+	names = f.offerEvenly("w", int(testSlots*330/2880), 0, 3, allRouters(routers))
+	f.stats.from = 3 * time.Second
+	return f, names
+}
+
 func jainOf(names []string, held map[string]float64) float64 {
 	sum, squares := 0.0, 0.0
 	for _, name := range names {
