permit: Give failing servers probes by the results of all routers

A coordinator relied on the ejections of its own router: a server that fails intermittently was ejected there for 4 s at a time for the whole fleet, and the servers that were left had to serve all requests.

Each release carries the result of its request, so that the coordinator has those of all routers. A server that fails more than a fifth of its requests, and twice as many as the others, is suspected: it gets single requests that may be repeated, 100 ms after a failed one at the earliest; each good response then allows one more request in flight, each failure half as many. Requests that must not be repeated follow after two good responses. The last server that isn't suspected stays so. Ejections of the coordinator's router count until there are results of permits. PermitRequest and the datagram say whether a request is repeatable; old routers don't, and theirs count as not repeatable.

A permit tells the router that it may use a server which it has ejected itself, unless its own connection to it failed, and that the request is a probe: it may be sent again while the pool is under pressure, as it would be lost at a server that hangs. An overdue response counts as a time-out for the permit.

--- a/balance/capacity.go
+++ b/balance/capacity.go
@@ -40,6 +40,8 @@
 	}
 	if len(capacity.Servers) == 0 {
 		capacity.Servers = unavailable
+		return capacity
 	}
+	capacity.Unavailable = unavailable
 	return capacity
 }
--- a/balance/capacity_test.go
+++ b/balance/capacity_test.go
@@ -16,8 +16,9 @@
 		b.Release(lease, slipwick.EvidenceUnreachable)
 	}
 	eject("p-0")
-	if got := b.PoolCapacity("p").Servers; len(got) != 1 || got[0].ID != "p-1" {
-		t.Errorf("one of two servers ejected: got %+v, want the other one", got)
+	if got := b.PoolCapacity("p"); len(got.Servers) != 1 || got.Servers[0].ID != "p-1" ||
+		len(got.Unavailable) != 1 || got.Unavailable[0].ID != "p-0" {
+		t.Errorf("one of two servers ejected: got %+v, want the other one, and the ejected one as unavailable", got)
 	}
 	eject("p-1")
 	if got := b.PoolCapacity("p").Servers; len(got) != 2 {
--- a/balance/ejection.go
+++ b/balance/ejection.go
@@ -92,6 +92,7 @@
 	case slipwick.EvidenceNone:
 	case slipwick.EvidenceUnreachable, slipwick.EvidenceTimeout, slipwick.EvidenceLeaving:
 		if s.eject(now, minEjection) {
+			s.ejectedForPath = evidence == slipwick.EvidenceUnreachable
 			b.OnEjected(s.Backend, s.ejectedUntil.Sub(now))
 		}
 	case slipwick.EvidenceRefused:
--- a/balance/named.go
+++ b/balance/named.go
@@ -11,7 +11,15 @@
 // namedLocked returns the server that the request names, as the only element, if it is one of the
 // usable ones. An engine above the load bound isn't returned as long as others are below.
 func (b *Balancer) namedLocked(request *Request, usable []*server, now time.Time, decay float64) []*server {
-	index := slices.IndexFunc(usable, func(s *server) bool { return s.ID == request.Backend })
+	isNamed := func(s *server) bool { return s.ID == request.Backend }
+	index := slices.IndexFunc(usable, isNamed)
+	if index < 0 && request.IgnoreEjection {
+		usable = b.scratch.unavailable
+		index = slices.IndexFunc(usable, isNamed)
+		if index >= 0 && usable[index].ejectedForPath && now.Before(usable[index].ejectedUntil) {
+			return nil
+		}
+	}
 	if index < 0 {
 		return nil
 	}
--- a/balance/named_test.go
+++ b/balance/named_test.go
@@ -68,6 +68,36 @@
 	})
 }
 
+// TestNamedServerIgnoresEjection guards against a permit of a coordinator with the results of all routers that
+// this router gives back because it has ejected the server itself; unless its own path to it is broken.
+func TestNamedServerIgnoresEjection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBalancerIn(4, "d", "e")
+		request := Request{
+			Pool:           "p",
+			Backend:        "e1",
+			IgnoreEjection: true,
+		}
+		for _, evidence := range []slipwick.Evidence{slipwick.EvidenceTimeout, slipwick.EvidenceRefused} {
+			b.Release(acquire(t, b, &request), evidence)
+			checkNotNamed(t, b, "ejected", *plainRequest, "e1")
+			lease := acquire(t, b, &request)
+			if lease.Backend.ID != "e1" {
+				t.Errorf("after %v: got %s, want the named server", evidence, lease.Backend.ID)
+			}
+			b.Release(lease, slipwick.EvidenceGood)
+			time.Sleep(maxEjection)
+		}
+		b.Release(acquire(t, b, &request), slipwick.EvidenceUnreachable)
+		checkNotNamed(t, b, "unreachable from here", request, "e1")
+		time.Sleep(maxEjection)
+		b.Release(acquire(t, b, &request), slipwick.EvidenceGood)
+		request.Backend = "e3"
+		announce(t, b, "e3", leavingNotice)
+		checkNotNamed(t, b, "leaving", request, "e3")
+	})
+}
+
 // TestNamedColdServerObeysItsLimit guards against a permit that sends requests to a cold server while
 // others can take them, or above its limit.
 func TestNamedColdServerObeysItsLimit(t *testing.T) {
--- a/balance/request.go
+++ b/balance/request.go
@@ -22,6 +22,10 @@
 	// other rules apply too: if it isn't one of the servers that the request could be sent to, the
 	// request gets none.
 	Backend string
+	// IgnoreEjection says that Backend may be ejected or unresponsive, unless a connection from this router
+	// couldn't be established: who named it knows the results of other routers, but not this router's
+	// network paths.
+	IgnoreEjection bool
 	// MaxIdleTime is the longest time for which a connection may have been idle to be used for the
 	// request; 0 sets no bound.
 	MaxIdleTime time.Duration
--- a/balance/server.go
+++ b/balance/server.go
@@ -97,6 +97,9 @@
 	consecutiveEjections int
 	ejectedUntil         time.Time
 	ejectedForErrors     bool
+	// ejectedForPath says that the current ejection is for a connection that could not be established: this
+	// router's network path to the server may be the cause.
+	ejectedForPath bool
 }
 
 func newServer(entry Entry, listedAt time.Time) *server {
@@ -174,7 +177,7 @@
 	if s.consecutiveEjections < 8 {
 		s.consecutiveEjections++
 	}
-	s.ejectedUntil, s.ejectedForErrors = now.Add(ejection), false
+	s.ejectedUntil, s.ejectedForErrors, s.ejectedForPath = now.Add(ejection), false, false
 	return true
 }
 
--- a/capacity.go
+++ b/capacity.go
@@ -9,6 +9,9 @@
 // PoolCapacity is the capacity of a pool as one router knows it.
 type PoolCapacity struct {
 	Servers []ServerCapacity
+	// Unavailable has the servers that this router has ejected or that don't respond to it, if others are
+	// left. Slots and InFlight leave them out.
+	Unavailable []ServerCapacity
 	// Complete says that the counts of all routers are known and recent. Otherwise InFlight is an
 	// estimate.
 	Complete bool
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -58,6 +58,8 @@
 	isTrial bool
 	// firstEvent is when the current send forwarded its first event; zero before that.
 	firstEvent time.Time
+	// overdue says that the balancer has counted the response to the current send as overdue.
+	overdue bool
 	// responseStart is when the response to the current send began.
 	responseStart time.Time
 	// retryAfter is what the caller was told if the request was refused.
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -23,6 +23,9 @@
 	// hedgePermitWait bounds the wait for the permit of a send that is made while another still
 	// waits, whose response is not read meanwhile.
 	hedgePermitWait = 5 * time.Millisecond
+	// probeRetryWait is the same for a send to a server that was known to fail: its response is less likely
+	// to come, and the answer of a coordinator in another data centre takes 7 ms.
+	probeRetryWait = 20 * time.Millisecond
 	// minCountedWait is the shortest wait for a permit that counts: a permit that is granted at once
 	// takes microseconds.
 	minCountedWait = time.Millisecond
@@ -77,7 +80,7 @@
 			permit: permit,
 			pool:   request.Pool,
 		}
-		selection.Backend = permit.Backend
+		selection.Backend, selection.IgnoreEjection = permit.Backend, permit.IgnoreEjection
 		lease, err := c.gateway.Balancer.Acquire(&selection)
 		if err == nil {
 			return lease, held, nil
@@ -107,9 +110,25 @@
 		request.Exclude = append(request.Exclude, selection.Exclude...)
 	}
 	request.Retry = isRetry || c.progress.lastID != ""
+	request.Repeatable = c.mayRepeatAfter(c.sends + 1)
 	return request
 }
 
+// mayRepeatAfter reports whether the request may be sent once more if that many sends were made and the last
+// one fails.
+func (c *call) mayRepeatAfter(sends int) bool {
+	return c.route.MayRepeat() && c.possibleRuns+1 < c.route.MaxAttempts && sends < c.maxSends()
+}
+
+// permitEvidence returns what the send says about the server to the source of its permit. The balancer has
+// counted a response that is overdue already.
+func (c *call) permitEvidence(sendResult result, evidence slipwick.Evidence) slipwick.Evidence {
+	if sendResult == resultBroken && evidence == slipwick.EvidenceNone && c.overdue {
+		return slipwick.EvidenceTimeout
+	}
+	return evidence
+}
+
 // describe sets what is the same for all sends of the request.
 func (c *call) describe(request *slipwick.PermitRequest) {
 	work, start := c.estimateWork()
--- a/gateway/permits_fixture_test.go
+++ b/gateway/permits_fixture_test.go
@@ -17,6 +17,8 @@
 	// refuses nothing.
 	name   func(*slipwick.PermitRequest) string
 	refuse func(*slipwick.PermitRequest) error
+	// probe makes all permits those of probes.
+	probe bool
 	// pressure is what UnderPressure returns.
 	pressure atomic.Bool
 
@@ -63,8 +65,9 @@
 	p.lastID++
 	p.held[p.lastID] = true
 	permit := slipwick.Permit{
-		Pool: request.Pool,
-		ID:   p.lastID,
+		Pool:  request.Pool,
+		ID:    p.lastID,
+		Probe: p.probe,
 	}
 	if p.name != nil {
 		permit.Backend = p.name(request)
--- a/gateway/permits_test.go
+++ b/gateway/permits_test.go
@@ -371,6 +371,58 @@
 	}
 }
 
+// TestProbeIsSentAgainUnderPressure guards against a request that is lost because its server, which is known to
+// fail, is probed with it: the server hangs.
+func TestProbeIsSentAgainUnderPressure(t *testing.T) {
+	source := newPermits(2)
+	source.pressure.Store(true)
+	source.probe = true
+	f := newPermitFixture(t, source,
+		newBackend(t, "b1", respondAfter(defaultFirstByteTimeout+400*time.Millisecond, "first")),
+		newBackend(t, "b2", respondWith(http.StatusOK, "second")))
+	if got := f.post(t, "/repeatable/x"); got.body != "second" {
+		t.Errorf("got %d %q, want the response of the second server", got.status, got.body)
+	}
+	source.checkNoLeak(t, f, 2)
+	if got := source.evidence(); !slices.Contains(got, slipwick.EvidenceTimeout) {
+		t.Errorf("got the evidence %v, want that of a timeout for the server that hangs", got)
+	}
+}
+
+// TestOverdueResponseIsEvidenceForThePermit guards against a coordinator that doesn't learn of a server that
+// hangs from requests that are sent once and wait until their deadline.
+func TestOverdueResponseIsEvidenceForThePermit(t *testing.T) {
+	source := newPermits(1)
+	f := newPermitFixture(t, source, newBackend(t, "b1", respondAfter(2*time.Second, "late")))
+	r := f.request(t, "/single/x", "question")
+	r.Header.Set("Slipwick-Deadline-Ms", "700")
+	if response, err := http.DefaultClient.Do(r); err == nil {
+		_ = response.Body.Close()
+	}
+	source.checkNoLeak(t, f, 1)
+	if got, want := source.evidence(), []slipwick.Evidence{slipwick.EvidenceTimeout}; !slices.Equal(got, want) {
+		t.Errorf("got the evidence %v, want %v", got, want)
+	}
+}
+
+// TestOnlyRepeatableSendsAreOffered guards against a coordinator that probes a failing server with a request
+// that the router doesn't send again: it must not be repeated, or has been.
+func TestOnlyRepeatableSendsAreOffered(t *testing.T) {
+	source := newPermits(1)
+	fail := respondWith(http.StatusInternalServerError, "failed")
+	f := newPermitFixture(t, source, newBackend(t, "b1", fail), newBackend(t, "b2", fail))
+	f.post(t, "/single/x")
+	f.post(t, "/repeatable/x")
+	var got []bool
+	for _, r := range source.calls() {
+		got = append(got, r.Repeatable)
+	}
+	if want := []bool{false, true, false}; !slices.Equal(got, want) {
+		t.Errorf("got repeatable %v, want %v: sent once, first send, second send", got, want)
+	}
+	source.checkNoLeak(t, f, 3)
+}
+
 // TestHedgeDoesNotWaitForAPermit guards against a send whose response isn't read while a permit for
 // another send is awaited.
 func TestHedgeDoesNotWaitForAPermit(t *testing.T) {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -245,7 +245,7 @@
 	c.selection.Exclude = append(c.selection.Exclude, lease.Backend.ID)
 	request := c.upstreamRequest(lease)
 	c.gateway.Balancer.RecordSend(lease)
-	c.responseStart = time.Time{}
+	c.responseStart, c.overdue = time.Time{}, false
 	sentAt := clock.Now()
 	var response *upstream.Response
 	var err error
@@ -282,7 +282,7 @@
 	c.gateway.Balancer.Release(lease, evidence)
 	released = true
 	c.noteRejection(sendResult, evidence)
-	c.permit.release(evidence)
+	c.permit.release(c.permitEvidence(sendResult, evidence))
 	watch.recordOutcome(sendResult, attempt.Err)
 	if !upstream.IsResponseTimeout(attempt.Err) {
 		c.abandonNextLease()
--- a/gateway/timeouts.go
+++ b/gateway/timeouts.go
@@ -53,7 +53,7 @@
 	h := &timeoutHandler{
 		call:     c,
 		lease:    lease,
-		mayRetry: c.route.MayRepeat() && c.possibleRuns+1 < c.route.MaxAttempts && c.sends < c.maxSends(),
+		mayRetry: c.mayRepeatAfter(c.sends),
 	}
 	timeouts := upstream.Timeouts{
 		FirstByte: c.gateway.Balancer.FirstByteTimeout(lease),
@@ -85,6 +85,7 @@
 	c := h.call
 	if !h.reported {
 		h.reported = c.gateway.Balancer.RecordOverdue(h.lease)
+		c.overdue = h.reported
 	}
 	if !h.mayRetry || clock.Until(c.deadline) < c.minRetryTime() {
 		if !h.reported {
@@ -121,16 +122,20 @@
 }
 
 // acquireHedge acquires a lease while a send is still waiting. With a permit source it does so only
-// while the pool is not under pressure, and without a wait of more than hedgePermitWait.
+// while the pool is not under pressure or the current send is a probe, and without a long wait.
 func (c *call) acquireHedge(selection balance.Request) (*balance.Lease, heldPermit, error) {
 	if !c.gateway.usesPermits() {
 		lease, err := c.gateway.Balancer.Acquire(&selection)
 		return lease, heldPermit{}, err
 	}
-	if c.isUnderPressure() {
+	wait := hedgePermitWait
+	switch {
+	case c.permit.permit.Probe:
+		wait = probeRetryWait
+	case c.isUnderPressure():
 		return nil, heldPermit{}, errUnderPressure
 	}
-	ctx, cancel := context.WithTimeout(c.ctx, hedgePermitWait)
+	ctx, cancel := context.WithTimeout(c.ctx, wait)
 	defer cancel()
 	return c.acquireWithPermit(ctx, selection, true)
 }
--- a/permit.go
+++ b/permit.go
@@ -47,6 +47,8 @@
 	Retry bool
 	// Exclude lists the IDs of backend servers that must not get the request again.
 	Exclude []string
+	// Repeatable says that the request is sent again if a backend server fails it.
+	Repeatable bool
 }
 
 // Permit is the right to have one request in flight at a pool. The zero value says that the pool
@@ -57,4 +59,10 @@
 	Backend string
 	// ID identifies the permit at its source; 0 if there is nothing to release.
 	ID uint64
+	// Probe says that the backend server has failed requests and this one finds out whether it serves: it
+	// may be sent again to another one as soon as the response is overdue.
+	Probe bool
+	// IgnoreEjection says that the source has recent results of the backend server from all routers, which
+	// count more than this router's ejection.
+	IgnoreEjection bool
 }
--- a/permit/acquisition.go
+++ b/permit/acquisition.go
@@ -93,6 +93,7 @@
 		Returning:   r.Returning,
 		Retry:       r.Retry,
 		Exclude:     r.Exclude,
+		Repeatable:  r.Repeatable,
 	}
 }
 
@@ -153,9 +154,11 @@
 			c.Decisions.Granted.Add(1)
 		}
 		return slipwick.Permit{
-			Pool:    a.request.Pool,
-			Backend: answer.Backend,
-			ID:      a.id,
+			Pool:           a.request.Pool,
+			Backend:        answer.Backend,
+			ID:             a.id,
+			Probe:          answer.Probe,
+			IgnoreEjection: answer.IgnoreEjection,
 		}, nil
 	case permitpb.Verdict_VERDICT_NO_SERVER:
 		c.Decisions.Unserved.Add(1)
--- a/permit/ask.go
+++ b/permit/ask.go
@@ -34,10 +34,7 @@
 	if l := a.leases[ask.Id]; l != nil {
 		l.pool.answer(&waiter{
 			asker: a,
-		}, &permitpb.Answer{
-			Id:      l.id,
-			Backend: l.server.ID,
-		})
+		}, l.answer())
 		return
 	}
 	p := c.poolLocked(ask.Pool, now)
@@ -95,6 +92,7 @@
 		Returning:   ask.Returning,
 		Retry:       ask.Retry,
 		Exclude:     ask.Exclude,
+		Repeatable:  ask.Repeatable,
 	}
 	if r.Work <= 0 {
 		r.Work = usualWork
@@ -119,7 +117,7 @@
 		return
 	}
 	share := p.share(now)
-	free := p.hasRoom(request) && p.choose(request.Exclude, w.asker.dataCentre, share, now) != nil
+	free := p.hasRoom(request) && p.choose(request, w.asker.dataCentre, share, now) != nil
 	switch {
 	case !free && !p.fits(request, share, now) && !p.makeLate(request, share, now):
 		p.refuse(w, request, permitpb.Reason_REASON_TOO_LATE, now)
@@ -170,10 +168,11 @@
 	})
 }
 
-// excludesAll reports whether no usable server may get the request.
+// excludesAll reports whether no usable server may get the request. A suspected server counts only for requests
+// that may be repeated: it may be suspected until after the deadline of others.
 func (p *pool) excludesAll(request *slipwick.PermitRequest) bool {
 	for _, s := range p.order {
-		if !slices.Contains(request.Exclude, s.ID) {
+		if !slices.Contains(request.Exclude, s.ID) && (request.Repeatable || !p.isSuspected(s)) {
 			return false
 		}
 	}
--- a/permit/fleet_test.go
+++ b/permit/fleet_test.go
@@ -25,19 +25,29 @@
 	endpoint *Endpoint
 	stop     context.CancelFunc
 	random   *rand.Rand
+	// capacity replaces the counts of the fleet.
+	capacity slipwick.CapacitySource
 }
 
-// PoolCapacity returns the servers with counts that are 200 to 400 ms old.
-func (r *testRouter) PoolCapacity(string) slipwick.PoolCapacity {
+// PoolCapacity returns the servers with counts that are 200 to 400 ms old, or what the router's balancer
+// knows.
+func (r *testRouter) PoolCapacity(pool string) slipwick.PoolCapacity {
+	if r.capacity != nil {
+		return r.capacity.PoolCapacity(pool)
+	}
 	r.fleet.mu.Lock()
 	defer r.fleet.mu.Unlock()
 	capacity := slipwick.PoolCapacity{
 		Complete: true,
 	}
 	for i, s := range r.fleet.servers {
-		if !r.fleet.gone[s.ID] {
-			c := s.ServerCapacity
-			c.InFlight = float64(r.fleet.counts[i])
+		c := s.ServerCapacity
+		c.InFlight = float64(r.fleet.counts[i])
+		switch {
+		case r.fleet.gone[s.ID]:
+		case r.fleet.ejected[s.ID]:
+			capacity.Unavailable = append(capacity.Unavailable, c)
+		default:
 			capacity.Servers = append(capacity.Servers, c)
 		}
 	}
@@ -55,6 +65,8 @@
 	live  []slipwick.Router
 	views map[string][]slipwick.Router
 	gone  map[string]bool
+	// ejected has the servers that all routers have ejected.
+	ejected map[string]bool
 	// counts are the requests in flight at the servers, 200 ms ago.
 	counts []int
 }
@@ -70,9 +82,10 @@
 			stopped: make(map[string][]func()),
 			bytes:   make(map[string]int),
 		},
-		views:  make(map[string][]slipwick.Router),
-		gone:   make(map[string]bool),
-		counts: make([]int, servers),
+		views:   make(map[string][]slipwick.Router),
+		gone:    make(map[string]bool),
+		ejected: make(map[string]bool),
+		counts:  make([]int, servers),
 	}
 	for i := range servers {
 		f.servers = append(f.servers, &testServer{
--- a/permit/load_test.go
+++ b/permit/load_test.go
@@ -27,6 +27,8 @@
 	duration time.Duration
 	// slowness returns how long requests take at a server, as a multiple of their work, at a time.
 	slowness func(server int, at time.Duration) float64
+	// burst returns a multiple of the demand at a time; nil stands for 1.
+	burst func(at time.Duration) float64
 	// capacity is the work per second that the slots can do; 0 stands for the number of slots.
 	capacity float64
 	// weights are the parts of the demand of the workspaces; nil stands for one workspace. The first
@@ -116,7 +118,11 @@
 				f.press()
 				pressedAt = time.Now()
 			}
-			time.Sleep(time.Duration(random.ExpFloat64() * float64(time.Second) / perSecond))
+			factor := 1.0
+			if l.burst != nil {
+				factor = l.burst(time.Since(begin))
+			}
+			time.Sleep(time.Duration(random.ExpFloat64() * float64(time.Second) / (perSecond * factor)))
 			w, r := 0, f.routers[random.IntN(len(f.routers))]
 			if l.weights != nil {
 				if w = l.draw(random.Float64()); w == 0 {
--- a/permit/policies_test.go
+++ b/permit/policies_test.go
@@ -97,6 +97,8 @@
 		for _, other := range f.routers {
 			if other != r {
 				p.balancers[other].ReceiveCounts(r.ID, sequence, update.InFlight)
+				p.balancers[other].ReceiveOutcomes(update.Outcomes)
+				p.balancers[other].ReceiveSpeedCounts(update.Speeds)
 			}
 		}
 	}
--- a/permit/pool.go
+++ b/permit/pool.go
@@ -58,6 +58,8 @@
 	workspaces                 map[string]*workspace
 	backlog                    backlog
 	overtaking                 overtaking
+	// trusted says that a usable server is not suspected. Otherwise suspicions have no effect.
+	trusted bool
 	// crowded says that so many requests wait that servers get more than they have slots for.
 	crowded bool
 }
@@ -87,14 +89,12 @@
 	capacity := p.coordinator.Capacity.PoolCapacity(p.name)
 	p.order = p.order[:0]
 	for _, sc := range capacity.Servers {
-		s := p.servers[sc.ID]
-		if s == nil {
-			s = &server{}
-			p.servers[sc.ID] = s
-		}
-		s.ServerCapacity, s.usable = sc, true
-		p.order = append(p.order, s)
+		p.add(sc, false, now)
+	}
+	for _, sc := range capacity.Unavailable {
+		p.add(sc, true, now)
 	}
+	p.updateTrusted()
 	for id, s := range p.servers {
 		if !s.usable && len(s.leases) == 0 {
 			delete(p.servers, id)
@@ -102,6 +102,27 @@
 	}
 }
 
+// add adds a server to the usable ones.
+func (p *pool) add(capacity slipwick.ServerCapacity, ejected bool, now time.Time) {
+	s := p.servers[capacity.ID]
+	if s == nil {
+		s = &server{}
+		p.servers[capacity.ID] = s
+	}
+	s.ServerCapacity, s.usable, s.ejected = capacity, true, ejected
+	s.health.refresh(ejected, now)
+	p.order = append(p.order, s)
+}
+
+func (p *pool) updateTrusted() {
+	p.trusted = slices.ContainsFunc(p.order, func(s *server) bool { return !s.health.suspected })
+}
+
+// isSuspected reports whether the server gets requests only as its health allows.
+func (p *pool) isSuspected(s *server) bool {
+	return p.trusted && s.health.suspected
+}
+
 // share returns the part of the slots that this router may grant. It is lower while others may have
 // granted permits that this router doesn't know, and if this router may be cut off from the others.
 func (p *pool) share(now time.Time) float64 {
@@ -115,18 +136,36 @@
 // limit returns how many leases the server may have.
 func (p *pool) limit(s *server, share float64, now time.Time) int {
 	turnaround := p.turnaround.or(0) + serverRoundTrip.Seconds()
-	return s.limit(turnaround, p.held.or(initialHeld.Seconds()), share, now)
+	limit := s.limit(turnaround, p.held.or(initialHeld.Seconds()), share, now)
+	if p.isSuspected(s) {
+		limit = min(limit, s.health.allowed)
+	}
+	return limit
 }
 
-// hasSlot reports whether the server may get a request: it has a slot for it when the request arrives, and
-// not more leases than its limit.
-func (p *pool) hasSlot(s *server, share float64, now time.Time) bool {
-	if len(s.leases) >= p.limit(s, share, now) || p.isUsedUp(now) {
+// hasSlot reports whether the server may get the request: it has a slot for it when the request arrives, not
+// more leases than its limit, and its health allows it.
+func (p *pool) hasSlot(s *server, request *slipwick.PermitRequest, share float64, now time.Time) bool {
+	if p.isUsedUp(now) {
+		return false
+	}
+	if p.isSuspected(s) && !s.health.allows(request, len(s.leases), now) {
+		return false
+	}
+	if p.isProbe(s) {
+		return true
+	}
+	if len(s.leases) >= p.limit(s, share, now) {
 		return false
 	}
 	return p.crowded || s.busy(now) < max(int(math.Ceil(float64(s.Slots)*share)), 1)
 }
 
+// isProbe reports whether the next request to the server is a probe.
+func (p *pool) isProbe(s *server) bool {
+	return p.isSuspected(s) && s.health.allowed == 0
+}
+
 // isUsedUp reports whether a router that may be cut off from the others has granted its part of all slots.
 func (p *pool) isUsedUp(now time.Time) bool {
 	part := p.coordinator.fleet().part(now)
@@ -143,12 +182,12 @@
 
 // choose returns the server for a request, or nil if none has room. Servers of the asking router's
 // data centre come first among equals.
-func (p *pool) choose(exclude []string, dataCentre string, share float64, now time.Time) *server {
+func (p *pool) choose(request *slipwick.PermitRequest, dataCentre string, share float64, now time.Time) *server {
 	roundTrip := serverRoundTrip.Seconds() / max(p.held.or(initialHeld.Seconds()), minHeld.Seconds())
 	var best *server
 	least := math.Inf(1)
 	for _, s := range p.order {
-		if !p.hasSlot(s, share, now) || slices.Contains(exclude, s.ID) {
+		if !p.hasSlot(s, request, share, now) || slices.Contains(request.Exclude, s.ID) {
 			continue
 		}
 		if cost := s.cost(dataCentre, roundTrip, now); cost < least {
@@ -173,13 +212,14 @@
 	}
 	l.auditAt = now.Add(p.overdueTime(l))
 	p.recordWait(w, now)
+	if p.isProbe(s) {
+		l.probe, s.health.probe = true, l
+	}
+	l.ignoreEjection = l.probe || s.health.isKnown(now)
 	s.leases = append(s.leases, l)
 	p.workspace(request).leases++
 	w.asker.leases[w.id] = l
-	p.answer(w, &permitpb.Answer{
-		Id:      w.id,
-		Backend: s.ID,
-	})
+	p.answer(w, l.answer())
 }
 
 // recordWait notes for how long a request waited until now. Only the time to its objective counts of a
@@ -207,6 +247,9 @@
 // end removes a lease.
 func (p *pool) end(l *lease) {
 	delete(l.asker.leases, l.id)
+	if l.server.health.probe == l {
+		l.server.health.probe = nil
+	}
 	l.server.leases = slices.DeleteFunc(l.server.leases, func(other *lease) bool { return other == l })
 	if w := p.workspaces[l.workspace]; w != nil {
 		w.leases--
@@ -221,6 +264,11 @@
 	if evidence == slipwick.EvidenceShed {
 		l.server.recordShed(now)
 	}
+	if evidence == slipwick.EvidenceGood || evidence.IsFailure() {
+		s := l.server
+		s.health.record(evidence.IsFailure(), p.failureLimit(s), s.Slots, len(s.leases), now)
+		p.updateTrusted()
+	}
 	if evidence != slipwick.EvidenceGood || held <= 0 {
 		return
 	}
@@ -233,6 +281,17 @@
 	p.slowness.add(slowness)
 }
 
+// failureLimit returns the part of failed requests from which on the server is suspected.
+func (p *pool) failureLimit(s *server) float64 {
+	sum := 0.0
+	for _, other := range p.order {
+		if other != s {
+			sum += other.health.failures
+		}
+	}
+	return max(suspectedAbove, suspectedFactor*sum/float64(max(len(p.order)-1, 1)))
+}
+
 // rate returns how many seconds of expected work the servers finish per second.
 func (p *pool) rate(share float64, now time.Time) float64 {
 	rate := 0.0
--- a/permit/server.go
+++ b/permit/server.go
@@ -22,8 +22,10 @@
 // server is a backend server as the coordinator of its pool sees it.
 type server struct {
 	slipwick.ServerCapacity
-	// usable says that the server may get new requests.
-	usable bool
+	// usable says that the server may get new requests, ejected that the coordinator's router has ejected
+	// it or gets no response from it.
+	usable, ejected bool
+	health          health
 	// leases are the granted permits for the server.
 	leases []*lease
 	// slowness is how long requests take there as a multiple of their expected work.
--- a/permit/status.go
+++ b/permit/status.go
@@ -59,7 +59,7 @@
 	status.Waiting = p.queue.Len()
 	for _, s := range p.servers {
 		status.Leases += len(s.leases)
-		if s.usable {
+		if s.usable && !s.ejected {
 			status.Slots += s.Slots
 		}
 	}
--- a/permit/waiting.go
+++ b/permit/waiting.go
@@ -3,10 +3,16 @@
 import (
 	"time"
 
+	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/fairqueue"
 	"github.com/slipwick/slipwick/permit/permitpb"
 )
 
+// anyRequest is one that each server with room may get.
+var anyRequest = slipwick.PermitRequest{
+	Repeatable: true,
+}
+
 // pump grants permits to waiting requests while servers have room.
 func (p *pool) pump(now time.Time) {
 	if p.queue.Len() == 0 {
@@ -16,11 +22,11 @@
 	share := p.share(now)
 	eligible := func(item *fairqueue.Item) bool {
 		a := item.Value.(*waiter).asker
-		return p.hasRoom(item.Request) && p.choose(item.Request.Exclude, a.dataCentre, share, now) != nil
+		return p.hasRoom(item.Request) && p.choose(item.Request, a.dataCentre, share, now) != nil
 	}
 	for {
 		p.crowded = p.queue.Len() > crowdedQueue
-		if p.queue.Len() == 0 || p.choose(nil, "", share, now) == nil {
+		if p.queue.Len() == 0 || p.choose(&anyRequest, "", share, now) == nil {
 			return
 		}
 		item := p.queue.Pop(now, eligible)
@@ -29,7 +35,7 @@
 		}
 		w := item.Value.(*waiter)
 		delete(w.asker.waiting, w.id)
-		p.grant(w, item.Request, p.choose(item.Request.Exclude, w.asker.dataCentre, share, now), now)
+		p.grant(w, item.Request, p.choose(item.Request, w.asker.dataCentre, share, now), now)
 	}
 }
 
