--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/slipwick/slipwick/clock"
 	"github.com/slipwick/slipwick/quarantine"
 )
 
@@ -174,3 +176,34 @@
 		t.Errorf("got the failure counted for the backend server: %+v", state)
 	}
 }
+
+// TestTrialGoesOnAfterAnUnreachedServer guards against a trial of a quarantined request that is used up by a
+// server that it didn't reach: the request has to be sent to the next one, which completes it.
+func TestTrialGoesOnAfterAnUnreachedServer(t *testing.T) {
+	var suspended atomic.Int64
+	defer clock.SetSuspensionOffset(func() time.Duration { return time.Duration(suspended.Load()) })()
+	var crashed atomic.Int64
+	backends := newBackends(t, 4, func(b *backend, w http.ResponseWriter, r *http.Request) {
+		if crashed.Add(1) <= 3 {
+			crash(b, w, r)
+			return
+		}
+		respondWith(http.StatusOK, "answer")(b, w, r)
+	})
+	f := newFixture(t, backends...)
+	tracker := f.enableQuarantine()
+	for range 3 {
+		f.post(t, "/repeatable/x")
+	}
+	if got := tracker.QuarantinedCount(); got != 1 {
+		t.Fatalf("got %d quarantined requests, want 1", got)
+	}
+	// The first backend server, which has crashed, is the nearest and no longer ejected by then.
+	suspended.Store(int64(time.Hour))
+	if got := f.post(t, "/repeatable/x"); got.status != http.StatusOK || got.body != "answer" {
+		t.Errorf("got %d %q, want the response of the server that has not crashed", got.status, got.body)
+	}
+	if got := totalRuns(backends); got != 4 {
+		t.Errorf("got %d runs, want 4: the three crashes and the trial", got)
+	}
+}
