permit: Ping a silent coordinator at random intervals

All routers notice at the same time that a coordinator is down, and pinged it at the same moments from then on: 330 pings within a millisecond, up to twenty times a second. Each interval is now longer or shorter by up to half at random.

--- a/permit/coordinatorstate.go
+++ b/permit/coordinatorstate.go
@@ -1,6 +1,9 @@
 package permit
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 const (
 	// initialRoundTrip is taken for the time until a coordinator answers, until one was measured.
@@ -8,9 +11,11 @@
 	// minResendTime is the least time after which a request is repeated.
 	minResendTime = 4 * time.Millisecond
 	// minPingInterval and maxPingInterval are how often a coordinator that didn't answer is asked
-	// whether it is back: the interval doubles.
+	// whether it is back: the interval doubles. pingSpread is the part of an interval by which it is longer
+	// or shorter at random, since all routers notice at the same time that a coordinator is down.
 	minPingInterval = 50 * time.Millisecond
 	maxPingInterval = time.Second
+	pingSpread      = 0.5
 )
 
 // coordinatorState is what a client knows of a coordinator.
@@ -54,7 +59,7 @@
 func (s *coordinatorState) recordSilence(bound time.Duration, now time.Time) {
 	if !s.down && now.Sub(s.heardAt) >= bound {
 		s.down, s.pingInterval = true, minPingInterval
-		s.pingAt = now.Add(minPingInterval)
+		s.pingAt = now.Add(spreadPing(minPingInterval))
 	}
 }
 
@@ -63,7 +68,12 @@
 	if now.Before(s.pingAt) {
 		return false
 	}
-	s.pingAt = now.Add(s.pingInterval)
+	s.pingAt = now.Add(spreadPing(s.pingInterval))
 	s.pingInterval = min(2*s.pingInterval, maxPingInterval)
 	return true
 }
+
+// spreadPing returns a random time around an interval.
+func spreadPing(interval time.Duration) time.Duration {
+	return time.Duration(float64(interval) * (1 + pingSpread*(2*rand.Float64()-1)))
+}
