gatewayd: Refuse a peers port without two ports after it

The port after 65535 was 0: a router with the peers port 65535, or 65534 with permits, listened for datagrams at a port chosen at random, to which no other router sends. The start now fails with an error that names the remedy.

TestPeersPortLeavesRoomForTheNextTwo: got 127.0.0.1:0 for permits and a socket at a random port before.

--- a/cmd/internal/gatewayd/listeners.go
+++ b/cmd/internal/gatewayd/listeners.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/netip"
+	"strconv"
 
 	"github.com/pkg/errors"
 
@@ -82,7 +83,7 @@
 func listenPackets(text string) (*net.UDPConn, error) {
 	address, err := net.ResolveUDPAddr("udp4", text)
 	if err != nil {
-		return nil, errors.Wrap(err, "the peers address is not an IPv4 host:port")
+		return nil, errors.Wrap(err, "the peers address is not an IPv4 host:port, or the next two ports don't exist; choose a smaller port")
 	}
 	connection, err := net.ListenUDP("udp4", address)
 	return connection, errors.Wrap(err, "listen for peers; the address and the next two ports must be free on this box")
@@ -100,10 +101,12 @@
 	return nextPort(nextPort(router.Address))
 }
 
+// nextPort returns the address with the next port. That of the largest port is invalid, so that nobody listens
+// at a port chosen at random, which port 0 would stand for.
 func nextPort(address string) string {
 	at, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return ""
 	}
-	return netip.AddrPortFrom(at.Addr(), at.Port()+1).String()
+	return net.JoinHostPort(at.Addr().String(), strconv.Itoa(int(at.Port())+1))
 }
--- a/cmd/internal/gatewayd/listeners_test.go
+++ b/cmd/internal/gatewayd/listeners_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"net"
+	"strings"
 	"testing"
+
+	"github.com/slipwick/slipwick"
 )
 
 // TestFailedStartClosesOpenedAddresses opens addresses one of which is in use. The sockets
@@ -27,3 +30,25 @@
 	}
 	_ = again.Close()
 }
+
+// TestPeersPortLeavesRoomForTheNextTwo guards against a router that listens for updates or permits at a port
+// chosen at random, to which no other router sends, because its peers port is one of the two largest.
+func TestPeersPortLeavesRoomForTheNextTwo(t *testing.T) {
+	router := slipwick.Router{
+		Address: "127.0.0.1:65534",
+	}
+	if got, want := exchangeAddress(router), "127.0.0.1:65535"; got != want {
+		t.Errorf("got %q for updates, want %q", got, want)
+	}
+	for _, address := range []string{permitAddress(router), nextPort("127.0.0.1:65535")} {
+		connection, err := listenPackets(address)
+		if err == nil {
+			t.Errorf("got a socket at %v, want an error", connection.LocalAddr())
+			_ = connection.Close()
+			continue
+		}
+		if want := "choose a smaller port"; !strings.Contains(err.Error(), want) {
+			t.Errorf("got %v, want an error with %q", err, want)
+		}
+	}
+}
