gatewayd: Log a start without the rollout orders

It logs event 413, rollouts-unknown, now.

TestStartWithoutRolloutOrdersIsLogged: no line before, one after; none if the orders are known.

--- a/cmd/internal/events/catalogue.go
+++ b/cmd/internal/events/catalogue.go
@@ -191,6 +191,13 @@
 		Meaning: "The state of a rollout could not be written to the store; the routers apply the verdict nevertheless.",
 		Remedy:  "Check the platform's health; the write is retried.",
 	}
+	RolloutsUnknown = Event{
+		Number:  413,
+		Name:    "rollouts-unknown",
+		Level:   zerolog.WarnLevel,
+		Meaning: "A starting router did not get the rollout orders in time, and sends to new versions as to any other.",
+		Remedy:  "Check the platform's health; the orders are applied as soon as they arrive.",
+	}
 	BackendsChanged = Event{
 		Number: 405,
 		Name:   "backends-changed",
@@ -294,6 +301,7 @@
 		RolloutChanged,
 		RolloutNotWritten,
 		PaceInvalid,
+		RolloutsUnknown,
 		RouterDied,
 	}
 }
--- a/cmd/internal/gatewayd/rollouts.go
+++ b/cmd/internal/gatewayd/rollouts.go
@@ -111,6 +111,7 @@
 	case <-p.rolloutsKnown:
 	case <-ctx.Done():
 	case <-timer.C:
+		events.RolloutsUnknown.On(&p.Log).Dur("waited_ms", maxRolloutsWait).Send()
 	}
 }
 
--- a/cmd/internal/gatewayd/rollouts_test.go
+++ b/cmd/internal/gatewayd/rollouts_test.go
@@ -1,8 +1,10 @@
 package gatewayd
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -205,3 +207,28 @@
 		})
 	}
 }
+
+// TestStartWithoutRolloutOrdersIsLogged guards against a router that starts without the rollout orders, and
+// sends to a rolled back version, without a word to its operators. One that gets them in time logs nothing.
+func TestStartWithoutRolloutOrdersIsLogged(t *testing.T) {
+	for _, known := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			var lines bytes.Buffer
+			p := New(&Settings{
+				Bounds: Bounds{
+					Exposure: 0.1,
+				},
+			}, Feeds{
+				Rollouts: unavailableFeed{},
+			})
+			p.Log = zerolog.New(&lines)
+			if known {
+				close(p.rolloutsKnown)
+			}
+			p.awaitRollouts(t.Context())
+			if got := strings.Contains(lines.String(), `"rollouts-unknown"`); got == known {
+				t.Errorf("orders known %v: got log lines %q", known, lines.String())
+			}
+		})
+	}
+}
