permit: Forget coordinators that are no longer used

A client kept the state of each address that was ever a coordinator's, also of routers that were replaced long ago. A new state now replaces those that weren't used for a minute, and the status of a pool creates none.

TestUnusedCoordinatorsAreForgotten: 1,001 states after 1,000 replaced coordinators, one each 10 s, before; at most 8 after.

--- a/permit/acquisition.go
+++ b/permit/acquisition.go
@@ -35,7 +35,7 @@
 	c := a.client
 	_, address := c.fleet().coordinator(a.request.Pool, now)
 	c.mu.Lock()
-	state := c.coordinatorLocked(address)
+	state := c.coordinatorLocked(address, now)
 	if state.down {
 		ping := state.takePing(now)
 		c.mu.Unlock()
@@ -130,7 +130,7 @@
 	now := clock.Now()
 	if !now.Before(a.answerBy) {
 		a.client.mu.Lock()
-		a.client.coordinatorLocked(a.coordinator).recordSilence(a.bound, now)
+		a.client.coordinatorLocked(a.coordinator, now).recordSilence(a.bound, now)
 		a.client.mu.Unlock()
 		return false
 	}
--- a/permit/client.go
+++ b/permit/client.go
@@ -174,7 +174,7 @@
 	now := clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.coordinatorLocked(address).recordHeard(now)
+	c.coordinatorLocked(address, now).recordHeard(now)
 	for _, answer := range packet.Answers {
 		c.answerLocked(address, answer, now)
 	}
@@ -202,7 +202,7 @@
 		return
 	}
 	if !w.sentAt.IsZero() {
-		c.coordinatorLocked(address).recordRoundTrip(now.Sub(w.sentAt))
+		c.coordinatorLocked(address, now).recordRoundTrip(now.Sub(w.sentAt))
 		w.sentAt = time.Time{}
 	}
 	if granted {
--- a/permit/coordinatorstate.go
+++ b/permit/coordinatorstate.go
@@ -1,6 +1,7 @@
 package permit
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 )
@@ -16,24 +17,33 @@
 	minPingInterval = 50 * time.Millisecond
 	maxPingInterval = time.Second
 	pingSpread      = 0.5
+	// coordinatorRetention is for how long the state of a coordinator that isn't used is kept.
+	coordinatorRetention = time.Minute
 )
 
 // coordinatorState is what a client knows of a coordinator.
 type coordinatorState struct {
 	roundTrip average
-	heardAt   time.Time
+	// usedAt is when the state was used last.
+	usedAt  time.Time
+	heardAt time.Time
 	// down says that the coordinator didn't answer: requests don't wait for it until it does.
 	down         bool
 	pingAt       time.Time
 	pingInterval time.Duration
 }
 
-func (c *Client) coordinatorLocked(address string) *coordinatorState {
+// coordinatorLocked returns the state of a coordinator. A new one replaces those that are no longer used.
+func (c *Client) coordinatorLocked(address string, now time.Time) *coordinatorState {
 	s := c.coordinators[address]
 	if s == nil {
+		maps.DeleteFunc(c.coordinators, func(_ string, old *coordinatorState) bool {
+			return now.Sub(old.usedAt) > coordinatorRetention
+		})
 		s = &coordinatorState{}
 		c.coordinators[address] = s
 	}
+	s.usedAt = now
 	return s
 }
 
--- a/permit/coordinatorstate_test.go
+++ b/permit/coordinatorstate_test.go
@@ -1,6 +1,7 @@
 package permit
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -53,3 +54,22 @@
 		}
 	}
 }
+
+// TestUnusedCoordinatorsAreForgotten guards against a client that keeps the state of each address that was ever a
+// coordinator's, in a fleet whose routers are replaced for years. One that is used stays known.
+func TestUnusedCoordinatorsAreForgotten(t *testing.T) {
+	const replaced, interval = 1_000, 10 * time.Second
+	now := time.Unix(1_700_000_000, 0)
+	c := NewClient()
+	c.coordinatorLocked("10.0.0.1:9", now).recordRoundTrip(time.Second)
+	for i := range replaced {
+		now = now.Add(interval)
+		c.coordinatorLocked(fmt.Sprintf("10.1.0.1:%d", i), now)
+		if got := c.coordinatorLocked("10.0.0.1:9", now).usualRoundTrip(); got != time.Second {
+			t.Fatalf("got a round trip of %v to a coordinator in use, want it as measured", got)
+		}
+	}
+	if got, most := len(c.coordinators), int(coordinatorRetention/interval)+2; got > most {
+		t.Errorf("got the states of %d coordinators, want at most %d", got, most)
+	}
+}
--- a/permit/status.go
+++ b/permit/status.go
@@ -38,7 +38,9 @@
 	p.mu.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	status.Silent = c.coordinatorLocked(address).down
+	if s := c.coordinators[address]; s != nil {
+		status.Silent = s.down
+	}
 	for _, h := range c.held {
 		if h.pool == p {
 			status.Held++
