--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -146,7 +146,7 @@
 		return "may-not-repeat"
 	case c.possibleRuns >= c.route.MaxAttempts && !sendResult.isNotRun():
 		return "attempts"
-	case c.isQuarantined() && !(c.isTrial && sendResult.isNotRun()):
+	case c.isQuarantined() && (!c.isTrial || !sendResult.isNotRun()):
 		// A trial ends with the first send after which the request may have run.
 		return reasonQuarantined
 	case c.sends-c.unreached >= c.maxSends() || c.unreached >= maxUnreached:
