--- a/cmd/internal/gatewayd/listeners.go
+++ b/cmd/internal/gatewayd/listeners.go
@@ -83,7 +83,7 @@
 func listenPackets(text string) (*net.UDPConn, error) {
 	address, err := net.ResolveUDPAddr("udp4", text)
 	if err != nil {
-		return nil, errors.Wrap(err, "the peers address is not an IPv4 host:port with two ports after it; choose a smaller port")
+		return nil, errors.Wrap(err, "the peers address is no IPv4 host:port with two ports after it; choose a smaller port")
 	}
 	connection, err := net.ListenUDP("udp4", address)
 	return connection, errors.Wrap(err, "listen for peers; the address and the next two ports must be free on this box")
