balance: Choose faster among many engines

A choice among 930 engines ranked all of them, most of which don't have the prompt cached, and checked each before it was ranked in the search for the likely holder. Now only engines that have the prompt cached are ranked first, the others if none of these may get the request, and the likely holder is looked for by rank first. The fields of a server that each choice reads are next to each other in memory.

It computes the mean of the reports once.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -255,9 +255,10 @@
 func (b *Balancer) usableLocked(pool []*server, request *Request, now time.Time) []*server {
 	usable, cold, unavailable := b.scratch.usable[:0], b.scratch.cold[:0], b.scratch.unavailable[:0]
 	evacuatedOrPaused := b.scratch.evacuatedOrPaused[:0]
+	mayUseAll := request.mayUseAll()
 	for _, s := range pool {
 		switch {
-		case s.isOrdinary() && request.mayUse(s):
+		case s.isOrdinary() && (mayUseAll || request.mayUse(s)):
 			usable = append(usable, s)
 		case s.evacuated:
 			evacuatedOrPaused = append(evacuatedOrPaused, s)
--- a/balance/choice_test.go
+++ b/balance/choice_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -18,12 +19,15 @@
 func referenceChoice(b *Balancer, request *Request, now time.Time, decay float64) *server {
 	var usable []*server
 	for _, s := range b.pools[request.Pool] {
-		if !s.Leaving && !slices.Contains(request.Exclude, s.ID) && !b.isUnavailableLocked(s, now) {
+		if !s.Leaving && request.allows(s) && !slices.Contains(request.Exclude, s.ID) && !b.isUnavailableLocked(s, now) {
 			usable = append(usable, s)
 		}
 	}
 	loads, mean := referenceLoads(b, usable, now, decay)
 	bound := b.loadBound(mean)
+	if b.speedAware {
+		b.weightLoadsLocked(usable, loads, bound, now)
+	}
 	prompt := request.Prompt[len(request.Prompt)-1].Key
 	var below, holders []*server
 	for i, s := range usable {
@@ -68,8 +72,9 @@
 	// The order of operations has to be that of the balancer: rapid finds loads that differ from
 	// the bound only by rounding.
 	typical = typical * decay / float64(len(usable))
+	reportedMean := meanReportedLoad(usable, now)
 	for _, s := range usable {
-		others := meanReportedLoad(usable, now)
+		others := reportedMean
 		if complete {
 			others = float64(counts[s.hash])
 		} else if reported, ok := s.inFlightElsewhere(now); ok {
@@ -177,6 +182,112 @@
 	})
 }
 
+// TestChoiceInALargePoolMatchesReference compares the choices among up to 930 engines in three data centres and
+// two regions with the reference: with and without regard to speed, for prompts that some engines have cached,
+// slow and full engines, and requests that exclude engines and regions. It guards against a faster choice that
+// isn't the same.
+func TestChoiceInALargePoolMatchesReference(t *testing.T) {
+	checked, known := 0, 0
+	for seed := range uint64(40) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		entries := testEntries(1 + random.IntN(930))
+		for i := range entries {
+			entries[i].DataCentre = fmt.Sprint("dc-", random.IntN(3))
+			entries[i].Region = fmt.Sprint("region-", random.IntN(2))
+		}
+		b := New("dc-1")
+		b.SetBackends(entries)
+		b.SetSpeedAware(seed%2 == 0)
+		b.SetPeers([]string{"fleet"}, 294)
+		now := time.Now()
+		for step := range 60 {
+			if step%15 == 0 {
+				drawFleetState(b, random, uint64(step+1), now)
+			}
+			request := &Request{
+				Pool: "p",
+				Prompt: []Part{{
+					Key:    1 + random.Uint64N(30),
+					Tokens: random.IntN(5_000),
+				}},
+				UniqueTokens: random.IntN(2_000),
+			}
+			if step%3 == 0 {
+				request.Regions = []string{"region-1"}
+				request.Exclude = []string{entries[random.IntN(len(entries))].ID}
+			}
+			now = now.Add(time.Duration(random.IntN(20)) * time.Millisecond)
+			want := referenceChoice(b, request, now, b.decayLocked(now))
+			lease, err := b.acquireLocked(request, now)
+			if err != nil || want == nil {
+				continue
+			}
+			if lease.server != want {
+				t.Fatalf("seed %d, step %d: got %s, want %s", seed, step, lease.Backend.ID, want.ID)
+			}
+			prompt := request.Prompt[0].Key
+			if got, want := b.likelyHolderLocked(request, prompt, b.pools["p"], want, now),
+				referenceLikelyHolder(b, request, prompt, want, now); got != want {
+				t.Fatalf("seed %d, step %d: got the likely holder %v, want %v", seed, step, got, want)
+			}
+			checked++
+			if lease.FetchFrom == "" && lease.tokensToPrefill == request.UniqueTokens {
+				known++
+			}
+		}
+	}
+	if checked < 1_500 || known < 200 {
+		t.Errorf("got %d choices compared, %d of them for a known prompt, want 1500 and 200 at least", checked, known)
+	}
+}
+
+// referenceLikelyHolder returns the best ranked available engine that may have a prompt cached which goes to the
+// chosen one, or nil.
+func referenceLikelyHolder(b *Balancer, request *Request, prompt uint64, chosen *server, now time.Time) *server {
+	var ranked []*server
+	for _, s := range b.pools["p"] {
+		isNew := s != chosen && s.listedAt.After(chosen.listedAt) || s == chosen && now.Sub(s.listedAt) < cacheWarmupTime
+		if !b.isUnavailableLocked(s, now) && request.allows(s) && !isNew {
+			ranked = append(ranked, s)
+		}
+	}
+	if len(ranked) == 0 {
+		return nil
+	}
+	return slices.MaxFunc(ranked, func(x, y *server) int {
+		return cmp.Compare(placement.Score(prompt, x.hash), placement.Score(prompt, y.hash))
+	})
+}
+
+// drawFleetState has the balancer receive random counts, speeds and cached prompts, and a rejection of one engine.
+func drawFleetState(b *Balancer, random *rand.Rand, sequence uint64, now time.Time) {
+	var counts []InFlight
+	var speeds []SpeedCounts
+	var cached []CachedPart
+	for i, s := range b.pools["p"] {
+		counts = append(counts, InFlight{
+			Server:        s.hash,
+			Count:         random.IntN(6),
+			PrefillTokens: random.IntN(2) * random.IntN(3_000),
+		})
+		speeds = append(speeds, SpeedCounts{
+			Server:  s.hash,
+			Reports: 50,
+			LogPace: random.IntN(3) / 2 * 50 * 90,
+		})
+		if i%20 == 0 {
+			cached = append(cached, CachedPart{
+				Part:   1 + random.Uint64N(30),
+				Server: s.hash,
+			})
+		}
+	}
+	b.ReceiveCounts("fleet", sequence, counts)
+	b.ReceiveSpeedCounts(speeds)
+	b.ReceiveCachedParts(cached)
+	b.pools["p"][random.IntN(len(counts))].speed.fullUntil = now.Add(time.Second)
+}
+
 // drawCounts draws the requests in flight of another router.
 func drawCounts(t *rapid.T, b *Balancer) []InFlight {
 	var list []InFlight
--- a/balance/prompt.go
+++ b/balance/prompt.go
@@ -18,28 +18,14 @@
 	if b.speedAware {
 		b.weightLoadsLocked(usable, loads, bound, now)
 	}
-	holders, _ := b.cacheIndex.holdersByPart.Peek(prompt)
-	best := candidate{}
-	for i, s := range usable {
-		if loads[i] >= bound {
-			continue
-		}
-		c := candidate{
-			server:   s,
-			isCached: slices.Contains(holders, s.hash),
-			isLocal:  s.DataCentre == b.DataCentre,
-			score:    placement.Score(prompt, s.hash),
-		}
-		if c.isBetterThan(&best) {
-			best = c
-		}
-	}
-	chosen := best.server
+	// Few engines have the prompt cached, so that the other ones aren't ranked unless none of these may get it.
+	chosen := b.bestHolderLocked(prompt, usable, loads, bound)
 	switch {
-	case chosen == nil:
-		chosen = usable[chooseByWaterFilling(loads, b.unreportedRequestsLocked(usable, decay), b.Random())]
-	case !best.isCached:
+	case chosen != nil:
+	case slices.ContainsFunc(loads, func(load float64) bool { return load < bound }):
 		chosen = b.leastPrefillLocked(prompt, usable, loads, bound, now)
+	default:
+		chosen = usable[chooseByWaterFilling(loads, b.unreportedRequestsLocked(usable, decay), b.Random())]
 	}
 	if overflow := b.coldOverflowLocked(mean); overflow != nil {
 		chosen = overflow
@@ -118,10 +104,14 @@
 	known, _ := b.cacheIndex.holdersByPart.Peek(prompt)
 	var holderDataCentres []string
 	for _, hash := range known {
-		if holder := b.serversByHash[hash]; holder != nil && b.canFetchFromLocked(holder, now) {
+		if holder := b.serversByHash[hash]; holder != nil && b.canFetchFromLocked(holder, now) &&
+			!slices.Contains(holderDataCentres, holder.DataCentre) {
 			holderDataCentres = append(holderDataCentres, holder.DataCentre)
 		}
 	}
+	if len(holderDataCentres) == 0 {
+		return engines
+	}
 	matches := 0
 	for i, e := range engines {
 		if slices.Contains(holderDataCentres, e.DataCentre) {
@@ -135,27 +125,6 @@
 	return engines[:matches]
 }
 
-// candidate is an engine that a prompt could be sent to.
-type candidate struct {
-	server *server
-	// isCached says that the engine is known to have the prompt cached.
-	isCached bool
-	// isLocal says that the engine is in the router's data centre. Among several that have the
-	// prompt cached, a local one saves traffic between data centres.
-	isLocal bool
-	score   uint64
-}
-
-func (c *candidate) isBetterThan(other *candidate) bool {
-	if other.server == nil || c.isCached != other.isCached {
-		return other.server == nil || c.isCached
-	}
-	if c.isCached && c.isLocal != other.isLocal {
-		return c.isLocal
-	}
-	return c.score > other.score
-}
-
 // recordPlacementLocked records, in the cache index and for the next update, that an engine will have
 // the parts of a prompt cached because a request with that prompt goes there.
 func (b *Balancer) recordPlacementLocked(parts []uint64, s *server) {
@@ -203,15 +172,18 @@
 	var likely *server
 	var likelyScore uint64
 	for _, s := range pool {
+		// Most engines rank lower than the best one so far, so that this check comes first.
+		score := placement.Score(prompt, s.hash)
+		if likely != nil && score <= likelyScore {
+			continue
+		}
 		if b.isUnavailableLocked(s, now) || !request.allows(s) || s != chosen && s.listedAt.After(chosen.listedAt) {
 			continue
 		}
 		if s == chosen && now.Sub(s.listedAt) < cacheWarmupTime {
 			continue
 		}
-		if score := placement.Score(prompt, s.hash); likely == nil || score > likelyScore {
-			likely, likelyScore = s, score
-		}
+		likely, likelyScore = s, score
 	}
 	return likely
 }
--- a/balance/request.go
+++ b/balance/request.go
@@ -43,6 +43,11 @@
 	return r.allows(s) && !slices.Contains(r.Exclude, s.ID)
 }
 
+// mayUseAll reports whether the request may go to all regions and has tried no server.
+func (r *Request) mayUseAll() bool {
+	return r.Regions == nil && len(r.Exclude) == 0
+}
+
 // Part is a section of a prompt, identified by Key.
 type Part struct {
 	Key    uint64
--- a/balance/server.go
+++ b/balance/server.go
@@ -24,13 +24,34 @@
 // server is the balancer's state of a backend server.
 type server struct {
 	Entry
-	// poolIndex is the index in the pool, -1 if the server is in none.
-	poolIndex int
+	// The fields up to speed are read for each server of the pool at each choice, and so are next to
+	// each other in memory.
+
 	// hash identifies the incarnation. What routers know and send each other about a server
 	// belongs to one incarnation, so that nothing about an earlier one is applied to a later
 	// one, also if it arrives late. The hash also determines the server's rank. If the ID did,
 	// a restarted server would get the same prompts again although its cache is lost.
 	hash uint64
+	// evacuated says that the server's data centre is evacuated.
+	evacuated bool
+	// notices is what this incarnation announced about itself, nil if nothing.
+	notices *notices
+	// coldUntil is the end of the time for which the server counts as cold, ejectedUntil that of its
+	// ejection.
+	coldUntil, ejectedUntil time.Time
+	// inFlight counts the leases of this router, pausedRequests those of them whose response is not read
+	// because of its caller.
+	inFlight, pausedRequests int
+	// remoteInFlight counts the requests of the other routers, as the peers reported them,
+	// remotePrefillTokens the tokens that the server has yet to prefill for these routers.
+	remoteInFlight, remotePrefillTokens int
+	// sends is an exponentially decaying count of the requests that this router sent, as of the
+	// balancer's sendsFrom.
+	sends float64
+	speed speed
+
+	// poolIndex is the index in the pool, -1 if the server is in none.
+	poolIndex int
 	// incarnation is the key of the connections to the server.
 	incarnation string
 	// equalIn is the number of the last choice of a preferred server in which this one was as good as the
@@ -43,9 +64,6 @@
 	// cacheKnown says that the router knows what the server has cached: the cache was empty when
 	// the server was listed, or the server or another router has reported its contents since.
 	cacheKnown bool
-	// inFlight counts the leases of this router, pausedRequests those of them whose response is not read
-	// because of its caller.
-	inFlight, pausedRequests int
 	// prefillTokens counts the tokens that the server has yet to prefill for this router.
 	prefillTokens int
 
@@ -61,7 +79,6 @@
 	reportedPace   float64
 	paceReportedAt time.Time
 	hasInvalidPace bool
-	speed          speed
 
 	learned learnedSlots
 
@@ -70,36 +87,19 @@
 	lastActivityAt time.Time
 	busySince      time.Time
 
-	// sends is an exponentially decaying count of the requests that this router sent, as of the
-	// balancer's sendsFrom.
-	sends float64
-
-	// remoteInFlight counts the requests of the other routers, as the peers reported them,
-	// remotePrefillTokens the tokens that the server has yet to prefill for these routers.
-	remoteInFlight, remotePrefillTokens int
-
-	// evacuated says that the server's data centre is evacuated.
-	evacuated bool
-	// coldUntil is the end of the time for which the server counts as cold. coldSends are the
-	// times at which this router recently sent to it while it was cold, the earliest first,
-	// rank is the rank of this router for it.
-	coldUntil time.Time
-	coldSends []time.Time
-	rank      routerRank
-
-	// notices is what this incarnation announced about itself, nil if nothing.
-	notices *notices
-
 	errors errorRate
 	// consecutiveEjections counts the ejections in a row. ejectedForErrors says that the
 	// current one is for failed requests, so that other engines can still fetch from the
 	// server.
 	consecutiveEjections int
-	ejectedUntil         time.Time
 	ejectedForErrors     bool
 	// ejectedForPath says that the current ejection is for a connection that could not be established: this
 	// router's network path to the server may be the cause.
 	ejectedForPath bool
+	// coldSends are the times at which this router recently sent to the server while it was cold, the
+	// earliest first, rank is the rank of this router for it.
+	coldSends []time.Time
+	rank      routerRank
 }
 
 func newServer(entry Entry, listedAt time.Time) *server {
--- a/balance/speed.go
+++ b/balance/speed.go
@@ -26,14 +26,14 @@
 // response times that routers observe. Reports follow fast changes, and observations determine their
 // level, so that a server that reports wrong values is judged by its response times.
 type speed struct {
-	reports, observations paceEstimates
-	// pending is what this router has not sent to the others yet.
-	pending SpeedCounts
 	// slowPace is the slow estimate at the latest news. loadWeight is what a request at the server
 	// counts in its load, relative to one at a server with the usual pace. It follows slowPace.
 	slowPace, loadWeight float64
 	// fullUntil is the end of the time for which the server counts as full after a rejection.
-	fullUntil time.Time
+	fullUntil             time.Time
+	reports, observations paceEstimates
+	// pending is what this router has not sent to the others yet.
+	pending SpeedCounts
 }
 
 func newSpeed() speed {
--- a/balance/weightedload.go
+++ b/balance/weightedload.go
@@ -20,7 +20,9 @@
 	hasFree := slices.ContainsFunc(usable, isFree)
 	for i, s := range usable {
 		weighted := loads[i] * s.speed.loadWeight / weightedBound * bound
-		loads[i] = max(loads[i], weighted)
+		if weighted > loads[i] {
+			loads[i] = weighted
+		}
 		if hasFree && !isFree(s) {
 			loads[i] = max(loads[i], bound)
 		}
