--- /dev/null
+++ b/cmd/internal/gatewayd/oneprocessor_test.go
@@ -0,0 +1,7 @@
+//go:build !race
+
+package gatewayd
+
+import "testing"
+
+func useOneProcessor(*testing.T) {}
--- a/cmd/internal/gatewayd/process.go
+++ b/cmd/internal/gatewayd/process.go
@@ -165,12 +165,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var tasks sync.WaitGroup
 	failed := make(chan error, 7)
-	for _, task := range []func(context.Context){
-		p.followTables, p.followBackends, p.followEvacuations, p.followRollouts,
-		p.node.Run, p.setFirstRouters, p.join, p.syncer.Run,
-		p.crashGossiper.Run, p.recoverCacheIndex, p.watchSettings, p.watchSuspension,
-		func(ctx context.Context) { p.overloads.run(ctx, &p.Log) },
-	} {
+	for _, task := range p.components() {
 		tasks.Go(func() { task(background) })
 	}
 	tasks.Go(func() { failed <- p.membershipUDP.Run(background) })
@@ -214,6 +209,17 @@
 	return err
 }
 
+// components returns the functions that run the components which use no sockets of their own, each
+// until its context ends.
+func (p *Process) components() []func(context.Context) {
+	return []func(context.Context){
+		p.followTables, p.followBackends, p.followEvacuations, p.followRollouts,
+		p.node.Run, p.setFirstRouters, p.join, p.syncer.Run,
+		p.crashGossiper.Run, p.recoverCacheIndex, p.watchSettings, p.watchSuspension,
+		func(ctx context.Context) { p.overloads.run(ctx, &p.Log) },
+	}
+}
+
 // listen opens the sockets that the settings call for.
 func (p *Process) listen() (*listeners, error) {
 	open, err := listen(&p.Settings.Listen)
