gateway: Hold requests only briefly if a start takes too long

Cause: a router that reaches neither the store nor a router with a copy holds each request for half of its time limit, up to 5 s, and then refuses it. Its callers could try another router or give up.

Change: from 10 s after its start on, a router that is not ready holds requests for a quarter of their objective only.

--- a/cmd/internal/gatewayd/assemble.go
+++ b/cmd/internal/gatewayd/assemble.go
@@ -5,6 +5,7 @@
 
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/balance"
+	"github.com/slipwick/slipwick/clock"
 	"github.com/slipwick/slipwick/directory"
 	"github.com/slipwick/slipwick/exchange"
 	"github.com/slipwick/slipwick/fairqueue"
@@ -115,6 +116,7 @@
 		Memory:      p.memory,
 		Ready:       p.ready,
 		CachesKnown: p.cachesKnown,
+		StartedAt:   clock.Now(),
 		Budget: &retry.Budget{
 			Ratio:   s.Retries.Ratio,
 			Extra:   s.Retries.Extra,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -50,6 +50,9 @@
 	// has given up on the rest. Requests that arrive earlier wait for a limited time. A nil channel
 	// disables the wait.
 	Ready, CachesKnown <-chan struct{}
+	// StartedAt is when the router started, by package clock. If set, requests wait only briefly for a
+	// router that is not ready long after that.
+	StartedAt time.Time
 	// Observer receives how each request ended.
 	Observer Observer
 
--- a/gateway/startupwait.go
+++ b/gateway/startupwait.go
@@ -21,6 +21,12 @@
 	// of backend servers neither from the store nor from other routers, and so cannot become ready,
 	// does not hold requests that set no time limit.
 	maxStartupWait = 5 * time.Second
+	// usualStartupTime is how long after its start a router is expected to become ready: twice what a
+	// start of the largest fleet took. One that is not ready by then reaches neither the store nor
+	// a router that has a copy, and becomes ready at an unknown time: a request waits there
+	// only for lateStartupShare of its objective or, without one, of its time limit.
+	usualStartupTime = 10 * time.Second
+	lateStartupShare = 0.25
 	// startupPollInterval is how often a waiting request checks whether it can go on.
 	startupPollInterval = 20 * time.Millisecond
 )
@@ -49,8 +55,11 @@
 // maxReadyWait returns how long after its arrival the request may wait for the router to become
 // ready.
 func (g *Gateway) maxReadyWait(r *http.Request, arrived time.Time) time.Duration {
-	table := g.table.Load()
-	if table == nil {
+	table, isLate := g.table.Load(), g.isStartLate()
+	switch {
+	case table == nil && isLate:
+		return time.Duration(lateStartupShare * float64(startupWait))
+	case table == nil:
 		return startupWait
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
@@ -59,9 +68,21 @@
 		return 0
 	}
 	left := requestDeadline(r.Header.Get(g.Headers.Deadline), route, arrived).Sub(arrived)
+	if isLate {
+		limit := left
+		if route.ResponseObjective > 0 {
+			limit = min(limit, route.ResponseObjective)
+		}
+		return time.Duration(lateStartupShare * float64(limit))
+	}
 	return min(time.Duration(startupWaitShare*float64(left)), maxStartupWait)
 }
 
+// isStartLate reports whether the router should have become ready before now.
+func (g *Gateway) isStartLate() bool {
+	return !g.StartedAt.IsZero() && clock.Since(g.StartedAt) > usualStartupTime
+}
+
 // awaitCachedPrompt blocks until the router knows an engine that has the request's prompt cached,
 // or knows that there is none: prefilling a long prompt again takes longer than the wait. It blocks
 // for maxCachedPromptWait at most. Requests without a prompt do not wait.
--- a/gateway/startupwait_test.go
+++ b/gateway/startupwait_test.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"testing"
 	"time"
+
+	"github.com/slipwick/slipwick/clock"
 )
 
 // TestStartingRouterHoldsOnlyUncachedPrompts covers a router that does not know yet which prompts
@@ -95,3 +97,35 @@
 		})
 	}
 }
+
+// TestLateStartHoldsRequestsBriefly has a request arrive at a router that is not ready 10 s and more after
+// its start, because neither the store nor other routers give it the lists.
+//
+// It guards against holding requests for up to 5 s only to refuse them, while their callers could try
+// another router or give up.
+func TestLateStartHoldsRequestsBriefly(t *testing.T) {
+	const deadline, margin = 2 * time.Second, 100 * time.Millisecond
+	for _, test := range []struct {
+		name, path string
+		runningFor time.Duration
+		took       time.Duration
+	}{
+		{"objective of 200 ms", "/soon/x", usualStartupTime + time.Second, 50 * time.Millisecond},
+		{"no objective", "/affine/x", usualStartupTime + time.Second, deadline / 4},
+		{"late while it waits", "/soon/x", usualStartupTime - 300*time.Millisecond, 300 * time.Millisecond},
+		{"in time", "/soon/x", 0, deadline / 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t, newBackend(t, "b1", respondWith(http.StatusOK, "answer")))
+			f.gateway.Ready, f.gateway.StartedAt = make(chan struct{}), clock.Now().Add(-test.runningFor)
+			request := f.request(t, test.path, "question")
+			request.Header.Set(f.gateway.Headers.Deadline, strconv.FormatInt(deadline.Milliseconds(), 10))
+			started := time.Now()
+			got := send(t, request)
+			took := time.Since(started)
+			if got.status != http.StatusServiceUnavailable || took < test.took || took > test.took+margin {
+				t.Errorf("got status %d after %v, want 503 after %v", got.status, took, test.took)
+			}
+		})
+	}
+}
