--- a/cmd/internal/gatewayd/startstore_test.go
+++ b/cmd/internal/gatewayd/startstore_test.go
@@ -92,7 +92,9 @@
 	return current(f.objects.List(ctx))
 }
 
-func (f *storeFeed) Watch(ctx context.Context, after slipwick.Position, wait time.Duration) (slipwick.FeedBatch, error) {
+func (f *storeFeed) Watch(
+	ctx context.Context, after slipwick.Position, wait time.Duration,
+) (slipwick.FeedBatch, error) {
 	if err := f.store.call(ctx); err != nil {
 		return slipwick.FeedBatch{}, err
 	}
