--- a/exchange/usagecodec.go
+++ b/exchange/usagecodec.go
@@ -64,7 +64,8 @@
 	return uint32(min((work+workUnit-1)/workUnit, math.MaxUint32))
 }
 
-// takeQueued returns the urgent requests that wait for a pool, for its first entry. Routers of older versions send none.
+// takeQueued returns the urgent requests that wait for a pool, for its first entry. Routers of older versions
+// send none.
 func takeQueued(queued []uint32, pool int) int {
 	if pool >= len(queued) {
 		return 0
--- a/quota/fault_test.go
+++ b/quota/fault_test.go
@@ -184,8 +184,8 @@
 	}
 }
 
-// TestStepsOfDemand raises the demand from 0.3 to 6 times the slots and back every 3 s, with several seeds. It guards against
-// limits that swing: too many in flight after a rise, and idle slots while requests wait.
+// TestStepsOfDemand raises the demand from 0.3 to 6 times the slots and back every 3 s, with several seeds. It
+// guards against limits that swing: too many in flight after a rise, and idle slots while requests wait.
 func TestStepsOfDemand(t *testing.T) {
 	eachSeed(t, func(t *testing.T, f *fleet) {
 		routers := len(f.routers)
