exchange, quota: Recognise callers whom another router refused

A router recognised a returning caller only if it had refused that caller itself.

The key of a refused request, which is the same for a repeated request with a new ID, is now sent to one router that rendezvous hashing chooses among those that are no hubs. quota asks that router about a request that can't be admitted at once, for at most 20 ms and a sixteenth of the time to the objective. Sending all keys with the updates doesn't fit 24 KB/s: 11 KB/s at a hub (calculated) that receives 22.9 KB/s of usage already. A token in the refusal doesn't work for callers who only repeat the request.

Pools with a coordinator aren't covered.

TestPermitRequestDescribesTheRequest also checks the new field Key.

--- a/cmd/internal/gatewayd/assemble.go
+++ b/cmd/internal/gatewayd/assemble.go
@@ -144,6 +144,8 @@
 	if p.permitEndpoint != nil {
 		s.Small, s.Large = p.permitEndpoint.endpoint.Client, p.limiter
 		p.syncer.Usage = p.limiter
+		p.syncer.Returns = p.newReturns()
+		p.limiter.Returns = p.syncer.Returns
 	}
 	return s
 }
@@ -162,6 +164,15 @@
 	return l
 }
 
+// newReturns creates what recognises callers whom other routers refused.
+func (p *Process) newReturns() *exchange.Returns {
+	r := exchange.NewReturns(p.Settings.ID)
+	r.Transport = p.exchangeUDP
+	r.Routers = p.node.Routers
+	r.Address = exchangeAddress
+	return r
+}
+
 func (p *Process) onAdmissionChange(active bool) {
 	events.AdmissionChanged.On(&p.Log).Bool("active", active).
 		Bool("permits", p.admission.NeedsPermits()).Send()
--- a/exchange/hubs.go
+++ b/exchange/hubs.go
@@ -26,6 +26,8 @@
 	ids map[string]bool
 	// groups caches the routers in the group of each hub.
 	groups map[string][]slipwick.Router
+	// others caches the routers that are no hubs.
+	others []slipwick.Router
 }
 
 func chooseHubs(routers []slipwick.Router) *hubs {
@@ -68,6 +70,17 @@
 	return candidates[placement.BestRouter(placement.IDHash(id), candidates)], true
 }
 
+// withoutHubs returns the routers that are no hubs.
+func (h *hubs) withoutHubs() []slipwick.Router {
+	if len(h.chosen) == 0 {
+		return h.routers
+	}
+	if h.others == nil {
+		h.others = slices.DeleteFunc(slices.Clone(h.routers), func(r slipwick.Router) bool { return h.isHub(r.ID) })
+	}
+	return h.others
+}
+
 func (h *hubs) isHub(id string) bool {
 	return h.ids[id]
 }
--- a/exchange/syncer.go
+++ b/exchange/syncer.go
@@ -56,6 +56,8 @@
 	// Usage has what this router uses of pools under pressure, and takes the sums of the fleet; nil
 	// without admission control. A hub relays usage in any case.
 	Usage UsageSource
+	// Returns remembers the refusals of other routers; nil without admission control.
+	Returns *Returns
 
 	sequence atomic.Uint64
 	sendSoon chan struct{}
@@ -302,6 +304,9 @@
 		s.OnCrashes(crashes)
 		return
 	}
+	if s.Returns != nil && s.Returns.receive(message) {
+		return
+	}
 	update := decode(message)
 	s.queueForRelay(message, update)
 	if hasCounts(message) {
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -122,6 +122,7 @@
 		Arrived:   c.arrived,
 		Deadline:  c.deadline,
 		Returning: c.gateway.refused.takeReturning(c.key),
+		Key:       uint64(c.key),
 	}
 	if objective := c.route.ResponseObjective; objective > 0 {
 		start = min(start, time.Duration(maxStartShare*float64(objective)))
--- a/gateway/permits_test.go
+++ b/gateway/permits_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/balance"
+	"github.com/slipwick/slipwick/quarantine"
 	"github.com/slipwick/slipwick/routing"
 )
 
@@ -82,6 +83,7 @@
 		Arrived:     first.Arrived,
 		Objective:   first.Arrived.Add(200 * time.Millisecond),
 		Deadline:    first.Arrived.Add(2 * time.Second),
+		Key:         uint64(quarantine.KeyOf("w", http.MethodPost, "/soon/x", []byte("question"))),
 	}
 	if !reflect.DeepEqual(first, want) {
 		t.Errorf("got %+v, want %+v", first, want)
@@ -334,6 +336,20 @@
 	source.checkNoLeak(t, f, 2)
 }
 
+// TestRepeatedRequestsHaveTheSameKey guards against callers that other routers don't recognise because the key
+// differs between equal requests, which have different IDs, and against keys that different requests share.
+func TestRepeatedRequestsHaveTheSameKey(t *testing.T) {
+	source := newPermits(1)
+	f := newPermitFixture(t, source, newBackend(t, "b1", respondWith(http.StatusOK, "answer")))
+	f.post(t, "/repeatable/x")
+	f.post(t, "/repeatable/x")
+	send(t, f.request(t, "/repeatable/x", "other question"))
+	calls := source.calls()
+	if len(calls) != 3 || calls[0].Key == 0 || calls[0].Key != calls[1].Key || calls[0].Key == calls[2].Key {
+		t.Errorf("got %+v, want the same key for the first two requests and another one for the third", calls)
+	}
+}
+
 // TestRetriesAskAsRetries guards against retries and resumed streams that rank among first attempts.
 func TestRetriesAskAsRetries(t *testing.T) {
 	source := newPermits(1)
--- a/permit.go
+++ b/permit.go
@@ -43,6 +43,8 @@
 	Deadline  time.Time
 	// Returning says that the caller was refused before and returned after Retry-After.
 	Returning bool
+	// Key is a hash of the content, by which other routers recognise a caller that returns; 0 without.
+	Key uint64
 	// Retry says that the request was sent before.
 	Retry bool
 	// Exclude lists the IDs of backend servers that must not get the request again.
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -35,6 +35,8 @@
 	Routers func() int
 	// QueueLimits bounds the queue of each pool.
 	QueueLimits fairqueue.Limits
+	// Returns recognises callers whom other routers refused; nil without.
+	Returns slipwick.ReturnSource
 	// Random returns a random number in [0, 1). New sets the default.
 	Random func() float64
 
@@ -107,6 +109,15 @@
 		p.unlockAndNotify()
 		return newPermit(request, id), nil
 	}
+	if l.Returns != nil && request.Key != 0 && !request.Retry {
+		p.unlockAndNotify()
+		request = l.recognise(ctx, request, now)
+		p, now = l.lockPool(request.Pool), clock.Now()
+		if id, ok := p.admit(request, now); ok {
+			p.unlockAndNotify()
+			return newPermit(request, id), nil
+		}
+	}
 	w := &waiter{
 		decided: make(chan decision, 1),
 	}
@@ -114,6 +125,7 @@
 	p.serve(now)
 	p.unlockAndNotify()
 	if err != nil {
+		l.noteRefusal(request, err)
 		return slipwick.Permit{}, err
 	}
 	select {
@@ -127,6 +139,7 @@
 func (l *Limiter) wait(ctx context.Context, p *guardedPool, item *fairqueue.Item, w *waiter) (slipwick.Permit, error) {
 	select {
 	case d := <-w.decided:
+		l.noteRefusal(item.Request, d.err)
 		return newPermit(item.Request, d.permit), d.err
 	case <-ctx.Done():
 	}
