gatewayd: Let mode auto ask for permits of pools with few slots

The mode's switch knew one state for all permits.

TestAutoPermits and TestOnlySmallPoolsNeedPermits cover both states.

--- a/cmd/internal/gatewayd/admissionswitch_test.go
+++ b/cmd/internal/gatewayd/admissionswitch_test.go
@@ -43,6 +43,27 @@
 	}
 }
 
+// TestAutoPermits guards against permits in mode auto without a pace, or for pools with many slots.
+func TestAutoPermits(t *testing.T) {
+	s := &admissionSwitch{
+		AutoPermits: true,
+	}
+	check := func(when string, wantPermits, wantShares bool) {
+		t.Helper()
+		if permits, shares := s.NeedsPermits(), s.NeedsShares(); permits != wantPermits || shares != wantShares {
+			t.Errorf("%s: got permits %t and shares %t, want %t and %t", when, permits, shares, wantPermits, wantShares)
+		}
+	}
+	s.SetMode(AdmissionAuto)
+	check("auto, before a pace", false, false)
+	s.RecordPace()
+	check("auto, after a pace", true, false)
+	s.SetMode(AdmissionOn)
+	check("on", true, true)
+	s.SetMode(AdmissionOff)
+	check("off", false, false)
+}
+
 // TestAdmissionSwitchReportsChanges guards against parts that are told of a state twice or not at all.
 func TestAdmissionSwitchReportsChanges(t *testing.T) {
 	var got []bool
--- a/cmd/internal/gatewayd/assemble.go
+++ b/cmd/internal/gatewayd/assemble.go
@@ -42,7 +42,7 @@
 		feedRollouts:    directory.NewMirror(),
 	}
 	p.rollouts = newRollouts(p)
-	p.admission.OnChange = p.onAdmissionChange
+	p.admission.OnChange, p.admission.AutoPermits = p.onAdmissionChange, autoPermits
 	p.admission.SetMode(s.Admission)
 	p.assembleMembership(open)
 	p.exchangeUDP = membership.NewUDP(open.exchangeUDP)
@@ -136,6 +136,7 @@
 func (p *Process) newPermitSources() *permitSources {
 	s := &permitSources{
 		Active:      p.admission.NeedsPermits,
+		LargeActive: p.admission.NeedsShares,
 		Capacity:    p.balancer,
 		Routers:     func() int { return len(p.node.Routers()) },
 		SmallCounts: p.metrics.permitCounts(sourceCoordinator),
--- a/cmd/internal/gatewayd/permitsources.go
+++ b/cmd/internal/gatewayd/permitsources.go
@@ -20,6 +20,9 @@
 type permitSources struct {
 	// Active reports whether admission control is active.
 	Active func() bool
+	// LargeActive reports whether pools with many slots need permits while admission control is active; nil
+	// stands for yes.
+	LargeActive func() bool
 	// Small serves pools with few slots for each router, Large all others. Pools whose source is nil
 	// need no permits.
 	Small, Large slipwick.PermitSource
@@ -131,6 +134,8 @@
 		return nil, false
 	case small:
 		return s.Small, true
+	case s.LargeActive != nil && !s.LargeActive():
+		return nil, false
 	default:
 		return s.Large, false
 	}
--- a/cmd/internal/gatewayd/permitsources_test.go
+++ b/cmd/internal/gatewayd/permitsources_test.go
@@ -191,6 +191,24 @@
 	f.checkGranted(t, "no source", 0, 0)
 }
 
+// TestOnlySmallPoolsNeedPermits guards against permits of pools with many slots in a mode that asks only for
+// those of pools with few, and against permits that leak when the mode changes.
+func TestOnlySmallPoolsNeedPermits(t *testing.T) {
+	few, many := newSourcesFixture(1), newSourcesFixture(100)
+	before := many.acquire(t)
+	for _, f := range []*sourcesFixture{few, many} {
+		f.LargeActive = func() bool { return false }
+		f.Release(f.acquire(t), slipwick.EvidenceGood)
+	}
+	many.large.set(func(source *fakeSource) { source.pressure = true })
+	if many.UnderPressure("p") || many.SourceName("p") != sourceNone {
+		t.Error("got a pool with many slots under pressure, want it without a source")
+	}
+	many.Release(before, slipwick.EvidenceGood)
+	few.checkGranted(t, "few slots", 1, 0)
+	many.checkGranted(t, "many slots", 0, 1)
+}
+
 // TestPermitsReturnToTheirSource guards against permits that leak when a pool changes its class while
 // requests hold them; both sources use the same IDs.
 func TestPermitsReturnToTheirSource(t *testing.T) {
