balance: Guard the counts of a test

Releases of requests run at the same time in TestHealthyServerReturnsFromEjection, and so did the changes of its map. The race detector reported it in a run of all tests.

--- a/balance/smallpool_test.go
+++ b/balance/smallpool_test.go
@@ -13,6 +13,7 @@
 // outcomeFleet has routers that share a pool of plain servers and send each other counts and outcomes.
 type outcomeFleet struct {
 	*testFleet
+	// ejections counts them by the server's ID; mu guards it.
 	ejections map[string]int
 }
 
@@ -23,7 +24,11 @@
 	}
 	for _, b := range f.routers {
 		b.SetSpeedAware(true)
-		b.OnEjected = func(backend slipwick.Backend, _ time.Duration) { f.ejections[backend.ID]++ }
+		b.OnEjected = func(backend slipwick.Backend, _ time.Duration) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.ejections[backend.ID]++
+		}
 	}
 	return f
 }
