--- a/balance/shedding_test.go
+++ b/balance/shedding_test.go
@@ -55,19 +55,6 @@
 	f.unserved++
 }
 
-// exchangeUpdates sends each router's counts and outcomes to all others.
-func (f *sheddingFleet) exchangeUpdates(sequence uint64) {
-	for i, b := range f.routers {
-		update := b.TakeUpdate()
-		for j, other := range f.routers {
-			if j != i {
-				other.ReceiveCounts(fmt.Sprint("r", i), sequence, update.InFlight)
-				other.ReceiveOutcomes(update.Outcomes)
-			}
-		}
-	}
-}
-
 // runShedding has engines shed for a while. It returns the numbers of rejected attempts and of
 // unserved requests, both as fractions of the requests.
 func runShedding(
@@ -91,7 +78,7 @@
 				if time.Since(lastUpdate) > 200*time.Millisecond {
 					sequence++
 					lastUpdate = time.Now()
-					f.exchangeUpdates(sequence)
+					f.exchangeCountsAndOutcomes(sequence)
 				}
 			}
 		}
--- a/balance/smallpool_test.go
+++ b/balance/smallpool_test.go
@@ -55,14 +55,14 @@
 		if time.Since(lastUpdate) > 200*time.Millisecond {
 			sequence++
 			lastUpdate = time.Now()
-			f.exchangeOutcomes(sequence)
+			f.exchangeCountsAndOutcomes(sequence)
 		}
 	}
 	time.Sleep(time.Second)
 }
 
-// exchangeOutcomes sends each router's counts and outcomes to all others.
-func (f *outcomeFleet) exchangeOutcomes(sequence uint64) {
+// exchangeCountsAndOutcomes sends each router's counts and outcomes to all others.
+func (f *testFleet) exchangeCountsAndOutcomes(sequence uint64) {
 	for i, b := range f.routers {
 		update := b.TakeUpdate()
 		for j, other := range f.routers {
--- a/exchange/returns.go
+++ b/exchange/returns.go
@@ -7,8 +7,6 @@
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2/simplelru"
-	"google.golang.org/protobuf/proto"
-
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/clock"
 	"github.com/slipwick/slipwick/exchange/exchangepb"
@@ -203,12 +201,7 @@
 	}
 }
 
-// Receive handles a datagram of another router. It reports whether the datagram is one of refusals or returns.
-func (r *Returns) Receive(packet []byte) bool {
-	message := &exchangepb.Told{}
-	return proto.Unmarshal(packet, message) == nil && r.receive(message)
-}
-
+// receive handles a datagram of another router. It reports whether the datagram is one of refusals or returns.
 func (r *Returns) receive(message *exchangepb.Told) bool {
 	refused, asked := message.GetRefusedKeys(), message.GetAskedKeys()
 	returning, unknown := message.GetReturningKeys(), message.GetUnknownKeys()
--- a/exchange/returns_test.go
+++ b/exchange/returns_test.go
@@ -8,7 +8,10 @@
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/exchange/exchangepb"
 )
 
 // returnsNetwork delivers datagrams after a delay, loses some and counts bytes.
@@ -28,7 +31,14 @@
 	defer n.mu.Unlock()
 	n.received[address] += len(packet)
 	if n.random.Float64() >= n.loss {
-		time.AfterFunc(3*time.Millisecond, func() { n.byID[address].Receive(packet) })
+		time.AfterFunc(3*time.Millisecond, func() { n.receive(address, packet) })
+	}
+}
+
+func (n *returnsNetwork) receive(address string, packet []byte) {
+	message := &exchangepb.Told{}
+	if err := proto.Unmarshal(packet, message); err == nil {
+		n.byID[address].receive(message)
 	}
 }
 
--- a/quota/entrylimit.go
+++ b/quota/entrylimit.go
@@ -7,8 +7,7 @@
 	// updatesPerSecond is how often each router sends its entries.
 	updatesPerSecond = 5
 	// entryBytes is about what an entry takes in a datagram, usageHeaderBytes what the entries take
-	// together besides, with the sums of those left out at three priorities. With 46 bytes, 330 routers
-	// listed 5 entries, and a hub received 24.8 KB/s.
+	// together besides, with the sums of those left out at three priorities.
 	entryBytes, usageHeaderBytes = 10, 56
 	// minEntries and maxEntries bound the entries of a datagram; maxEntries fit a packet.
 	minEntries, maxEntries = 4, 60
--- a/quota/reserve.go
+++ b/quota/reserve.go
@@ -14,8 +14,8 @@
 	reserveDeviations = 2
 	// reserveWaitShare is the part of their time to the objective for which urgent requests may wait for
 	// a slot. What is released within it isn't kept free in addition. If they demand few of the fleet's
-	// slots, few of them wait for the same released slot, and they may wait for up to reserveFreeShare:
-	// with an eighth at any demand, 330 routers kept 12 of 100 slots free at 1.5 times the slots.
+	// slots, few of them wait for the same released slot, and they may wait for up to reserveFreeShare: more
+	// slots would be kept free than they need.
 	reserveWaitShare = 1.0 / 8
 	reserveFreeShare = 3.0 / 4
 )
