--- a/directory/peerquery.go
+++ b/directory/peerquery.go
@@ -95,13 +95,6 @@
 // current copy; otherwise it returns a stale one if there is any. While a response is being
 // received no further router is asked, because a large list takes the capacity of the link.
 func (s *SharedFeed) listPeers(ctx context.Context, ids []string, timeout time.Duration) peerResponse {
-	return s.listPeersUntil(ctx, nil, ids, timeout)
-}
-
-// listPeersUntil is listPeers which also ends once giveUp is closed, unless a response is being received.
-func (s *SharedFeed) listPeersUntil(
-	ctx context.Context, giveUp <-chan struct{}, ids []string, timeout time.Duration,
-) peerResponse {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	responses, begins := make(chan peerResponse, len(ids)), make(chan int, len(ids))
@@ -153,8 +146,6 @@
 			}
 		case <-deadline.C:
 			isLate = true
-		case <-giveUp:
-			isLate, giveUp = true, nil
 		}
 		if isLate && len(receiving) == 0 {
 			return best
--- a/directory/sharedfeed.go
+++ b/directory/sharedfeed.go
@@ -16,12 +16,10 @@
 	maxPreferredPeers = 4
 	randomPeers       = 2
 	peerTimeout       = 200 * time.Millisecond
-	// A router that starts and has not discovered all other routers yet looks for one that it knows
-	// every firstDiscoveryInterval, then asks some for a copy, and again after discoveryInterval. If it
-	// knows none after aloneWait, it stops waiting for them.
-	firstDiscoveryInterval = 25 * time.Millisecond
-	discoveryInterval      = 100 * time.Millisecond
-	aloneWait              = 300 * time.Millisecond
+	// A router that starts and has not discovered the other routers yet asks some for a copy
+	// every discoveryInterval. If it knows none after aloneWait, it stops waiting for them.
+	discoveryInterval = 100 * time.Millisecond
+	aloneWait         = 300 * time.Millisecond
 	// freshMarginShare is the part of a watch's wait by which another router's copy has to be
 	// confirmed later than the local one to count as fresher. Copies that were confirmed in the
 	// same round differ by less.
@@ -136,50 +134,30 @@
 	if !isFirst {
 		return peerResponse{}
 	}
-	began, pause := clock.Now(), firstDiscoveryInterval
-	for {
-		timer := time.NewTimer(pause)
+	ticker := time.NewTicker(discoveryInterval)
+	defer ticker.Stop()
+	for waited := time.Duration(0); ; waited += discoveryInterval {
 		select {
 		case <-s.Peers.FleetKnown():
+			return peerResponse{}
 		case <-ctx.Done():
-		case <-timer.C:
+			return peerResponse{}
+		case <-ticker.C:
 		}
-		timer.Stop()
-		// The timer may be due too if the fleet became known while other routers were asked.
-		if s.isFleetKnown() || ctx.Err() != nil {
+		// The ticker may be due too if the fleet became known while other routers were asked.
+		if s.isFleetKnown() {
 			return peerResponse{}
 		}
 		others := s.withRandomPeers(nil)
-		if len(others) == 0 {
-			if clock.Since(began) >= aloneWait {
-				return peerResponse{}
-			}
-			continue
+		if len(others) == 0 && waited >= aloneWait {
+			return peerResponse{}
 		}
-		asked := clock.Now()
-		if found := s.listWhileDiscovering(ctx, others); found.isCurrent {
+		if found := s.listPeers(ctx, others, peerTimeout); found.isCurrent {
 			return found
 		}
-		pause = max(discoveryInterval-clock.Since(asked), 0)
 	}
 }
 
-// listWhileDiscovering lists from other routers for up to discoveryInterval. They may be waiting for a copy
-// themselves, and those that this router asks next may have one. It ends at once when the fleet becomes
-// known, since this router may then have to ask the store.
-func (s *SharedFeed) listWhileDiscovering(ctx context.Context, others []string) peerResponse {
-	limited, cancel := context.WithTimeout(ctx, discoveryInterval)
-	defer cancel()
-	go func() {
-		defer cancel()
-		select {
-		case <-s.Peers.FleetKnown():
-		case <-limited.Done():
-		}
-	}()
-	return s.listPeersUntil(ctx, limited.Done(), others, peerTimeout)
-}
-
 // isFleetKnown reports whether this router has discovered the others.
 func (s *SharedFeed) isFleetKnown() bool {
 	select {
