--- a/cmd/slipwick/evacuate/evacuate.go
+++ b/cmd/slipwick/evacuate/evacuate.go
@@ -50,6 +50,13 @@
 }
 
 func run(options *Options) error {
+	// The temporary file also keeps a second run from changing the table meanwhile, which would undo the
+	// change of one of them.
+	temporary, err := createTemporary(options.Table)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.Remove(temporary) }()
 	source, err := os.ReadFile(options.Table)
 	if err != nil {
 		return errors.Wrap(err, "read the table file")
@@ -62,7 +69,7 @@
 		_, err = fmt.Fprintln(options.Factory.Streams.Out, "nothing to change")
 		return err
 	}
-	if err := replaceFile(options.Table, changed); err != nil {
+	if err := replaceFile(options.Table, temporary, changed); err != nil {
 		return err
 	}
 	message := "evacuated; gateways apply it within a second"
@@ -73,16 +80,29 @@
 	return err
 }
 
-// replaceFile replaces the content of a file atomically: it writes a temporary file in the same
-// directory and renames it, so that gateways never read half a table.
-func replaceFile(path string, content []byte) error {
-	info, err := os.Stat(path)
+// createTemporary creates the file that will replace the table, with the table's permissions, and
+// returns its path. It fails if the file exists.
+func createTemporary(table string) (string, error) {
+	info, err := os.Stat(table)
 	if err != nil {
-		return errors.Wrap(err, "write the table file")
+		return "", errors.Wrap(err, "write the table file")
+	}
+	path := table + ".new"
+	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, info.Mode().Perm())
+	if errors.Is(err, os.ErrExist) {
+		return "", errors.Errorf("%s exists: another run changes the table; if none is left, remove that file", path)
 	}
-	temporary := path + ".new"
-	if err := os.WriteFile(temporary, content, info.Mode().Perm()); err != nil {
+	if err != nil {
+		return "", errors.Wrap(err, "write the table file")
+	}
+	return path, errors.Wrap(file.Close(), "write the table file")
+}
+
+// replaceFile replaces the content of the table atomically: it writes the temporary file, which is in
+// the same directory, and renames it, so that gateways never read half a table.
+func replaceFile(table, temporary string, content []byte) error {
+	if err := os.WriteFile(temporary, content, 0); err != nil {
 		return errors.Wrap(err, "write the table file")
 	}
-	return errors.Wrap(os.Rename(temporary, path), "write the table file")
+	return errors.Wrap(os.Rename(temporary, table), "write the table file")
 }
--- a/cmd/slipwick/root/root_test.go
+++ b/cmd/slipwick/root/root_test.go
@@ -242,6 +242,35 @@
 	"pools": [{"name": "p", "backends": [{"id": "e1", "address": "127.0.0.1:1", "data_centre": "a"}]}],
 }`
 
+// TestEvacuateRefusesASecondRun guards against two runs at once of which one undoes the change of the
+// other, as both read the table before either writes it.
+func TestEvacuateRefusesASecondRun(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "table.jsonc")
+	const table = `{"version": 1, "pools": [{"name": "p", "backends": [
+ {"id": "b", "address": "10.0.0.1:80", "data_centre": "east-1"}]}]}`
+	for name, content := range map[string]string{path: table, path + ".new": ""} {
+		if err := os.WriteFile(name, []byte(content), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	code, _, failure := command(t, false, "evacuate", "--table", path, "east-1")
+	if code == 0 || !strings.Contains(failure, "another run") {
+		t.Errorf("got code %d and %q, want a failure that names the other run", code, failure)
+	}
+	if _, err := os.Stat(path + ".new"); err != nil {
+		t.Errorf("got %v, want the other run's file left alone", err)
+	}
+	if err := os.Remove(path + ".new"); err != nil {
+		t.Fatal(err)
+	}
+	if code, _, failure := command(t, false, "evacuate", "--table", path, "east-1"); code != 0 {
+		t.Errorf("got code %d and %q, want success once the other run is over", code, failure)
+	}
+	if _, err := os.Stat(path + ".new"); !os.IsNotExist(err) {
+		t.Errorf("got %v, want no file left behind", err)
+	}
+}
+
 // TestEvacuateChangesTableFile evacuates a data centre twice, ends the evacuation and names a data
 // centre without backend servers. The comments in the table file must be kept.
 func TestEvacuateChangesTableFile(t *testing.T) {
