--- a/cmd/internal/events/catalogue.go
+++ b/cmd/internal/events/catalogue.go
@@ -39,11 +39,12 @@
 		Remedy:  "None; a prompt that a missing engine has cached is found when it is next used there, or prefilled again.",
 	}
 	SettingsReloaded = Event{
-		Number:  104,
-		Name:    "settings-reloaded",
-		Level:   zerolog.InfoLevel,
-		Meaning: "The process applied changed settings: seeds, grace period, limits on load, cold servers and retries.",
-		Remedy:  "None; restart the process if other settings, such as listen addresses, have changed.",
+		Number: 104,
+		Name:   "settings-reloaded",
+		Level:  zerolog.InfoLevel,
+		Meaning: "The process applied changed settings: seeds, grace period, admission control, " +
+			"limits on load, cold servers and retries.",
+		Remedy: "None; restart the process if other settings, such as listen addresses, have changed.",
 	}
 	SettingsRefused = Event{
 		Number:  106,
@@ -52,6 +53,14 @@
 		Meaning: "The changed settings could not be read; the previous ones stay in use.",
 		Remedy:  "Correct the settings as the field cause says.",
 	}
+	AdmissionChanged = Event{
+		Number: 108,
+		Name:   "admission-changed",
+		Level:  zerolog.InfoLevel,
+		Meaning: "Admission control became active or inactive: by the settings, or since a backend server " +
+			"reported its pace for the first time.",
+		Remedy: "None; the setting admission decides.",
+	}
 	BoxSuspended = Event{
 		Number:  107,
 		Name:    "box-suspended",
@@ -94,6 +103,22 @@
 		Meaning: "A request ended without a complete response; the field reason says why it was not retried.",
 		Remedy:  "Read the attempt-failed lines with the same request ID.",
 	}
+	RequestOverloaded = Event{
+		Number: 208,
+		Name:   "request-overloaded",
+		Level:  zerolog.InfoLevel,
+		Meaning: "A request got no permit for its pool and was refused without being run; " +
+			"the caller was told to return after retry_after_ms.",
+		Remedy: "Read the pool-overloaded lines of the pool: single refusals are logged within a small budget.",
+	}
+	PoolOverloaded = Event{
+		Number: 209,
+		Name:   "pool-overloaded",
+		Level:  zerolog.WarnLevel,
+		Meaning: "In the last 10 s requests for a pool waited for permits or were refused at this gateway; " +
+			"most is the workspace with the most refusals.",
+		Remedy: "Run slipwick gateways --pools; add backend servers, or limit the workspace by max_in_flight or max_work.",
+	}
 	RequestQuarantined = Event{
 		Number:  206,
 		Name:    "request-quarantined",
@@ -236,6 +261,7 @@
 		CachesKnown,
 		SettingsRefused,
 		BoxSuspended,
+		AdmissionChanged,
 		RequestEnded,
 		RequestBroken,
 		RequestRefused,
@@ -243,6 +269,8 @@
 		RequestUnserved,
 		RequestQuarantined,
 		RequestReleased,
+		RequestOverloaded,
+		PoolOverloaded,
 		ConfigurationInForce,
 		PlatformCallFailed,
 		FeedRecovered,
--- a/cmd/internal/gatewayd/admissionmode.go
+++ b/cmd/internal/gatewayd/admissionmode.go
@@ -12,3 +12,11 @@
 	// it shares its box with others.
 	AdmissionAuto AdmissionMode = "auto"
 )
+
+// orDefault returns AdmissionOff for the zero value.
+func (m AdmissionMode) orDefault() AdmissionMode {
+	if m == "" {
+		return AdmissionOff
+	}
+	return m
+}
--- /dev/null
+++ b/cmd/internal/gatewayd/admissionswitch_test.go
@@ -0,0 +1,58 @@
+package gatewayd
+
+import (
+	"slices"
+	"testing"
+)
+
+// TestAdmissionSwitch guards against admission control that starts without being asked for, doesn't
+// start with the first pace, or doesn't follow the settings.
+func TestAdmissionSwitch(t *testing.T) {
+	for _, test := range []struct {
+		mode                AdmissionMode
+		want, wantAfterPace bool
+	}{
+		{
+			mode: "",
+		},
+		{
+			mode: AdmissionOff,
+		},
+		{
+			mode:          AdmissionOn,
+			want:          true,
+			wantAfterPace: true,
+		},
+		{
+			mode:          AdmissionAuto,
+			wantAfterPace: true,
+		},
+	} {
+		s := &admissionSwitch{}
+		s.SetMode(test.mode)
+		if got := s.Active(); got != test.want {
+			t.Errorf("%q: got active %t, want %t", test.mode, got, test.want)
+		}
+		s.RecordPace()
+		if got := s.Active(); got != test.wantAfterPace {
+			t.Errorf("%q: got active %t after the first pace, want %t", test.mode, got, test.wantAfterPace)
+		}
+	}
+}
+
+// TestAdmissionSwitchReportsChanges guards against parts that are told of a state twice or not at all.
+func TestAdmissionSwitchReportsChanges(t *testing.T) {
+	var got []bool
+	s := &admissionSwitch{
+		OnChange: func(active bool) { got = append(got, active) },
+	}
+	s.SetMode(AdmissionAuto)
+	s.RecordPace()
+	s.RecordPace()
+	s.SetMode(AdmissionOn)
+	s.SetMode(AdmissionOff)
+	s.SetMode(AdmissionAuto)
+	if want := []bool{true, false, true}; !slices.Equal(got, want) {
+		t.Errorf("got changes to %v, want %v", got, want)
+	}
+}
--- a/cmd/internal/gatewayd/assemble.go
+++ b/cmd/internal/gatewayd/assemble.go
@@ -12,6 +12,8 @@
 	"github.com/slipwick/slipwick/membership"
 	"github.com/slipwick/slipwick/retry"
 	"github.com/slipwick/slipwick/upstream"
+
+	"github.com/slipwick/slipwick/cmd/internal/events"
 )
 
 // assemble creates the components and connects them.
@@ -20,6 +22,7 @@
 	s.Bounds = s.Bounds.orDefaults()
 	p.metrics = newMetrics()
 	p.observer = newObserver(p.Log, p.metrics, s.Headers.RequestID)
+	p.observer.overloads = &p.overloads
 	p.seeds.Store(&s.Seeds)
 	p.gracePeriod.Store(int64(s.GracePeriod))
 	p.bounds.Store(&s.Bounds)
@@ -35,10 +38,13 @@
 		feedRollouts:    directory.NewMirror(),
 	}
 	p.rollouts = newRollouts(p)
+	p.admission.OnChange = p.onAdmissionChange
+	p.admission.SetMode(s.Admission)
 	p.assembleMembership(open)
 	p.exchangeUDP = membership.NewUDP(open.exchangeUDP)
 	p.syncer = p.newSyncer()
 	p.crashTracker, p.crashGossiper = p.newCrashTracker()
+	p.permits = p.newPermitSources()
 	p.gateway = p.newGateway()
 	p.recovery = p.newRecovery()
 	p.metrics.registerGauges(p)
@@ -106,5 +112,23 @@
 			Restarted: !s.FirstStart,
 		},
 		Quarantine: p.crashTracker,
+		Permits:    p.permits,
+		OnPace:     p.admission.RecordPace,
+	}
+}
+
+// newPermitSources creates the source of permits. Without a source for a class of pools, their
+// requests need none.
+func (p *Process) newPermitSources() *permitSources {
+	return &permitSources{
+		Active:      p.admission.Active,
+		Capacity:    p.balancer,
+		Routers:     func() int { return len(p.node.Routers()) },
+		SmallCounts: p.metrics.permitCounts(sourceCoordinator),
+		LargeCounts: p.metrics.permitCounts(sourceShares),
 	}
 }
+
+func (p *Process) onAdmissionChange(active bool) {
+	events.AdmissionChanged.On(&p.Log).Bool("active", active).Send()
+}
--- a/cmd/internal/gatewayd/metrics.go
+++ b/cmd/internal/gatewayd/metrics.go
@@ -16,6 +16,9 @@
 	attempts *prometheus.CounterVec
 	duration *prometheus.HistogramVec
 	version  prometheus.Gauge
+	// permits counts the requests for permits by source and result, permitWait has the waits.
+	permits    *prometheus.CounterVec
+	permitWait prometheus.Histogram
 }
 
 var durationBuckets = []float64{.02, .05, .1, .2, .3, .4, .6, 1, 2, 4, 8}
@@ -40,11 +43,29 @@
 			Name: "slipwick_configuration_version",
 			Help: "Version of the configuration in force.",
 		}),
+		permits: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "slipwick_gateway_permits_total",
+			Help: "Requests for permits, by who decided and the result.",
+		}, []string{"source", "result"}),
+		permitWait: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "slipwick_gateway_permit_wait_seconds",
+			Help:    "Time that requests waited for permits, of those that waited for a millisecond at least.",
+			Buckets: durationBuckets,
+		}),
 	}
-	m.registry.MustRegister(m.requests, m.attempts, m.duration, m.version)
+	m.registry.MustRegister(m.requests, m.attempts, m.duration, m.version, m.permits, m.permitWait)
 	return m
 }
 
+// permitCounts returns the counters of one source of permits.
+func (m *metrics) permitCounts(source string) permitCounts {
+	return permitCounts{
+		granted: m.permits.WithLabelValues(source, "granted"),
+		refused: m.permits.WithLabelValues(source, "refused"),
+		ended:   m.permits.WithLabelValues(source, "ended"),
+	}
+}
+
 // gauge is a metric whose value is read at each scrape.
 type gauge struct {
 	name, help string
@@ -53,12 +74,15 @@
 
 // registerGauges registers the gauges that are read at each scrape.
 func (m *metrics) registerGauges(p *Process) {
-	for _, f := range slices.Concat(p.gauges(), p.backendGauges()) {
+	for _, f := range slices.Concat(p.gauges(), p.admissionGauges(), p.backendGauges()) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: f.name,
 			Help: f.help,
 		}, f.read))
 	}
+	m.registry.MustRegister(&poolCollector{
+		statuses: p.poolStatuses,
+	})
 }
 
 func (p *Process) gauges() []gauge {
@@ -124,6 +148,22 @@
 	}
 }
 
+// admissionGauges returns the gauges on admission control.
+func (p *Process) admissionGauges() []gauge {
+	return []gauge{
+		{
+			name: "slipwick_admission_active",
+			help: "1 while admission control is active.",
+			read: func() float64 {
+				if p.admission.Active() {
+					return 1
+				}
+				return 0
+			},
+		},
+	}
+}
+
 // backendGauges returns the gauges on backend servers.
 func (p *Process) backendGauges() []gauge {
 	return []gauge{
--- a/cmd/internal/gatewayd/observer.go
+++ b/cmd/internal/gatewayd/observer.go
@@ -22,11 +22,18 @@
 	refusals zerolog.Logger
 	// requestID is the name of the header with the request's ID.
 	requestID string
+	// overloadLog logs single requests refused for lack of capacity, with a line budget of its own,
+	// since these are many when they occur. overloads counts them; may be nil.
+	overloadLog zerolog.Logger
+	overloads   *overloads
 }
 
 // refusalsPerSecond is the budget of log lines on requests refused on arrival.
 const refusalsPerSecond = 10
 
+// overloadLinesPerSecond is the budget of log lines on requests refused for lack of capacity.
+const overloadLinesPerSecond = 5
+
 func newObserver(log zerolog.Logger, metrics *metrics, requestID string) *observer {
 	return &observer{
 		log:     log,
@@ -35,6 +42,10 @@
 			Burst:  refusalsPerSecond,
 			Period: time.Second,
 		}),
+		overloadLog: log.Sample(&zerolog.BurstSampler{
+			Burst:  overloadLinesPerSecond,
+			Period: time.Second,
+		}),
 		requestID: requestID,
 	}
 }
@@ -61,7 +72,20 @@
 func (o *observer) Ended(summary *gateway.RequestSummary) {
 	o.metrics.requests.WithLabelValues(summary.Result, summary.Reason).Inc()
 	o.metrics.duration.WithLabelValues(string(summary.Route.Kind)).Observe(summary.Duration.Seconds())
-	if summary.Result == "delivered" {
+	if summary.Waited > 0 {
+		o.metrics.permitWait.Observe(summary.Waited.Seconds())
+	}
+	if o.overloads != nil {
+		o.overloads.record(summary)
+	}
+	switch {
+	case summary.Result == "delivered":
+		return
+	case isOverloadRefusal(summary):
+		events.RequestOverloaded.On(&o.overloadLog).Str("request", summary.RequestID).Stringer("key", summary.Key).
+			Str("route", summary.Route.Name).Str("pool", summary.Pool).Str("workspace", summary.Workspace).
+			Int("priority", summary.Priority).Int("sends", summary.Sends).Dur("waited_ms", summary.Waited).
+			Dur("retry_after_ms", summary.RetryAfter).Dur("took_ms", summary.Duration).Send()
 		return
 	}
 	events.RequestUnserved.On(&o.log).Str("request", summary.RequestID).Stringer("key", summary.Key).
--- a/cmd/internal/gatewayd/process.go
+++ b/cmd/internal/gatewayd/process.go
@@ -72,7 +72,12 @@
 	// crashes to the other routers, over exchangeUDP too.
 	crashTracker  *quarantine.Tracker
 	crashGossiper *exchange.CrashGossiper
-	peers         *peers
+	// admission says whether requests need permits, which permits grants. overloads counts the
+	// requests that waited for one or were refused.
+	admission admissionSwitch
+	permits   *permitSources
+	overloads overloads
+	peers     *peers
 	// mirrors holds this router's copies of the feeds by name, for other routers.
 	mirrors     map[string]*directory.Mirror
 	exchangeUDP *membership.UDP
@@ -156,6 +161,7 @@
 		p.followTables, p.followBackends, p.followEvacuations, p.followRollouts,
 		p.node.Run, p.setFirstRouters, p.join, p.syncer.Run,
 		p.crashGossiper.Run, p.recoverCacheIndex, p.watchSettings, p.watchSuspension,
+		func(ctx context.Context) { p.overloads.run(ctx, &p.Log) },
 	} {
 		tasks.Go(func() { task(background) })
 	}
--- a/cmd/internal/gatewayd/status.go
+++ b/cmd/internal/gatewayd/status.go
@@ -34,8 +34,11 @@
 	MissingCaches int `json:"missing_caches"`
 	// Quarantined is the number of requests that are refused because each crashed several
 	// backend servers.
-	Quarantined int             `json:"quarantined"`
-	Backends    []balance.State `json:"backends"`
+	Quarantined int `json:"quarantined"`
+	// Admission says whether admission control is active.
+	Admission bool            `json:"admission"`
+	Pools     []PoolStatus    `json:"pools"`
+	Backends  []balance.State `json:"backends"`
 }
 
 // status returns the current state.
@@ -52,6 +55,8 @@
 		KnownParts:    p.balancer.CachedPartCount(),
 		MissingCaches: p.recovery.MissingCount(),
 		Quarantined:   p.crashTracker.QuarantinedCount(),
+		Admission:     p.admission.Active(),
+		Pools:         p.poolStatuses(),
 		Backends:      p.balancer.States(),
 	}
 	if table := p.gateway.Table(); table != nil {
--- a/cmd/slipwick/gateways/gateways.go
+++ b/cmd/slipwick/gateways/gateways.go
@@ -21,13 +21,15 @@
 
 Examples:
   slipwick gateways --router 10.0.0.5:9090 --router 10.0.0.6:9090
-  slipwick gateways --router 10.0.0.5:9090 --backends`
+  slipwick gateways --router 10.0.0.5:9090 --backends
+  slipwick gateways --router 10.0.0.5:9090 --pools`
 
 // Options holds the flags and arguments of the command.
 type Options struct {
 	Factory  *cli.Factory
 	JSON     bool
 	Backends bool
+	Pools    bool
 }
 
 // Register adds the command to the command line.
@@ -40,6 +42,8 @@
 	})
 	clause.Flag("json", "Print JSON, also on a terminal.").BoolVar(&options.JSON)
 	clause.Flag("backends", "Show each gateway's backend servers.").BoolVar(&options.Backends)
+	clause.Flag("pools", "Show each gateway's pools: slots, waiting requests and shares of workspaces.").
+		BoolVar(&options.Pools)
 }
 
 func run(ctx context.Context, options *Options) error {
@@ -53,9 +57,14 @@
 			return err
 		}
 	}
-	table := gatewaysTable(statuses)
-	if options.Backends {
+	var table cli.Table
+	switch {
+	case options.Pools:
+		table = poolsTable(statuses)
+	case options.Backends:
 		table = backendsTable(statuses)
+	default:
+		table = gatewaysTable(statuses)
 	}
 	return options.Factory.Streams.Print(options.JSON, statuses, table)
 }
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -13,10 +13,10 @@
 )
 
 const (
-	// reasonOverloaded is the reason for which a request that certainly was not run is refused for
+	// ReasonOverloaded is the reason for which a request that certainly was not run is refused for
 	// lack of capacity. reasonRetryOverloaded is the reason for which a request that may have run is
 	// not sent again.
-	reasonOverloaded      = "overloaded"
+	ReasonOverloaded      = "overloaded"
 	reasonRetryOverloaded = "retry-overloaded"
 	// maxPermitAsks is how often a request asks for a permit for one send, if the servers that its
 	// permits name are not usable: the source learns of an unusable server within an update.
@@ -180,7 +180,7 @@
 	case c.possibleRuns > 0:
 		return reasonRetryOverloaded
 	default:
-		return reasonOverloaded
+		return ReasonOverloaded
 	}
 }
 
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -110,7 +110,7 @@
 func refuseOverloaded(after time.Duration) *Refusal {
 	return &Refusal{
 		Status:     http.StatusServiceUnavailable,
-		Reason:     reasonOverloaded,
+		Reason:     ReasonOverloaded,
 		Message:    "the backend servers are busy with other requests; the request was not run, send it after Retry-After",
 		RetryAfter: after.Round(time.Millisecond),
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -181,7 +181,7 @@
 		c.finish(resultFailed, reason, c.failedResponse.status)
 	case c.possibleRuns == 0 && reason == reasonQuarantined:
 		c.refuse(refuseQuarantined(c.gateway.Quarantine.Admit(c.key).RetryAfter))
-	case c.possibleRuns == 0 && reason == reasonOverloaded:
+	case c.possibleRuns == 0 && reason == ReasonOverloaded:
 		c.gateway.refused.add(c.key, retryAfter)
 		c.refuse(refuseOverloaded(retryAfter))
 	case c.possibleRuns == 0:
