--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -95,6 +95,10 @@
 	// sendsFrom is the time to which the servers' decayed send counts refer.
 	sendsFrom time.Time
 	scratch   scratch
+	// speedAware says that the speed of servers decides where requests go.
+	speedAware bool
+	// slowServers has the servers whose load weight is above 1.
+	slowServers map[*server]bool
 }
 
 // New returns a balancer without backend servers.
@@ -120,6 +124,7 @@
 		timings:         make(map[string]*poolTimings),
 		versions:        make(map[string]map[string]time.Time),
 		createdAt:       clock.Now(),
+		slowServers:     make(map[*server]bool),
 	}
 }
 
@@ -150,6 +155,7 @@
 		// so it must not wait for a prefill.
 		lease.isCold, lease.Wait, lease.PrefillDone = true, 0, nil
 	}
+	b.noteLoadLocked(lease, now)
 	if lease.server.inFlight == 0 {
 		lease.server.busySince = now
 	}
@@ -259,6 +265,9 @@
 // leastLoadedLocked returns one of the least loaded servers, with a preference for the router's
 // own data centre.
 func (b *Balancer) leastLoadedLocked(usable []*server, now time.Time, decay float64) *server {
+	if b.speedAware {
+		return b.shortestDelayLocked(usable, now, decay)
+	}
 	costs, _ := b.expectedLoadsLocked(usable, now, decay)
 	for i, s := range usable {
 		if s.DataCentre != b.DataCentre {
--- a/balance/choice_test.go
+++ b/balance/choice_test.go
@@ -237,6 +237,47 @@
 	}
 }
 
+// BenchmarkAcquireBySpeed930 measures choices among 930 engines that all reported their pace, and a
+// quarter of which are slow.
+func BenchmarkAcquireBySpeed930(b *testing.B) {
+	balancer := newTestBalancer(930)
+	balancer.SetSpeedAware(true)
+	balancer.MarkCachesKnown()
+	balancer.SetPeers([]string{"fleet"}, 294)
+	var list []InFlight
+	var speeds []SpeedCounts
+	for i, s := range balancer.pools["p"] {
+		list = append(list, InFlight{
+			Server: s.hash,
+			Count:  3,
+		})
+		c := SpeedCounts{
+			Server:  s.hash,
+			Reports: 50,
+		}
+		if i%4 == 0 {
+			c.LogPace = 50 * 90
+		}
+		speeds = append(speeds, c)
+	}
+	request := prompt(1)
+	b.ReportAllocs()
+	sequence := uint64(0)
+	for b.Loop() {
+		if sequence%1000 == 0 {
+			balancer.ReceiveCounts("fleet", sequence+1, list)
+			balancer.ReceiveSpeedCounts(speeds)
+		}
+		sequence++
+		request.Prompt[0].Key = sequence%500 + 1
+		lease, err := balancer.Acquire(request)
+		if err != nil {
+			b.Fatal(err)
+		}
+		balancer.Release(lease, slipwick.EvidenceNone)
+	}
+}
+
 func BenchmarkAcquireKnown153(b *testing.B) { benchmarkAcquire(b, 153, true) }
 func BenchmarkAcquireKnown930(b *testing.B) { benchmarkAcquire(b, 930, true) }
 func BenchmarkAcquireNew153(b *testing.B)   { benchmarkAcquire(b, 153, false) }
--- a/balance/ejection.go
+++ b/balance/ejection.go
@@ -104,6 +104,9 @@
 		}
 	case slipwick.EvidenceShed:
 		s.lastActivityAt = now
+		b.countSpeedLocked(s, &SpeedCounts{
+			Rejections: 1,
+		}, now)
 		if s.notices.isPaused(now) || b.hasFreeSlotLocked(s, now) {
 			b.recordOutcomeLocked(s, true)
 			b.ejectIfFailingLocked(s, now)
@@ -120,7 +123,11 @@
 // has no requests in flight and so looks the least loaded, until the retry budget is spent on it.
 // A full server sheds because of its load, which an ejection would only move elsewhere.
 func (b *Balancer) hasFreeSlotLocked(s *server, now time.Time) bool {
-	return b.loadsLocked([]*server{s}, now)[0] < float64(s.EffectiveSlots())
+	slots := s.EffectiveSlots()
+	if b.speedAware {
+		slots = s.slots()
+	}
+	return b.loadsLocked([]*server{s}, now)[0] < float64(slots)
 }
 
 // ejectIfFailingLocked ejects a server that fails more often than the others.
@@ -179,8 +186,12 @@
 func (b *Balancer) RecordOverdue(lease *Lease) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	now := clock.Now()
+	if !b.isOverdueLocked(lease, now) {
+		return
+	}
 	b.recordOutcomeLocked(lease.server, true)
-	b.ejectIfFailingLocked(lease.server, clock.Now())
+	b.ejectIfFailingLocked(lease.server, now)
 }
 
 // ReceiveOutcomes takes the outcomes of requests of other routers.
--- a/balance/lease.go
+++ b/balance/lease.go
@@ -33,6 +33,12 @@
 	prefill *prefill
 	// isSlow says that the response began several times later than usual for such a request.
 	isSlow bool
+	// loadBefore is how many requests of all routers were at the server when it was chosen, as far as
+	// known, tokensBefore how many tokens it had yet to prefill for them.
+	loadBefore   float64
+	tokensBefore int
+	// loadReported is how many requests the server reported in its response.
+	loadReported int
 	// isCold says that the backend server was cold when it was chosen.
 	isCold bool
 	// pendingPrefill is how many tokens the engine has yet to prefill for the request.
--- a/balance/loads.go
+++ b/balance/loads.go
@@ -122,6 +122,7 @@
 	s, now := lease.server, clock.Now()
 	s.reported = load.Running + load.Waiting
 	s.reportedOwn = s.inFlight
+	lease.loadReported = s.reported
 	s.reportedAt = now
 	b.recordReportLocked(s, &load, now)
 }
--- a/balance/prompt.go
+++ b/balance/prompt.go
@@ -15,6 +15,9 @@
 	prompt := parts[len(parts)-1]
 	loads, mean := b.expectedLoadsLocked(usable, now, decay)
 	bound := b.usableBoundLocked(usable, mean, now)
+	if b.speedAware {
+		b.weightLoadsLocked(usable, loads, bound, now)
+	}
 	holders, _ := b.cacheIndex.holdersByPart.Peek(prompt)
 	best := candidate{}
 	for i, s := range usable {
--- a/balance/report.go
+++ b/balance/report.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"strconv"
 	"time"
 )
@@ -21,6 +22,10 @@
 		b.OnInvalidPace(s.Backend, text)
 	case text == "" && load.Pace > 0:
 		s.reportedPace, s.paceReportedAt = load.Pace, now
+		b.countSpeedLocked(s, &SpeedCounts{
+			Reports: 1,
+			LogPace: int(math.Round(logUnits * math.Log(load.Pace/usualPace))),
+		}, now)
 	}
 }
 
--- a/balance/scratch.go
+++ b/balance/scratch.go
@@ -13,7 +13,8 @@
 	// others that are not held back.
 	oldVersion, newVersion []*server
 	// costs has the loads of the usable servers, with remoteDataCentreCost added for a plain
-	// service, scores the rendezvous scores of those below the load bound.
-	costs  []float64
-	scores []uint64
+	// service, weights how often each of these is drawn, scores the rendezvous scores of those below the load bound.
+	costs   []float64
+	weights []float64
+	scores  []uint64
 }
--- a/balance/server.go
+++ b/balance/server.go
@@ -54,6 +54,7 @@
 	reportedPace   float64
 	paceReportedAt time.Time
 	hasInvalidPace bool
+	speed          speed
 
 	// lastActivityAt is when the server last sent anything to this router, busySince since when
 	// this router has had requests in flight there.
@@ -95,6 +96,7 @@
 		hash:      placement.IDHash(entry.Incarnation()),
 		poolIndex: -1,
 		listedAt:  listedAt,
+		speed:     newSpeed(),
 		// The cache of a server that starts after the router is empty.
 		cacheKnown: !listedAt.IsZero(),
 	}
@@ -136,7 +138,11 @@
 		return false
 	}
 	silentFor := min(now.Sub(s.busySince), now.Sub(s.lastActivityAt))
-	return silentFor > minSilence && silentFor > b.timingsLocked(s.Pool).maxSilenceFor(s.prefillTokens)
+	if silentFor <= minSilence {
+		return false
+	}
+	limit := b.timingsLocked(s.Pool).maxSilenceFor(s.prefillTokens)
+	return silentFor > limit && float64(silentFor) > float64(limit)*b.slowTimeLocked(s, now)
 }
 
 // eject ejects the server, for twice as long each time in a row up to maxEjection. It returns
--- /dev/null
+++ b/balance/slowtime.go
@@ -0,0 +1,24 @@
+package balance
+
+import "time"
+
+// maxSlowTime bounds how much more time a server gets because it reports that it is slow.
+const maxSlowTime = 4
+
+// slowTimeLocked returns by what factor a server may take longer than usual, by its own reports.
+func (b *Balancer) slowTimeLocked(s *server, now time.Time) float64 {
+	if !b.speedAware {
+		return 1
+	}
+	return min(max(s.speed.reportedFactor(now), 1), maxSlowTime)
+}
+
+// isOverdueLocked reports whether the lease's request has waited for longer than its server may take.
+// A server may have reported only after the request was sent that it is slow.
+func (b *Balancer) isOverdueLocked(lease *Lease, now time.Time) bool {
+	factor := b.slowTimeLocked(lease.server, now)
+	if factor == 1 || lease.sentAt.IsZero() {
+		return true
+	}
+	return float64(now.Sub(lease.sentAt)) >= factor*float64(b.firstByteTimeoutLocked(lease))
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/slipwick/slipwick/clock"
 )
@@ -35,6 +36,17 @@
 	InFlight int `json:"in_flight"`
 	// ErrorRate is the failure rate of the latest requests of all routers.
 	ErrorRate float64 `json:"error_rate"`
+	// Slots is how many requests the server works on at once, as it reported or as its entry says.
+	Slots int `json:"slots"`
+	// PaceFast and PaceSlow are the estimates over some hundred milliseconds and some seconds of how
+	// long work takes there: 100 is the usual value. PaceReported is what the server last reported to
+	// this router, 0 if nothing, PaceReportedMS how many milliseconds ago.
+	PaceFast       float64 `json:"pace_fast"`
+	PaceSlow       float64 `json:"pace_slow"`
+	PaceReported   float64 `json:"pace_reported"`
+	PaceReportedMS int64   `json:"pace_reported_ms"`
+	// PaceObserved is the part of PaceSlow that the response times say without the reports.
+	PaceObserved float64 `json:"pace_observed"`
 }
 
 // States returns all backend servers by pool and ID.
@@ -61,6 +73,7 @@
 			InFlight:     s.inFlight,
 			ErrorRate:    s.errors.rate,
 		}
+		s.addSpeed(&state, now)
 		if state.Ejected {
 			state.EjectedMS = s.ejectedUntil.Sub(now).Milliseconds()
 		}
@@ -71,3 +84,14 @@
 	})
 	return states
 }
+
+// addSpeed adds the slots and the paces of the server to its state.
+func (s *server) addSpeed(state *State, now time.Time) {
+	fast, slow := s.speed.paces(now)
+	state.Slots = s.slots()
+	state.PaceFast, state.PaceSlow = usualPace*fast, usualPace*slow
+	state.PaceObserved = usualPace * s.speed.observedFactor(now)
+	if s.reportedPace > 0 {
+		state.PaceReported, state.PaceReportedMS = s.reportedPace, now.Sub(s.paceReportedAt).Milliseconds()
+	}
+}
--- a/balance/timings.go
+++ b/balance/timings.go
@@ -57,6 +57,8 @@
 	slowdown *pace.SlowdownEstimator
 	// streamGaps has the longest gap of each stream that completed, in nanoseconds.
 	streamGaps *pace.Window
+	// usual has the times until responses began at servers that aren't full.
+	usual *pace.SlowdownEstimator
 }
 
 // timingsLocked returns the timings of a pool, and creates them if needed.
@@ -77,6 +79,9 @@
 	p.slowdown = &pace.SlowdownEstimator{
 		UnloadedTime: p.unloadedTime,
 	}
+	p.usual = &pace.SlowdownEstimator{
+		UnloadedTime: p.unloadedTime,
+	}
 	return p
 }
 
@@ -133,6 +138,7 @@
 	}
 	p.hasPrompts = p.hasPrompts || lease.hasPrompt
 	p.slowdown.Record(lease.tokensToPrefill, elapsed)
+	b.observeSpeedLocked(lease, elapsed, clock.Now())
 	if lease.hasPrompt && lease.FetchFrom == "" {
 		p.prefill.Record(lease.tokensToPrefill, elapsed)
 	}
@@ -143,6 +149,11 @@
 func (b *Balancer) FirstByteTimeout(lease *Lease) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	factor := b.slowTimeLocked(lease.server, clock.Now())
+	return time.Duration(factor * float64(b.firstByteTimeoutLocked(lease)))
+}
+
+func (b *Balancer) firstByteTimeoutLocked(lease *Lease) time.Duration {
 	late := b.timingsLocked(lease.server.Pool).responseTimeQuantile(lateQuantile, lease.tokensToPrefill)
 	if late == 0 {
 		return 0
--- a/balance/update.go
+++ b/balance/update.go
@@ -15,6 +15,7 @@
 	CachedParts []CachedPart
 	Outcomes    []OutcomeCounts
 	Leaving     []uint64
+	Speeds      []SpeedCounts
 }
 
 // OutcomeCounts has the numbers of requests that ended since the last update, at a server or, in a
@@ -66,6 +67,8 @@
 	}
 	b.pendingCachedParts, b.pendingLeaving = nil, nil
 	b.addCanaryCountsLocked(&update)
+	now := clock.Now()
+	b.updateLoadWeightsLocked(now)
 	for s := range b.active {
 		if b.serversByHash[s.hash] != s {
 			// The server is no longer listed.
@@ -79,6 +82,7 @@
 				Failed: failed,
 			})
 		}
+		b.addSpeedCountsLocked(&update, s, now)
 		if s.inFlight > 0 {
 			update.InFlight = append(update.InFlight, InFlight{
 				Server:        s.hash,
--- a/cmd/slipwick/gateways/gateways.go
+++ b/cmd/slipwick/gateways/gateways.go
@@ -95,23 +95,37 @@
 }
 
 // backendsTable returns a row for each backend server of each gateway. IN FLIGHT counts the requests of
-// this gateway; ERRORS is the failure rate of the latest requests of all gateways.
+// this gateway; ERRORS is the failure rate of the latest requests of all gateways. The columns that begin
+// with PACE say how long work takes there, 100 is usual: now, over some seconds, by response times alone,
+// and as the server last reported.
 func backendsTable(statuses []gatewayd.Status) cli.Table {
 	table := cli.Table{
-		Header: []string{"GATEWAY", "POOL", "BACKEND SERVER", "ADDRESS", "DATA CENTRE", "STATE", "IN FLIGHT", "ERRORS"},
+		Header: []string{
+			"GATEWAY", "POOL", "BACKEND SERVER", "ADDRESS", "DATA CENTRE", "STATE", "IN FLIGHT", "SLOTS", "ERRORS",
+			"PACE NOW", "PACE", "PACE OBSERVED", "PACE REPORTED",
+		},
 	}
 	for i := range statuses {
 		for j := range statuses[i].Backends {
 			b := &statuses[i].Backends[j]
 			table.Rows = append(table.Rows, []string{
 				statuses[i].Router, b.Pool, b.ID, b.Address, b.DataCentre, backendState(b), strconv.Itoa(b.InFlight),
-				fmt.Sprintf("%.2f", b.ErrorRate),
+				strconv.Itoa(b.Slots), fmt.Sprintf("%.2f", b.ErrorRate), fmt.Sprintf("%.0f", b.PaceFast),
+				fmt.Sprintf("%.0f", b.PaceSlow), fmt.Sprintf("%.0f", b.PaceObserved), reportedPace(b),
 			})
 		}
 	}
 	return table
 }
 
+// reportedPace returns the value of the PACE REPORTED column.
+func reportedPace(b *balance.State) string {
+	if b.PaceReported == 0 {
+		return "none"
+	}
+	return fmt.Sprintf("%.0f, %d ms ago", b.PaceReported, b.PaceReportedMS)
+}
+
 // backendState returns the value of the STATE column of a backend server. A silent one has not sent
 // anything for a while; a cold one gets only few requests for the time shown.
 func backendState(b *balance.State) string {
--- a/cmd/slipwick/root/root_test.go
+++ b/cmd/slipwick/root/root_test.go
@@ -206,6 +206,13 @@
 					Ejected:   true,
 					EjectedMS: 250,
 					ErrorRate: 0.31,
+					Slots:     6,
+
+					PaceFast:       247,
+					PaceSlow:       118,
+					PaceObserved:   121,
+					PaceReported:   250,
+					PaceReportedMS: 40,
 				},
 				{
 					ID:      "b2",
@@ -225,6 +232,11 @@
 		!strings.Contains(out, "0.31") {
 		t.Errorf("got %d, %q, %q; want rows for b1 and b2", code, out, errors)
 	}
+	for _, want := range []string{"247", "118", "121", "250, 40 ms ago", "none"} {
+		if !strings.Contains(out, want) {
+			t.Errorf("got %q, want the pace %s in it", out, want)
+		}
+	}
 	code, out, _ = command(t, false, "gateways", "--router", router)
 	var statuses []gatewayd.Status
 	if err := json.Unmarshal([]byte(out), &statuses); code != cli.ExitOK || err != nil || len(statuses) != 1 {
--- a/exchange/codec.go
+++ b/exchange/codec.go
@@ -41,16 +41,18 @@
 			n = min(len(update.Leaving), maxOutcomes-n)
 			e.addLeaving(update.Leaving[:n])
 			update.Leaving = update.Leaving[n:]
+			update.Speeds = e.addSpeeds(update.Speeds, maxOutcomes-len(e.message.GetEnded())-n)
 		}
 		packets = append(packets, marshal(e.message))
 	}
 	return packets
 }
 
-// countEvents counts the events of an update: the cached parts, the outcomes and the leaving
-// servers. The balancer returns each of them only once, unlike the counts of requests in flight.
+// countEvents counts the events of an update: the cached parts, the outcomes, the leaving servers and
+// the observations of servers' speeds. The balancer returns each of them only once, unlike the counts
+// of requests in flight.
 func countEvents(update *balance.Update) int {
-	return len(update.CachedParts) + len(update.Outcomes) + len(update.Leaving)
+	return len(update.CachedParts) + len(update.Outcomes) + len(update.Leaving) + len(update.Speeds)
 }
 
 func (s *Syncer) newMessage(scope exchangepb.Scope) *exchangepb.Told {
@@ -155,6 +157,7 @@
 			update.Leaving = append(update.Leaving, servers[index])
 		}
 	}
+	update.Speeds = decodeSpeeds(message)
 	return update
 }
 
--- /dev/null
+++ b/exchange/speeds.go
@@ -0,0 +1,71 @@
+package exchange
+
+import (
+	"github.com/slipwick/slipwick/balance"
+	"github.com/slipwick/slipwick/exchange/exchangepb"
+)
+
+// speedPlaces is how many servers' outcomes take as much of a datagram as the observations of one
+// server's speed, at most 18 bytes and 8 for the server.
+const speedPlaces = 2
+
+// addSpeeds adds the first of the observations to a datagram with places left for outcomes, and returns
+// the others.
+func (e *encoder) addSpeeds(list []balance.SpeedCounts, places int) []balance.SpeedCounts {
+	n := min(len(list), places/speedPlaces)
+	for i := range list[:n] {
+		c := &list[i]
+		e.message.Paced = append(e.message.Paced, e.indexOf(c.Server))
+		e.message.PacedResponses = append(e.message.PacedResponses, uint32(c.Responses))
+		e.message.PacedSlowdowns = append(e.message.PacedSlowdowns, int32(c.LogSlowdown))
+		e.message.PacedReports = append(e.message.PacedReports, uint32(c.Reports))
+		e.message.PacedReported = append(e.message.PacedReported, int32(c.LogPace))
+		e.message.PacedRejections = append(e.message.PacedRejections, uint32(c.Rejections))
+	}
+	return list[n:]
+}
+
+// decodeSpeeds returns the observations in a datagram, up to the first invalid entry. The balancer
+// checks the values.
+func decodeSpeeds(message *exchangepb.Told) []balance.SpeedCounts {
+	servers := message.GetServers()
+	var list []balance.SpeedCounts
+	complete := min(len(message.GetPacedResponses()), len(message.GetPacedSlowdowns()), len(message.GetPacedReports()),
+		len(message.GetPacedReported()), len(message.GetPacedRejections()))
+	for i, index := range message.GetPaced() {
+		if i >= complete || int(index) >= len(servers) {
+			break
+		}
+		list = append(list, balance.SpeedCounts{
+			Server:      servers[index],
+			Responses:   int(message.GetPacedResponses()[i]),
+			LogSlowdown: int(message.GetPacedSlowdowns()[i]),
+			Reports:     int(message.GetPacedReports()[i]),
+			LogPace:     int(message.GetPacedReported()[i]),
+			Rejections:  int(message.GetPacedRejections()[i]),
+		})
+	}
+	return list
+}
+
+// addSpeeds adds more observations to a list by server, as far as a hub has room for servers.
+func addSpeeds(list, more []balance.SpeedCounts) []balance.SpeedCounts {
+	if len(more) == 0 {
+		return list
+	}
+	indexes := make(map[uint64]int, len(list))
+	for i := range list {
+		indexes[list[i].Server] = i
+	}
+	for i := range more {
+		index, known := indexes[more[i].Server]
+		switch {
+		case known:
+			list[index].Add(&more[i])
+		case len(list) < maxQueued:
+			indexes[more[i].Server] = len(list)
+			list = append(list, more[i])
+		}
+	}
+	return list
+}
--- a/exchange/syncer.go
+++ b/exchange/syncer.go
@@ -203,6 +203,7 @@
 	if len(events.Leaving) < maxQueued {
 		events.Leaving = append(events.Leaving, more.Leaving...)
 	}
+	events.Speeds = addSpeeds(events.Speeds, more.Speeds)
 }
 
 // sumCounts returns the counts of the group including this router, and those of the other hubs. It
@@ -260,6 +261,7 @@
 	s.Balancer.ReceivePrefills(update.CachedParts)
 	s.Balancer.ReceiveOutcomes(update.Outcomes)
 	s.Balancer.ReceiveLeaving(update.Leaving)
+	s.Balancer.ReceiveSpeedCounts(update.Speeds)
 }
 
 // hasCounts reports whether a datagram carries counts of requests in flight.
--- a/pace/slowdown_test.go
+++ b/pace/slowdown_test.go
@@ -40,3 +40,23 @@
 		}
 	}
 }
+
+// TestUsualTimeIsTheGeometricMean guards against a usual time that a few very late responses determine.
+func TestUsualTimeIsTheGeometricMean(t *testing.T) {
+	s := &SlowdownEstimator{
+		UnloadedTime: func(tokens int) time.Duration { return time.Duration(1+tokens) * time.Millisecond },
+	}
+	if got := s.Usual(5); got != 0 {
+		t.Errorf("got %v without observations, want 0", got)
+	}
+	for i := range slowdownWindow {
+		took := 2 * time.Millisecond
+		if i%2 == 0 {
+			took = 8 * time.Millisecond
+		}
+		s.Record(0, took)
+	}
+	if got, want := s.Usual(9), 40*time.Millisecond; (got - want).Abs() > time.Millisecond {
+		t.Errorf("got %v, want four times the unloaded time, %v", got, want)
+	}
+}
