--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -33,6 +33,9 @@
 	// OnNotice is called when a backend server announces something about itself that was not
 	// known. It must not call back into the balancer.
 	OnNotice func(backend slipwick.Backend, notice slipwick.Notice)
+	// OnInvalidPace is called with the text of the first invalid pace that a backend server reports.
+	// It must not call back into the balancer.
+	OnInvalidPace func(backend slipwick.Backend, text string)
 	// EntriesReused says that a backend server may be replaced by another under the same entry,
 	// as in a list that operators write. A server's announcement that it is leaving then
 	// expires.
@@ -92,6 +95,10 @@
 	// sendsFrom is the time to which the servers' decayed send counts refer.
 	sendsFrom time.Time
 	scratch   scratch
+	// speedAware says that the speed of servers decides where requests go.
+	speedAware bool
+	// slowServers has the servers whose load weight is above 1.
+	slowServers map[*server]bool
 }
 
 // New returns a balancer without backend servers.
@@ -103,6 +110,7 @@
 		OnLongPrefill:   func() {},
 		OnEjected:       func(slipwick.Backend, time.Duration) {},
 		OnNotice:        func(slipwick.Backend, slipwick.Notice) {},
+		OnInvalidPace:   func(slipwick.Backend, string) {},
 		Random:          rand.Float64,
 		servers:         make(map[string]*server),
 		serversByHash:   make(map[uint64]*server),
@@ -116,6 +124,7 @@
 		timings:         make(map[string]*poolTimings),
 		versions:        make(map[string]map[string]time.Time),
 		createdAt:       clock.Now(),
+		slowServers:     make(map[*server]bool),
 	}
 }
 
@@ -152,6 +161,7 @@
 		// so it must not wait for a prefill.
 		lease.isCold, lease.Wait, lease.PrefillDone = true, 0, nil
 	}
+	b.noteLoadLocked(lease, now)
 	if lease.server.inFlight == 0 {
 		lease.server.busySince = now
 	}
@@ -261,6 +271,9 @@
 // leastLoadedLocked returns one of the least loaded servers, with a preference for the router's
 // own data centre.
 func (b *Balancer) leastLoadedLocked(usable []*server, now time.Time, decay float64) *server {
+	if b.speedAware {
+		return b.shortestDelayLocked(usable, now, decay)
+	}
 	costs, _ := b.expectedLoadsLocked(usable, now, decay)
 	for i, s := range usable {
 		if s.DataCentre != b.DataCentre {
--- a/balance/timings.go
+++ b/balance/timings.go
@@ -57,6 +57,8 @@
 	slowdown *pace.SlowdownEstimator
 	// streamGaps has the longest gap of each stream that completed, in nanoseconds.
 	streamGaps *pace.Window
+	// usual has the times until responses began at servers that aren't full.
+	usual *pace.SlowdownEstimator
 }
 
 // timingsLocked returns the timings of a pool, and creates them if needed.
@@ -77,6 +79,9 @@
 	p.slowdown = &pace.SlowdownEstimator{
 		UnloadedTime: p.unloadedTime,
 	}
+	p.usual = &pace.SlowdownEstimator{
+		UnloadedTime: p.unloadedTime,
+	}
 	return p
 }
 
@@ -133,6 +138,7 @@
 	}
 	p.hasPrompts = p.hasPrompts || lease.hasPrompt
 	p.slowdown.Record(lease.tokensToPrefill, elapsed)
+	b.observeSpeedLocked(lease, elapsed, clock.Now())
 	if lease.hasPrompt && lease.FetchFrom == "" {
 		p.prefill.Record(lease.tokensToPrefill, elapsed)
 	}
@@ -143,6 +149,11 @@
 func (b *Balancer) FirstByteTimeout(lease *Lease) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	factor := b.slowTimeLocked(lease.server, clock.Now())
+	return time.Duration(factor * float64(b.firstByteTimeoutLocked(lease)))
+}
+
+func (b *Balancer) firstByteTimeoutLocked(lease *Lease) time.Duration {
 	late := b.timingsLocked(lease.server.Pool).responseTimeQuantile(lateQuantile, lease.tokensToPrefill)
 	if late == 0 {
 		return 0
@@ -179,6 +190,18 @@
 	return prefill.PrefillTime(request.tokens()) - prefill.BaseTime()
 }
 
+// FirstTokenTime returns how long an unloaded engine of the pool takes to the first token with the
+// given number of tokens to prefill, 0 if the pool's requests have no prompts.
+func (b *Balancer) FirstTokenTime(pool string, tokens int) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.timingsLocked(pool)
+	if !p.hasPrompts {
+		return 0
+	}
+	return p.prefill.PrefillTime(tokens)
+}
+
 // MedianResponseTime returns the median time until the response begins to a request of the pool
 // that has as many unique tokens and its shared parts cached, or 0 while too few were measured.
 func (b *Balancer) MedianResponseTime(request *Request) time.Duration {
--- a/cmd/internal/gatewayd/assemble.go
+++ b/cmd/internal/gatewayd/assemble.go
@@ -55,6 +55,7 @@
 	b.Switches = p.Switches
 	b.OnEjected = p.onEjected
 	b.OnNotice = p.onNotice
+	b.OnInvalidPace = p.onInvalidPace
 	b.EntriesReused = p.Feeds.Private
 	b.HoldVersions = p.followsRollouts()
 	b.SetLoadBound(p.Settings.Bounds.LoadFactor, p.Settings.Bounds.LoadSlack)
@@ -114,6 +115,8 @@
 		Quarantine: p.crashTracker,
 		Permits:    p.permits,
 		OnPace:     p.admission.RecordPace,
+
+		PermitsActive: p.admission.Active,
 	}
 }
 
@@ -131,4 +134,5 @@
 
 func (p *Process) onAdmissionChange(active bool) {
 	events.AdmissionChanged.On(&p.Log).Bool("active", active).Send()
+	p.balancer.SetSpeedAware(active)
 }
--- a/cmd/slipwick/root/root_test.go
+++ b/cmd/slipwick/root/root_test.go
@@ -229,6 +229,13 @@
 					Ejected:   true,
 					EjectedMS: 250,
 					ErrorRate: 0.31,
+					Slots:     6,
+
+					PaceFast:       247,
+					PaceSlow:       118,
+					PaceObserved:   121,
+					PaceReported:   250,
+					PaceReportedMS: 40,
 				},
 				{
 					ID:      "b2",
@@ -248,6 +255,11 @@
 		!strings.Contains(out, "0.31") {
 		t.Errorf("got %d, %q, %q; want rows for b1 and b2", code, out, errors)
 	}
+	for _, want := range []string{"247", "118", "121", "250, 40 ms ago", "none"} {
+		if !strings.Contains(out, want) {
+			t.Errorf("got %q, want the pace %s in it", out, want)
+		}
+	}
 	checkPoolsTable(t, router)
 	code, out, _ = command(t, false, "gateways", "--pools", "--router", router)
 	var statuses []gatewayd.Status
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,6 +35,8 @@
 	// slipwick.PressureSource, no second send is made for a request while a pool is under pressure
 	// and the first one still waits.
 	Permits slipwick.PermitSource
+	// PermitsActive reports whether requests need permits; nil says that they do if Permits is set.
+	PermitsActive func() bool
 	// OnPace is called when a backend server first reports its pace, once at most; may be nil. It must
 	// not block.
 	OnPace func()
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -148,6 +148,11 @@
 	}
 }
 
+// usesPermits reports whether requests need permits at this moment.
+func (g *Gateway) usesPermits() bool {
+	return g.Permits != nil && (g.PermitsActive == nil || g.PermitsActive())
+}
+
 // isUnderPressure reports whether admission control is active and the pool is under pressure.
 func (c *call) isUnderPressure() bool {
 	source, ok := c.gateway.Permits.(slipwick.PressureSource)
@@ -158,7 +163,7 @@
 // request then has to ask for a permit again, within the retry budget, rather than be sent to the
 // other servers of the full pool, and may be sent to the same server again.
 func (c *call) noteRejection(sendResult result, evidence slipwick.Evidence) {
-	if c.gateway.Permits != nil && sendResult == resultNotRun && evidence == slipwick.EvidenceShed &&
+	if c.gateway.usesPermits() && sendResult == resultNotRun && evidence == slipwick.EvidenceShed &&
 		(c.permit.permit.ID != 0 || c.isUnderPressure()) {
 		c.selection.Exclude = c.selection.Exclude[:len(c.selection.Exclude)-1]
 	}
@@ -185,7 +190,7 @@
 
 // recordWork notes how long a request whose response was delivered occupied its slot.
 func (c *call) recordWork(sentAt time.Time) {
-	if c.gateway.Permits == nil {
+	if !c.gateway.usesPermits() {
 		return
 	}
 	start := clock.Since(sentAt)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -90,7 +90,7 @@
 		c.nextLease = nil
 		return lease, nil
 	}
-	if c.gateway.Permits == nil {
+	if !c.gateway.usesPermits() {
 		return c.gateway.Balancer.Acquire(&c.selection)
 	}
 	lease, permit, err := c.acquireWithPermit(c.ctx, c.selection, c.possibleRuns > 0)
--- a/gateway/timeouts.go
+++ b/gateway/timeouts.go
@@ -121,7 +121,7 @@
 // acquireHedge acquires a lease while a send is still waiting. With a permit source it does so only
 // while the pool is not under pressure, and without a wait of more than hedgePermitWait.
 func (c *call) acquireHedge(selection balance.Request) (*balance.Lease, heldPermit, error) {
-	if c.gateway.Permits == nil {
+	if !c.gateway.usesPermits() {
 		lease, err := c.gateway.Balancer.Acquire(&selection)
 		return lease, heldPermit{}, err
 	}
