gateway: Report how the end of a response is marked

A stream was forwarded as complete though it had broken off, and neither logs nor metrics could tell the hypotheses apart: a delivered request has no line. Each response that is read to its end now counts by its framing (length, chunked, close), and one that ends with its connection has a line 210 with the bytes after its last complete event and with the error of the request's write. Failed attempts (204) have the framing too. No decision changes.

--- a/cmd/internal/events/catalogue.go
+++ b/cmd/internal/events/catalogue.go
@@ -119,6 +119,14 @@
 			"most is the workspace with the most refusals.",
 		Remedy: "Run slipwick gateways --pools; add backend servers, or limit the workspace by max_in_flight or max_work.",
 	}
+	ResponseClosed = Event{
+		Number: 210,
+		Name:   "response-closed",
+		Level:  zerolog.InfoLevel,
+		Meaning: "A response without length and chunks ended with its connection, after `events` complete events " +
+			"of a stream and rest_bytes further bytes; request_error says why the request could not be written whole.",
+		Remedy: "None, unless the caller got an incomplete response: let the backend server send chunks or a length.",
+	}
 	RequestQuarantined = Event{
 		Number:  206,
 		Name:    "request-quarantined",
@@ -285,6 +293,7 @@
 		RequestReleased,
 		RequestOverloaded,
 		PoolOverloaded,
+		ResponseClosed,
 		ConfigurationInForce,
 		PlatformCallFailed,
 		FeedRecovered,
--- a/cmd/internal/gatewayd/metrics.go
+++ b/cmd/internal/gatewayd/metrics.go
@@ -16,8 +16,10 @@
 
 	requests *prometheus.CounterVec
 	attempts *prometheus.CounterVec
-	duration *prometheus.HistogramVec
-	version  prometheus.Gauge
+	// responses counts the responses that were read to their end, by framing.
+	responses *prometheus.CounterVec
+	duration  *prometheus.HistogramVec
+	version   prometheus.Gauge
 	// permits counts the requests for permits by source and result, permitWait has the waits.
 	permits    *prometheus.CounterVec
 	permitWait prometheus.Histogram
@@ -36,6 +38,10 @@
 			Name: "slipwick_gateway_attempts_total",
 			Help: "Attempts at backend servers that yielded no complete response, by result.",
 		}, []string{"result"}),
+		responses: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "slipwick_gateway_responses_total",
+			Help: "Responses of backend servers read to their end, by how the end is marked.",
+		}, []string{"framing"}),
 		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name:    "slipwick_gateway_request_seconds",
 			Help:    "Time from a request's arrival to its end.",
@@ -55,7 +61,7 @@
 			Buckets: durationBuckets,
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.attempts, m.duration, m.version, m.permits, m.permitWait)
+	m.registry.MustRegister(m.requests, m.attempts, m.responses, m.duration, m.version, m.permits, m.permitWait)
 	return m
 }
 
--- a/cmd/internal/gatewayd/observer.go
+++ b/cmd/internal/gatewayd/observer.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/slipwick/slipwick/gateway"
+	"github.com/slipwick/slipwick/upstream"
 
 	"github.com/slipwick/slipwick/cmd/internal/events"
 )
@@ -25,7 +26,10 @@
 	// overloadLog logs single requests refused for lack of capacity, with a line budget of its own,
 	// since these are many when they occur. overloads counts them; may be nil.
 	overloadLog zerolog.Logger
-	overloads   *overloads
+	// closeLog logs responses that ended with their connection, with a line budget of its own: there
+	// are backend servers that end all their responses so.
+	closeLog  zerolog.Logger
+	overloads *overloads
 }
 
 // refusalsPerSecond is the budget of log lines on requests refused on arrival.
@@ -34,6 +38,9 @@
 // overloadLinesPerSecond is the budget of log lines on requests refused for lack of capacity.
 const overloadLinesPerSecond = 5
 
+// closeLinesPerSecond is the budget of log lines on responses that ended with their connection.
+const closeLinesPerSecond = 10
+
 func newObserver(log zerolog.Logger, metrics *metrics, requestID string) *observer {
 	return &observer{
 		log:     log,
@@ -46,6 +53,10 @@
 			Burst:  overloadLinesPerSecond,
 			Period: time.Second,
 		}),
+		closeLog: log.Sample(&zerolog.BurstSampler{
+			Burst:  closeLinesPerSecond,
+			Period: time.Second,
+		}),
 		requestID: requestID,
 	}
 }
@@ -64,10 +75,22 @@
 	events.AttemptFailed.On(&o.log).Str("request", attempt.RequestID).Stringer("key", attempt.Key).
 		Str("route", attempt.Route).Str("backend", attempt.Backend).Str("address", attempt.Address).
 		Str("result", attempt.Result).Int("status", attempt.Status).Int("events", attempt.Events).
+		Str("framing", string(attempt.Framing)).
 		Dur("took_ms", attempt.Duration).Bool("leaving", attempt.Notice.Leaving).Dur("rest_ms", attempt.Notice.Pause).
 		AnErr("cause", attempt.Err).Send()
 }
 
+// ResponseRead records how the end of a response was found; only ends with the connection are logged.
+func (o *observer) ResponseRead(read *gateway.ReadResponse) {
+	o.metrics.responses.WithLabelValues(string(read.Framing)).Inc()
+	if read.Framing != upstream.FramingClose {
+		return
+	}
+	events.ResponseClosed.On(&o.closeLog).Str("request", read.RequestID).Str("backend", read.Backend).
+		Int("status", read.Status).Int("events", read.Events).Int("rest_bytes", read.RestBytes).
+		AnErr("request_error", read.RequestErr).Send()
+}
+
 // Ended records how a request ended; delivered responses are counted but not logged.
 func (o *observer) Ended(summary *gateway.RequestSummary) {
 	o.metrics.requests.WithLabelValues(summary.Result, summary.Reason).Inc()
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -62,6 +62,8 @@
 	overdue bool
 	// responseStart is when the response to the current send began.
 	responseStart time.Time
+	// restBytes is how many bytes followed the last complete event of the response to the current send.
+	restBytes int
 	// retryAfter is what the caller was told if the request was refused.
 	retryAfter time.Duration
 	// failedResponse is the latest failure response of a backend server.
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -103,6 +103,7 @@
 	summaries []RequestSummary
 	refusals  []Refusal
 	attempts  []FailedAttempt
+	reads     []ReadResponse
 }
 
 func (o *recordingObserver) Refused(_ *http.Request, refusal *Refusal) {
@@ -117,6 +118,12 @@
 	o.attempts = append(o.attempts, *attempt)
 }
 
+func (o *recordingObserver) ResponseRead(read *ReadResponse) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.reads = append(o.reads, *read)
+}
+
 func (o *recordingObserver) Ended(summary *RequestSummary) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -130,6 +137,13 @@
 	return slices.Clone(o.summaries)
 }
 
+// responsesRead returns the responses read to their end so far.
+func (o *recordingObserver) responsesRead() []ReadResponse {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Clone(o.reads)
+}
+
 // refused returns the refusals so far.
 func (o *recordingObserver) refused() []Refusal {
 	o.mu.Lock()
--- a/gateway/observer.go
+++ b/gateway/observer.go
@@ -7,6 +7,7 @@
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/quarantine"
 	"github.com/slipwick/slipwick/routing"
+	"github.com/slipwick/slipwick/upstream"
 )
 
 // Observer receives what happens to requests. Its methods must not block.
@@ -16,6 +17,8 @@
 	Refused(request *http.Request, refusal *Refusal)
 	// AttemptFailed is called for each send that did not deliver the response.
 	AttemptFailed(attempt *FailedAttempt)
+	// ResponseRead is called for each response of a backend server that was read to its end.
+	ResponseRead(read *ReadResponse)
 	// Ended is called once for each other request.
 	Ended(summary *RequestSummary)
 }
@@ -34,6 +37,8 @@
 	Result string
 	// Status is the status of the backend server's response, or 0 without a response.
 	Status int
+	// Framing is how the response marks the end of its body; empty without a response.
+	Framing upstream.Framing
 	// Notice is what the backend server announced about itself.
 	Notice slipwick.Notice
 	// Events is the number of stream events that this send delivered.
@@ -42,6 +47,21 @@
 	Err      error
 }
 
+// ReadResponse describes a response of a backend server that was read to its end.
+type ReadResponse struct {
+	RequestID string
+	Backend   string
+	Status    int
+	// Framing is how the response marks the end of its body.
+	Framing upstream.Framing
+	// Events is the number of stream events that this response delivered, RestBytes how many bytes
+	// followed its last complete event.
+	Events    int
+	RestBytes int
+	// RequestErr is why the request could not be written whole.
+	RequestErr error
+}
+
 // RequestSummary describes how an admitted request ended.
 type RequestSummary struct {
 	RequestID string
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -214,6 +214,7 @@
 		buffered = buffered[:len(buffered)+n]
 		size := completeLength(buffered)
 		if errors.Is(err, io.EOF) {
+			c.restBytes = len(buffered) - size
 			size = len(buffered)
 		}
 		if size > 0 && c.firstEvent.IsZero() {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -250,7 +250,7 @@
 	c.selection.Exclude = append(c.selection.Exclude, lease.Backend.ID)
 	request := c.upstreamRequest(lease)
 	c.gateway.Balancer.RecordSend(lease)
-	c.responseStart, c.overdue = time.Time{}, false
+	c.responseStart, c.overdue, c.restBytes = time.Time{}, false, 0
 	sentAt := clock.Now()
 	var response *upstream.Response
 	var err error
@@ -275,10 +275,11 @@
 		sendResult, evidence = c.classifyError(err)
 	} else {
 		c.responseStart = clock.Now()
-		attempt.Status = response.Status
+		attempt.Status, attempt.Framing = response.Status, response.Framing
 		attempt.Notice = c.noticeOf(response)
 		sendResult, evidence, attempt.Err = c.handleResponse(lease, response, attempt.Notice)
 		response.Close()
+		c.reportRead(lease, response, c.progress.events-events)
 	}
 	if sendResult == resultBroken && watch.wasStopped() {
 		// This router ended the exchange, so that it says nothing about the backend server.
@@ -301,6 +302,22 @@
 	return sendResult
 }
 
+// reportRead reports a response that was read to its end to the observer.
+func (c *call) reportRead(lease *balance.Lease, response *upstream.Response, events int) {
+	if !response.Complete() {
+		return
+	}
+	c.gateway.Observer.ResponseRead(&ReadResponse{
+		RequestID:  c.id,
+		Backend:    lease.Backend.ID,
+		Status:     response.Status,
+		Framing:    response.Framing,
+		Events:     events,
+		RestBytes:  c.restBytes,
+		RequestErr: response.RequestError(),
+	})
+}
+
 // releaseAfterPanic ends what belongs to a send that panicked, as in a write to the caller: the HTTP server
 // recovers, and the request would count as in flight for good.
 func (c *call) releaseAfterPanic(lease *balance.Lease, watch *crashWatch, response *upstream.Response) {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -114,11 +114,12 @@
 		}
 		return nil, exchangeError(ctx, address, err)
 	}
-	delimited := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	framing := framingOf(response)
 	return &Response{
 		Status:   response.StatusCode,
 		Header:   response.Header,
 		Length:   response.ContentLength,
+		Framing:  framing,
 		ctx:      ctx,
 		client:   c,
 		key:      key,
@@ -127,7 +128,7 @@
 		written:  written,
 		body:     response.Body,
 		stop:     stop,
-		reusable: delimited && !response.Close,
+		reusable: framing != FramingClose && !response.Close,
 		timeouts: request.Timeouts,
 	}, nil
 }
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -70,18 +70,17 @@
 const maxInlineBytes = 4 << 10
 
 // write sends the request. A request above maxInlineBytes is written by large while the response is
-// read, since a backend server may respond without reading it. The channel receives the result of the
-// write.
-func (c *connection) write(request *Request, large *bodyWriter) <-chan error {
-	result := make(chan error, 1)
+// read, since a backend server may respond without reading it.
+func (c *connection) write(request *Request, large *bodyWriter) *requestWrite {
+	written := newRequestWrite()
 	head := request.head()
 	if len(head)+len(request.Body) <= maxInlineBytes {
 		_, err := c.Write(append(head, request.Body...))
-		result <- err
-		return result
+		written.finish(err)
+		return written
 	}
-	go func() { result <- large.write(head, request.Body) }()
-	return result
+	go func() { written.finish(large.write(head, request.Body)) }()
+	return written
 }
 
 const (
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -17,14 +17,16 @@
 	Header http.Header
 	// Length is the length of the body in bytes, or -1 if it is unknown.
 	Length int64
+	// Framing is how the end of the body is marked.
+	Framing Framing
 
 	ctx     context.Context
 	client  *Client
 	key     string
 	address string
 	conn    *connection
-	// written receives the result of writing the request.
-	written <-chan error
+	// written is the write of the request.
+	written *requestWrite
 	body    io.ReadCloser
 	// stop ends the interruption of the connection by ctx; see connection.interruptOnDone.
 	stop func() bool
@@ -56,6 +58,18 @@
 	}
 }
 
+// Complete reports whether the body was read to its end.
+func (r *Response) Complete() bool {
+	return r.complete
+}
+
+// RequestError returns why the request could not be written whole, or nil if it was written or is still
+// being written.
+func (r *Response) RequestError() error {
+	_, err := r.written.result()
+	return err
+}
+
 // Abort closes the connection, which ends a Read of another goroutine. The response must still be
 // closed.
 func (r *Response) Abort() {
@@ -72,14 +86,9 @@
 	}
 	r.closed = true
 	intact := r.stop()
-	select {
-	case err := <-r.written:
-		intact = intact && err == nil
-	default:
-		// The response arrived before the request was fully sent.
-		intact = false
-	}
-	if !r.reusable || !r.complete || !intact || r.conn.reader.Buffered() > 0 {
+	// Without a result, the response arrived before the request was fully sent.
+	finished, writeErr := r.written.result()
+	if !intact || !finished || writeErr != nil || !r.reusable || !r.complete || r.conn.reader.Buffered() > 0 {
 		_ = r.conn.Close()
 		return
 	}
