--- a/gateway/framing_fixture_test.go
+++ b/gateway/framing_fixture_test.go
@@ -35,8 +35,9 @@
 		if end == endsByReset {
 			_ = conn.(*net.TCPConn).SetLinger(0)
 		}
-		_, _ = fmt.Fprintf(buffer, "HTTP/1.1 200 OK\r\nContent-Type: %s\r\nSlipwick-Request: %s\r\nSlipwick-Stamp: %s\r\n\r\n%s",
-			contentType, r.Header.Get("Slipwick-Request"), b.id, body)
+		_, _ = fmt.Fprintf(buffer, "HTTP/1.1 200 OK\r\nContent-Type: %s\r\n", contentType)
+		_, _ = fmt.Fprintf(buffer, "Slipwick-Request: %s\r\nSlipwick-Stamp: %s\r\n\r\n%s",
+			r.Header.Get("Slipwick-Request"), b.id, body)
 		_ = buffer.Flush()
 		if end == endsByReset {
 			// A reset drops what has not arrived yet.
