gateway: Treat a stream that ends inside an event as broken off

What callers saw: a 200 with a part of a stream, framed as complete, after its engine had crashed; the last event of it was cut off in the middle. A resumable stream was not continued at another engine.

The cause: at the end of a response the gateway forwarded whatever was left, and ended its own response as complete. It relied on the end of the response alone, which a close without a length or chunks doesn't prove, and which a proxy's last chunk doesn't either.

The fix: bytes after the last complete event that begin another one make the response a broken one, whatever its framing; it is resumed, or its caller's connection is closed without an end. Blank lines and complete comments are no such beginning, and a response with another content type is forwarded as before. That needs the ends of events in all line ends of the standard, so events with CR alone, or with LF and CRLF mixed, are now forwarded as they arrive and their IDs are read.

--- a/gateway/response.go
+++ b/gateway/response.go
@@ -213,10 +213,6 @@
 		n, err := source.Read(buffered[len(buffered):cap(buffered)])
 		buffered = buffered[:len(buffered)+n]
 		size := completeLength(buffered)
-		if errors.Is(err, io.EOF) {
-			c.restBytes = len(buffered) - size
-			size = len(buffered)
-		}
 		if size > 0 && c.firstEvent.IsZero() {
 			c.firstEvent = clock.Now()
 		}
@@ -226,10 +222,7 @@
 		buffered = append(buffered[:0], buffered[size:]...)
 		switch {
 		case errors.Is(err, io.EOF):
-			if c.writeHead(response) != nil {
-				return resultDisconnected, slipwick.EvidenceGood, nil
-			}
-			return resultDelivered, slipwick.EvidenceGood, nil
+			return c.finishEvents(response, source, buffered)
 		case err != nil:
 			return c.classifyStreamError(err, source)
 		}
--- a/gateway/streamprogress.go
+++ b/gateway/streamprogress.go
@@ -16,18 +16,18 @@
 	events int
 }
 
+// eventEnds are the ends of an event: its last line and a blank one, with either line end of the standard.
+var eventEnds = []string{"\n\n", "\n\r\n", "\r\r"}
+
 // completeLength returns the length of the complete events at the start of data.
 func completeLength(data []byte) int {
-	end := bytes.LastIndex(data, []byte("\n\n"))
-	crlf := bytes.LastIndex(data, []byte("\r\n\r\n"))
-	switch {
-	case end < 0 && crlf < 0:
-		return 0
-	case crlf > end:
-		return crlf + len("\r\n\r\n")
-	default:
-		return end + len("\n\n")
+	size := 0
+	for _, end := range eventEnds {
+		if at := bytes.LastIndex(data, []byte(end)); at >= 0 {
+			size = max(size, at+len(end))
+		}
 	}
+	return size
 }
 
 // filterNew returns those of the complete events that the caller does not have yet, and records
@@ -62,7 +62,7 @@
 // firstEventLength returns the length of the first event in a sequence of complete events.
 func firstEventLength(events []byte) int {
 	size := len(events)
-	for _, end := range []string{"\n\n", "\r\n\r\n"} {
+	for _, end := range eventEnds {
 		if at := bytes.Index(events, []byte(end)); at >= 0 {
 			size = min(size, at+len(end))
 		}
@@ -70,9 +70,13 @@
 	return size
 }
 
+func isLineEnd(r rune) bool {
+	return r == '\n' || r == '\r'
+}
+
 // eventID returns the ID of an event; ok is false if it has no numeric one.
 func eventID(event []byte) (id int64, ok bool) {
-	for line := range bytes.Lines(event) {
+	for line := range bytes.FieldsFuncSeq(event, isLineEnd) {
 		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
 			id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
 			return id, err == nil
--- a/gateway/streamprogress_test.go
+++ b/gateway/streamprogress_test.go
@@ -14,7 +14,7 @@
 func TestResumedStreamIsCompleteAfterAnyCut(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		count := rapid.IntRange(1, 12).Draw(t, "events")
-		end := rapid.SampledFrom([]string{"\n\n", "\r\n\r\n"}).Draw(t, "line ends")
+		end := rapid.SampledFrom([]string{"\n\n", "\r\n\r\n", "\r\r"}).Draw(t, "line ends")
 		events := make([]string, 0, count)
 		for i := range count {
 			lineEnd := end[:len(end)/2]
