upstream, httpclient: Report a reset that only the write has seen

What callers would see: a part of a response without a length or chunks, framed as complete, although the connection to the backend server was reset; in a gateway's streams and plain responses, and in plain services at the chat router. Found while looking for the cause of the broken-off stream elsewhere; not seen in the users' record.

The cause: the kernel reports a reset to one call. While a large request body is written, that may be the write; the read then returns the end of the data, as after an orderly close.

The fix: tcpconn.Conn keeps the error that a write got, and its Read returns that in place of io.EOF. If the connection is down in both directions, it first waits for a write in progress, which ends at once. EPIPE is no reset: the kernel returns it if the orderly close came first (TestReadReturnsEOFAfterOrderlyClose). All clients of backend servers, engines and the platform use it. A gateway's own record of the write's error (210) stays.

--- a/httpclient/client.go
+++ b/httpclient/client.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/internal/tcpconn"
 )
 
 const (
@@ -30,7 +31,7 @@
 	}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         dialWith(dialer),
 			MaxIdleConnsPerHost: maxIdlePerHost,
 			IdleConnTimeout:     idleTimeout,
 			ReadBufferSize:      bufferBytes,
@@ -43,6 +44,18 @@
 	}
 }
 
+// dialWith returns the dialer's DialContext, for connections that don't take a reset for the end of a
+// response.
+func dialWith(dialer *net.Dialer) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return tcpconn.New(conn), nil
+	}
+}
+
 // NewCounting returns a client like New that adds the bytes of its connections to sent and
 // received.
 func NewCounting(sent, received *atomic.Int64) *http.Client {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/slipwick/slipwick/clock"
+	"github.com/slipwick/slipwick/internal/tcpconn"
 )
 
 // Timeouts and limits of connections.
@@ -250,9 +251,10 @@
 	}
 	c.OpenedConnections.Add(1)
 	c.recordDialTime(key, time.Since(started))
+	tcp := tcpconn.New(conn)
 	return &connection{
-		Conn:    conn,
-		reader:  bufio.NewReaderSize(conn, bufferSize),
+		Conn:    tcp,
+		reader:  bufio.NewReaderSize(tcp, bufferSize),
 		onClose: func() { c.open.remove(key) },
 	}, nil
 }
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -3,20 +3,20 @@
 import (
 	"bufio"
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/slipwick/slipwick/internal/tcpconn"
 )
 
 // connection is a pooled connection. It serves one exchange at a time.
 type connection struct {
-	net.Conn
+	*tcpconn.Conn
 	reader *bufio.Reader
 	// idleSince is when the last exchange ended; idleUntil is when the connection must not be used
 	// any more, as the backend server is expected to close it.
@@ -51,7 +51,7 @@
 // peek looks for an unread byte without blocking. The error unix.EAGAIN means that there is none; 0
 // bytes without an error mean that the peer has closed the connection.
 func (c *connection) peek() (n int, err error) {
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return 0, err
 	}
--- a/upstream/idleconnection_test.go
+++ b/upstream/idleconnection_test.go
@@ -6,13 +6,15 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/slipwick/slipwick/internal/tcpconn"
 )
 
 // pipeConnection returns a connection without a network.
 func pipeConnection() *connection {
 	conn, _ := net.Pipe()
 	return &connection{
-		Conn:    conn,
+		Conn:    tcpconn.New(conn),
 		onClose: func() {},
 	}
 }
--- a/upstream/unread.go
+++ b/upstream/unread.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/internal/tcpconn"
 )
 
 const (
@@ -195,7 +196,7 @@
 
 // bodyWriter writes one request to a backend server and counts what the server has read of the body.
 type bodyWriter struct {
-	conn   net.Conn
+	conn   *tcpconn.Conn
 	unread *unreadBodies
 	key    string
 }
@@ -207,7 +208,7 @@
 	for {
 		chunk := body[:min(len(body), writeChunkBytes)]
 		parts := net.Buffers{head, chunk}
-		_, err := parts.WriteTo(w.conn)
+		_, err := w.conn.WriteBuffers(&parts)
 		switch {
 		case err != nil && counted:
 			w.unread.remove(w.key, int64(len(body)), false)
