gateway: Reset callers with HTTP/1.0 whose response is incomplete

What callers would see: with HTTP/1.0, a stream or a large response without a length that breaks off looks complete. Such a response has no chunks, so the orderly close with which the gateway cut it was the caller's only sign of its end; a router that stops or is killed ends it the same way. Found while looking for the cause of the broken-off stream on the ways out; not seen in the users' record.

The fix: before such a response begins, the linger time of its connection is set to 0, so that each close resets it, also that by the kernel at the end of the process; once the response is flushed whole, the default returns. It needs the connection, which http.Server hands over by ConnContext; servers that embed the gateway without that hook stay as before.

--- a/cmd/internal/gatewayd/idlelistener.go
+++ b/cmd/internal/gatewayd/idlelistener.go
@@ -1,6 +1,7 @@
 package gatewayd
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -48,6 +49,15 @@
 	return c.Conn.SetReadDeadline(at)
 }
 
+// SetLinger sets what closing the connection does to data that was not sent; see net.TCPConn.SetLinger.
+func (c *idleConn) SetLinger(seconds int) error {
+	conn, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return errors.New("not a TCP connection")
+	}
+	return conn.SetLinger(seconds)
+}
+
 // trackConnState tracks whether a connection is idle; it is a http.Server.ConnState hook.
 func trackConnState(conn net.Conn, state http.ConnState) {
 	c, ok := conn.(*idleConn)
--- a/cmd/internal/gatewayd/process.go
+++ b/cmd/internal/gatewayd/process.go
@@ -175,6 +175,7 @@
 	}
 	callers := newServer(p.gateway)
 	callers.ConnState = trackConnState
+	callers.ConnContext = gateway.ConnContext
 	servers := []*http.Server{callers, newServer(p.readinessHandler()), newServer(p.peerHandler())}
 	listeners := []net.Listener{
 		&idleListener{
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -64,6 +64,8 @@
 	responseStart time.Time
 	// restBytes is how many bytes followed the last complete event of the response to the current send.
 	restBytes int
+	// unframed is the caller's connection while a close of it resets it; see beginUnframed.
+	unframed lingerer
 	// retryAfter is what the caller was told if the request was refused.
 	retryAfter time.Duration
 	// failedResponse is the latest failure response of a backend server.
--- a/gateway/largeresponse.go
+++ b/gateway/largeresponse.go
@@ -39,6 +39,8 @@
 	copyHeader(w.Header(), buffered.header)
 	if l.response.Length >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(l.response.Length, 10))
+	} else {
+		l.call.beginUnframed()
 	}
 	w.WriteHeader(buffered.status)
 	l.call.progress.headWritten = true
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -272,6 +272,7 @@
 	}
 	c.progress.headWritten = true
 	c.beginResponse()
+	c.beginUnframed()
 	copyHeader(c.writer.Header(), response.Header)
 	c.writer.WriteHeader(response.Status)
 	return nil
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -215,6 +215,7 @@
 	if sendResult == resultCut || sendResult == resultDisconnected {
 		panic(http.ErrAbortHandler)
 	}
+	c.endUnframed()
 }
 
 func (c *call) notifyEnded(resultName, reason string, status int) {
