soak: Break responses off that end with their connection

A tenth of the backend servers' responses now have neither a length nor chunks; a quarter of these end too early, half of the streams among them by an orderly close inside an event, all others by a reset. A tenth of the callers' requests use HTTP/1.0, whose streams end with their connection, beside gateways that are killed, stopped and paused.

--- a/cmd/slipwickd/soak/backend_test.go
+++ b/cmd/slipwickd/soak/backend_test.go
@@ -1,12 +1,10 @@
 package soak
 
 import (
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -255,22 +253,30 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	if r.Header.Get("Accept") == "text/event-stream" {
-		b.stream(w, r, id)
+	isStream := r.Header.Get("Accept") == "text/event-stream"
+	pieces := []string{responseBody(id)}
+	if isStream {
+		w.Header().Set("Content-Type", "text/event-stream")
+		pieces = streamPieces(id, lastEventID(r))
+	}
+	if len(pieces) > 0 && rand.IntN(100) < unframedPercent {
+		b.respondUnframed(w, pieces, isStream)
+		return
+	}
+	if isStream {
+		b.stream(w, pieces)
 		return
 	}
 	time.Sleep(time.Duration(10+rand.IntN(40)) * time.Millisecond)
 	_, _ = io.WriteString(w, responseBody(id))
 }
 
-// stream writes the events of the request, starting after its Last-Event-Id.
-func (b *backend) stream(w http.ResponseWriter, r *http.Request, id string) {
-	w.Header().Set("Content-Type", "text/event-stream")
-	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+// stream writes the events of a stream.
+func (b *backend) stream(w http.ResponseWriter, events []string) {
 	flusher := http.NewResponseController(w)
-	for n := last + 1; n <= eventCount(id); n++ {
+	for _, event := range events {
 		time.Sleep(time.Duration(5+rand.IntN(20)) * time.Millisecond)
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, id); err != nil {
+		if _, err := io.WriteString(w, event); err != nil {
 			return
 		}
 		if flusher.Flush() != nil {
--- a/cmd/slipwickd/soak/caller_test.go
+++ b/cmd/slipwickd/soak/caller_test.go
@@ -89,7 +89,12 @@
 		request.Header.Set("Accept", "text/event-stream")
 		request.Header.Set("Prompt-Prefix", fmt.Sprintf("%x:900,%s:10", c.random.IntN(20), s.id))
 	}
-	response, err := c.client.Do(request)
+	var response *http.Response
+	if s.isOld = c.random.IntN(100) < oldConnPercent; s.isOld {
+		response, err = sendOld(request, body)
+	} else {
+		response, err = c.client.Do(request)
+	}
 	if err != nil {
 		c.fleet.recorder.recordOutcome(s, 0, "", err)
 		time.Sleep(20 * time.Millisecond)
--- a/cmd/slipwickd/soak/recorder_test.go
+++ b/cmd/slipwickd/soak/recorder_test.go
@@ -40,6 +40,8 @@
 	sentAt, endedAt time.Time
 	// crashesServers is set if the request crashes each backend server that runs it.
 	crashesServers bool
+	// isOld is set if the caller used HTTP/1.0.
+	isOld bool
 	// status is the status of the response, or 0 if there was none. isOverloaded is set if the gateway
 	// refused the request with the reason overloaded.
 	status       int
@@ -59,6 +61,10 @@
 	// served is the number of requests that were served, by route.
 	served   map[string]int
 	crashLog crashLog
+
+	// brokenInEvents counts the responses that backend servers ended inside an event by an orderly close,
+	// brokenByReset those without a length and chunks that they reset.
+	brokenInEvents, brokenByReset atomic.Int64
 }
 
 func newRecorder() *recorder {
@@ -148,7 +154,8 @@
 		want = eventsText(s.id, eventCount(s.id))
 	}
 	if isComplete && body != want || !strings.HasPrefix(want, body) {
-		r.addViolation("%s request %s got the wrong body %q (ended without an error: %v)", s.route, s.id, body, isComplete)
+		r.addViolation("%s request %s got the wrong body %q (ended without an error: %v, HTTP/1.0: %v)",
+			s.route, s.id, body, isComplete, s.isOld)
 	}
 }
 
--- a/cmd/slipwickd/soak/soak_test.go
+++ b/cmd/slipwickd/soak/soak_test.go
@@ -85,6 +85,8 @@
 	crashes, late := f.recorder.checkQuarantine()
 	t.Logf("seed %d: %d backend servers crashed running the crash request, which later reached others %d times",
 		seed, crashes, late)
+	t.Logf("seed %d: responses without a length broke off %d times inside an event and %d times by a reset",
+		seed, f.recorder.brokenInEvents.Load(), f.recorder.brokenByReset.Load())
 	served, statuses := f.recorder.totals()
 	t.Logf("seed %d: served %v, by status %v, %d refused as overloaded",
 		seed, served, statuses, f.recorder.overloadedCount())
