directory: Count the time for which a copy was held

What servers saw: a request from a router that knew the server to have left, after the store was restored from a backup twice, and then stopped responding twice. The promise that it breaks is that a leaving server gets nothing new.

The cause, one of two: a router without a current copy asks another router and then, in turn, the store. If the store does not respond, it returned the other router's copy after 2 s with the age that this had on arrival. The store seemed to have responded 2 s later than it had, so that its interruption looked shorter than an outage, and the suspicion against entries of the restored store ended too early.

The fix: a copy is returned with its age as of then.

--- a/directory/peerquery.go
+++ b/directory/peerquery.go
@@ -16,7 +16,9 @@
 
 // peerResponse is the response of one or several other routers.
 type peerResponse struct {
-	batch slipwick.FeedBatch
+	// batch is the copy as it was at receivedAt; see heldBatch.
+	batch      slipwick.FeedBatch
+	receivedAt time.Time
 	// any is true if there is a copy at all, isCurrent if it is a current one, responded if a
 	// router responded at all.
 	any, isCurrent, responded bool
@@ -27,6 +29,19 @@
 	index int
 }
 
+// heldBatch returns the copy with its age as of now: it may have been held while the store was asked.
+func (f *peerResponse) heldBatch() slipwick.FeedBatch {
+	batch := f.batch
+	if !f.receivedAt.IsZero() {
+		held := clock.Since(f.receivedAt)
+		batch.Age += held
+		if batch.StableFor > 0 {
+			batch.StableFor += held
+		}
+	}
+	return batch
+}
+
 // candidates returns the routers to ask, in order: the relays that this one follows, in rotation,
 // then the reserves, both without those that failed lately unless all did; then some random
 // ones. The preferred ones may all be cut off from the store while others reach it. A router that
@@ -176,12 +191,13 @@
 func (f *peerResponse) merge(other *peerResponse) peerResponse {
 	joined := peerResponse{
 		batch:      f.batch,
+		receivedAt: f.receivedAt,
 		any:        f.any || other.any,
 		responded:  f.responded || other.responded,
 		loadingFor: max(f.loadingFor, other.loadingFor),
 	}
 	if other.any && (!f.any || f.batch.Position().Before(other.batch.Position())) {
-		joined.batch = other.batch
+		joined.batch, joined.receivedAt = other.batch, other.receivedAt
 	}
 	return joined
 }
@@ -203,7 +219,9 @@
 		}
 	})
 	batch, err := call(hooked, s.Peers.PeerFeed(id, s.FeedName))
-	var f peerResponse
+	f := peerResponse{
+		receivedAt: clock.Now(),
+	}
 	if err == nil && s.isSuperseded(&batch) {
 		// The router has not learnt of the current timeline yet.
 		f.responded = true
--- a/directory/sharedfeed.go
+++ b/directory/sharedfeed.go
@@ -82,7 +82,7 @@
 	ctx, cancel := context.WithTimeout(ctx, s.Timing.orDefault().ListTimeout)
 	defer cancel()
 	if found := s.awaitPeers(ctx); found.isCurrent {
-		return s.record(found.batch, nil)
+		return s.record(found.heldBatch(), nil)
 	}
 	s.markStarted()
 	relayPosition := s.Peers.RelayPosition()
@@ -94,7 +94,7 @@
 	found := s.listPeers(ctx, s.candidates(&relayPosition), peerTimeout)
 	switch {
 	case s.isUsable(&found):
-		return s.record(found.batch, nil)
+		return s.record(found.heldBatch(), nil)
 	case found.loadingFor <= 0 && s.mayTakeOver(&relayPosition, found.responded):
 		batch, err := s.takeOver(ctx, &relayPosition)
 		if err == nil || !found.any {
@@ -105,7 +105,7 @@
 	}
 	// A router without a copy accepts a stale one; the following watch brings the changes
 	// since.
-	return s.record(found.batch, nil)
+	return s.record(found.heldBatch(), nil)
 }
 
 // isEmpty reports whether this router has had no copy yet.
@@ -224,7 +224,7 @@
 	if !s.isUsable(&found) {
 		return slipwick.FeedBatch{}, err
 	}
-	return s.record(found.batch, nil)
+	return s.record(found.heldBatch(), nil)
 }
 
 // watchPeers watches the copy of the first candidate, usually the next relay in rotation. If that
@@ -250,7 +250,7 @@
 		}
 		others := s.listPeers(ctx, candidates[1:], timing.RelayMargin)
 		if s.isUsable(&others) {
-			return s.record(others.batch, nil)
+			return s.record(others.heldBatch(), nil)
 		}
 		responded = watched.responded || others.responded
 		isLoading = watched.loadingFor > 0 || others.loadingFor > 0
--- a/directory/sharedfeed_test.go
+++ b/directory/sharedfeed_test.go
@@ -176,3 +176,33 @@
 		})
 	}
 }
+
+// TestHeldCopyIsAsOldAsItIs guards against a store that seems to have responded lately, because a router
+// held another one's copy while it asked the store in vain, and returned it with the age that it had before.
+func TestHeldCopyIsAsOldAsItIs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		shared, store, peers := newSharedFeed()
+		confirmedAt := time.Now()
+		// The first call returns the copies while they are current; the next ones bring nothing new.
+		if _, err := shared.List(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		store.setHangs(true)
+		time.Sleep(10 * time.Second)
+		for _, f := range peers.relays {
+			f.MarkUnconfirmed()
+		}
+		asked := time.Now()
+		shared.position = slipwick.Position{}
+		got, err := shared.List(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if time.Since(asked) < time.Second {
+			t.Fatalf("got the copy after %v, want it held while the store is asked", time.Since(asked))
+		}
+		if got := time.Now().Add(-got.Age).Sub(confirmedAt); got.Abs() > stableMargin {
+			t.Errorf("got a copy confirmed %v later than it was, want the time at which it was", got)
+		}
+	})
+}
--- a/directory/storelist.go
+++ b/directory/storelist.go
@@ -103,7 +103,7 @@
 			l.askingPeers = false
 			if l.suffices(&found) {
 				return listResult{
-					batch: found.batch,
+					batch: found.heldBatch(),
 				}
 			}
 			if l.pending == 0 {
