directory: Let no stale copy hide that the store stopped responding

The cause, the other of two: a copy passes on since when the store has responded without interruption. That time starts anew with the first response after a failed call, but a stale copy of another router, applied in between, counted as such a response. The router that then reached the store first told all that follow it that the store had responded throughout, and these trusted entries of a restored store before the store had removed them.

The fix: an interruption ends with a batch that was confirmed later than the failed call.

--- a/directory/mirror.go
+++ b/directory/mirror.go
@@ -37,6 +37,9 @@
 	// before the first copy and if the latest call did not confirm it.
 	confirmedAt time.Time
 	unconfirmed bool
+	// interruptedAt is when a call did not confirm the copy, until a batch shows that the store has
+	// responded since: copies of other routers may be from before that. It is zero otherwise.
+	interruptedAt time.Time
 	// stableSince is the time since which the store has been known, to this router or one on
 	// the way, to respond without an outage or a restore from a backup.
 	stableSince time.Time
@@ -100,9 +103,14 @@
 	stableSince := clock.Now().Add(-batch.StableFor)
 	// A batch that does not know for how long shows no interruption.
 	isInterrupted := batch.StableFor > 0 && stableSince.After(m.confirmedAt.Add(stableMargin))
-	if batch.Timeline != m.position.Timeline || m.unconfirmed || isInterrupted {
+	isFirst := m.confirmedAt.IsZero() || batch.Timeline != m.position.Timeline
+	hasResumed := !m.interruptedAt.IsZero() && clock.Now().Add(-batch.Age).After(m.interruptedAt)
+	if isFirst || hasResumed || isInterrupted {
 		m.stableSince = stableSince
 	}
+	if hasResumed {
+		m.interruptedAt = time.Time{}
+	}
 }
 
 // Position returns the store's position that the copy corresponds to.
@@ -186,6 +194,9 @@
 func (m *Mirror) MarkUnconfirmed() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.interruptedAt.IsZero() {
+		m.interruptedAt = clock.Now()
+	}
 	if !m.unconfirmed {
 		m.unconfirmed = true
 		m.notifyLocked()
--- a/directory/mirror_test.go
+++ b/directory/mirror_test.go
@@ -260,3 +260,26 @@
 	}
 	expectEntries(t, "for a router that has the removal", got.Entries, "a1")
 }
+
+// TestStaleCopyDoesNotHideAnInterruption guards against a store that seems to have responded throughout,
+// because another router's stale copy arrived between the failed call and the first response after it.
+func TestStaleCopyDoesNotHideAnInterruption(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mirror := NewMirror()
+		first := batch(1, true, "a1")
+		first.StableFor = 5 * time.Second
+		mirror.Apply(first)
+		time.Sleep(2 * time.Second)
+		mirror.MarkUnconfirmed()
+		stale := batch(1, true, "a1")
+		stale.Age, stale.StableFor = 2*time.Second-stableMargin-time.Millisecond, 7*time.Second
+		mirror.Apply(stale)
+		time.Sleep(2 * time.Second)
+		mirror.Apply(batch(1, true, "a1"))
+		time.Sleep(time.Second)
+		got, err := mirror.List(t.Context())
+		if want := time.Second; err != nil || got.StableFor != want {
+			t.Errorf("got a store that is stable for %v (%v), want %v", got.StableFor, err, want)
+		}
+	})
+}
--- a/directory/tworestores_test.go
+++ b/directory/tworestores_test.go
@@ -98,3 +98,58 @@
 		time.Sleep(expiryHeartbeats * modelHeartbeat)
 	})
 }
+
+// TestDepartedServerGetsNothingAfterHangAndOutage runs a history in which routers sent again to a server
+// that they knew to have left. The second restore lists it again; the store then stops responding twice, and
+// so restarts the time after which it removes the entry. Routers that took the store to have responded
+// throughout trusted the entry just before its removal.
+func TestDepartedServerGetsNothingAfterHangAndOutage(t *testing.T) {
+	const ms = time.Millisecond
+	for round := range 20 {
+		violations, _ := runHistory(t, 4, []event{
+			{
+				Kind:   "leave",
+				Target: 4,
+				Manner: "crash",
+				Delay:  2100 * ms,
+			},
+			{
+				Kind:      "restore",
+				BackupAge: 1100 * ms,
+				Delay:     900 * ms,
+				Expires:   true,
+			},
+			{
+				Kind:   "leave",
+				Target: 2,
+				Manner: "announced",
+				Delay:  500 * ms,
+			},
+			{
+				Kind:     "cut",
+				Target:   7,
+				Duration: 1100 * ms,
+				Delay:    800 * ms,
+			},
+			{
+				Kind:      "restore",
+				BackupAge: 7100 * ms,
+				Delay:     2500 * ms,
+			},
+			{
+				Kind:     "hang",
+				Duration: 4900 * ms,
+				Delay:    3700 * ms,
+			},
+			{
+				Kind:     "outage",
+				Duration: 5300 * ms,
+				Delay:    3400 * ms,
+				Expires:  true,
+			},
+		})
+		if len(violations) > 0 {
+			t.Errorf("round %d: %q", round, violations)
+		}
+	}
+}
