slipwickd: Choose each address of a test once

The process had ended with "address already in use" for its peers' address. The cause: the test asks the system for a free port and closes it, and the system may give the same port again before it is used.

The fix: an address is never returned twice; TestFreeAddressesDiffer fails without it.

--- a/cmd/slipwickd/slipwickd_test.go
+++ b/cmd/slipwickd/slipwickd_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -160,12 +161,37 @@
 // freeAddress returns a host:port on loopback that is free at the time of the call.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", loopback.Host()+":0")
-	if err != nil {
-		t.Fatal(err)
+	for range 50 {
+		listener, err := net.Listen("tcp", loopback.Host()+":0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := listener.Addr().String()
+		_ = listener.Close()
+		if _, isGiven := givenAddresses.LoadOrStore(address, true); !isGiven {
+			return address
+		}
+	}
+	t.Fatal("found no free address that was not given before")
+	return ""
+}
+
+// givenAddresses are the addresses that freeAddress returned: the system may choose a port again that was
+// closed a moment ago and is not in use yet.
+var givenAddresses sync.Map
+
+// TestFreeAddressesDiffer guards against a process that does not start because another test process, or
+// another of its own settings, has the same address.
+func TestFreeAddressesDiffer(t *testing.T) {
+	const draws = 2000
+	given := make(map[string]bool)
+	for range draws {
+		address := freeAddress(t)
+		if given[address] {
+			t.Fatalf("got %s twice within %d draws", address, len(given)+1)
+		}
+		given[address] = true
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
 }
 
 // waitReady polls the URL for 20 s until it responds with status 200.
