directory: Log relays that do not respond and the age of a new version

A router that waits for an unresponsive relay and then uses another router's copy logged nothing, and a version in force did not say how old its state was. So nothing showed whether a late version was held up by one relay or by two. Event 305 names the relay, the wait and the age of the copy; 301 has age_ms and hops.

--- a/cmd/internal/events/catalogue.go
+++ b/cmd/internal/events/catalogue.go
@@ -145,7 +145,7 @@
 		Number:  301,
 		Name:    "configuration-in-force",
 		Level:   zerolog.InfoLevel,
-		Meaning: "A newer version of the configuration is in force.",
+		Meaning: "A newer version of the configuration is in force; the store confirmed it age_ms ago, through `hops` routers.",
 		Remedy:  "None.",
 	}
 	PlatformCallFailed = Event{
@@ -170,6 +170,14 @@
 			"timeline and revision are the restored store's; steady_ms is the time without outage and restore, 0 if unknown.",
 		Remedy: "Find out who restored the store; changes at this router follow in events 301, 405 and 406.",
 	}
+	RelayUnresponsive = Event{
+		Number: 305,
+		Name:   "relay-unresponsive",
+		Level:  zerolog.InfoLevel,
+		Meaning: "The router that this one followed did not respond within waited_ms; others are asked. " +
+			"The own copy of the feed was last confirmed age_ms ago.",
+		Remedy: "Check that router and the network if it goes on; event 501 says when it is taken for dead.",
+	}
 	EvacuationsChanged = Event{
 		Number:  406,
 		Name:    "evacuations-changed",
@@ -298,6 +306,7 @@
 		PlatformCallFailed,
 		FeedRecovered,
 		StoreRestored,
+		RelayUnresponsive,
 		BackendLeaving,
 		BackendEjected,
 		BackendRestored,
--- a/cmd/internal/gatewayd/feedmonitor.go
+++ b/cmd/internal/gatewayd/feedmonitor.go
@@ -16,6 +16,9 @@
 	feed    string
 	// failingSince is when calls began to fail; zero while they succeed.
 	failingSince time.Time
+	// age and hops are those of the latest response.
+	age  time.Duration
+	hops int
 }
 
 func (p *Process) newFeedMonitor(feed string) *feedMonitor {
@@ -44,6 +47,7 @@
 // succeeded records the store's timeline, and logs the end of a series of failed calls.
 func (m *feedMonitor) succeeded(batch *slipwick.FeedBatch) {
 	m.process.timeline.Store(batch.Timeline)
+	m.age, m.hops = batch.Age, batch.Hops
 	if m.failingSince.IsZero() {
 		return
 	}
--- a/cmd/internal/gatewayd/follow.go
+++ b/cmd/internal/gatewayd/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/balance"
@@ -31,6 +32,10 @@
 		Peers:    p.peers,
 		Mirror:   p.mirrors[name],
 		Timing:   timing,
+		OnRelayUnresponsive: func(id string, waited, age time.Duration) {
+			events.RelayUnresponsive.On(&p.Log).Str("feed", name).Str("relay", id).
+				Dur("waited_ms", waited).Dur("age_ms", age).Send()
+		},
 	}
 }
 
@@ -54,7 +59,8 @@
 			p.limitConnections(len(p.node.Routers()))
 			p.setColdLimits()
 			p.metrics.version.Set(float64(c.Value.Version))
-			events.ConfigurationInForce.On(&p.Log).Uint64("version", c.Value.Version).Send()
+			events.ConfigurationInForce.On(&p.Log).Uint64("version", c.Value.Version).
+				Dur("age_ms", monitor.age).Int("hops", monitor.hops).Send()
 		}
 	}
 	follower.Run(ctx)
--- a/directory/sharedfeed.go
+++ b/directory/sharedfeed.go
@@ -40,6 +40,9 @@
 	Mirror *Mirror
 	// Timing has the wait times; the zero value stands for the default.
 	Timing Timing
+	// OnRelayUnresponsive is called, unless nil, when the router with the ID did not respond to a
+	// watch; age is that of the local copy.
+	OnRelayUnresponsive func(id string, waited, age time.Duration)
 
 	mu sync.Mutex
 	// failedAt is when each peer failed last, by ID.
@@ -239,6 +242,7 @@
 	responded, isLoading := false, false
 	if len(candidates) > 0 {
 		wait := s.boundRelayWait(relayPosition, timing.RelayWait)
+		startedAt := clock.Now()
 		watched := s.queryPeer(ctx, candidates[0], wait+timing.RelayMargin, func() {},
 			func(ctx context.Context, f slipwick.Feed) (slipwick.FeedBatch, error) {
 				return f.Watch(ctx, after, wait)
@@ -248,6 +252,9 @@
 			s.avoidStoreIfOthersReachIt(relayPosition, &watched.batch)
 			return s.record(watched.batch, nil)
 		}
+		if !watched.responded && ctx.Err() == nil {
+			s.reportUnresponsive(candidates[0], clock.Since(startedAt))
+		}
 		others := s.listPeers(ctx, candidates[1:], timing.RelayMargin)
 		if s.isUsable(&others) {
 			return s.record(others.heldBatch(), nil)
@@ -262,6 +269,17 @@
 	return slipwick.FeedBatch{}, notCurrentError()
 }
 
+// reportUnresponsive calls OnRelayUnresponsive.
+func (s *SharedFeed) reportUnresponsive(id string, waited time.Duration) {
+	if s.OnRelayUnresponsive == nil {
+		return
+	}
+	s.mu.Lock()
+	age := clock.Since(s.confirmedAt)
+	s.mu.Unlock()
+	s.OnRelayUnresponsive(id, waited, age)
+}
+
 // setKeepsRelay makes the next call use the same relay again if the relay's copy is overdue, which
 // means older than a watch of the store waits. Such a relay is itself waiting for an unresponsive
 // router and will soon have found another one. The next relay in rotation may be that unresponsive
