--- a/directory/simfleet_test.go
+++ b/directory/simfleet_test.go
@@ -59,6 +59,8 @@
 	calls, sending int
 	// values are the known values by object name.
 	values map[string]string
+	// leftAt is when the router detects, by ID, that another one is gone.
+	leftAt map[string]time.Time
 }
 
 var errRefused = errors.New("refused")
@@ -216,8 +218,13 @@
 	members := r.fleet.members
 	fraction := min(time.Since(r.started).Seconds()/r.fleet.discoveryTime.Seconds(), 1)
 	var known []slipwick.Router
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for i := range int(fraction * float64(len(members))) {
-		known = append(known, members[(i*7+len(r.self.ID)+int(r.started.UnixNano()))%len(members)])
+		member := members[(i*7+len(r.self.ID)+int(r.started.UnixNano()))%len(members)]
+		if left, ok := r.leftAt[member.ID]; !ok || time.Now().Before(left) {
+			known = append(known, member)
+		}
 	}
 	return known
 }
