directory: Bound the wait at a relay by the age of the copy

Callers got a 404 for a route that a version acknowledged more than 3 s before had added, while 30% of the routers were cut off and versions came every 0.2 s.

A router noticed an unresponsive relay 0.6 of the propagation time after it had asked it, however old its copy was by then. The copy that it adopted next could be as old (0.65), and the next relay unresponsive too.

The wait now ends when the time since the store confirmed the copy reaches 0.75 of the propagation time, which leaves time for a list. It bounds the sum, whatever the number of relays and the copies in between.

TestVersionsArriveInTimeThoughRoutersAreCutOff: 3 of 15 cases failed before, 0 of 450 after (and 0 of 120 of a variant). In a longer form of it, 90 cases, 16 were late before, at most 5.08 s, and none after, at most 3.44 s, 4 s being allowed.

Tried and not kept: listing from several routers at once where the copy is too old for a wait. TestLeaveIsKnownThoughOneRouterAloneReachesTheStore failed in 8 of 300 rounds with it, in none before or with this.

--- a/directory/sharedfeed.go
+++ b/directory/sharedfeed.go
@@ -237,30 +237,25 @@
 func (s *SharedFeed) watchPeers(
 	ctx context.Context, relayPosition *fleet.RelayPosition, after slipwick.Position,
 ) (slipwick.FeedBatch, error) {
-	timing := s.Timing.orDefault()
 	candidates := s.candidates(relayPosition)
 	responded, isLoading := false, false
 	if len(candidates) > 0 {
-		wait := s.boundRelayWait(relayPosition, timing.RelayWait)
-		startedAt := clock.Now()
-		watched := s.queryPeer(ctx, candidates[0], wait+timing.RelayMargin, func() {},
-			func(ctx context.Context, f slipwick.Feed) (slipwick.FeedBatch, error) {
-				return f.Watch(ctx, after, wait)
-			})
+		watched := s.watchPeer(ctx, candidates[0], after, s.relayWait(relayPosition))
 		if watched.isCurrent {
-			s.setKeepsRelay(watched.batch.Age > timing.WatchWait)
+			s.setKeepsRelay(watched.batch.Age > s.Timing.orDefault().WatchWait)
 			s.avoidStoreIfOthersReachIt(relayPosition, &watched.batch)
 			return s.record(watched.batch, nil)
 		}
-		if !watched.responded && ctx.Err() == nil {
-			s.reportUnresponsive(candidates[0], clock.Since(startedAt))
-		}
-		others := s.listPeers(ctx, candidates[1:], timing.RelayMargin)
-		if s.isUsable(&others) {
-			return s.record(others.heldBatch(), nil)
+		responded, isLoading = watched.responded, watched.loadingFor > 0
+		candidates = candidates[1:]
+	}
+	if len(candidates) > 0 {
+		listed := s.listPeers(ctx, candidates, s.Timing.orDefault().RelayMargin)
+		if s.isUsable(&listed) {
+			return s.record(listed.heldBatch(), nil)
 		}
-		responded = watched.responded || others.responded
-		isLoading = watched.loadingFor > 0 || others.loadingFor > 0
+		responded = responded || listed.responded
+		isLoading = isLoading || listed.loadingFor > 0
 	}
 	if ctx.Err() == nil && !isLoading && s.mayTakeOver(relayPosition, responded) {
 		return s.record(s.takeOver(ctx, relayPosition))
@@ -269,6 +264,21 @@
 	return slipwick.FeedBatch{}, notCurrentError()
 }
 
+// watchPeer watches the copy of one router, and reports if it does not respond.
+func (s *SharedFeed) watchPeer(
+	ctx context.Context, id string, after slipwick.Position, wait time.Duration,
+) peerResponse {
+	startedAt := clock.Now()
+	watched := s.queryPeer(ctx, id, wait+s.Timing.orDefault().RelayMargin, func() {},
+		func(ctx context.Context, f slipwick.Feed) (slipwick.FeedBatch, error) {
+			return f.Watch(ctx, after, wait)
+		})
+	if !watched.responded && ctx.Err() == nil {
+		s.reportUnresponsive(id, clock.Since(startedAt))
+	}
+	return watched
+}
+
 // reportUnresponsive calls OnRelayUnresponsive.
 func (s *SharedFeed) reportUnresponsive(id string, waited time.Duration) {
 	if s.OnRelayUnresponsive == nil {
--- a/directory/takeover.go
+++ b/directory/takeover.go
@@ -124,11 +124,15 @@
 	}
 }
 
-// boundRelayWait limits the wait at another router to the time at which this router, if it is a
-// watcher, asks the store again.
-func (s *SharedFeed) boundRelayWait(relayPosition *fleet.RelayPosition, wait time.Duration) time.Duration {
+// relayWait returns for how long to wait at another router. The older the local copy, the shorter the
+// wait, since this router may be unresponsive like the one before. The wait of a watcher ends when it
+// asks the store again.
+func (s *SharedFeed) relayWait(relayPosition *fleet.RelayPosition) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	timing := s.Timing.orDefault()
+	left := timing.MaxWaitingAge - timing.RelayMargin - clock.Since(s.confirmedAt)
+	wait := min(timing.RelayWait, max(left, timing.BatchDelay))
 	if left := s.avoidStoreUntil.Sub(clock.Now()); relayPosition.IsWatcher && left > 0 {
 		return min(wait, left)
 	}
--- a/directory/timing.go
+++ b/directory/timing.go
@@ -15,6 +15,9 @@
 	// the response may take, and the time limit of a list from another router. Together with a
 	// few lists and one call to the store they stay within the propagation time.
 	RelayWait, RelayMargin time.Duration
+	// MaxWaitingAge is how old the local copy may become while this router waits for the response of
+	// one other router. The time left then suffices for a list from several others.
+	MaxWaitingAge time.Duration
 	// MaxAge is how old a current copy may be: the wait of the other router's own watch and the
 	// time to detect that the store does not respond. TurnStep is the delay between the turns in
 	// which routers ask the store in place of the watchers.
@@ -38,6 +41,7 @@
 	relayShare       = 0.45
 	relayMarginShare = 0.15
 	turnShare        = 0.08
+	waitingAgeShare  = 0.75
 	detectionShare   = 0.1
 	batchDelayShare  = 0.04
 	peerBackoffShare = 1.5
@@ -64,15 +68,16 @@
 		return time.Duration(of * float64(propagationTime))
 	}
 	return Timing{
-		WatchWait:   share(watchShare),
-		WatchMargin: share(marginShare),
-		RelayWait:   share(relayShare),
-		RelayMargin: share(relayMarginShare),
-		MaxAge:      share(watchShare + marginShare + detectionShare),
-		TurnStep:    share(turnShare),
-		BatchDelay:  share(batchDelayShare),
-		PeerBackoff: share(peerBackoffShare),
-		ListTimeout: share(listShare),
+		WatchWait:     share(watchShare),
+		WatchMargin:   share(marginShare),
+		RelayWait:     share(relayShare),
+		RelayMargin:   share(relayMarginShare),
+		MaxWaitingAge: share(waitingAgeShare),
+		MaxAge:        share(watchShare + marginShare + detectionShare),
+		TurnStep:      share(turnShare),
+		BatchDelay:    share(batchDelayShare),
+		PeerBackoff:   share(peerBackoffShare),
+		ListTimeout:   share(listShare),
 	}
 }
 
