gateway: Log the parts of the prompt of an exchange that broke off

The log named a request by the hash of its whole content, so that it could not show whether requests under which engines crashed shared a part of their prompts. 204 has the keys of the shared parts if the exchange broke off.

--- a/cmd/internal/events/catalogue.go
+++ b/cmd/internal/events/catalogue.go
@@ -90,11 +90,12 @@
 		Remedy:  "Compare the request's host, path and key with the configuration in force.",
 	}
 	AttemptFailed = Event{
-		Number:  204,
-		Name:    "attempt-failed",
-		Level:   zerolog.InfoLevel,
-		Meaning: "Attempt failed: not-run, unsent, failed, broken (may have run), cut (partly forwarded), left (by caller).",
-		Remedy:  "Follow the request by its ID; check the backend server if many attempts at it fail.",
+		Number: 204,
+		Name:   "attempt-failed",
+		Level:  zerolog.InfoLevel,
+		Meaning: "Attempt failed: not-run, unsent, failed, broken (may have run), cut (partly forwarded), left (by caller). " +
+			"If it broke off, parts has the keys of the shared parts of the prompt.",
+		Remedy: "Follow the request by its ID; check the backend server if many attempts at it fail.",
 	}
 	RequestUnserved = Event{
 		Number:  205,
--- a/cmd/internal/gatewayd/observer.go
+++ b/cmd/internal/gatewayd/observer.go
@@ -75,11 +75,27 @@
 	events.AttemptFailed.On(&o.log).Str("request", attempt.RequestID).Stringer("key", attempt.Key).
 		Str("route", attempt.Route).Str("backend", attempt.Backend).Str("address", attempt.Address).
 		Str("result", attempt.Result).Int("status", attempt.Status).Int("events", attempt.Events).
-		Str("framing", string(attempt.Framing)).
+		Str("framing", string(attempt.Framing)).Strs("parts", partNames(attempt)).
 		Dur("took_ms", attempt.Duration).Bool("leaving", attempt.Notice.Leaving).Dur("rest_ms", attempt.Notice.Pause).
 		AnErr("cause", attempt.Err).Send()
 }
 
+// maxLoggedParts is how many parts of a prompt a log line has at most.
+const maxLoggedParts = 8
+
+// partNames returns the keys of the prompt's shared parts if the exchange broke off, which a part may
+// have caused.
+func partNames(attempt *gateway.FailedAttempt) []string {
+	if attempt.Result != "broken" && attempt.Result != "cut" {
+		return nil
+	}
+	var names []string
+	for _, key := range attempt.PromptParts[:min(len(attempt.PromptParts), maxLoggedParts)] {
+		names = append(names, key.String())
+	}
+	return names
+}
+
 // ResponseRead records how the end of a response was found; only ends with the connection are logged.
 func (o *observer) ResponseRead(read *gateway.ReadResponse) {
 	o.metrics.responses.WithLabelValues(string(read.Framing)).Inc()
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -32,8 +32,10 @@
 	held *memory.Reservation
 	// key identifies the content of the request; a retry of the caller has the same key and another
 	// request ID.
-	key     quarantine.Key
-	arrived time.Time
+	key quarantine.Key
+	// promptParts are the keys of the parts of the prompt that other requests may share.
+	promptParts []quarantine.Key
+	arrived     time.Time
 	// deadline is the earlier one of the caller's deadline and the route's timeout.
 	deadline time.Time
 	ctx      context.Context
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -207,6 +207,7 @@
 	c.selection.MaxIdleTime = c.maxIdleTime()
 	if route.Affinity {
 		c.selection.Prompt, c.selection.UniqueTokens = promptParts(r.Header.Get(g.Headers.Prompt))
+		c.promptParts = partKeys(c.pool, r.Header.Get(g.Headers.Prompt), c.selection.Prompt)
 	}
 	c.progress.lastID = r.Header.Get(lastEventID)
 	return c, nil
--- a/gateway/observer.go
+++ b/gateway/observer.go
@@ -28,10 +28,12 @@
 type FailedAttempt struct {
 	RequestID string
 	// Key is the same for requests with the same content.
-	Key     quarantine.Key
-	Route   string
-	Backend string
-	Address string
+	Key quarantine.Key
+	// PromptParts are the keys of the parts of its prompt that other requests may share.
+	PromptParts []quarantine.Key
+	Route       string
+	Backend     string
+	Address     string
 	// Result is how the send ended: not-run, unsent, failed, broken, cut or left, which means that
 	// the caller has disconnected. The constants of type result describe each.
 	Result string
--- a/gateway/prompt.go
+++ b/gateway/prompt.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/slipwick/slipwick/balance"
+	"github.com/slipwick/slipwick/quarantine"
 )
 
 // promptParts parses the parts of a prompt. It returns the parts that other requests share, which
@@ -32,6 +33,19 @@
 	return shared[:last], shared[last].Tokens
 }
 
+// partKeys returns the keys under which the quarantine knows the shared parts of a prompt. The only
+// part of a prompt is not among them: no other request has it.
+func partKeys(pool, prompt string, shared []balance.Part) []quarantine.Key {
+	if !strings.Contains(prompt, ",") {
+		return nil
+	}
+	keys := make([]quarantine.Key, 0, len(shared))
+	for _, part := range shared {
+		keys = append(keys, quarantine.PartKey(pool, part.Key))
+	}
+	return keys
+}
+
 // PartKey returns the key under which the balancer knows the prompt part with this ID.
 func PartKey(id string) uint64 {
 	return xxhash.Sum64String(id)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -263,12 +263,13 @@
 	}()
 	response, err = c.gateway.Client.Do(watch.ctx, lease.Backend.Incarnation(), lease.Backend.Address, request)
 	attempt := &FailedAttempt{
-		RequestID: c.id,
-		Key:       c.key,
-		Route:     c.route.Name,
-		Backend:   lease.Backend.ID,
-		Address:   lease.Backend.Address,
-		Err:       err,
+		RequestID:   c.id,
+		Key:         c.key,
+		PromptParts: c.promptParts,
+		Route:       c.route.Name,
+		Backend:     lease.Backend.ID,
+		Address:     lease.Backend.Address,
+		Err:         err,
 	}
 	var sendResult result
 	var evidence slipwick.Evidence
--- a/quarantine/key_test.go
+++ b/quarantine/key_test.go
@@ -31,3 +31,18 @@
 		}
 	}
 }
+
+// TestKeysOfPartsAndRequestsDiffer guards against a part that counts as a request, and against a part
+// whose crashes in one pool count in another, which may run another model.
+func TestKeysOfPartsAndRequestsDiffer(t *testing.T) {
+	for i := range uint64(100) {
+		request, part := KeyOf("w", "POST", "/", []byte{byte(i)}), PartKey("p", i)
+		if request.IsPart() || !part.IsPart() {
+			t.Fatalf("got request %v a part: %t, part %v a part: %t, want false and true",
+				request, request.IsPart(), part, part.IsPart())
+		}
+		if other := PartKey("q", i); other == part {
+			t.Fatalf("part %d: got the same key %v in two pools, want two", i, part)
+		}
+	}
+}
