quarantine: Attribute crashes to parts of prompts

Routers identified a request by the whole of its content, and no two of these were alike: of 132 requests whose exchanges broke off, 107 met one crash.

The shared parts of the prompts of all requests that run at a crash are suspects now. One that completes, or has streamed for half a second, excuses its parts; of what is left the likeliest part is quarantined, and its crashes no longer count against the others, so that the first part of a workspace's prompts, present at the same crashes, is not. Messages between routers have the age of a crash, so that crashes of one moment count once wherever they arrive.

A failure response excuses the request, as before, but not its parts: the engine may not have begun to process the prompt.

--- a/cmd/internal/events/catalogue.go
+++ b/cmd/internal/events/catalogue.go
@@ -93,8 +93,8 @@
 		Number: 204,
 		Name:   "attempt-failed",
 		Level:  zerolog.InfoLevel,
-		Meaning: "Attempt failed: not-run, unsent, failed, broken (may have run), cut (partly forwarded), left (by caller). " +
-			"If it broke off, parts has the keys of the shared parts of the prompt.",
+		Meaning: "Attempt failed: not-run, unsent, failed, broken (may have run), cut (partly forwarded), " +
+			"left (by caller). If it broke off, parts has the keys of the shared parts of the prompt.",
 		Remedy: "Follow the request by its ID; check the backend server if many attempts at it fail.",
 	}
 	RequestUnserved = Event{
@@ -142,12 +142,29 @@
 		Meaning: "A quarantined request completed when it was tried again, and is served from now on.",
 		Remedy:  "None.",
 	}
+	PromptPartQuarantined = Event{
+		Number: 211,
+		Name:   "prompt-part-quarantined",
+		Level:  zerolog.WarnLevel,
+		Meaning: "The prompt part with this key accounts for crashes of several backend servers, `ends` in all; " +
+			"requests with it are refused from now on.",
+		Remedy: "Find the requests by lines of event 204 whose parts have the key; have the crash fixed in the engine.",
+	}
+	PromptPartReleased = Event{
+		Number: 212,
+		Name:   "prompt-part-released",
+		Level:  zerolog.InfoLevel,
+		Meaning: "Requests with a quarantined prompt part are served again: one completed, or another part " +
+			"accounts for the crashes.",
+		Remedy: "None.",
+	}
 	ConfigurationInForce = Event{
-		Number:  301,
-		Name:    "configuration-in-force",
-		Level:   zerolog.InfoLevel,
-		Meaning: "A newer version of the configuration is in force; the store confirmed it age_ms ago, through `hops` routers.",
-		Remedy:  "None.",
+		Number: 301,
+		Name:   "configuration-in-force",
+		Level:  zerolog.InfoLevel,
+		Meaning: "A newer version of the configuration is in force; the store confirmed it age_ms ago, " +
+			"through `hops` routers.",
+		Remedy: "None.",
 	}
 	PlatformCallFailed = Event{
 		Number:  302,
@@ -303,6 +320,8 @@
 		RequestOverloaded,
 		PoolOverloaded,
 		ResponseClosed,
+		PromptPartQuarantined,
+		PromptPartReleased,
 		ConfigurationInForce,
 		PlatformCallFailed,
 		FeedRecovered,
--- a/cmd/internal/gatewayd/quarantine.go
+++ b/cmd/internal/gatewayd/quarantine.go
@@ -25,9 +25,17 @@
 }
 
 func (p *Process) onQuarantined(key quarantine.Key, crashes int) {
-	events.RequestQuarantined.On(&p.Log).Stringer("key", key).Int("ends", crashes).Send()
+	event := events.RequestQuarantined
+	if key.IsPart() {
+		event = events.PromptPartQuarantined
+	}
+	event.On(&p.Log).Stringer("key", key).Int("ends", crashes).Send()
 }
 
 func (p *Process) onReleased(key quarantine.Key) {
-	events.RequestReleased.On(&p.Log).Stringer("key", key).Send()
+	event := events.RequestReleased
+	if key.IsPart() {
+		event = events.PromptPartReleased
+	}
+	event.On(&p.Log).Stringer("key", key).Send()
 }
--- a/dispatch/quarantine.go
+++ b/dispatch/quarantine.go
@@ -67,7 +67,7 @@
 		outcome = quarantine.OutcomeCompleted
 	case delivered || !isTyped:
 	case failure.Outcome == slipwick.OutcomeFailed:
-		outcome = quarantine.OutcomeCompleted
+		outcome = quarantine.OutcomeFailed
 	case failure.Outcome == slipwick.OutcomeUnknown && ctx.Err() == nil && d.HasCrashed(ctx, backend):
 		outcome = quarantine.OutcomeCrashed
 	}
--- a/exchange/gossip.go
+++ b/exchange/gossip.go
@@ -9,14 +9,17 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/clock"
 	"github.com/slipwick/slipwick/exchange/exchangepb"
 	"github.com/slipwick/slipwick/quarantine"
 )
 
 const (
 	// maxCrashes bounds a datagram of crashes so that it fits one packet of 1,500 bytes: a crash
-	// takes at most 28 bytes.
+	// takes at most 33 bytes.
 	maxCrashes = 40
+	// maxCrashAge is the largest age of a crash that is sent; it fits into the message's field.
+	maxCrashAge = 24 * time.Hour
 	// gossipFanOut is the number of routers to which each router sends crashes that are new to it.
 	// Those relay them, so that 330 routers know them after three hops, even if one packet in ten
 	// is lost. A small fleet is reached in one hop.
@@ -123,6 +126,11 @@
 		message.EndedServers = append(message.EndedServers, crash.ServerIDHash)
 		message.EndedLives = append(message.EndedLives, crash.Incarnation)
 		message.EndedExcused = append(message.EndedExcused, crash.Excused)
+		age := time.Duration(0)
+		if !crash.SeenAt.IsZero() {
+			age = min(max(clock.Since(crash.SeenAt), 0), maxCrashAge)
+		}
+		message.EndedAges = append(message.EndedAges, uint32(age.Milliseconds()))
 	}
 	return message
 }
@@ -143,12 +151,16 @@
 		len(message.GetEndedLives()), len(message.GetEndedExcused()))
 	crashes := make([]quarantine.Crash, 0, n)
 	for i := range n {
-		crashes = append(crashes, quarantine.Crash{
+		crash := quarantine.Crash{
 			Key:          quarantine.Key(message.GetEndedKeys()[i]),
 			ServerIDHash: message.GetEndedServers()[i],
 			Incarnation:  message.GetEndedLives()[i],
 			Excused:      message.GetEndedExcused()[i],
-		})
+		}
+		if crash.Key.IsPart() && i < len(message.GetEndedAges()) {
+			crash.SeenAt = clock.Now().Add(-time.Duration(message.GetEndedAges()[i]) * time.Millisecond)
+		}
+		crashes = append(crashes, crash)
 	}
 	return crashes
 }
--- a/exchange/gossip_test.go
+++ b/exchange/gossip_test.go
@@ -223,6 +223,25 @@
 	}
 }
 
+// TestAgesOfCrashesAreSent guards against crashes that all count as seen when the message arrives: a
+// router that has just started would take them for one failure of several servers.
+func TestAgesOfCrashesAreSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		part := quarantine.PartKey("p", 1)
+		crashes := []quarantine.Crash{{Key: part, SeenAt: time.Now()}, {Key: part, ServerIDHash: 1, SeenAt: time.Now()}}
+		time.Sleep(700 * time.Millisecond)
+		crashes[1].SeenAt = time.Now()
+		message := NewCrashGossiper("r").encode(crashes)
+		if got := decodeCrashes(message); !got[0].SeenAt.Equal(crashes[0].SeenAt) || !got[1].SeenAt.Equal(crashes[1].SeenAt) {
+			t.Errorf("got %v, want %v", got, crashes)
+		}
+		message.EndedAges = nil
+		if got := decodeCrashes(message); len(got) != 2 || !got[0].SeenAt.IsZero() {
+			t.Errorf("from an older router: got %v, want two crashes without a time", got)
+		}
+	})
+}
+
 // TestCrashSequenceSurvivesRestart guards against datagrams of a restarted router that look older than
 // those that it sent before, in the order that the definition of the message promises.
 func TestCrashSequenceSurvivesRestart(t *testing.T) {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -58,8 +58,8 @@
 	// isTrial says that the request is quarantined and is let through to find out whether it still
 	// crashes backend servers.
 	isTrial bool
-	// firstEvent is when the current send forwarded its first event; zero before that.
-	firstEvent time.Time
+	// watch finds out whether the backend server crashes during the current send.
+	watch *crashWatch
 	// overdue says that the balancer has counted the response to the current send as overdue.
 	overdue bool
 	// responseStart is when the response to the current send began.
--- a/gateway/crashwatch.go
+++ b/gateway/crashwatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -20,7 +21,8 @@
 // has crashed is needed.
 const crashWindow = 500 * time.Millisecond
 
-var errQuarantined = errors.New("the request is quarantined: several backend servers crashed while running it")
+var errQuarantined = errors.New(
+	"the request is quarantined: several backend servers crashed while running it or others with a part of its prompt")
 
 // crashWatch observes one send to find out whether the backend server crashes while it runs the
 // request.
@@ -31,14 +33,19 @@
 	// ctx is the context of the send; stop cancels it.
 	ctx  context.Context
 	stop context.CancelCauseFunc
+	// firstEvent is when the send forwarded its first event; zero before that. hasProgressed is true
+	// once events have arrived for crashWindow.
+	firstEvent    time.Time
+	hasProgressed bool
 }
 
-// checkQuarantine refuses a request that is quarantined, unless it is let through as a trial.
+// checkQuarantine refuses a request that is quarantined, or a part of whose prompt is, unless it is let
+// through as a trial.
 func (c *call) checkQuarantine() *Refusal {
 	if c.gateway.Quarantine == nil {
 		return nil
 	}
-	decision := c.gateway.Quarantine.Admit(c.key)
+	decision := c.gateway.Quarantine.Admit(c.key, c.promptParts...)
 	if decision.Refused {
 		return refuseQuarantined(decision.RetryAfter)
 	}
@@ -48,7 +55,7 @@
 
 // isQuarantined reports whether the request must not be sent to any further backend server.
 func (c *call) isQuarantined() bool {
-	return c.gateway.Quarantine != nil && c.gateway.Quarantine.IsQuarantined(c.key)
+	return c.gateway.Quarantine != nil && c.gateway.Quarantine.IsQuarantined(c.key, c.promptParts...)
 }
 
 // watchForCrash starts observing a send. It returns false if the request has been quarantined since
@@ -59,11 +66,12 @@
 		lease: lease,
 	}
 	w.ctx, w.stop = context.WithCancelCause(c.ctx)
-	c.firstEvent = time.Time{}
+	c.watch = w
 	if c.gateway.Quarantine == nil {
 		return w, true
 	}
-	attempt, ok := c.gateway.Quarantine.Begin(c.key, &lease.Backend, c.isTrial, func() { w.stop(errQuarantined) })
+	stop := func() { w.stop(errQuarantined) }
+	attempt, ok := c.gateway.Quarantine.Begin(c.key, &lease.Backend, c.isTrial, stop, c.promptParts...)
 	if !ok {
 		w.stop(nil)
 		return nil, false
@@ -72,6 +80,20 @@
 	return w, true
 }
 
+// recordEvent records that events of a stream have arrived.
+func (w *crashWatch) recordEvent() {
+	switch {
+	case w.firstEvent.IsZero():
+		w.firstEvent = clock.Now()
+		if w.attempt != nil {
+			w.attempt.SetBegun()
+		}
+	case !w.hasProgressed && w.attempt != nil && clock.Since(w.firstEvent) > crashWindow:
+		w.hasProgressed = true
+		w.attempt.RecordProgress()
+	}
+}
+
 // wasStopped reports whether the send was cancelled because the request was quarantined.
 func (w *crashWatch) wasStopped() bool {
 	return errors.Is(context.Cause(w.ctx), errQuarantined)
@@ -79,14 +101,16 @@
 
 // recordOutcome records whether the backend server crashed. To check costs a round trip, so that
 // only those backend servers are checked that broke off an exchange soon after it began.
-func (w *crashWatch) recordOutcome(sendResult result, err error) {
+func (w *crashWatch) recordOutcome(sendResult result, status int, err error) {
 	if w.attempt == nil {
 		return
 	}
 	crashOutcome := quarantine.OutcomeInconclusive
 	switch {
-	case sendResult == resultDelivered || sendResult == resultFailed:
+	case sendResult == resultDelivered && status < http.StatusBadRequest:
 		crashOutcome = quarantine.OutcomeCompleted
+	case sendResult == resultDelivered || sendResult == resultFailed:
+		crashOutcome = quarantine.OutcomeFailed
 	case sendResult == resultBroken && w.mayHaveCrashed(err) && w.hasCrashed():
 		crashOutcome = quarantine.OutcomeCrashed
 	}
@@ -96,8 +120,7 @@
 // mayHaveCrashed reports whether the backend server may have crashed because of this request: it
 // broke off the exchange no later than crashWindow after the first event.
 func (w *crashWatch) mayHaveCrashed(err error) bool {
-	first := w.call.firstEvent
-	if !first.IsZero() && clock.Since(first) > crashWindow {
+	if !w.firstEvent.IsZero() && clock.Since(w.firstEvent) > crashWindow {
 		return false
 	}
 	return isConnectionLost(err)
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -136,9 +136,10 @@
 
 func refuseQuarantined(after time.Duration) *Refusal {
 	return &Refusal{
-		Status:     http.StatusServiceUnavailable,
-		Reason:     reasonQuarantined,
-		Message:    "several backend servers crashed while running this request; it was not run, check its content",
+		Status: http.StatusServiceUnavailable,
+		Reason: reasonQuarantined,
+		Message: "several backend servers crashed while running this request, or others that share a part of its" +
+			" prompt; it was not run, check its content",
 		RetryAfter: after,
 	}
 }
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -8,7 +8,6 @@
 
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/balance"
-	"github.com/slipwick/slipwick/clock"
 	"github.com/slipwick/slipwick/httpclient"
 	"github.com/slipwick/slipwick/memory"
 	"github.com/slipwick/slipwick/routing"
@@ -213,8 +212,8 @@
 		n, err := source.Read(buffered[len(buffered):cap(buffered)])
 		buffered = buffered[:len(buffered)+n]
 		size := completeLength(buffered)
-		if size > 0 && c.firstEvent.IsZero() {
-			c.firstEvent = clock.Now()
+		if size > 0 {
+			c.watch.recordEvent()
 		}
 		if writeErr := c.writeEvents(response, source, buffered[:size]); writeErr != nil {
 			return resultDisconnected, slipwick.EvidenceNone, writeErr
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -186,7 +186,7 @@
 		}
 		c.finish(resultFailed, reason, c.failedResponse.status)
 	case c.possibleRuns == 0 && reason == reasonQuarantined:
-		c.refuse(refuseQuarantined(c.gateway.Quarantine.Admit(c.key).RetryAfter))
+		c.refuse(refuseQuarantined(c.gateway.Quarantine.Admit(c.key, c.promptParts...).RetryAfter))
 	case c.possibleRuns == 0 && reason == ReasonOverloaded:
 		c.gateway.refused.add(c.key, retryAfter)
 		c.refuse(refuseOverloaded(retryAfter))
@@ -262,15 +262,7 @@
 		}
 	}()
 	response, err = c.gateway.Client.Do(watch.ctx, lease.Backend.Incarnation(), lease.Backend.Address, request)
-	attempt := &FailedAttempt{
-		RequestID:   c.id,
-		Key:         c.key,
-		PromptParts: c.promptParts,
-		Route:       c.route.Name,
-		Backend:     lease.Backend.ID,
-		Address:     lease.Backend.Address,
-		Err:         err,
-	}
+	attempt := c.newFailedAttempt(lease, err)
 	var sendResult result
 	var evidence slipwick.Evidence
 	if err != nil {
@@ -291,7 +283,7 @@
 	released = true
 	c.noteRejection(sendResult, evidence)
 	c.permit.release(c.permitEvidence(sendResult, evidence))
-	watch.recordOutcome(sendResult, attempt.Err)
+	watch.recordOutcome(sendResult, attempt.Status, attempt.Err)
 	if !upstream.IsResponseTimeout(attempt.Err) {
 		c.abandonNextLease()
 	}
@@ -304,6 +296,19 @@
 	return sendResult
 }
 
+// newFailedAttempt describes a send in case that it does not deliver the response.
+func (c *call) newFailedAttempt(lease *balance.Lease, err error) *FailedAttempt {
+	return &FailedAttempt{
+		RequestID:   c.id,
+		Key:         c.key,
+		PromptParts: c.promptParts,
+		Route:       c.route.Name,
+		Backend:     lease.Backend.ID,
+		Address:     lease.Backend.Address,
+		Err:         err,
+	}
+}
+
 // reportRead reports a response that was read to its end to the observer.
 func (c *call) reportRead(lease *balance.Lease, response *upstream.Response, events int) {
 	if !response.Complete() {
@@ -327,7 +332,7 @@
 		response.Close()
 	}
 	c.gateway.Balancer.Release(lease, slipwick.EvidenceNone)
-	watch.recordOutcome(resultDisconnected, nil)
+	watch.recordOutcome(resultDisconnected, 0, nil)
 }
 
 // classifyError returns the result of an exchange without a response, and what it says about the
--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Crash records that a backend server crashed while it ran a request.
+// Crash records that a backend server crashed while it ran a request, or one with a prompt part.
 type Crash struct {
 	Key Key
 	// ServerIDHash is the hash of the backend server's ID, which its incarnations share.
@@ -16,6 +16,8 @@
 	// Excused says that the request has since completed, at any server, so that it probably did not
 	// cause this crash.
 	Excused bool
+	// SeenAt is when a router first saw the crash, by this router's clock. It is set for prompt parts.
+	SeenAt time.Time
 }
 
 // incarnationTolerance is the largest difference between the times that routers report for one
@@ -29,6 +31,11 @@
 	return c.ServerIDHash == other.ServerIDHash && apart.Abs() < incarnationTolerance
 }
 
+// isSameIncarnationOf is isSameIncarnation for a value.
+func (c *Crash) isSameIncarnationOf(other Crash) bool {
+	return c.isSameIncarnation(&other)
+}
+
 // compare orders crashes by what they say of the request: excused ones are lower than others, and among
 // these those of older incarnations.
 func (c *Crash) compare(other *Crash) int {
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -25,7 +25,13 @@
 	recentCompletionPeriod = 10 * time.Second
 )
 
-// record holds what is known of one request. Callers have to synchronise access.
+// initialPartBackoff is the time after the last crash until a request with a quarantined prompt part
+// may be tried. It is shorter than initialBackoff, since a part that is quarantined by mistake may
+// concern many callers. It grows to the time over which the part has crashed servers, so that the
+// trials of one that goes on doing so become rarer.
+const initialPartBackoff = 30 * time.Second
+
+// record holds what is known of one request or prompt part. Callers have to synchronise access.
 type record struct {
 	crashes []Crash
 	// lastCrash is when this router learned of the latest crash, changedAt is when the record
@@ -38,6 +44,9 @@
 
 // add adds a crash and reports whether it changed the record.
 func (r *record) add(crash Crash, now time.Time) bool {
+	if crash.Key.IsPart() && crash.SeenAt.IsZero() {
+		crash.SeenAt = now
+	}
 	for i := range r.crashes {
 		known := &r.crashes[i]
 		if !known.isSameIncarnation(&crash) {
@@ -45,6 +54,9 @@
 		}
 		isNewlyExcused := crash.Excused && !known.Excused
 		known.Excused = known.Excused || crash.Excused
+		if crash.SeenAt.Before(known.SeenAt) {
+			known.SeenAt = crash.SeenAt
+		}
 		if isNewlyExcused {
 			r.changedAt = now
 		}
@@ -89,8 +101,27 @@
 	return crashes
 }
 
-// backoff returns the time after the last crash until the request may be tried again.
-func (r *record) backoff() time.Duration {
+// openCrashes returns the crashes that are not excused.
+func (r *record) openCrashes() []Crash {
+	var open []Crash
+	for _, crash := range r.crashes {
+		if !crash.Excused {
+			open = append(open, crash)
+		}
+	}
+	return open
+}
+
+// backoff returns the time after the last crash until the request, or one with the part, may be tried
+// again.
+func (r *record) backoff(isPart bool) time.Duration {
+	if isPart {
+		backoff := initialPartBackoff
+		for i := range r.crashes {
+			backoff = max(backoff, r.lastCrash.Sub(r.crashes[i].SeenAt))
+		}
+		return min(backoff, maxBackoff)
+	}
 	backoff := initialBackoff
 	for range r.countCrashes() - quarantineThreshold {
 		backoff = min(2*backoff, maxBackoff)
@@ -98,12 +129,12 @@
 	return backoff
 }
 
-// untilNextTrial returns how long a quarantined request has to wait for its next trial; it may be
-// tried if the result is 0 or less.
-func (r *record) untilNextTrial(now time.Time) time.Duration {
+// untilNextTrial returns how long a quarantined request or part has to wait for its next trial; it may
+// be tried if the result is 0 or less.
+func (r *record) untilNextTrial(now time.Time, isPart bool) time.Duration {
 	from := r.lastCrash
 	if r.lastTrial.After(from) {
 		from = r.lastTrial
 	}
-	return from.Add(r.backoff()).Sub(now)
+	return from.Add(r.backoff(isPart)).Sub(now)
 }
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -24,9 +24,10 @@
 )
 
 // Tracker tracks which requests were running when backend servers crashed, and quarantines those
-// under which several crashed. Otherwise a request that crashes each server that runs it would take
-// down one after the other, whichever router the caller asks, together with everything else that
-// runs there.
+// under which several crashed, and the prompt parts that account for several crashes. Otherwise a
+// request that crashes each server that runs it, or requests of different content with such a part,
+// would take down one after the other, whichever router the caller asks, together with everything
+// else that runs there.
 //
 // The crashes that a router sees itself and those that other routers report form one set. The set
 // only grows, so that routers which received the same crashes, in any order, reach the same
@@ -38,7 +39,7 @@
 	Routers func() []slipwick.Router
 	// OnPending is called when there are crashes to send to the other routers.
 	OnPending func()
-	// OnQuarantined is called for each request that becomes quarantined, with the number of servers
+	// OnQuarantined is called for each request or prompt part that becomes quarantined, with the number of servers
 	// that crashed under it, and OnReleased for each that is no longer quarantined.
 	OnQuarantined func(key Key, crashes int)
 	OnReleased    func(key Key)
@@ -47,15 +48,20 @@
 	records *lru.LRU[Key, *record]
 	// completedAt is when each request that this router sent last completed.
 	completedAt *lru.LRU[Key, time.Time]
-	running     map[Key][]*Attempt
+	running     map[Key]map[*Attempt]struct{}
 	pending     []Crash
 	// overflow has the requests with crashes that found no room in pending, oldest first.
 	overflow *lru.LRU[Key, struct{}]
+	// suspects are the prompt parts with enough crashes to be attributed some. partsChanged says that
+	// crashes of parts have changed since that was last done. attribute returns those that account for the crashes.
+	suspects     map[Key]struct{}
+	partsChanged bool
+	attribute    func([]suspect) []Key
 	// changes are the requests whose status changed and whose callbacks were not called yet.
 	changes []statusChange
 }
 
-// statusChange is a request that became quarantined or was released.
+// statusChange is a request or prompt part that became quarantined or was released.
 type statusChange struct {
 	key         Key
 	quarantined bool
@@ -76,17 +82,30 @@
 		OnReleased:    func(Key) {},
 		records:       records,
 		completedAt:   completedAt,
-		running:       make(map[Key][]*Attempt),
+		running:       make(map[Key]map[*Attempt]struct{}),
+		suspects:      make(map[Key]struct{}),
+		attribute:     attribute,
 		overflow:      overflow,
 	}
 }
 
-// IsQuarantined reports whether the request is quarantined.
-func (t *Tracker) IsQuarantined(key Key) bool {
+// IsQuarantined reports whether the request or one of the parts of its prompt is quarantined.
+func (t *Tracker) IsQuarantined(key Key, parts ...Key) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r, isKnown := t.records.Get(key)
-	return isKnown && r.quarantined
+	return len(t.quarantinedLocked(key, parts)) > 0
+}
+
+// quarantinedLocked returns those of the keys of a request that are quarantined.
+func (t *Tracker) quarantinedLocked(key Key, parts []Key) []Key {
+	var quarantined []Key
+	for _, k := range append([]Key{key}, parts...) {
+		// Get keeps the record among the most recently used ones.
+		if r, isKnown := t.records.Get(k); isKnown && r.quarantined {
+			quarantined = append(quarantined, k)
+		}
+	}
+	return quarantined
 }
 
 // Decision says whether a request may be sent to a backend server.
@@ -104,23 +123,31 @@
 // another router has to run it.
 const minRetryAfter = time.Second
 
-// Admit decides whether a new request may be sent.
-func (t *Tracker) Admit(key Key) Decision {
+// Admit decides whether a new request, with these parts of its prompt, may be sent.
+func (t *Tracker) Admit(key Key, parts ...Key) Decision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r, isKnown := t.records.Get(key)
-	if !isKnown || !r.quarantined {
+	quarantined := t.quarantinedLocked(key, parts)
+	if len(quarantined) == 0 {
 		return Decision{}
 	}
-	now := clock.Now()
-	wait := r.untilNextTrial(now)
-	if wait > 0 || !t.ownsTrial(key) {
+	now, isOwner := clock.Now(), true
+	var wait time.Duration
+	for _, k := range quarantined {
+		r, _ := t.records.Peek(k)
+		wait = max(wait, r.untilNextTrial(now, k.IsPart()))
+		isOwner = isOwner && t.ownsTrial(k)
+	}
+	if wait > 0 || !isOwner {
 		return Decision{
 			Refused:    true,
 			RetryAfter: max(wait, minRetryAfter),
 		}
 	}
-	r.lastTrial = now
+	for _, k := range quarantined {
+		r, _ := t.records.Peek(k)
+		r.lastTrial = now
+	}
 	return Decision{
 		Trial: true,
 	}
@@ -134,14 +161,17 @@
 	return chosen < 0 || routers[chosen].ID == t.Self
 }
 
-// Begin records that the request is sent to a backend server. It returns false if the request is
-// quarantined and this is no trial. If the request becomes quarantined before the attempt ends,
-// stop is called, so that the attempt can be aborted before the server begins to run the request. It
-// is called with the tracker locked, and so must not call back into it.
-func (t *Tracker) Begin(key Key, backend *slipwick.Backend, isTrial bool, stop func()) (*Attempt, bool) {
+// Begin records that the request, with these parts of its prompt, is sent to a backend server. It
+// returns false if the request or a part is quarantined and this is no trial. If the request becomes
+// quarantined before the attempt ends, or a part before the server has begun to respond, stop is
+// called, so that the attempt can be aborted before the server begins to run the request. It is called
+// with the tracker locked, and so must not call back into it.
+func (t *Tracker) Begin(
+	key Key, backend *slipwick.Backend, isTrial bool, stop func(), parts ...Key,
+) (*Attempt, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r, isKnown := t.records.Peek(key); isKnown && r.quarantined && !isTrial {
+	if !isTrial && len(t.quarantinedLocked(key, parts)) > 0 {
 		return nil, false
 	}
 	attempt := &Attempt{
@@ -151,23 +181,29 @@
 			ServerIDHash: placement.IDHash(backend.ID),
 			Incarnation:  backend.StartTime,
 		},
-		stop: stop,
+		parts: parts,
+		stop:  stop,
+	}
+	for _, k := range attempt.keys() {
+		if t.running[k] == nil {
+			t.running[k] = make(map[*Attempt]struct{})
+		}
+		t.running[k][attempt] = struct{}{}
 	}
-	t.running[key] = append(t.running[key], attempt)
 	return attempt, true
 }
 
 func (t *Tracker) removeAttemptLocked(attempt *Attempt) {
-	key := attempt.crash.Key
-	remaining := slices.DeleteFunc(t.running[key], func(other *Attempt) bool { return other == attempt })
-	if len(remaining) == 0 {
-		delete(t.running, key)
-		return
+	for _, k := range attempt.keys() {
+		delete(t.running[k], attempt)
+		if len(t.running[k]) == 0 {
+			delete(t.running, k)
+		}
 	}
-	t.running[key] = remaining
 }
 
-// addCrashLocked adds a crash, and updates the request's status if the crash is new.
+// addCrashLocked adds a crash, and updates the request's status if the crash is new. That of a prompt
+// part depends on the other parts; attributeLocked updates it.
 func (t *Tracker) addCrashLocked(crash Crash) {
 	r, isKnown := t.records.Get(crash.Key)
 	if !isKnown {
@@ -182,24 +218,67 @@
 	} else {
 		t.overflow.Add(crash.Key, struct{}{})
 	}
-	crashes := r.countCrashes()
-	quarantined := crashes >= quarantineThreshold
+	if crash.Key.IsPart() {
+		t.suspects[crash.Key] = struct{}{}
+		t.partsChanged = true
+		return
+	}
+	t.setQuarantinedLocked(crash.Key, r, r.countCrashes() >= quarantineThreshold)
+}
+
+// setQuarantinedLocked updates the status of a request or prompt part. It stops the attempts of one
+// that becomes quarantined.
+func (t *Tracker) setQuarantinedLocked(key Key, r *record, quarantined bool) {
 	if quarantined == r.quarantined {
 		return
 	}
 	r.quarantined = quarantined
 	t.changes = append(t.changes, statusChange{
-		key:         crash.Key,
+		key:         key,
 		quarantined: quarantined,
-		crashes:     crashes,
+		crashes:     r.countCrashes(),
 	})
-	if quarantined {
-		for _, attempt := range t.running[crash.Key] {
+	if !quarantined {
+		return
+	}
+	for attempt := range t.running[key] {
+		if !key.IsPart() || !attempt.hasBegun.Load() {
 			attempt.stop()
 		}
 	}
 }
 
+// attributeLocked updates which prompt parts are quarantined, if their crashes have changed.
+func (t *Tracker) attributeLocked() {
+	if !t.partsChanged {
+		return
+	}
+	t.partsChanged = false
+	var suspects []suspect
+	for key := range t.suspects {
+		r, isKnown := t.records.Peek(key)
+		if !isKnown {
+			delete(t.suspects, key)
+			continue
+		}
+		completedAt, _ := t.completedAt.Peek(key)
+		suspects = append(suspects, suspect{
+			key:         key,
+			crashes:     r.openCrashes(),
+			completedAt: completedAt,
+		})
+	}
+	causes := t.attribute(suspects)
+	for i := range suspects {
+		s := &suspects[i]
+		r, _ := t.records.Peek(s.key)
+		t.setQuarantinedLocked(s.key, r, slices.Contains(causes, s.key))
+		if len(s.crashes) == 0 {
+			delete(t.suspects, s.key)
+		}
+	}
+}
+
 // completedRecentlyLocked reports whether the request, sent by this router, has completed within
 // recentCompletionPeriod.
 func (t *Tracker) completedRecentlyLocked(key Key) bool {
@@ -207,8 +286,8 @@
 	return isKnown && clock.Since(at) < recentCompletionPeriod
 }
 
-// recordCompletionLocked records that a server completed the request, which excuses it from its
-// crashes.
+// recordCompletionLocked records that a server completed the request, or one with the prompt part,
+// which excuses it from its crashes.
 func (t *Tracker) recordCompletionLocked(key Key) {
 	t.completedAt.Add(key, clock.Now())
 	r, isKnown := t.records.Peek(key)
@@ -232,6 +311,7 @@
 
 // unlockAndNotify releases the lock and calls the callbacks for what changed while it was held.
 func (t *Tracker) unlockAndNotify() {
+	t.attributeLocked()
 	changes, hasPending := t.changes, len(t.pending) > 0
 	t.changes = nil
 	t.mu.Unlock()
@@ -287,7 +367,7 @@
 	return crashes[:min(len(crashes), limit)]
 }
 
-// QuarantinedCount returns the number of quarantined requests.
+// QuarantinedCount returns the number of quarantined requests and prompt parts.
 func (t *Tracker) QuarantinedCount() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
