connlimit: Limit new connections while processor time is short

A load balancer may send most new connections of a zone or a region to one router for some seconds. Up to 87 times its usual load is more than its share of a processor serves; it read all requests and would have served them late, though other routers had time.

A timer that fires late shows that the process gets no processor time. While it does so by more than 30 ms on average and connections arrive at more than twice their usual rate, the router closes those beyond a limit before it reads a request, and others after their response, so that callers go to other routers. The usual rate is never limited: all routers may be slow at once, or have just started.

--- a/cmd/internal/events/catalogue.go
+++ b/cmd/internal/events/catalogue.go
@@ -188,6 +188,21 @@
 			"timeline and revision are the restored store's; steady_ms is the time without outage and restore, 0 if unknown.",
 		Remedy: "Find out who restored the store; changes at this router follow in events 301, 405 and 406.",
 	}
+	ConnectionsLimited = Event{
+		Number: 109,
+		Name:   "connections-limited",
+		Level:  zerolog.WarnLevel,
+		Meaning: "The router lacks processor time while callers open `offered` connections a second, `usual` being " +
+			"usual; it closes some of them unread, and connections after their responses.",
+		Remedy: "Check the load balancer if this goes on: other routers get fewer connections than this one.",
+	}
+	ConnectionsUnlimited = Event{
+		Number:  110,
+		Name:    "connections-unlimited",
+		Level:   zerolog.InfoLevel,
+		Meaning: "The router accepts all connections again, after event 109.",
+		Remedy:  "None.",
+	}
 	RelayUnresponsive = Event{
 		Number: 305,
 		Name:   "relay-unresponsive",
@@ -310,6 +325,8 @@
 		SettingsRefused,
 		BoxSuspended,
 		AdmissionChanged,
+		ConnectionsLimited,
+		ConnectionsUnlimited,
 		RequestEnded,
 		RequestBroken,
 		RequestRefused,
--- a/cmd/internal/gatewayd/assemble.go
+++ b/cmd/internal/gatewayd/assemble.go
@@ -53,6 +53,7 @@
 	}
 	p.syncer = p.newSyncer()
 	p.crashTracker, p.crashGossiper = p.newCrashTracker()
+	p.connectionLimit.OnChange = p.onConnectionsLimited
 	p.permits = p.newPermitSources()
 	p.gateway = p.newGateway()
 	p.balancer.OnRemotePace = p.gateway.RecordPace
@@ -117,6 +118,9 @@
 		Ready:       p.ready,
 		CachesKnown: p.cachesKnown,
 		StartedAt:   clock.Now(),
+
+		IsOverloaded: p.connectionLimit.IsOverloaded,
+
 		Budget: &retry.Budget{
 			Ratio:   s.Retries.Ratio,
 			Extra:   s.Retries.Extra,
--- a/cmd/internal/gatewayd/idlelistener.go
+++ b/cmd/internal/gatewayd/idlelistener.go
@@ -16,11 +16,17 @@
 	limit func() time.Duration
 	// accepted counts accepted connections.
 	accepted *atomic.Int64
+	// allow reports whether to serve a connection; others are closed unread.
+	allow func() bool
 }
 
-// Accept returns the next connection, with the limit applied.
+// Accept returns the next connection that is to be served, with the limit applied.
 func (l *idleListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
+	for err == nil && !l.allow() {
+		_ = conn.Close()
+		conn, err = l.Listener.Accept()
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/internal/gatewayd/metrics.go
+++ b/cmd/internal/gatewayd/metrics.go
@@ -118,6 +118,11 @@
 			help: "Connections accepted from callers.",
 			read: func() float64 { return float64(p.connections.Load()) },
 		},
+		{
+			name: "slipwick_caller_connections_refused",
+			help: "Connections of callers closed unread since the router lacks processor time.",
+			read: func() float64 { return float64(p.connectionLimit.Refused()) },
+		},
 		{
 			name: "slipwick_log_lines_dropped",
 			help: "Log lines dropped because they exceeded the log's budget or its buffer was full.",
--- a/cmd/internal/gatewayd/process.go
+++ b/cmd/internal/gatewayd/process.go
@@ -14,6 +14,7 @@
 
 	"github.com/slipwick/slipwick/balance"
 	"github.com/slipwick/slipwick/clock"
+	"github.com/slipwick/slipwick/connlimit"
 	"github.com/slipwick/slipwick/directory"
 	"github.com/slipwick/slipwick/exchange"
 	"github.com/slipwick/slipwick/gateway"
@@ -92,8 +93,9 @@
 	metrics        *metrics
 	observer       *observer
 
-	// connections counts accepted connections of callers.
-	connections atomic.Int64
+	// connections counts accepted connections of callers, connectionLimit limits them.
+	connections     atomic.Int64
+	connectionLimit connlimit.Limiter
 
 	// invalidEntries are the store's entries that cannot be decoded.
 	invalidEntries *invalidEntries
@@ -182,6 +184,7 @@
 			Listener: open.callers,
 			limit:    p.idleLimit,
 			accepted: &p.connections,
+			allow:    p.connectionLimit.Allow,
 		},
 		open.ready,
 		open.peers,
@@ -216,7 +219,7 @@
 	return []func(context.Context){
 		p.followTables, p.followBackends, p.followEvacuations, p.followRollouts,
 		p.node.Run, p.setFirstRouters, p.join, p.syncer.Run,
-		p.crashGossiper.Run, p.recoverCacheIndex, p.watchSettings, p.watchSuspension,
+		p.crashGossiper.Run, p.connectionLimit.Run, p.recoverCacheIndex, p.watchSettings, p.watchSuspension,
 		func(ctx context.Context) { p.overloads.run(ctx, &p.Log) },
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -50,6 +50,9 @@
 	// StartedAt is when the router started, by package clock. If set, requests wait only briefly for a
 	// router that is not ready long after that.
 	StartedAt time.Time
+	// IsOverloaded reports whether the router lacks processor time; responses then close their
+	// connections, so that callers open one to another router. Nil stands for never.
+	IsOverloaded func() bool
 	// Observer receives how each request ended.
 	Observer Observer
 
@@ -131,7 +134,7 @@
 	if id := r.Header.Get(g.Headers.RequestID); id != "" {
 		w.Header().Set(g.Headers.RequestID, id)
 	}
-	if g.draining.Load() {
+	if g.draining.Load() || g.IsOverloaded != nil && g.IsOverloaded() {
 		w.Header().Set("Connection", "close")
 	}
 	g.awaitReady(r, arrived)
