--- a/cmd/internal/gatewayd/connectionlimit_test.go
+++ b/cmd/internal/gatewayd/connectionlimit_test.go
@@ -28,7 +28,7 @@
 		}
 		request.Host = "a.example"
 		request.Header.Set("Slipwick-Request", "q")
-		response, err := (&http.Transport{DisableKeepAlives: false}).RoundTrip(request)
+		response, err := (&http.Transport{}).RoundTrip(request)
 		if err == nil {
 			_ = response.Body.Close()
 		}
@@ -54,7 +54,7 @@
 		}
 	}
 	if closedUnread < 25 || closedAfter == 0 || closedUnread+closedAfter != 50 {
-		t.Errorf("overloaded: got %d of 50 connections closed unread and %d after the response, want at least 25, and all others",
+		t.Errorf("got %d of 50 connections closed unread and %d after the response, want at least 25 and all others",
 			closedUnread, closedAfter)
 	}
 }
--- a/cmd/internal/gatewayd/metrics.go
+++ b/cmd/internal/gatewayd/metrics.go
@@ -95,7 +95,7 @@
 func (m *metrics) registerGauges(p *Process) {
 	m.registerDials(p.client)
 	m.registerMemory(p.memory)
-	for _, f := range slices.Concat(p.gauges(), p.admissionGauges(), p.backendGauges(), p.memoryGauges()) {
+	for _, f := range slices.Concat(p.gauges(), p.callerGauges(), p.admissionGauges(), p.backendGauges(), p.memoryGauges()) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: f.name,
 			Help: f.help,
@@ -106,7 +106,8 @@
 	})
 }
 
-func (p *Process) gauges() []gauge {
+// callerGauges returns the gauges on callers' requests and connections.
+func (p *Process) callerGauges() []gauge {
 	return []gauge{
 		{
 			name: "slipwick_requests_in_flight",
@@ -123,6 +124,11 @@
 			help: "Connections of callers closed unread since the router lacks processor time.",
 			read: func() float64 { return float64(p.connectionLimit.Refused()) },
 		},
+	}
+}
+
+func (p *Process) gauges() []gauge {
+	return []gauge{
 		{
 			name: "slipwick_log_lines_dropped",
 			help: "Log lines dropped because they exceeded the log's budget or its buffer was full.",
--- a/connlimit/limiter_test.go
+++ b/connlimit/limiter_test.go
@@ -45,19 +45,30 @@
 // TestUsualConnectionsAreNeverRefused guards against a router that closes the connections of its usual
 // load, as when all routers are slow or have just started, and callers find none that accepts them.
 func TestUsualConnectionsAreNeverRefused(t *testing.T) {
-	for name, run := range map[string]func(l *Limiter) (accepted, arrived int){
-		"slow router":    func(l *Limiter) (int, int) { load(l, 50, 200, 10*time.Second); return load(l, 50, 20, 8*time.Second) },
-		"burst of all":   func(l *Limiter) (int, int) { load(l, 50, 60, 10*time.Second); return load(l, 95, 60, 8*time.Second) },
-		"start":          func(l *Limiter) (int, int) { return load(l, 500, 100, 3*time.Second) },
-		"flood, no lack": func(l *Limiter) (int, int) { load(l, 20, 900, 10*time.Second); return load(l, 800, 900, 8*time.Second) },
-		"single long halt": func(l *Limiter) (int, int) {
-			load(l, 20, 900, 10*time.Second)
-			l.Update(Interval, 3*time.Second)
-			return load(l, 500, 900, time.Second)
-		},
+	for _, c := range []struct {
+		name string
+		// The router first learns the usual rate, if it is set, with the capacity, both per second.
+		usual, capacity float64
+		// halt is by how much one update then comes late.
+		halt                     time.Duration
+		offered, offeredCapacity float64
+	}{
+		{name: "slow router", usual: 50, capacity: 200, offered: 50, offeredCapacity: 20},
+		{name: "burst of all routers", usual: 50, capacity: 60, offered: 95, offeredCapacity: 60},
+		{name: "start", offered: 500, offeredCapacity: 100},
+		{name: "enough processor time", usual: 20, capacity: 900, offered: 800, offeredCapacity: 900},
+		{name: "one long halt", usual: 20, capacity: 900, halt: 3 * time.Second, offered: 500, offeredCapacity: 900},
 	} {
-		if accepted, arrived := run(&Limiter{}); accepted != arrived {
-			t.Errorf("%s: got %d of %d connections refused, want none", name, arrived-accepted, arrived)
+		l, total := &Limiter{}, 3*time.Second
+		if c.usual > 0 {
+			load(l, c.usual, c.capacity, 10*time.Second)
+			total = 8 * time.Second
+		}
+		if c.halt > 0 {
+			l.Update(Interval, c.halt)
+		}
+		if accepted, arrived := load(l, c.offered, c.offeredCapacity, total); accepted != arrived {
+			t.Errorf("%s: got %d of %d connections refused, want none", c.name, arrived-accepted, arrived)
 		}
 	}
 }
