--- a/cmd/internal/gatewayd/metrics.go
+++ b/cmd/internal/gatewayd/metrics.go
@@ -95,7 +95,9 @@
 func (m *metrics) registerGauges(p *Process) {
 	m.registerDials(p.client)
 	m.registerMemory(p.memory)
-	for _, f := range slices.Concat(p.gauges(), p.callerGauges(), p.admissionGauges(), p.backendGauges(), p.memoryGauges()) {
+	gauges := slices.Concat(
+		p.gauges(), p.callerGauges(), p.admissionGauges(), p.backendGauges(), p.memoryGauges())
+	for _, f := range gauges {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: f.name,
 			Help: f.help,
