quarantine: Consider only parts with enough crashes

Each crash makes some 50 prompt parts suspects, most of them for good, as no request with them comes again. Looking at all of them with each message would have taken more processor time the more crashes there were.

--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -31,7 +31,7 @@
 //
 // The crashes that a router sees itself and those that other routers report form one set. The set
 // only grows, so that routers which received the same crashes, in any order, reach the same
-// decision. Set the exported fields before the first call; the callbacks must not call back into
+// decision on requests. That on prompt parts also depends on what completed at the router. Set the exported fields before the first call; the callbacks must not call back into
 // the tracker.
 type Tracker struct {
 	// Self is the router's ID, Routers returns the live routers.
@@ -39,8 +39,8 @@
 	Routers func() []slipwick.Router
 	// OnPending is called when there are crashes to send to the other routers.
 	OnPending func()
-	// OnQuarantined is called for each request or prompt part that becomes quarantined, with the number of servers
-	// that crashed under it, and OnReleased for each that is no longer quarantined.
+	// OnQuarantined is called for each request or prompt part that becomes quarantined, with the number
+	// of servers that crashed under it, and OnReleased for each that is no longer quarantined.
 	OnQuarantined func(key Key, crashes int)
 	OnReleased    func(key Key)
 
@@ -53,7 +53,8 @@
 	// overflow has the requests with crashes that found no room in pending, oldest first.
 	overflow *lru.LRU[Key, struct{}]
 	// suspects are the prompt parts with enough crashes to be attributed some. partsChanged says that
-	// crashes of parts have changed since that was last done. attribute returns those that account for the crashes.
+	// their crashes have changed since that was last done. attribute returns those that account for the
+	// crashes.
 	suspects     map[Key]struct{}
 	partsChanged bool
 	attribute    func([]suspect) []Key
@@ -219,8 +220,7 @@
 		t.overflow.Add(crash.Key, struct{}{})
 	}
 	if crash.Key.IsPart() {
-		t.suspects[crash.Key] = struct{}{}
-		t.partsChanged = true
+		t.updateSuspectLocked(crash.Key, r)
 		return
 	}
 	t.setQuarantinedLocked(crash.Key, r, r.countCrashes() >= quarantineThreshold)
@@ -248,6 +248,17 @@
 	}
 }
 
+// updateSuspectLocked notes that the crashes of a prompt part have changed. Most parts have too few to
+// be considered, so that a change costs little.
+func (t *Tracker) updateSuspectLocked(key Key, r *record) {
+	_, isSuspect := t.suspects[key]
+	if !isSuspect && r.countCrashes() < partThreshold {
+		return
+	}
+	t.suspects[key] = struct{}{}
+	t.partsChanged = true
+}
+
 // attributeLocked updates which prompt parts are quarantined, if their crashes have changed.
 func (t *Tracker) attributeLocked() {
 	if !t.partsChanged {
@@ -273,7 +284,7 @@
 		s := &suspects[i]
 		r, _ := t.records.Peek(s.key)
 		t.setQuarantinedLocked(s.key, r, slices.Contains(causes, s.key))
-		if len(s.crashes) == 0 {
+		if len(s.crashes) < partThreshold {
 			delete(t.suspects, s.key)
 		}
 	}
