--- a/cmd/internal/gatewayd/idlelistener.go
+++ b/cmd/internal/gatewayd/idlelistener.go
@@ -8,8 +8,9 @@
 	"time"
 )
 
-// idleListener limits how long connections may be idle between requests. The limit may
-// change while the server runs; http.Server.IdleTimeout is fixed at its start.
+// idleListener limits how long connections may be idle between requests, and closes those that
+// are not to be served. The limit may change while the server runs; http.Server.IdleTimeout is fixed at
+// its start.
 type idleListener struct {
 	net.Listener
 	// limit returns the current limit; 0 sets none.
--- a/quarantine/attribution.go
+++ b/quarantine/attribution.go
@@ -69,7 +69,8 @@
 func withoutIncarnations(crashes, others []Crash) []Crash {
 	var left []Crash
 	for i := range crashes {
-		if !slices.ContainsFunc(others, crashes[i].isSameIncarnationOf) {
+		isSame := func(other Crash) bool { return crashes[i].isSameIncarnation(&other) }
+		if !slices.ContainsFunc(others, isSame) {
 			left = append(left, crashes[i])
 		}
 	}
--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -31,11 +31,6 @@
 	return c.ServerIDHash == other.ServerIDHash && apart.Abs() < incarnationTolerance
 }
 
-// isSameIncarnationOf is isSameIncarnation for a value.
-func (c *Crash) isSameIncarnationOf(other Crash) bool {
-	return c.isSameIncarnation(&other)
-}
-
 // compare orders crashes by what they say of the request: excused ones are lower than others, and among
 // these those of older incarnations.
 func (c *Crash) compare(other *Crash) int {
