--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -31,8 +31,9 @@
 //
 // The crashes that a router sees itself and those that other routers report form one set. The set
 // only grows, so that routers which received the same crashes, in any order, reach the same
-// decision on requests. That on prompt parts also depends on what completed at the router. Set the exported fields before the first call; the callbacks must not call back into
-// the tracker.
+// decision on requests. That on prompt parts also depends on what completed at the router.
+//
+// Set the exported fields before the first call; the callbacks must not call back into the tracker.
 type Tracker struct {
 	// Self is the router's ID, Routers returns the live routers.
 	Self    string
