--- a/cmd/internal/events/catalogue.go
+++ b/cmd/internal/events/catalogue.go
@@ -14,7 +14,7 @@
 		Number:  101,
 		Name:    "router-started",
 		Level:   zerolog.InfoLevel,
-		Meaning: "The router has opened its addresses.",
+		Meaning: "The router has opened its addresses; first_start says that its whole fleet starts for the first time.",
 		Remedy:  "None.",
 	}
 	DrainStarted = Event{
@@ -68,6 +68,14 @@
 		Meaning: "The box was suspended for slept_ms, which its monotonic clock omits; all known data is that much older.",
 		Remedy:  "Find out why the box was suspended; callers that waited have probably disconnected.",
 	}
+	ProcessPaused = Event{
+		Number: 111,
+		Name:   "process-paused",
+		Level:  zerolog.WarnLevel,
+		Meaning: "The process did not run for about paused_ms: it was stopped, or had no processor. Requests that arrived " +
+			"meanwhile are read now.",
+		Remedy: "Find out what stopped the process or used the processor; callers that waited have probably disconnected.",
+	}
 	RequestEnded = Event{
 		Number:  201,
 		Name:    "request-ended",
@@ -375,6 +383,7 @@
 		AdmissionChanged,
 		ConnectionsLimited,
 		ConnectionsUnlimited,
+		ProcessPaused,
 		RequestEnded,
 		RequestBroken,
 		RequestRefused,
--- a/cmd/internal/gatewayd/metrics.go
+++ b/cmd/internal/gatewayd/metrics.go
@@ -20,6 +20,8 @@
 	rejections *prometheus.CounterVec
 	// retries counts the retries taken from the fleet's retry budget, by pool.
 	retries *prometheus.CounterVec
+	// budgetRequests counts the requests that the retry budget counted, by pool.
+	budgetRequests *prometheus.CounterVec
 	// responses counts the responses that were read to their end, by framing.
 	responses *prometheus.CounterVec
 	// continued counts the streams that a backend server continued.
@@ -52,6 +54,10 @@
 			Name: "slipwick_gateway_retries_total",
 			Help: "Retries taken from the fleet's retry budget, by pool.",
 		}, []string{"pool"}),
+		budgetRequests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "slipwick_gateway_budget_requests_total",
+			Help: "Requests that the fleet's retry budget counted, by pool.",
+		}, []string{"pool"}),
 		responses: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "slipwick_gateway_responses_total",
 			Help: "Responses of backend servers read to their end, by how the end is marked.",
@@ -80,7 +86,7 @@
 		}),
 	}
 	m.registry.MustRegister(
-		m.requests, m.attempts, m.rejections, m.retries, m.responses, m.continued, m.duration, m.version,
+		m.requests, m.attempts, m.rejections, m.retries, m.budgetRequests, m.responses, m.continued, m.duration, m.version,
 		m.permits, m.permitWait)
 	return m
 }
--- a/cmd/internal/gatewayd/process.go
+++ b/cmd/internal/gatewayd/process.go
@@ -68,6 +68,8 @@
 	// tunnels opens connections to backend servers through other routers, tunnelServer for them.
 	tunnels      *tunnel.Dialer
 	tunnelServer *tunnel.Server
+	// pauses detects pauses of the process.
+	pauses clock.Pauses
 	// memory counts the bytes held for callers and backend servers.
 	memory *memory.Account
 	// node tracks the live routers by gossip over membershipUDP.
@@ -199,7 +201,8 @@
 	for i, server := range servers {
 		tasks.Go(func() { failed <- server.Serve(listeners[i]) })
 	}
-	events.RouterStarted.On(&p.Log).Str("callers", open.callers.Addr().String()).Send()
+	events.RouterStarted.On(&p.Log).Str("callers", open.callers.Addr().String()).
+		Bool("first_start", p.Settings.FirstStart).Send()
 	select {
 	case <-ctx.Done():
 		p.drain()
--- a/cmd/internal/gatewayd/retrybudget.go
+++ b/cmd/internal/gatewayd/retrybudget.go
@@ -15,6 +15,7 @@
 		Window:    settings.Window,
 		Routers:   p.node.FleetSize,
 		Restarted: !p.Settings.FirstStart,
+		OnRequest: func(pool string) { p.metrics.budgetRequests.WithLabelValues(pool).Inc() },
 		OnRetry:   func(pool string) { p.metrics.retries.WithLabelValues(pool).Inc() },
 		OnSpent:   p.onRetryBudgetSpent,
 	}
--- a/cmd/internal/gatewayd/suspension.go
+++ b/cmd/internal/gatewayd/suspension.go
@@ -3,25 +3,26 @@
 import (
 	"context"
 	"math/rand/v2"
-	"time"
 
 	"github.com/slipwick/slipwick/clock"
 
 	"github.com/slipwick/slipwick/cmd/internal/events"
 )
 
-// suspendCheckInterval is the interval at which a process checks whether its box was suspended, if
-// it has no requests: each request checks too. A check takes two system calls.
-const suspendCheckInterval = 100 * time.Millisecond
-
-// watchSuspension checks until ctx ends whether the box was suspended. If so, package clock adds that
-// time to the age of all known data, and the list of live routers is fetched from another router,
-// since routers announce each change only once and this one missed the announcements.
+// watchSuspension checks until ctx ends whether the box was suspended or the process has paused. After a
+// suspension, package clock adds that time to the age of all known data, and the list of live routers is
+// fetched from another router, since routers announce each change only once and this one missed the
+// announcements.
+//
+// A check for a suspension takes two system calls; each request checks too.
 func (p *Process) watchSuspension(ctx context.Context) {
 	known := clock.Suspended()
-	for sleep(ctx, suspendCheckInterval) {
+	for sleep(ctx, clock.PauseCheckInterval) {
 		clock.DetectSuspension()
-		suspended := clock.Suspended()
+		paused, suspended := p.pauses.Check(), clock.Suspended()
+		if paused > 0 && suspended == known {
+			events.ProcessPaused.On(&p.Log).Dur("paused_ms", paused).Send()
+		}
 		if suspended == known {
 			continue
 		}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -43,9 +43,10 @@
 	// Restarted says that a process which this router replaces may have used its share of Extra
 	// within the window.
 	Restarted bool
-	// OnRetry is called for each retry, with its pool; OnSpent when a retry is not allowed, at most once
-	// per pool and window. Both may be nil; they run under the budget's lock and must not call it.
-	OnRetry func(pool string)
+	// OnRequest is called for each counted request and OnRetry for each retry, with its pool; OnSpent when a
+	// retry is not allowed, at most once per pool and window. All may be nil; they run under the budget's lock and
+	// must not call it.
+	OnRequest, OnRetry func(pool string)
 	OnSpent func(Usage)
 
 	mu sync.Mutex
@@ -71,6 +72,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.windowLocked(pool).requests.add(1)
+	if b.OnRequest != nil {
+		b.OnRequest(pool)
+	}
 }
 
 // Take counts one retry if the budget allows it; otherwise it returns false, and the request must
