--- a/clock/pauses_test.go
+++ b/clock/pauses_test.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// TestPausesAreToldFromLateChecks guards against a pause that is not detected, and against a busy box that is taken for one that
-// stood still.
+// TestPausesAreToldFromLateChecks guards against a pause that is not detected, and against a busy box that is taken for
+// one that stood still.
 func TestPausesAreToldFromLateChecks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var pauses Pauses
--- a/cmd/internal/gatewayd/retrybudget_test.go
+++ b/cmd/internal/gatewayd/retrybudget_test.go
@@ -119,6 +119,9 @@
 	// at each router.
 	requests, retries []int
 	owed              []float64
+	// weightOf returns the part of the requests that the i-th router gets, relative to an equal one; nil gives each an
+	// equal part.
+	weightOf func(i int) float64
 }
 
 // newRetryLoad starts a fleet of routers, all for the first time, and waits until they know each other.
@@ -149,8 +152,13 @@
 	l.stop = l.fleet.run(l.t)
 }
 
-// sendFor sends requests to all running routers for the given time.
-func (l *retryLoad) sendFor(duration time.Duration) {
+// sendFor sends requests to all running routers for the given time, and has them make all retries that they may.
+func (l *retryLoad) sendFor(duration time.Duration) { l.send(duration, true) }
+
+// serveFor sends requests to all running routers for the given time, none of which fails.
+func (l *retryLoad) serveFor(duration time.Duration) { l.send(duration, false) }
+
+func (l *retryLoad) send(duration time.Duration, areFailing bool) {
 	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(budgetSlot) {
 		slot := int(time.Since(l.started) / budgetSlot)
 		for len(l.requests) <= slot {
@@ -160,12 +168,16 @@
 			if !r.isRunning.Load() {
 				continue
 			}
+			weight := 1.0
+			if l.weightOf != nil {
+				weight = l.weightOf(i)
+			}
 			budget := r.gateway.Budget
-			for l.owed[i] += budgetRate * budgetSlot.Seconds() / float64(l.size); l.owed[i] >= 1; l.owed[i]-- {
+			for l.owed[i] += weight * budgetRate * budgetSlot.Seconds() / float64(l.size); l.owed[i] >= 1; l.owed[i]-- {
 				budget.CountRequest(startPool)
 				l.requests[slot]++
 			}
-			for budget.Take(startPool) {
+			for areFailing && budget.Take(startPool) {
 				l.retries[slot]++
 			}
 		}
--- a/cmd/internal/gatewayd/startingfleet_test.go
+++ b/cmd/internal/gatewayd/startingfleet_test.go
@@ -51,6 +51,9 @@
 	mu sync.Mutex
 	// routers are the routers created last.
 	routers []*startingRouter
+	// running are the running routers, start starts one of them after a delay.
+	running sync.WaitGroup
+	start   func(r *startingRouter, delay time.Duration)
 }
 
 // newStartingFleet returns a fleet without routers before the engines.
@@ -123,38 +126,42 @@
 		isCut:   f.isCut,
 	}
 	for i := range n {
-		address := peersAddress(i)
-		settings := &Settings{
-			ID:         fmt.Sprint("r", i),
-			DataCentre: fmt.Sprint("dc-", i%fleetDataCentres),
-			Region:     fmt.Sprint("region-", i%fleetRegions),
-			Headers:    gateway.DefaultHeaders(),
-			Listen: Listen{
-				Peers: address.String(),
-			},
-			Bounds: Bounds{
-				EvacuationTime: directory.DefaultPropagationTime,
-				Exposure:       0.1,
-			},
-			Retries:    f.retries,
-			FirstStart: isFirstStart,
-		}
-		for seed := range seedCount {
-			settings.Seeds = append(settings.Seeds, peersAddress(seed).String())
-		}
-		r := &startingRouter{
-			Process: New(settings, f.feeds),
-			stopped: make(chan struct{}),
-			times:   make(map[string]time.Duration),
-		}
+		r := f.newRouter(i, isFirstStart)
 		routers = append(routers, r)
-		f.network.routers[address.Addr()] = r
+		f.network.set(r)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.routers = routers
 }
 
+// newRouter returns a new process, which doesn't run yet, of the i-th box.
+func (f *startingFleet) newRouter(i int, isFirstStart bool) *startingRouter {
+	settings := &Settings{
+		ID:         fmt.Sprint("r", i),
+		DataCentre: fmt.Sprint("dc-", i%fleetDataCentres),
+		Region:     fmt.Sprint("region-", i%fleetRegions),
+		Headers:    gateway.DefaultHeaders(),
+		Listen: Listen{
+			Peers: peersAddress(i).String(),
+		},
+		Bounds: Bounds{
+			EvacuationTime: directory.DefaultPropagationTime,
+			Exposure:       0.1,
+		},
+		Retries:    f.retries,
+		FirstStart: isFirstStart,
+	}
+	for seed := range seedCount {
+		settings.Seeds = append(settings.Seeds, peersAddress(seed).String())
+	}
+	return &startingRouter{
+		Process: New(settings, f.feeds),
+		stopped: make(chan struct{}),
+		times:   make(map[string]time.Duration),
+	}
+}
+
 // chooseRouter returns a random router.
 func (f *startingFleet) chooseRouter() *startingRouter {
 	f.mu.Lock()
@@ -178,20 +185,38 @@
 // and waits until all messages have ended.
 func (f *startingFleet) run(t *testing.T) (stop func()) {
 	ctx, cancel := context.WithCancel(t.Context())
-	var running sync.WaitGroup
-	for _, r := range f.routers {
-		running.Go(func() {
-			time.Sleep(rand.N(startSpread))
+	f.start = func(r *startingRouter, delay time.Duration) {
+		ctx, kill := context.WithCancel(ctx)
+		r.kill = kill
+		f.running.Go(func() {
+			time.Sleep(delay)
 			r.run(ctx, f.network)
 		})
 	}
+	for _, r := range f.routers {
+		f.start(r, rand.N(startSpread))
+	}
 	return func() {
 		cancel()
-		running.Wait()
+		f.running.Wait()
 		time.Sleep(time.Second)
 	}
 }
 
+// replace kills the i-th router and starts the process of a box in its place after a while. The box may be the
+// same one.
+func (f *startingFleet) replace(i, box int, delay time.Duration) {
+	killed := f.routers[i]
+	killed.kill()
+	<-killed.stopped
+	r := f.newRouter(box, false)
+	f.network.set(r)
+	f.mu.Lock()
+	f.routers[i] = r
+	f.mu.Unlock()
+	f.start(r, delay)
+}
+
 // observe records which parts of the routers have become ready, and reports whether all are.
 func (f *startingFleet) observe() bool {
 	areReady := true
--- a/cmd/internal/gatewayd/startingrouter_test.go
+++ b/cmd/internal/gatewayd/startingrouter_test.go
@@ -21,6 +21,8 @@
 	isRunning atomic.Bool
 	startedAt time.Time
 	stopped   chan struct{}
+	// kill stops the process without notice.
+	kill context.CancelFunc
 	// hasUpdate is set once an update of another router has arrived.
 	hasUpdate atomic.Bool
 	// times has the time from the start until each part was ready, by the name of the part.
--- a/cmd/internal/gatewayd/startnetwork_test.go
+++ b/cmd/internal/gatewayd/startnetwork_test.go
@@ -22,12 +22,27 @@
 
 // startNetwork connects the routers of a startingFleet by function calls with latency.
 type startNetwork struct {
+	mu sync.Mutex
 	// routers are the routers by the IP address of their box.
 	routers map[netip.Addr]*startingRouter
 	// isCut reports whether datagrams between two boxes are lost; nil loses none.
 	isCut func(from, to netip.Addr) bool
 }
 
+// set puts a router on the network, in place of the one before of its box.
+func (n *startNetwork) set(r *startingRouter) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.routers[netip.MustParseAddrPort(r.Settings.Listen.Peers).Addr()] = r
+}
+
+// router returns the router of a box, or nil.
+func (n *startNetwork) router(box netip.Addr) *startingRouter {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.routers[box]
+}
+
 func latency() time.Duration {
 	return minLatency + rand.N(maxLatency-minLatency)
 }
@@ -49,7 +64,7 @@
 		return
 	}
 	time.AfterFunc(latency(), func() {
-		if r := t.network.routers[to.Addr()]; r != nil && r.isRunning.Load() {
+		if r := t.network.router(to.Addr()); r != nil && r.isRunning.Load() {
 			r.receive(to.Port(), t.from, packet)
 		}
 	})
@@ -62,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := n.routers[to.Addr()]
+	r := n.router(to.Addr())
 	if r == nil || !r.isRunning.Load() {
 		time.Sleep(latency())
 		return nil, errors.New("connection refused")
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -47,7 +47,7 @@
 	// retry is not allowed, at most once per pool and window. All may be nil; they run under the budget's lock and
 	// must not call it.
 	OnRequest, OnRetry func(pool string)
-	OnSpent func(Usage)
+	OnSpent            func(Usage)
 
 	mu sync.Mutex
 	// began is the time of the first call. Slots are counted from there, because the time of day
