retry: Change the rounding of routers at different times

All routers that started at once drew a new number for the rounding of their shares at the same moment. Each router shifts its periods by a random time, so that a tenth of the fleet at most changes in a window.

--- a/retry/budget.go
+++ b/retry/budget.go
@@ -163,7 +163,8 @@
 	w := b.pools[pool]
 	if w == nil {
 		w = &window{
-			rounding: rand.Float64(),
+			rounding:      rand.Float64(),
+			roundingPhase: rand.Int64N(roundingPeriod * windowSlots),
 		}
 		b.pools[pool] = w
 	}
@@ -179,6 +180,9 @@
 	// rounding is a random number in [0, 1) that is added to the router's share before it is
 	// rounded down.
 	rounding float64
+	// roundingPhase is by how many slots the periods of rounding are shifted. It differs between routers that start at
+	// once, so that few of them change their numbers in the same window.
+	roundingPhase int64
 	// reported is the slot in which OnSpent was last called, if hasReported.
 	reported    int64
 	hasReported bool
@@ -190,7 +194,8 @@
 		w.requests.advance()
 		w.retries.advance()
 	}
-	if period := int64(roundingPeriod * windowSlots); slot/period > w.slot/period {
+	const period = int64(roundingPeriod * windowSlots)
+	if (slot+w.roundingPhase)/period > (w.slot+w.roundingPhase)/period {
 		w.rounding = rand.Float64()
 	}
 	w.slot = max(w.slot, slot)
