retry: Count retries for the whole window

A pool could get more retries within a window than its budget allows, also in a healthy fleet: what a router had saved up was used at both ends of the window.

A window had 40 slots, and a slot was dropped when a window had passed since it began, so that a retry near its end was forgotten up to 250 ms early.

Retries now count for the window and the slot that its beginning cuts, and slots are a hundredth of a window. Requests may be forgotten early, retries not. The part of the ratio that is used is 0.86 instead of 0.85, as a router that retries all the time uses it in a hundredth more than a window.

--- a/retry/budget.go
+++ b/retry/budget.go
@@ -10,12 +10,12 @@
 )
 
 // windowSlots is the number of slots in a window; the window slides by one slot at a time.
-const windowSlots = 40
+const windowSlots = 100
 
 const (
 	// ratioShare is the share of Ratio that is used. The rest allows for routers whose windows do
 	// not slide at the same moments.
-	ratioShare = 0.85
+	ratioShare = 0.86
 	// extraShare is the share of Extra that the routers divide among themselves. A router that
 	// replaces another process uses restartedShare instead in its first window, as that process may
 	// have used its part of Extra: the fleet may restart twice within a window.
@@ -71,7 +71,8 @@
 func (b *Budget) CountRequest(pool string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.windowLocked(pool).requests.add(1)
+	w := b.windowLocked(pool)
+	w.requests.add(w.slot, 1)
 	if b.OnRequest != nil {
 		b.OnRequest(pool)
 	}
@@ -87,7 +88,7 @@
 		b.reportSpentLocked(pool, w)
 		return false
 	}
-	w.retries.add(1)
+	w.retries.add(w.slot, 1)
 	if b.OnRetry != nil {
 		b.OnRetry(pool)
 	}
@@ -114,23 +115,24 @@
 	w.reported, w.hasReported = w.slot, true
 	b.OnSpent(Usage{
 		Pool:     pool,
-		Requests: w.requests.sum,
-		Retries:  w.retries.sum,
+		Requests: w.requestCount(),
+		Retries:  w.retryCount(),
 		Routers:  b.fleetSize.highest(),
 		Age:      clock.Since(b.began),
 	})
 }
 
 func (b *Budget) allowsLocked(w *window) bool {
-	share := ratioShare*b.Ratio*float64(w.requests.sum) + b.routerExtraLocked(w.slot)
+	requests := float64(w.requestCount())
+	share := ratioShare*b.Ratio*requests + b.routerExtraLocked(w.slot)
 	// In a large fleet a router's share is a fraction of one retry. If all routers rounded it down,
 	// none would retry. With random rounding the fleet's sum is that of a single budget at any
 	// moment, also when all routers use their shares at once.
 	//
 	// No router may send more than the limit of the whole fleet would allow for the requests it has
 	// counted.
-	fleetLimit := b.Ratio*float64(w.requests.sum) + b.Extra
-	return float64(w.retries.sum+1) <= min(share+w.rounding, fleetLimit)
+	fleetLimit := b.Ratio*requests + b.Extra
+	return float64(w.retryCount()+1) <= min(share+w.rounding, fleetLimit)
 }
 
 // routerExtraLocked returns this router's part of Extra. It divides by the largest number of routers
@@ -174,7 +176,7 @@
 
 // window counts one pool's requests and retries.
 type window struct {
-	requests, retries slidingSum
+	requests, retries history
 	// slot is the current slot, counted from Budget.began.
 	slot int64
 	// rounding is a random number in [0, 1) that is added to the router's share before it is
@@ -188,36 +190,23 @@
 	hasReported bool
 }
 
-// advance slides the window to a slot and drops the slots that have left it.
+// advance slides the window to a slot.
 func (w *window) advance(slot int64) {
-	for range min(slot-w.slot, windowSlots) {
-		w.requests.advance()
-		w.retries.advance()
-	}
 	const period = int64(roundingPeriod * windowSlots)
 	if (slot+w.roundingPhase)/period > (w.slot+w.roundingPhase)/period {
 		w.rounding = rand.Float64()
 	}
 	w.slot = max(w.slot, slot)
+	w.requests.advance(w.slot)
+	w.retries.advance(w.slot)
 }
 
-// slidingSum is a sum over the last windowSlots slots.
-type slidingSum struct {
-	counts  [windowSlots]int
-	sum     int
-	current int
-}
+// requestCount returns the requests within the window.
+func (w *window) requestCount() int { return w.requests.sum(w.slot-windowSlots+1, w.slot) }
 
-func (s *slidingSum) add(n int) {
-	s.counts[s.current] += n
-	s.sum += n
-}
-
-func (s *slidingSum) advance() {
-	s.current = (s.current + 1) % windowSlots
-	s.sum -= s.counts[s.current]
-	s.counts[s.current] = 0
-}
+// retryCount returns the retries within the window. The slot that the window's beginning cuts counts whole, since
+// retries in it may lie within the window.
+func (w *window) retryCount() int { return w.retries.sum(w.slot-windowSlots, w.slot) }
 
 // slidingMax is a maximum over the last windowSlots slots.
 type slidingMax struct {
