retry: Count a request from its earliest arrival

A request counted when it was read, so that a backlog of five seconds counted in the window after the pause: the requests of fifteen seconds within ten. After a pause, a request now counts from the beginning of the pause until the process can have read its backlog, and one that waited for a starting router from its arrival.

Requests count for the same slots as retries, so that the part of the ratio that is used is 0.85 again, as TestBudgetGivesRatioAndShareOfExtra wants.

--- a/clock/pauses_test.go
+++ b/clock/pauses_test.go
@@ -27,3 +27,38 @@
 		}
 	})
 }
+
+// TestEarliestArrivalIsTheBeginningOfAPause guards against data that arrived during a pause and is taken for new.
+func TestEarliestArrivalIsTheBeginningOfAPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var pauses Pauses
+		check := func(when string, want time.Time) {
+			t.Helper()
+			if got := pauses.EarliestArrival(); !got.Equal(want) {
+				t.Errorf("%s: got %v before now, want %v", when, Since(got), Since(want))
+			}
+		}
+		run := func(duration time.Duration) {
+			for range duration / PauseCheckInterval {
+				time.Sleep(PauseCheckInterval)
+				pauses.Check()
+			}
+		}
+		check("before the first check", Now())
+		run(time.Second)
+		check("while the process runs", Now())
+		paused := Now()
+		time.Sleep(5 * time.Second)
+		check("before the first check after a pause", paused)
+		pauses.Check()
+		check("after it", paused)
+		run(backlogTime / 2)
+		check("while the backlog is read", paused)
+		time.Sleep(2 * time.Second)
+		check("after a further pause, before a check", paused)
+		pauses.Check()
+		check("after a further pause", paused)
+		run(backlogTime)
+		check("once the backlog was read", Now())
+	})
+}
--- a/cmd/internal/gatewayd/assemble.go
+++ b/cmd/internal/gatewayd/assemble.go
@@ -124,6 +124,8 @@
 		CachesKnown: p.cachesKnown,
 		StartedAt:   clock.Now(),
 
+		EarliestArrival: p.pauses.EarliestArrival,
+
 		IsOverloaded: p.connectionLimit.IsOverloaded,
 
 		Budget:     p.newRetryBudget(),
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -36,6 +36,8 @@
 	// promptParts are the keys of the parts of the prompt that other requests may share.
 	promptParts []quarantine.Key
 	arrived     time.Time
+	// countedAt is from when on the request counts in the retry budget: when it can have arrived at the earliest.
+	countedAt time.Time
 	// deadline is the earlier one of the caller's deadline and the route's timeout.
 	deadline time.Time
 	ctx      context.Context
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -52,6 +52,9 @@
 	// has given up on the rest. Requests that arrive earlier wait for a limited time. A nil channel
 	// disables the wait.
 	Ready, CachesKnown <-chan struct{}
+	// EarliestArrival returns the earliest time, by package clock, at which a request can have arrived that the router
+	// reads now; nil stands for the present.
+	EarliestArrival func() time.Time
 	// StartedAt is when the router started, by package clock. If set, requests wait only briefly for a
 	// router that is not ready long after that.
 	StartedAt time.Time
@@ -133,6 +136,10 @@
 	defer g.inFlight.Add(-1)
 	clock.DetectSuspension()
 	arrived := clock.Now()
+	countedAt := arrived
+	if g.EarliestArrival != nil {
+		countedAt = g.EarliestArrival()
+	}
 	// Clear the write deadline that an earlier request on the same connection set. An error means
 	// that the writer does not support deadlines, so that there is none to clear.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
@@ -145,7 +152,7 @@
 	g.awaitReady(r, arrived)
 	held := g.Memory.NewReservation()
 	defer held.Release()
-	c, refusal := g.admit(w, r, arrived, held)
+	c, refusal := g.admit(w, r, arrived, countedAt, held)
 	if refusal != nil {
 		refusal.write(w)
 		g.Observer.Refused(r, refusal)
@@ -171,7 +178,7 @@
 
 // admit checks a request, reads its body, and returns either its call or the reason to refuse it.
 func (g *Gateway) admit(
-	w http.ResponseWriter, r *http.Request, arrived time.Time, held *memory.Reservation,
+	w http.ResponseWriter, r *http.Request, arrived, countedAt time.Time, held *memory.Reservation,
 ) (*call, *Refusal) {
 	table := g.table.Load()
 	if table == nil || g.Ready != nil && !isClosed(g.Ready) {
@@ -211,6 +218,7 @@
 		body:      body,
 		held:      held,
 		arrived:   arrived,
+		countedAt: countedAt,
 		deadline:  deadline,
 	}
 	c.key = quarantine.KeyOf(c.workspaceName(), r.Method, r.RequestURI, body)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -28,7 +28,7 @@
 
 // serve sends the request until it has a response or must not be sent again.
 func (c *call) serve() {
-	c.gateway.Budget.CountRequest(c.pool)
+	c.gateway.Budget.CountRequestAt(c.pool, c.countedAt)
 	defer c.releasePermits()
 	defer c.abandonNextLease()
 	var sendResult result
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -15,7 +15,7 @@
 const (
 	// ratioShare is the share of Ratio that is used. The rest allows for routers whose windows do
 	// not slide at the same moments.
-	ratioShare = 0.86
+	ratioShare = 0.85
 	// extraShare is the share of Extra that the routers divide among themselves. A router that
 	// replaces another process uses restartedShare instead in its first window, as that process may
 	// have used its part of Extra: the fleet may restart twice within a window.
@@ -50,10 +50,10 @@
 	OnSpent            func(Usage)
 
 	mu sync.Mutex
-	// began is the time of the first call. Slots are counted from there, because the time of day
-	// may be set while the process runs.
-	began time.Time
-	pools map[string]*window
+	// began is the time of the first call, and epoch two windows before. Slots are counted from epoch, because the time
+	// of day may be set while the process runs.
+	began, epoch time.Time
+	pools        map[string]*window
 	// fleetSize is the largest number of routers within the last window, and fleetSlot the slot up
 	// to which it has advanced.
 	fleetSize slidingMax
@@ -67,12 +67,16 @@
 	b.Ratio, b.Extra = ratio, extra
 }
 
-// CountRequest counts a request of a caller to the pool.
-func (b *Budget) CountRequest(pool string) {
+// CountRequest counts a request of a caller to the pool, which has just arrived.
+func (b *Budget) CountRequest(pool string) { b.CountRequestAt(pool, clock.Now()) }
+
+// CountRequestAt counts a request of a caller to the pool. It arrived at the given time, by package clock, at the
+// earliest, and counts from then on.
+func (b *Budget) CountRequestAt(pool string, earliest time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.windowLocked(pool)
-	w.requests.add(w.slot, 1)
+	w.requests.add(b.slotAt(earliest), 1)
 	if b.OnRequest != nil {
 		b.OnRequest(pool)
 	}
@@ -146,7 +150,7 @@
 	}
 	b.fleetSize.record(b.Routers())
 	share := extraShare
-	if b.Restarted && slot < windowSlots {
+	if b.Restarted && clock.Since(b.began) < b.Window {
 		share = restartedShare
 	}
 	routers := b.fleetSize.highest()
@@ -161,6 +165,7 @@
 	now := clock.Now()
 	if b.pools == nil {
 		b.pools, b.began = make(map[string]*window), now
+		b.epoch = now.Add(-2 * b.Window)
 	}
 	w := b.pools[pool]
 	if w == nil {
@@ -170,14 +175,23 @@
 		}
 		b.pools[pool] = w
 	}
-	w.advance(int64(now.Sub(b.began)) / max(int64(b.Window)/windowSlots, 1))
+	w.advance(b.slotAt(now))
 	return w
 }
 
+// slotAt returns the slot of a time; it is negative if that is too long ago to be counted.
+func (b *Budget) slotAt(at time.Time) int64 {
+	since := int64(at.Sub(b.epoch))
+	if since < 0 {
+		return -1
+	}
+	return since / max(int64(b.Window)/windowSlots, 1)
+}
+
 // window counts one pool's requests and retries.
 type window struct {
 	requests, retries history
-	// slot is the current slot, counted from Budget.began.
+	// slot is the current slot, counted from Budget.epoch.
 	slot int64
 	// rounding is a random number in [0, 1) that is added to the router's share before it is
 	// rounded down.
@@ -201,12 +215,10 @@
 	w.retries.advance(w.slot)
 }
 
-// requestCount returns the requests within the window.
-func (w *window) requestCount() int { return w.requests.sum(w.slot-windowSlots+1, w.slot) }
-
-// retryCount returns the retries within the window. The slot that the window's beginning cuts counts whole, since
-// retries in it may lie within the window.
-func (w *window) retryCount() int { return w.retries.sum(w.slot-windowSlots, w.slot) }
+// requestCount and retryCount return the requests and the retries within the window. The slot that the window's
+// beginning cuts counts whole, since retries in it may lie within the window.
+func (w *window) requestCount() int { return w.requests.sum(w.slot-windowSlots, w.slot) }
+func (w *window) retryCount() int   { return w.retries.sum(w.slot-windowSlots, w.slot) }
 
 // slidingMax is a maximum over the last windowSlots slots.
 type slidingMax struct {
