retry: Leave a share unused for processes that replace others

A new process cannot know what the one before it made. In its first window it now makes only the retries that no process makes otherwise: 0.15 of the ratio, and 0.4 of the extra as far as it has aged, so that any number of processes in a row stays below the budget.

--- a/cmd/internal/gatewayd/retrybudget_test.go
+++ b/cmd/internal/gatewayd/retrybudget_test.go
@@ -115,7 +115,8 @@
 	started time.Time
 	// isolated says that no router reaches another one.
 	isolated atomic.Bool
-	// requests and retries count those of all routers by slot; owed has the part of a request that is due
+	// requests counts what callers sent, also to routers that don't run, and retries those of all routers, by slot;
+	// owed has the part of a request that is due
 	// at each router.
 	requests, retries []int
 	owed              []float64
@@ -142,12 +143,19 @@
 	l.stop = l.fleet.run(t)
 	time.Sleep(5 * time.Second)
 	l.started = time.Now()
+	for i := range l.owed {
+		l.owed[i] = float64(i) / float64(size)
+	}
 	return l
 }
 
-// restart stops all routers and starts them again a second later.
+// restart stops all routers and starts them again a second later. Callers go on to send meanwhile.
 func (l *retryLoad) restart() {
 	l.stop()
+	for slot := l.slot(); len(l.requests) < slot; {
+		l.requests = append(l.requests, int(budgetRate*budgetSlot/time.Second))
+		l.retries = append(l.retries, 0)
+	}
 	l.fleet.createRouters(l.size, false)
 	l.stop = l.fleet.run(l.t)
 }
@@ -160,30 +168,32 @@
 
 func (l *retryLoad) send(duration time.Duration, areFailing bool) {
 	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(budgetSlot) {
-		slot := int(time.Since(l.started) / budgetSlot)
+		slot := l.slot()
 		for len(l.requests) <= slot {
 			l.requests, l.retries = append(l.requests, 0), append(l.retries, 0)
 		}
 		for i, r := range l.fleet.routers {
-			if !r.isRunning.Load() {
-				continue
-			}
 			weight := 1.0
 			if l.weightOf != nil {
 				weight = l.weightOf(i)
 			}
-			budget := r.gateway.Budget
+			isRunning := r.isRunning.Load()
 			for l.owed[i] += weight * budgetRate * budgetSlot.Seconds() / float64(l.size); l.owed[i] >= 1; l.owed[i]-- {
-				budget.CountRequest(startPool)
 				l.requests[slot]++
+				if isRunning {
+					r.gateway.Budget.CountRequest(startPool)
+				}
 			}
-			for areFailing && budget.Take(startPool) {
+			for areFailing && isRunning && r.gateway.Budget.Take(startPool) {
 				l.retries[slot]++
 			}
 		}
 	}
 }
 
+// slot returns the number of slots since the load began.
+func (l *retryLoad) slot() int { return int(time.Since(l.started) / budgetSlot) }
+
 // worstExcess returns by how much the retries of the worst window exceed the budget. The requests are those of
 // that window, of the one before, or of the window half a window before, whichever has the most.
 func (l *retryLoad) worstExcess() float64 {
--- a/cmd/internal/gatewayd/retryhistory_test.go
+++ b/cmd/internal/gatewayd/retryhistory_test.go
@@ -8,7 +8,7 @@
 )
 
 // quietTime is for how long no request fails, so that the routers can make many retries at once afterwards.
-const quietTime = 12 * time.Second
+const quietTime = 22 * time.Second
 
 // retryHistory is a history of a fleet whose routers make all retries that ten seconds without failures allow.
 type retryHistory struct {
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -13,14 +13,10 @@
 const windowSlots = 100
 
 const (
-	// ratioShare is the share of Ratio that is used. The rest allows for routers whose windows do
-	// not slide at the same moments.
+	// ratioShare and extraShare are the shares of Ratio and Extra that are used. The rest is for processes that take
+	// the place of others, and for routers whose windows do not slide at the same moments.
 	ratioShare = 0.85
-	// extraShare is the share of Extra that the routers divide among themselves. A router that
-	// replaces another process uses restartedShare instead in its first window, as that process may
-	// have used its part of Extra: the fleet may restart twice within a window.
-	extraShare     = 0.6
-	restartedShare = 0.2
+	extraShare = 0.6
 	// roundingPeriod is the number of windows for which a router keeps the random number by which
 	// it rounds its share. In a window in which the number changes, a router may round up by either
 	// of two numbers, so that more routers do; with a long period there are few such windows.
@@ -40,8 +36,7 @@
 	// Routers returns the number of routers that may be using their parts of Extra; 0 while it is not known,
 	// so that this router uses none.
 	Routers func() int
-	// Restarted says that a process which this router replaces may have used its share of Extra
-	// within the window.
+	// Restarted says that a process which this router replaces may have used its share within the window.
 	Restarted bool
 	// OnRequest is called for each counted request and OnRetry for each retry, with its pool; OnSpent when a
 	// retry is not allowed, at most once per pool and window. All may be nil; they run under the budget's lock and
@@ -128,7 +123,7 @@
 
 func (b *Budget) allowsLocked(w *window) bool {
 	requests := float64(w.requestCount())
-	share := ratioShare*b.Ratio*requests + b.routerExtraLocked(w.slot)
+	share := b.shareLocked(w, requests)
 	// In a large fleet a router's share is a fraction of one retry. If all routers rounded it down,
 	// none would retry. With random rounding the fleet's sum is that of a single budget at any
 	// moment, also when all routers use their shares at once.
@@ -139,9 +134,25 @@
 	return float64(w.retryCount()+1) <= min(share+w.rounding, fleetLimit)
 }
 
-// routerExtraLocked returns this router's part of Extra. It divides by the largest number of routers
-// within the window, since routers that have left may have used their part.
-func (b *Budget) routerExtraLocked(slot int64) float64 {
+// shareLocked returns how many retries this router may make within the window. A process that may have replaced
+// another one makes, in its first window, only those that no process makes later. Any number of processes may follow
+// each other within a window: the requests of each are its own, and their parts of Extra grow with their age.
+func (b *Budget) shareLocked(w *window, requests float64) float64 {
+	ratio, extra := ratioShare*b.Ratio*requests, extraShare*b.Extra
+	if age := clock.Since(b.began); b.Restarted && age < b.Window {
+		ratio = (1 - ratioShare) * b.Ratio * requests
+		extra = (1 - extraShare) * b.Extra * age.Seconds() / b.Window.Seconds()
+	}
+	routers := b.routersLocked(w.slot)
+	if routers == 0 {
+		return ratio
+	}
+	return ratio + extra/float64(routers)
+}
+
+// routersLocked returns the largest number of routers within the window, since routers that have left may have used
+// their parts of Extra.
+func (b *Budget) routersLocked(slot int64) int {
 	for ; b.fleetSlot < slot; b.fleetSlot++ {
 		b.fleetSize.advance()
 		if slot-b.fleetSlot > windowSlots {
@@ -149,15 +160,7 @@
 		}
 	}
 	b.fleetSize.record(b.Routers())
-	share := extraShare
-	if b.Restarted && clock.Since(b.began) < b.Window {
-		share = restartedShare
-	}
-	routers := b.fleetSize.highest()
-	if routers == 0 {
-		return 0
-	}
-	return share * b.Extra / float64(routers)
+	return b.fleetSize.highest()
 }
 
 // windowLocked returns the pool's window, advanced to the current slot.
