retry: Let routers know what the whole fleet has retried

A pool got more retries than its budget allows as load moved between routers: each had saved up a share for the same requests of callers, one after the other. And a router that started beside nothing else made few retries in its first window, as it could not know that the process before it had made none.

Each share rested on what one router had counted. Routers now report the requests and retries that they count, and the unused part of their share, with the rounds of updates: five times a second while they retry, else once, to all others or through hubs. If what was made and what the shares still allow exceed the budget in any window that contains the present, all routers use the same part of their shares. A router that starts asks others for the counts of the last two windows; until it has an answer, and after a loss of all routers, it leaves a share unused as before. Reports are sums since a start, so that lost ones leave nothing behind; those of a process that is gone slide out of the window as they were made.

A healthy fleet makes as many retries as before, since its shares fit the budget (TestHealthyFleetUsesItsRetryBudget). TestReportsCountEachRetryOnce covers the way through hubs. The log line of a spent share (213) has the sums of the fleet.

--- a/cmd/internal/events/catalogue.go
+++ b/cmd/internal/events/catalogue.go
@@ -163,7 +163,8 @@
 		Name:   "retry-budget-spent",
 		Level:  zerolog.InfoLevel,
 		Meaning: "This router's share of the retry budget for a pool is used up: `retries` for `requests` within the " +
-			"window, the extra divided by `routers`. age_ms is the time since its first request.",
+			"window, the extra divided by `routers`; fleet_retries and fleet_requests are those of all routers, as far " +
+			"as they are known. age_ms is the time since its first request.",
 		Remedy: "Check the pool's servers; compare routers with the size of the fleet.",
 	}
 	PromptPartQuarantined = Event{
--- a/cmd/internal/gatewayd/assemble.go
+++ b/cmd/internal/gatewayd/assemble.go
@@ -107,6 +107,9 @@
 	s.Streams = exchange.NewStreams(p.Settings.ID)
 	s.Streams.Transport, s.Streams.Routers, s.Streams.Address = p.exchangeUDP, p.node.Routers, exchangeAddress
 	s.Streams.FleetSize = p.node.FleetSize
+	p.budget = p.newRetryBudget()
+	s.Retries = exchange.NewRetries(p.Settings.ID)
+	s.Retries.Transport, s.Retries.Address, s.Retries.Budget = p.exchangeUDP, exchangeAddress, p.budget
 	p.balancer.OnLongPrefill = s.TriggerUpdate
 	p.exchangeUDP.OnReceive = s.Receive
 	return s
@@ -128,7 +131,7 @@
 
 		IsOverloaded: p.connectionLimit.IsOverloaded,
 
-		Budget:     p.newRetryBudget(),
+		Budget:     p.budget,
 		Quarantine: p.crashTracker,
 		Streams:    p.syncer.Streams,
 		Permits:    p.permits,
--- a/cmd/internal/gatewayd/process.go
+++ b/cmd/internal/gatewayd/process.go
@@ -22,6 +22,7 @@
 	"github.com/slipwick/slipwick/memory"
 	"github.com/slipwick/slipwick/quarantine"
 	"github.com/slipwick/slipwick/quota"
+	"github.com/slipwick/slipwick/retry"
 	"github.com/slipwick/slipwick/tunnel"
 	"github.com/slipwick/slipwick/upstream"
 
@@ -68,6 +69,8 @@
 	// tunnels opens connections to backend servers through other routers, tunnelServer for them.
 	tunnels      *tunnel.Dialer
 	tunnelServer *tunnel.Server
+	// budget is this router's part of the fleet's retry budget.
+	budget *retry.Budget
 	// pauses detects pauses of the process.
 	pauses clock.Pauses
 	// memory counts the bytes held for callers and backend servers.
--- a/cmd/internal/gatewayd/retrybudget.go
+++ b/cmd/internal/gatewayd/retrybudget.go
@@ -23,5 +23,6 @@
 
 func (p *Process) onRetryBudgetSpent(usage retry.Usage) {
 	events.RetryBudgetSpent.On(&p.Log).Str("pool", usage.Pool).Int("requests", usage.Requests).
-		Int("retries", usage.Retries).Int("routers", usage.Routers).Dur("age_ms", usage.Age).Send()
+		Int("retries", usage.Retries).Int("routers", usage.Routers).Int("fleet_requests", usage.FleetRequests).
+		Int("fleet_retries", usage.FleetRetries).Dur("age_ms", usage.Age).Send()
 }
--- a/cmd/internal/gatewayd/retryhistory_test.go
+++ b/cmd/internal/gatewayd/retryhistory_test.go
@@ -137,3 +137,39 @@
 		}
 	}
 }
+
+// TestRouterThatStartsAloneRetriesAtOnce guards against a process that makes few retries in its first window though
+// nothing else happens in the fleet: the other routers know that no share was used.
+func TestRouterThatStartsAloneRetriesAtOnce(t *testing.T) {
+	useOneProcessor(t)
+	for _, size := range []int{8, 30} {
+		for _, test := range []struct {
+			age time.Duration
+			// extraShare is the part of an equal share of Extra that the router uses. It uses none until it knows the
+			// size of the fleet.
+			extraShare float64
+		}{
+			{500 * time.Millisecond, 0},
+			{6 * time.Second, 0.6},
+		} {
+			t.Run(fmt.Sprintf("%d/%v", size, test.age), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					l := newRetryLoad(t, size)
+					l.serveFor(quietTime)
+					l.fleet.replace(0, 0, 0)
+					l.serveFor(test.age)
+					budget := l.fleet.routers[0].gateway.Budget
+					requests, retries := float64(budget.Reports()[0].Requests), 0
+					for budget.Take(startPool) {
+						retries++
+					}
+					l.stop()
+					want := 0.85*l.fleet.retries.Ratio*requests + test.extraShare*l.fleet.retries.Extra/float64(size)
+					if retries < int(want) {
+						t.Errorf("got %d retries for %.0f requests, want at least %d", retries, requests, int(want))
+					}
+				})
+			})
+		}
+	}
+}
--- a/cmd/internal/gatewayd/startingrouter_test.go
+++ b/cmd/internal/gatewayd/startingrouter_test.go
@@ -90,7 +90,7 @@
 		network: network,
 		from:    nextPort(address),
 	}
-	r.syncer.Transport, r.crashGossiper.Transport = updates, updates
+	r.syncer.Transport, r.crashGossiper.Transport, r.syncer.Retries.Transport = updates, updates, updates
 	r.peers.http = &http.Client{
 		Transport: network,
 	}
--- a/exchange/syncer.go
+++ b/exchange/syncer.go
@@ -58,6 +58,8 @@
 	Usage UsageSource
 	// Streams remembers where streams began; may be nil.
 	Streams *Streams
+	// Retries exchanges what routers count for the retry budget; may be nil.
+	Retries *Retries
 	// Returns remembers the refusals of other routers; nil without admission control.
 	Returns *Returns
 
@@ -172,6 +174,9 @@
 		s.hubs = chooseHubs(routers)
 	}
 	hubs := s.hubs
+	if s.Retries != nil && !urgent {
+		s.Retries.sendRound(hubs)
+	}
 	otherCount := len(excluding(hubs.routers, s.Self))
 	s.fleetSize.Store(int64(len(hubs.routers)))
 	update := s.Balancer.TakeUpdate()
@@ -309,6 +314,9 @@
 	if s.Streams != nil && s.Streams.receive(message) {
 		return
 	}
+	if s.Retries != nil && s.Retries.receive(message, s.Routers()) {
+		return
+	}
 	if s.Returns != nil && s.Returns.receive(message) {
 		return
 	}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -24,8 +24,8 @@
 )
 
 // Budget limits the retries that the whole fleet sends to each pool, in any window of time. Each
-// router uses its share without asking the others. Set the exported fields before the first call;
-// the methods may be called concurrently.
+// router uses its share without asking the others, and less of it if the retries that they report leave too little
+// room. Set the exported fields before the first call; the methods may be called concurrently.
 type Budget struct {
 	// Ratio is the share of requests that may be retried.
 	Ratio float64
@@ -48,7 +48,10 @@
 	// began is the time of the first call, and epoch two windows before. Slots are counted from epoch, because the time
 	// of day may be set while the process runs.
 	began, epoch time.Time
-	pools        map[string]*window
+	// pools has the windows by the hash of the pool's name.
+	pools map[uint32]*window
+	// fleetHasOwn says that the counts of the fleet contain this router's.
+	fleetHasOwn bool
 	// fleetSize is the largest number of routers within the last window, and fleetSlot the slot up
 	// to which it has advanced.
 	fleetSize slidingMax
@@ -72,6 +75,7 @@
 	defer b.mu.Unlock()
 	w := b.windowLocked(pool)
 	w.requests.add(b.slotAt(earliest), 1)
+	w.requestTotal++
 	if b.OnRequest != nil {
 		b.OnRequest(pool)
 	}
@@ -88,6 +92,7 @@
 		return false
 	}
 	w.retries.add(w.slot, 1)
+	w.retryTotal++
 	if b.OnRetry != nil {
 		b.OnRetry(pool)
 	}
@@ -118,12 +123,16 @@
 		Retries:  w.retryCount(),
 		Routers:  b.fleetSize.highest(),
 		Age:      clock.Since(b.began),
+
+		FleetRequests: b.fleetRequestsLocked(w, w.slot-windowSlots, w.slot),
+		FleetRetries:  b.fleetRetriesLocked(w, w.slot-windowSlots, w.slot),
 	})
 }
 
 func (b *Budget) allowsLocked(w *window) bool {
 	requests := float64(w.requestCount())
 	share := b.shareLocked(w, requests)
+	unused := max(share-float64(w.retryCount()), 0)
 	// In a large fleet a router's share is a fraction of one retry. If all routers rounded it down,
 	// none would retry. With random rounding the fleet's sum is that of a single budget at any
 	// moment, also when all routers use their shares at once.
@@ -131,15 +140,16 @@
 	// No router may send more than the limit of the whole fleet would allow for the requests it has
 	// counted.
 	fleetLimit := b.Ratio*requests + b.Extra
-	return float64(w.retryCount()+1) <= min(share+w.rounding, fleetLimit)
+	return float64(w.retryCount()+1) <= min(share+w.rounding, fleetLimit) && b.fleetAllowsLocked(w, unused)
 }
 
 // shareLocked returns how many retries this router may make within the window. A process that may have replaced
-// another one makes, in its first window, only those that no process makes later. Any number of processes may follow
-// each other within a window: the requests of each are its own, and their parts of Extra grow with their age.
+// another one makes, in its first window, only those that no process makes later, unless it has learned what the fleet
+// made before. Any number of processes may follow each other within a window: the requests of each are its own, and
+// their parts of Extra grow with their age.
 func (b *Budget) shareLocked(w *window, requests float64) float64 {
 	ratio, extra := ratioShare*b.Ratio*requests, extraShare*b.Extra
-	if age := clock.Since(b.began); b.Restarted && age < b.Window {
+	if age := clock.Since(b.began); !b.remembersLocked(w) {
 		ratio = (1 - ratioShare) * b.Ratio * requests
 		extra = (1 - extraShare) * b.Extra * age.Seconds() / b.Window.Seconds()
 	}
@@ -163,11 +173,18 @@
 	return b.fleetSize.highest()
 }
 
+// remembersLocked reports whether this router knows what processes before it made within the window.
+func (b *Budget) remembersLocked(w *window) bool {
+	return !b.Restarted || w.hasLearned || clock.Since(b.began) >= b.Window
+}
+
 // windowLocked returns the pool's window, advanced to the current slot.
-func (b *Budget) windowLocked(pool string) *window {
+func (b *Budget) windowLocked(pool string) *window { return b.windowOfLocked(poolHash(pool)) }
+
+func (b *Budget) windowOfLocked(pool uint32) *window {
 	now := clock.Now()
 	if b.pools == nil {
-		b.pools, b.began = make(map[string]*window), now
+		b.pools, b.began = make(map[uint32]*window), now
 		b.epoch = now.Add(-2 * b.Window)
 	}
 	w := b.pools[pool]
@@ -202,6 +219,16 @@
 	// roundingPhase is by how many slots the periods of rounding are shifted. It differs between routers that start at
 	// once, so that few of them change their numbers in the same window.
 	roundingPhase int64
+	// requestTotal and retryTotal are the counts since the start of the router; they wrap around.
+	requestTotal, retryTotal uint32
+	// fleetRequests and fleetRetries are those that other routers reported, fleetUnused how many more retries their
+	// shares allowed then.
+	fleetRequests, fleetRetries history
+	fleetUnused                 int
+	// hasLearned says that the counts of the fleet contain those from before the start of this router.
+	hasLearned bool
+	// learnedAge is the age of this router at which it last learned them.
+	learnedAge time.Duration
 	// reported is the slot in which OnSpent was last called, if hasReported.
 	reported    int64
 	hasReported bool
@@ -216,6 +243,8 @@
 	w.slot = max(w.slot, slot)
 	w.requests.advance(w.slot)
 	w.retries.advance(w.slot)
+	w.fleetRequests.advance(w.slot)
+	w.fleetRetries.advance(w.slot)
 }
 
 // requestCount and retryCount return the requests and the retries within the window. The slot that the window's
--- /dev/null
+++ b/retry/fleet.go
@@ -0,0 +1,79 @@
+package retry
+
+import "time"
+
+const (
+	// reportDelay is after what time all other routers know of a retry, in a fleet whose reports are relayed twice.
+	reportDelay = 700 * time.Millisecond
+	// reportedShare is the share of the budget up to which routers use what the reports of the others leave. The rest
+	// allows for shares that have grown since the last reports.
+	reportedShare = 0.95
+)
+
+// fleetAllowsLocked reports whether this router may make a retry if all routers use what is left of their shares, of
+// which this one has the unused part. If the budget has no room for all of these, each router uses the same part of its
+// share, and takes into account that the others don't know of its latest retries.
+func (b *Budget) fleetAllowsLocked(w *window, unused float64) bool {
+	recent := float64(w.retries.sum(w.slot-b.slotsIn(reportDelay), w.slot))
+	total, room := float64(w.fleetUnused), b.roomLocked(w)
+	if b.fleetHasOwn {
+		total = max(total, unused)
+	} else {
+		total += unused
+		room += recent
+	}
+	total += recent
+	if total <= room {
+		return true
+	}
+	return recent+1 <= room/total*(unused+recent)+w.rounding
+}
+
+// roomLocked returns how many more retries the budget of the fleet allows now, in each window that contains the
+// present. The requests of a window are its own, those of the window before it, or those of the window half a window
+// before it, whichever are the most.
+func (b *Budget) roomLocked(w *window) float64 {
+	oldest := w.slot - historySlots + 1
+	// requests and retries have the counts of the fleet before each slot, from oldest on.
+	var requests, retries [historySlots + 1]int
+	for i := range historySlots {
+		slot := oldest + int64(i)
+		requests[i+1] = requests[i] + b.fleetRequestsLocked(w, slot, slot)
+		retries[i+1] = retries[i] + b.fleetRetriesLocked(w, slot, slot)
+	}
+	room := 0.0
+	for first := windowSlots; first < historySlots; first++ {
+		most := 0
+		for _, begin := range []int{first, first - windowSlots/2, first - windowSlots} {
+			most = max(most, requests[min(begin+windowSlots, historySlots)]-requests[begin])
+		}
+		left := reportedShare*(b.Ratio*float64(most)+b.Extra) - float64(retries[historySlots]-retries[first])
+		if first == windowSlots || left < room {
+			room = left
+		}
+	}
+	return room
+}
+
+// fleetRequestsLocked returns the requests of the whole fleet from the first to the last slot.
+func (b *Budget) fleetRequestsLocked(w *window, first, last int64) int {
+	requests := w.fleetRequests.sum(first, last)
+	if !b.fleetHasOwn {
+		requests += w.requests.sum(first, last)
+	}
+	return requests
+}
+
+// fleetRetriesLocked returns the retries of the whole fleet from the first to the last slot.
+func (b *Budget) fleetRetriesLocked(w *window, first, last int64) int {
+	retries := w.fleetRetries.sum(first, last)
+	if !b.fleetHasOwn {
+		retries += w.retries.sum(first, last)
+	}
+	return retries
+}
+
+// slotsIn returns how many slots a time has.
+func (b *Budget) slotsIn(duration time.Duration) int64 {
+	return int64(duration) / max(int64(b.Window)/windowSlots, 1)
+}
--- a/retry/history.go
+++ b/retry/history.go
@@ -25,6 +25,9 @@
 	}
 }
 
+// clear forgets all events.
+func (h *history) clear() { clear(h.counts[:]) }
+
 // sum returns the number of events from the first to the last slot, both included.
 func (h *history) sum(first, last int64) (total int) {
 	for i := max(first, h.newest-historySlots+1, 0); i <= min(last, h.newest); i++ {
--- a/retry/usage.go
+++ b/retry/usage.go
@@ -9,6 +9,8 @@
 	Requests, Retries int
 	// Routers is the number by which the router divides Extra.
 	Routers int
+	// FleetRequests and FleetRetries are those of all routers within the window, as far as they have been reported.
+	FleetRequests, FleetRetries int
 	// Age is the time since the budget's first use.
 	Age time.Duration
 }
