upstream: Bound the heads and the skipped bodies of responses

A server in trouble that sends bytes without end takes the memory of a router, and its caller waits until the deadline.

net/http reads a head of any size, and the body of a response to another request was read to its end. A response may have 64 KiB of heads, informational ones included, and a body that is skipped 1 MiB and 500 ms. Beyond, the exchange fails as one that broke off, which counts against the server, and the connection is closed.

TestBodyFramingWithoutEndIsGivenUp shows that chunk extensions and trailers were bounded by net/http; TestSlowResponseToAnotherRequestIsGivenUp covers a body that arrives byte by byte.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/clock"
+	"github.com/slipwick/slipwick/internal/readlimit"
 	"github.com/slipwick/slipwick/internal/tcpconn"
 )
 
@@ -125,7 +126,7 @@
 	timeouts := watch.headTimeouts()
 	err = conn.awaitData(ctx, timeouts.FirstByte, timeouts.OnTimeout)
 	if err == nil {
-		response, err = conn.readHead(request, &c.StrayResponses)
+		response, err = conn.readHead(ctx, request, &c.StrayResponses)
 	}
 	if err != nil {
 		stop()
@@ -363,13 +364,17 @@
 }
 
 func (c *Client) newConnection(key string, tcp *tcpconn.Conn, r *route) *connection {
-	return &connection{
-		Conn: tcp,
-		key:  key,
-		reader: bufio.NewReaderSize(&observedReader{
+	limited := &readlimit.Reader{
+		Source: &observedReader{
 			Conn:  tcp,
 			route: r,
-		}, bufferSize),
+		},
+	}
+	return &connection{
+		Conn:    tcp,
+		key:     key,
+		reader:  bufio.NewReaderSize(limited, bufferSize),
+		limited: limited,
 		route:   r,
 		onClose: func() { c.open.remove(key) },
 	}
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -11,13 +11,16 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/slipwick/slipwick/internal/readlimit"
 	"github.com/slipwick/slipwick/internal/tcpconn"
 )
 
 // connection is a pooled connection. It serves one exchange at a time.
 type connection struct {
 	*tcpconn.Conn
-	reader *bufio.Reader
+	// reader buffers what limited reads.
+	reader  *bufio.Reader
+	limited *readlimit.Reader
 	// key is that of the backend server.
 	key   string
 	route *route
@@ -91,11 +94,18 @@
 	// current request, maxInformational the informational ones.
 	maxStrayResponses = 2
 	maxInformational  = 5
+	// maxHeadBytes bounds the heads of a response and of the informational ones before it, maxStrayBytes and
+	// maxStrayTime the body of a response that is skipped.
+	maxHeadBytes  = 64 << 10
+	maxStrayBytes = 1 << 20
+	maxStrayTime  = 500 * time.Millisecond
 )
 
 // readHead reads the header of the response to the request. Responses to other requests are
 // skipped: a backend server may respond to a request twice, and the right response follows.
-func (c *connection) readHead(request *Request, strays *atomic.Int64) (*http.Response, error) {
+func (c *connection) readHead(ctx context.Context, request *Request, strays *atomic.Int64) (*http.Response, error) {
+	c.limited.Limit(maxHeadBytes)
+	defer c.limited.Unlimit()
 	httpRequest := &http.Request{
 		Method: request.Method,
 	}
@@ -121,13 +131,31 @@
 		if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 			return nil, errors.New("response belongs to another request, and the connection cannot be reused")
 		}
-		if err := response.Body.Close(); err != nil {
+		if err := c.skipBody(ctx, response); err != nil {
 			return nil, errors.Wrap(err, "skip the response to another request")
 		}
+		c.limited.Limit(maxHeadBytes)
 	}
 	return nil, errors.New("too many responses to other requests")
 }
 
+// skipBody reads the body of a response to its end.
+func (c *connection) skipBody(ctx context.Context, response *http.Response) error {
+	if response.ContentLength > maxStrayBytes {
+		return readlimit.ErrExceeded
+	}
+	c.limited.Limit(maxStrayBytes)
+	if err := c.SetReadDeadline(time.Now().Add(maxStrayTime)); err != nil {
+		return err
+	}
+	defer c.clearDeadline(ctx)
+	if ctx.Err() != nil {
+		// ctx may have interrupted the connection before the read deadline was set.
+		return ctx.Err()
+	}
+	return response.Body.Close()
+}
+
 // interruptOnDone interrupts reads and writes when ctx ends. The returned function cancels that and
 // reports whether the connection was not interrupted.
 func (c *connection) interruptOnDone(ctx context.Context) (stop func() bool) {
