gateway: Bound the time for which a rejection is read

A request that a server rejected was not sent to another one, and was refused at its deadline, if the rejection went on byte by byte: its body was read first, so that the connection could be used again. After 200 ms the connection is given up instead.

--- a/gateway/response.go
+++ b/gateway/response.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -165,11 +166,22 @@
 	return buffered.write(c.writer)
 }
 
-// discardBody reads and discards the body of a response, up to maxBufferedBytes, so that its connection
-// can be used again.
+// maxDiscardTime is how long a request waits for the rest of a response of which only the head matters.
+const maxDiscardTime = 200 * time.Millisecond
+
+// discardBody reads and discards the body of a response, up to maxBufferedBytes and for up to maxDiscardTime, so that its
+// connection can be used again.
 func discardBody(response *upstream.Response) {
+	aborted := make(chan struct{})
+	timer := time.AfterFunc(maxDiscardTime, func() {
+		defer close(aborted)
+		response.Abort()
+	})
 	// After an error the connection is not used again.
 	_, _ = io.CopyN(io.Discard, response, maxBufferedBytes)
+	if !timer.Stop() {
+		<-aborted
+	}
 }
 
 func isFailure(status int) bool {
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -87,8 +87,8 @@
 	}
 }
 
-// TestSlowResponseToAnotherRequestIsGivenUp guards against a body that is skipped, and that arrives byte by byte until the
-// deadline.
+// TestSlowResponseToAnotherRequestIsGivenUp guards against a body that is skipped, and that arrives byte by byte until
+// the deadline.
 func TestSlowResponseToAnotherRequestIsGivenUp(t *testing.T) {
 	server := serve(t, func(conn net.Conn, requests *bufio.Reader) {
 		_, err := http.ReadRequest(requests)
@@ -115,7 +115,8 @@
 	}
 }
 
-// TestBodyFramingWithoutEndIsGivenUp guards against chunk extensions and trailers that take memory or time without end.
+// TestBodyFramingWithoutEndIsGivenUp guards against chunk extensions and trailers that take memory or time without
+// end.
 func TestBodyFramingWithoutEndIsGivenUp(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n"
 	for _, test := range []struct{ name, beginning, text string }{
