gateway: End a send whose stream brings comments and blank lines without end

After 256 KiB without a field, as much as an event may have, the send has failed. Comments now and then, which keep a connection open, stay allowed.

--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -26,8 +26,8 @@
 	}
 }
 
-// TestServersWithoutEndCostNoRequest guards against a server in trouble that keeps a request until its deadline by bytes
-// without end, though another server could take it.
+// TestServersWithoutEndCostNoRequest guards against a server in trouble that keeps a request until its deadline by
+// bytes without end, though another server could take it.
 func TestServersWithoutEndCostNoRequest(t *testing.T) {
 	const (
 		length   = "Content-Length: 100000000000\r\n\r\n"
@@ -52,6 +52,8 @@
 		{"failed, no length", "/repeatable/x", "500 No", unknown, long, 0, http.StatusOK},
 		{"not genuine", "/repeatable/x", "200 OK", "Content-Encoding: gzip\r\n" + unknown, "x", slow, http.StatusOK},
 		{"no event", "/resumable/x", "200 OK", unknown, long, 0, http.StatusOK},
+		{"comments", "/resumable/x", "200 OK", unknown, strings.Repeat(": c\n\n", 1000), 0, http.StatusOK},
+		{"blank lines", "/resumable/x", "200 OK", unknown, strings.Repeat("\n", 4000), 0, http.StatusOK},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			troubled := newBackend(t, "b1", respondEndless(test.status, test.rest, test.text, test.pause))
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"time"
@@ -169,8 +170,8 @@
 // maxDiscardTime is how long a request waits for the rest of a response of which only the head matters.
 const maxDiscardTime = 200 * time.Millisecond
 
-// discardBody reads and discards the body of a response, up to maxBufferedBytes and for up to maxDiscardTime, so that its
-// connection can be used again.
+// discardBody reads and discards the body of a response, up to maxBufferedBytes and for up to maxDiscardTime, so that
+// its connection can be used again.
 func discardBody(response *upstream.Response) {
 	aborted := make(chan struct{})
 	timer := time.AfterFunc(maxDiscardTime, func() {
@@ -210,6 +211,8 @@
 func (c *call) forwardEvents(lease *balance.Lease, response *upstream.Response) (result, slipwick.Evidence, error) {
 	source := newReadAhead(c, lease, response)
 	defer source.close()
+	// emptyBytes is how many bytes of comments and blank lines have arrived since the last event.
+	emptyBytes := 0
 	buffered := make([]byte, 0, eventBufferSize)
 	defer func() { c.held.Shrink(memory.Stream, int64(cap(buffered)-eventBufferSize)) }()
 	for {
@@ -229,6 +232,13 @@
 		size := completeLength(buffered)
 		if size > 0 {
 			c.watch.recordEvent()
+			emptyBytes += size
+		}
+		if hasField(buffered[:size]) {
+			emptyBytes = 0
+		}
+		if emptyBytes > maxEventBytes {
+			return c.classifyStreamError(errNoField, source)
 		}
 		if writeErr := c.writeEvents(response, source, buffered[:size]); writeErr != nil {
 			return resultDisconnected, slipwick.EvidenceNone, writeErr
@@ -243,6 +253,19 @@
 	}
 }
 
+// errNoField is the error of a stream that brings comments and blank lines alone.
+var errNoField = errors.New("256 KiB of the stream are comments and blank lines")
+
+// hasField reports whether any of the complete events has a field, such as an ID or data.
+func hasField(events []byte) bool {
+	for line := range bytes.FieldsFuncSeq(events, isLineEnd) {
+		if line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // errNoEventMemory is the error of a stream with an event that is larger than the memory left.
 var errNoEventMemory = errors.New("no room for an incomplete event in the router's memory")
 
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -25,8 +25,8 @@
 	}
 }
 
-// TestResponsesWithoutEndAreGivenUp guards against responses whose head, or whose part that is skipped, does not end, and
-// that take memory, or the time until the deadline. Each ends the exchange and its connection.
+// TestResponsesWithoutEndAreGivenUp guards against responses whose head, or whose part that is skipped, does not end,
+// and that take memory, or the time until the deadline. Each ends the exchange and its connection.
 func TestResponsesWithoutEndAreGivenUp(t *testing.T) {
 	const (
 		deadline = 5 * time.Second
