tunnel: Bound the response to a request for a tunnel

A router in trouble that answers CONNECT with a head without end took the memory of the router that asks: TestResponseWithoutEndOpensNoTunnel, 1,796 MB read within 5 s before, less than 8 MB, what the kernel's buffers take, now. In the product the time for a tunnel bounds it too, by 0.7 s.

--- a/tunnel/dialer.go
+++ b/tunnel/dialer.go
@@ -15,6 +15,7 @@
 
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/clock"
+	"github.com/slipwick/slipwick/internal/readlimit"
 )
 
 const (
@@ -22,6 +23,8 @@
 	// until a tunnel is open.
 	askTimeout  = 500 * time.Millisecond
 	openTimeout = 700 * time.Millisecond
+	// maxResponseBytes bounds the response of a router to a request for a tunnel.
+	maxResponseBytes = 16 << 10
 	// maxAsked is how many routers are asked for one tunnel at most. Those without a path decline at once.
 	maxAsked = 8
 	// exclusion is how long a router that declined or didn't respond isn't asked.
@@ -219,7 +222,11 @@
 	if err := r.Write(conn); err != nil {
 		return err
 	}
-	reader := bufio.NewReader(conn)
+	limited := &readlimit.Reader{
+		Source: conn,
+	}
+	limited.Limit(maxResponseBytes)
+	reader := bufio.NewReader(limited)
 	response, err := http.ReadResponse(reader, r)
 	if err != nil {
 		return err
