--- a/engine/client.go
+++ b/engine/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -19,6 +20,9 @@
 // controlTimeout bounds calls that do not stream a response of the model.
 const controlTimeout = 2 * time.Second
 
+// maxControlBytes bounds the responses to these calls.
+const maxControlBytes = 4 << 20
+
 // Client calls one engine over HTTP. Set the fields before use.
 type Client struct {
 	// Address is host:port.
@@ -107,7 +111,7 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	err = json.NewDecoder(response.Body).Decode(into)
+	err = json.NewDecoder(io.LimitReader(response.Body, maxControlBytes)).Decode(into)
 	var syntax *json.SyntaxError
 	var mismatch *json.UnmarshalTypeError
 	switch {
--- a/httpclient/client.go
+++ b/httpclient/client.go
@@ -21,6 +21,7 @@
 	maxIdlePerHost = 64
 	bufferBytes    = 4 << 10
 	maxErrorBytes  = 4 << 10
+	maxHeadBytes   = 64 << 10
 )
 
 // New returns a client without an overall timeout, so that the context of a call bounds it. It
@@ -37,6 +38,8 @@
 			ReadBufferSize:      bufferBytes,
 			WriteBufferSize:     bufferBytes,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: maxHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
