retry: Hold the fleet's budget through hubs and missing reports

With hubs, up to 101 retries above the budget were made within a window at 62 routers, when half of the boxes were replaced by others or the load moved, though the same histories held at 8 (TestRetryBudgetHoldsOverProcesses and TestRetryBudgetHoldsAsLoadMoves with -measure-budget).

Traced by printing what routers knew at 62: routers whose hub had died got no reports for some seconds and took themselves for the only ones with an unused share; unused shares were up to 3 s old, after three relays of a second each; and as reports come in lumps, a window had up to 8 % more requests than were sent. Now a router without recent reports uses an equal part of the room, shares without a report count as the others on average, routers report each round while half of the budget is used, and the first 8 % of each window's requests don't count. What the shares leave anyway may be made without a look at the reports, so that the retries of a healthy fleet don't rest on them. A process that replaces another leaves a part of the rest for the rounding of shares, as 330 routers round independently.

--- a/exchange/retries.go
+++ b/exchange/retries.go
@@ -15,7 +15,7 @@
 
 const (
 	// quietRounds is how many rounds of updates pass between two reports for the retry budget while there are no
-	// retries.
+	// retries and the budget is not nearly used.
 	quietRounds = 5
 	// reportTTL is how long a report counts as recent, senderTTL how long the sums in it are remembered.
 	reportTTL = 2 * time.Second
@@ -39,9 +39,11 @@
 	// Reports returns what this router has counted.
 	Reports() []retry.Report
 	// CountFleet takes what other routers have counted since a time, by package clock, SetFleetUnused how many retries
-	// their shares still allow; hasOwn says that both contain what this router reported.
+	// their shares still allow.
 	CountFleet(pool uint32, requests, retries int, since time.Time)
-	SetFleetUnused(unused map[uint32]int, hasOwn bool)
+	SetFleetUnused(*retry.FleetUnused)
+	// IsNearLimit reports whether a large part of the budget of the fleet is used.
+	IsNearLimit() bool
 	// NeedsPasts reports whether this router has to learn what was counted before its start, Pasts returns what this
 	// router knows, and Learn takes what another one knows.
 	NeedsPasts() bool
@@ -83,6 +85,8 @@
 	receivedAt time.Time
 	age        time.Duration
 	byPool     map[uint32]retry.Report
+	// routers is from how many routers the unused retries are.
+	routers int
 	// knownFrom is from when on pools that appear in reports are new to this router: their counts before, if any, were
 	// made before this router knew the sender, and others have counted them.
 	knownFrom time.Time
@@ -113,23 +117,25 @@
 	r.hub = hub.ID
 	r.forgetSendersLocked()
 	r.mu.Unlock()
-	r.Budget.SetFleetUnused(r.unused(), isMember)
+	r.Budget.SetFleetUnused(r.fleetUnused(len(hubs.routers), isMember))
 	if r.Budget.NeedsPasts() && len(peers) > 0 {
 		r.askForPasts(peers)
 	}
 	own := r.Budget.Reports()
-	if !r.isDue(own, round, hubs.isHub(r.Self)) {
+	if !r.isDue(own, round, hubs.isHub(r.Self)) && !r.Budget.IsNearLimit() {
 		return
 	}
 	switch {
 	case len(hubs.chosen) == 0:
-		r.sendReports(peers, exchangepb.Scope_SCOPE_OWN, own)
+		r.sendReports(peers, exchangepb.Scope_SCOPE_OWN, own, 1)
 	case isMember:
-		r.sendReports([]slipwick.Router{hub}, exchangepb.Scope_SCOPE_OWN, own)
+		r.sendReports([]slipwick.Router{hub}, exchangepb.Scope_SCOPE_OWN, own, 1)
 	default:
 		group, fleet := r.sums(own)
-		r.sendReports(excluding(hubs.chosen, r.Self), exchangepb.Scope_SCOPE_GROUP, group)
-		r.sendReports(hubs.groupOf(r.Self), exchangepb.Scope_SCOPE_FLEET, fleet)
+		groupRouters := 1 + r.recentRouters(exchangepb.Scope_SCOPE_OWN)
+		fleetRouters := groupRouters + r.recentRouters(exchangepb.Scope_SCOPE_GROUP)
+		r.sendReports(excluding(hubs.chosen, r.Self), exchangepb.Scope_SCOPE_GROUP, group, groupRouters)
+		r.sendReports(hubs.groupOf(r.Self), exchangepb.Scope_SCOPE_FLEET, fleet, fleetRouters)
 	}
 }
 
@@ -206,18 +212,51 @@
 	return group, fleet
 }
 
-// unused returns how many retries the shares of other routers still allow.
-func (r *Retries) unused() map[uint32]int {
+// fleetUnused returns how many retries the shares of the live routers still allow. Those without a recent report count
+// as the others on average.
+func (r *Retries) fleetUnused(live int, isMember bool) *retry.FleetUnused {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.hub != "" {
-		return r.unusedLocked(exchangepb.Scope_SCOPE_FLEET)
+	fleet := &retry.FleetUnused{
+		HasOwn:  isMember,
+		Routers: live,
 	}
-	unused := r.unusedLocked(exchangepb.Scope_SCOPE_OWN)
-	for pool, count := range r.unusedLocked(exchangepb.Scope_SCOPE_GROUP) {
-		unused[pool] += count
+	scopes := []exchangepb.Scope{exchangepb.Scope_SCOPE_FLEET}
+	if !isMember {
+		scopes = []exchangepb.Scope{exchangepb.Scope_SCOPE_OWN, exchangepb.Scope_SCOPE_GROUP}
+		live--
 	}
-	return unused
+	routers := 0
+	fleet.ByPool = make(map[uint32]int)
+	for _, scope := range scopes {
+		routers += r.recentRoutersLocked(scope)
+		for pool, count := range r.unusedLocked(scope) {
+			fleet.ByPool[pool] += count
+		}
+	}
+	fleet.IsKnown = routers > 0
+	if routers > 0 && routers < live {
+		for pool, count := range fleet.ByPool {
+			fleet.ByPool[pool] = count * live / routers
+		}
+	}
+	return fleet
+}
+
+// recentRouters returns from how many routers there are recent reports with a scope.
+func (r *Retries) recentRouters(scope exchangepb.Scope) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.recentRoutersLocked(scope)
+}
+
+func (r *Retries) recentRoutersLocked(scope exchangepb.Scope) (routers int) {
+	for _, sender := range r.senders {
+		if sender.scope == scope && clock.Since(sender.receivedAt) <= reportTTL {
+			routers += sender.routers
+		}
+	}
+	return routers
 }
 
 // unusedLocked adds up the unused parts of the recent reports with a scope, and forgets senders that are gone.
@@ -234,7 +273,7 @@
 	return unused
 }
 
-func (r *Retries) sendReports(to []slipwick.Router, scope exchangepb.Scope, reports []retry.Report) {
+func (r *Retries) sendReports(to []slipwick.Router, scope exchangepb.Scope, reports []retry.Report, routers int) {
 	for part := range slices.Chunk(reports, maxReports) {
 		r.mu.Lock()
 		r.sequence++
@@ -243,6 +282,8 @@
 			Sequence: r.sequence,
 			Scope:    scope,
 			RetryAge: uint32(clock.Since(r.startedAt) / ageUnit),
+
+			RetryRouters: uint32(routers),
 		}
 		r.mu.Unlock()
 		for _, report := range part {
@@ -346,6 +387,7 @@
 	}
 	since = sender.receivedAt
 	sender.sequence, sender.age, sender.receivedAt = message.GetSequence(), age, now
+	sender.routers = int(min(message.GetRetryRouters(), maxPastCount))
 	return sender, since
 }
 
--- a/exchange/retries_test.go
+++ b/exchange/retries_test.go
@@ -31,12 +31,14 @@
 	b.retries += retries
 }
 
-func (b *countingBudget) SetFleetUnused(unused map[uint32]int, hasOwn bool) {
+func (b *countingBudget) SetFleetUnused(unused *retry.FleetUnused) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.unused, b.hasOwn = unused[b.own.Pool], hasOwn
+	b.unused, b.hasOwn = unused.ByPool[b.own.Pool], unused.HasOwn
 }
 
+func (b *countingBudget) IsNearLimit() bool { return false }
+
 func (b *countingBudget) NeedsPasts() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -13,10 +13,12 @@
 const windowSlots = 100
 
 const (
-	// ratioShare and extraShare are the shares of Ratio and Extra that are used. The rest is for processes that take
-	// the place of others, and for routers whose windows do not slide at the same moments.
-	ratioShare = 0.85
-	extraShare = 0.6
+	// ratioShare and extraShare are the shares of Ratio and Extra that are used. Of the rest, replacementShare is for
+	// processes that take the place of others and do not know what these used; the remainder is for routers whose
+	// windows do not slide at the same moments, and for the rounding of their shares.
+	ratioShare       = 0.85
+	extraShare       = 0.6
+	replacementShare = 0.7
 	// roundingPeriod is the number of windows for which a router keeps the random number by which
 	// it rounds its share. In a window in which the number changes, a router may round up by either
 	// of two numbers, so that more routers do; with a long period there are few such windows.
@@ -50,8 +52,8 @@
 	began, epoch time.Time
 	// pools has the windows by the hash of the pool's name.
 	pools map[uint32]*window
-	// fleetHasOwn says that the counts of the fleet contain this router's.
-	fleetHasOwn bool
+	// fleet is what other routers have reported of their unused shares.
+	fleet FleetUnused
 	// fleetSize is the largest number of routers within the last window, and fleetSlot the slot up
 	// to which it has advanced.
 	fleetSize slidingMax
@@ -150,8 +152,8 @@
 func (b *Budget) shareLocked(w *window, requests float64) float64 {
 	ratio, extra := ratioShare*b.Ratio*requests, extraShare*b.Extra
 	if age := clock.Since(b.began); !b.remembersLocked(w) {
-		ratio = (1 - ratioShare) * b.Ratio * requests
-		extra = (1 - extraShare) * b.Extra * age.Seconds() / b.Window.Seconds()
+		ratio = replacementShare * (1 - ratioShare) * b.Ratio * requests
+		extra = replacementShare * (1 - extraShare) * b.Extra * age.Seconds() / b.Window.Seconds()
 	}
 	routers := b.routersLocked(w.slot)
 	if routers == 0 {
@@ -190,6 +192,7 @@
 	w := b.pools[pool]
 	if w == nil {
 		w = &window{
+			hash:          pool,
 			rounding:      rand.Float64(),
 			roundingPhase: rand.Int64N(roundingPeriod * windowSlots),
 		}
@@ -221,10 +224,10 @@
 	roundingPhase int64
 	// requestTotal and retryTotal are the counts since the start of the router; they wrap around.
 	requestTotal, retryTotal uint32
-	// fleetRequests and fleetRetries are those that other routers reported, fleetUnused how many more retries their
-	// shares allowed then.
+	// hash is that of the pool's name.
+	hash uint32
+	// fleetRequests and fleetRetries are those that other routers reported.
 	fleetRequests, fleetRetries history
-	fleetUnused                 int
 	// hasLearned says that the counts of the fleet contain those from before the start of this router.
 	hasLearned bool
 	// learnedAge is the age of this router at which it last learned them.
--- a/retry/fleet.go
+++ b/retry/fleet.go
@@ -8,15 +8,29 @@
 	// reportedShare is the share of the budget up to which routers use what the reports of the others leave. The rest
 	// allows for shares that have grown since the last reports.
 	reportedShare = 0.95
+	// uncountedSlots is how many slots at the beginning of each window are left out when requests that were reported are
+	// counted: as reports come once a second, a window may have the requests of a longer time.
+	uncountedSlots = 8
 )
 
 // fleetAllowsLocked reports whether this router may make a retry if all routers use what is left of their shares, of
 // which this one has the unused part. If the budget has no room for all of these, each router uses the same part of its
 // share, and takes into account that the others don't know of its latest retries.
 func (b *Budget) fleetAllowsLocked(w *window, unused float64) bool {
+	first := w.slot - windowSlots
+	requests := float64(b.fleetRequestsLocked(w, first, w.slot))
+	unshared := (1-ratioShare)*b.Ratio*requests + (1-extraShare)*b.Extra
+	if float64(b.fleetRetriesLocked(w, first, w.slot)) <= unshared {
+		// The shares of all routers leave as much.
+		return true
+	}
+	room := b.roomLocked(w)
+	if !b.fleet.IsKnown {
+		return b.partAllowsLocked(w, room)
+	}
 	recent := float64(w.retries.sum(w.slot-b.slotsIn(reportDelay), w.slot))
-	total, room := float64(w.fleetUnused), b.roomLocked(w)
-	if b.fleetHasOwn {
+	total := float64(b.fleet.ByPool[w.hash])
+	if b.fleet.HasOwn {
 		total = max(total, unused)
 	} else {
 		total += unused
@@ -29,6 +43,31 @@
 	return recent+1 <= room/total*(unused+recent)+w.rounding
 }
 
+// partAllowsLocked reports whether this router may make a retry while it knows that others have made some, but has no
+// recent reports of theirs: it uses an equal part of the room.
+func (b *Budget) partAllowsLocked(w *window, room float64) bool {
+	own := float64(w.retryCount())
+	if !b.fleet.HasOwn {
+		room += own
+	}
+	return own+1 <= room/float64(max(b.fleet.Routers, 1))+w.rounding
+}
+
+// IsNearLimit reports whether the fleet has used half of its budget for a pool.
+func (b *Budget) IsNearLimit() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for pool := range b.pools {
+		w := b.windowOfLocked(pool)
+		first := w.slot - windowSlots
+		limit := b.Ratio*float64(b.fleetRequestsLocked(w, first, w.slot)) + b.Extra
+		if float64(b.fleetRetriesLocked(w, first, w.slot)) > limit/2 {
+			return true
+		}
+	}
+	return false
+}
+
 // roomLocked returns how many more retries the budget of the fleet allows now, in each window that contains the
 // present. The requests of a window are its own, those of the window before it, or those of the window half a window
 // before it, whichever are the most.
@@ -45,7 +84,7 @@
 	for first := windowSlots; first < historySlots; first++ {
 		most := 0
 		for _, begin := range []int{first, first - windowSlots/2, first - windowSlots} {
-			most = max(most, requests[min(begin+windowSlots, historySlots)]-requests[begin])
+			most = max(most, requests[min(begin+windowSlots, historySlots)]-requests[min(begin+uncountedSlots, historySlots)])
 		}
 		left := reportedShare*(b.Ratio*float64(most)+b.Extra) - float64(retries[historySlots]-retries[first])
 		if first == windowSlots || left < room {
@@ -58,7 +97,7 @@
 // fleetRequestsLocked returns the requests of the whole fleet from the first to the last slot.
 func (b *Budget) fleetRequestsLocked(w *window, first, last int64) int {
 	requests := w.fleetRequests.sum(first, last)
-	if !b.fleetHasOwn {
+	if !b.fleet.HasOwn {
 		requests += w.requests.sum(first, last)
 	}
 	return requests
@@ -67,7 +106,7 @@
 // fleetRetriesLocked returns the retries of the whole fleet from the first to the last slot.
 func (b *Budget) fleetRetriesLocked(w *window, first, last int64) int {
 	retries := w.fleetRetries.sum(first, last)
-	if !b.fleetHasOwn {
+	if !b.fleet.HasOwn {
 		retries += w.retries.sum(first, last)
 	}
 	return retries
--- a/retry/history.go
+++ b/retry/history.go
@@ -28,6 +28,14 @@
 // clear forgets all events.
 func (h *history) clear() { clear(h.counts[:]) }
 
+// spread adds events evenly to the slots from the first to the last.
+func (h *history) spread(first, last int64, n int) {
+	slots := int(last - first + 1)
+	for i := range slots {
+		h.add(first+int64(i), n*(i+1)/slots-n*i/slots)
+	}
+}
+
 // sum returns the number of events from the first to the last slot, both included.
 func (h *history) sum(first, last int64) (total int) {
 	for i := max(first, h.newest-historySlots+1, 0); i <= min(last, h.newest); i++ {
--- a/retry/learn.go
+++ b/retry/learn.go
@@ -72,8 +72,8 @@
 }
 
 // Learn takes what another router knows of the fleet, in place of what this one has counted until now. It does nothing
-// once this router has counted for a whole window. Retries count as made at the end of their tenth of a window,
-// requests at its beginning.
+// once this router has counted for a whole window. Requests count evenly over their tenth of a window, retries as made
+// at its end.
 func (b *Budget) Learn(past *Past) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -92,11 +92,11 @@
 		if i < len(past.Retries) {
 			retries = past.Retries[i]
 		}
-		if !b.fleetHasOwn {
+		if !b.fleet.HasOwn {
 			requests -= w.requests.sum(first, last)
 			retries -= w.retries.sum(first, last)
 		}
-		w.fleetRequests.add(first, max(requests, 0))
+		w.fleetRequests.spread(first, last, max(requests, 0))
 		w.fleetRetries.add(last, max(retries, 0))
 		last = first - 1
 	}
--- a/retry/report.go
+++ b/retry/report.go
@@ -16,6 +16,17 @@
 	Unused int
 }
 
+// FleetUnused is how many more retries the shares of routers allow.
+type FleetUnused struct {
+	// ByPool has them by the hash of the pool's name. HasOwn says that they, and what CountFleet takes, contain what this
+	// router reported.
+	ByPool map[uint32]int
+	HasOwn bool
+	// IsKnown says that other routers have reported recently. Routers is the number of live routers, this one included.
+	IsKnown bool
+	Routers int
+}
+
 // poolHash identifies the name of a pool in reports.
 func poolHash(name string) uint32 { return uint32(placement.IDHash(name)) }
 
@@ -46,20 +57,14 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.windowOfLocked(pool)
-	slots := int(min(max(w.slot-b.slotAt(since), 1), windowSlots))
-	for i := range slots {
-		w.fleetRequests.add(w.slot-int64(i), requests*(i+1)/slots-requests*i/slots)
-	}
+	slots := min(max(w.slot-b.slotAt(since), 1), windowSlots)
+	w.fleetRequests.spread(w.slot-slots+1, w.slot, requests)
 	w.fleetRetries.add(w.slot, retries)
 }
 
-// SetFleetUnused takes how many more retries the shares of other routers allow, by pool. hasOwn says that this and what
-// CountFleet takes contain what this router reported.
-func (b *Budget) SetFleetUnused(unused map[uint32]int, hasOwn bool) {
+// SetFleetUnused takes how many more retries the shares of other routers allow.
+func (b *Budget) SetFleetUnused(unused *FleetUnused) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.fleetHasOwn = hasOwn
-	for pool := range b.pools {
-		b.windowOfLocked(pool).fleetUnused = unused[pool]
-	}
+	b.fleet = *unused
 }
