retry: Keep the shares of a router that is cut off

A router that got no reports for two seconds, and that knew of no retries of others, kept to an equal part of the room once its own were more than what the shares leave: with seven routers 19 retries where its share was 84 (arithmetic). Only retries of others that it knows, without recent reports, are a reason for that.

Also, the live routers are looked up only for questions about the past and not for each datagram.

--- a/exchange/retries.go
+++ b/exchange/retries.go
@@ -315,10 +315,10 @@
 
 // receive handles a datagram of another router, whose address is looked up among the live routers. It reports whether
 // the datagram is one for the retry budget.
-func (r *Retries) receive(message *exchangepb.Told, routers []slipwick.Router) bool {
+func (r *Retries) receive(message *exchangepb.Told, routers func() []slipwick.Router) bool {
 	switch {
 	case message.GetAsksRetryHistory():
-		r.answer(message.GetFrom(), routers)
+		r.answer(message.GetFrom(), routers())
 	case len(message.GetRetryHistory()) > 0:
 		r.learn(message)
 	case len(message.GetRetryPools()) > 0:
--- a/exchange/syncer.go
+++ b/exchange/syncer.go
@@ -314,7 +314,7 @@
 	if s.Streams != nil && s.Streams.receive(message) {
 		return
 	}
-	if s.Retries != nil && s.Retries.receive(message, s.Routers()) {
+	if s.Retries != nil && s.Retries.receive(message, s.Routers) {
 		return
 	}
 	if s.Returns != nil && s.Returns.receive(message) {
--- a/retry/fleet.go
+++ b/retry/fleet.go
@@ -25,7 +25,7 @@
 		return true
 	}
 	room := b.roomLocked(w)
-	if !b.fleet.IsKnown {
+	if !b.fleet.IsKnown && w.fleetRetries.sum(first, w.slot) > 0 {
 		return b.partAllowsLocked(w, room)
 	}
 	recent := float64(w.retries.sum(w.slot-b.slotsIn(reportDelay), w.slot))
