--- a/exchange/retries.go
+++ b/exchange/retries.go
@@ -53,8 +53,9 @@
 }
 
 // Retries sends what this router counts for the retry budget to the others, the same way as updates: to all others, or
-// to a hub that adds up the reports of its group. Reports have sums since a start, so that a lost one leaves nothing
-// behind. Set the exported fields before the first call.
+// to a hub that adds up the reports of its group. A hub sends the sums of its group to the other hubs, and those of the
+// fleet to its group. Reports have sums since a start, so that a lost one leaves nothing behind. Set the exported fields
+// before the first call.
 type Retries struct {
 	Self      string
 	Transport Transport
@@ -88,8 +89,8 @@
 	byPool     map[uint32]retry.Report
 	// routers is from how many routers the unused retries are.
 	routers int
-	// knownFrom is from when on pools that appear in reports are new to this router: their counts before, if any, were
-	// made before this router knew the sender, and others have counted them.
+	// knownFrom is from when on all that a report has of a pool not reported before is counted. Until then, the first
+	// report of a pool has what was made before this router knew the sender, which others have counted.
 	knownFrom time.Time
 }
 
@@ -270,7 +271,7 @@
 	return routers
 }
 
-// unusedLocked adds up the unused parts of the recent reports with a scope, and forgets senders that are gone.
+// unusedLocked adds up the unused retries in the recent reports with a scope, by pool.
 func (r *Retries) unusedLocked(scope exchangepb.Scope) map[uint32]int {
 	unused := make(map[uint32]int)
 	for _, sender := range r.senders {
--- a/retry/fleet.go
+++ b/retry/fleet.go
@@ -21,7 +21,7 @@
 	requests := float64(b.fleetRequestsLocked(w, first, w.slot))
 	unshared := (1-ratioShare)*b.Ratio*requests + (1-extraShare)*b.Extra
 	if float64(b.fleetRetriesLocked(w, first, w.slot)) <= unshared {
-		// The shares of all routers leave as much.
+		// The shares of all routers leave as many for processes that are gone.
 		return true
 	}
 	room := b.roomLocked(w)
