--- a/exchange/retries.go
+++ b/exchange/retries.go
@@ -53,9 +53,9 @@
 }
 
 // Retries sends what this router counts for the retry budget to the others, the same way as updates: to all others, or
-// to a hub that adds up the reports of its group. A hub sends the sums of its group to the other hubs, and those of the
-// fleet to its group. Reports have sums since a start, so that a lost one leaves nothing behind. Set the exported fields
-// before the first call.
+// to a hub that adds up the reports of its group. A hub sends the sums of its group to the other hubs, and those of
+// the fleet to its group. Reports have sums since a start, so that a lost one leaves nothing behind. Set the exported
+// fields before the first call.
 type Retries struct {
 	Self      string
 	Transport Transport
--- a/retry/learn.go
+++ b/retry/learn.go
@@ -6,8 +6,8 @@
 	"github.com/slipwick/slipwick/clock"
 )
 
-// A Past counts tenths of a window, two windows of requests and one of retries, so that a router that starts learns what
-// the fleet has counted in one datagram for a dozen pools.
+// A Past counts tenths of a window, two windows of requests and one of retries, so that a router that starts learns
+// what the fleet has counted in one datagram for a dozen pools.
 const (
 	pastSlots    = windowSlots / 10
 	pastRequests = 2 * windowSlots / pastSlots
