retry: Give a starting router its part of the extra at once

The part of the extra of a process that may replace another one grew from nothing with its age, so that its first retries were refused, which are those that it needs most.

--- a/retry/budget.go
+++ b/retry/budget.go
@@ -13,12 +13,14 @@
 const windowSlots = 100
 
 const (
-	// ratioShare and extraShare are the shares of Ratio and Extra that are used. Of the rest, replacementShare is for
-	// processes that take the place of others and do not know what these used; the remainder is for routers whose
-	// windows do not slide at the same moments, and for the rounding of their shares.
+	// ratioShare and extraShare are the shares of Ratio and Extra that are used. Of the rest, processes that take the
+	// place of others, and do not know what these used, use replacementShare of that of Ratio, and restartedShare of
+	// Extra at once: the fleet may restart twice within a window. The remainder is for routers whose windows do not
+	// slide at the same moments, and for the rounding of their shares.
 	ratioShare       = 0.85
 	extraShare       = 0.6
 	replacementShare = 0.7
+	restartedShare   = 0.2
 	// roundingPeriod is the number of windows for which a router keeps the random number by which
 	// it rounds its share. In a window in which the number changes, a router may round up by either
 	// of two numbers, so that more routers do; with a long period there are few such windows.
@@ -147,13 +149,12 @@
 
 // shareLocked returns how many retries this router may make within the window. A process that may have replaced
 // another one makes, in its first window, only those that no process makes later, unless it has learned what the fleet
-// made before. Any number of processes may follow each other within a window: the requests of each are its own, and
-// their parts of Extra grow with their age.
+// made before.
 func (b *Budget) shareLocked(w *window, requests float64) float64 {
 	ratio, extra := ratioShare*b.Ratio*requests, extraShare*b.Extra
-	if age := clock.Since(b.began); !b.remembersLocked(w) {
+	if !b.remembersLocked(w) {
 		ratio = replacementShare * (1 - ratioShare) * b.Ratio * requests
-		extra = replacementShare * (1 - extraShare) * b.Extra * age.Seconds() / b.Window.Seconds()
+		extra = restartedShare * b.Extra
 	}
 	routers := b.routersLocked(w.slot)
 	if routers == 0 {
