--- a/review/stand/extraanswer.go
+++ b/review/stand/extraanswer.go
@@ -19,9 +19,9 @@
 	garbled      = 2
 	// The disruption: windows of 5 s. One replica of 4 sheds 0.45 of its requests, 2 of 4, that one among them, send
 	// 0.03 of their answers twice.
-	windows     = 16
+	windows     = 19
 	windowTime  = 5 * time.Second
-	windowPause = time.Second
+	windowPause = 250 * time.Millisecond
 	shedShare   = 0.45
 	extraShare  = 0.03
 	// firstVersion is that of the first configuration.
