--- a/cmd/internal/events/catalogue.go
+++ b/cmd/internal/events/catalogue.go
@@ -102,7 +102,9 @@
 		Name:   "attempt-failed",
 		Level:  zerolog.InfoLevel,
 		Meaning: "Attempt failed: not-run, unsent, failed, broken (may have run), cut (partly forwarded), " +
-			"left (by caller). If it broke off, parts has the keys of the shared parts of the prompt.",
+			"left (by caller). If it broke off, parts has the keys of the shared parts of the prompt. With a response, " +
+			"connection is the number of its connection, exchanges how many came before on that one, and named " +
+			"whether the response names the request.",
 		Remedy: "Follow the request by its ID; check the backend server if many attempts at it fail.",
 	}
 	RequestUnserved = Event{
@@ -183,6 +185,14 @@
 			"accounts for the crashes.",
 		Remedy: "None.",
 	}
+	StrayResponse = Event{
+		Number: 215,
+		Name:   "stray-response",
+		Level:  zerolog.WarnLevel,
+		Meaning: "A response was skipped where that to `request` was due: it belongs to the request `named`, or to none. " +
+			"connection and exchanges are as in event 204.",
+		Remedy: "Check the backend server: it responds twice, or sends bytes that are no response.",
+	}
 	ConfigurationInForce = Event{
 		Number: 301,
 		Name:   "configuration-in-force",
@@ -399,6 +409,7 @@
 		PromptPartReleased,
 		RetryBudgetSpent,
 		StreamContinued,
+		StrayResponse,
 		ConfigurationInForce,
 		PlatformCallFailed,
 		FeedRecovered,
--- a/cmd/internal/gatewayd/assemble.go
+++ b/cmd/internal/gatewayd/assemble.go
@@ -28,7 +28,9 @@
 	p.seeds.Store(&s.Seeds)
 	p.gracePeriod.Store(int64(s.GracePeriod))
 	p.bounds.Store(&s.Bounds)
-	p.client = &upstream.Client{}
+	p.client = &upstream.Client{
+		OnStray: p.observer.responseSkipped,
+	}
 	p.balancer = p.newBalancer()
 	p.memory = newAccount(s)
 	p.client.SetMaxUnreadBytes(maxUnreadBytes(p.memory))
--- a/cmd/internal/gatewayd/observer.go
+++ b/cmd/internal/gatewayd/observer.go
@@ -29,8 +29,10 @@
 	// closeLog logs responses that ended with their connection, with a line budget of its own: there
 	// are backend servers that end all their responses so.
 	closeLog zerolog.Logger
-	// continueLog logs streams that are continued, with a line budget of its own.
+	// continueLog logs streams that are continued, strayLog responses that belong to no request, each with a
+	// line budget of its own.
 	continueLog zerolog.Logger
+	strayLog    zerolog.Logger
 	overloads   *overloads
 }
 
@@ -43,6 +45,9 @@
 // continueLinesPerSecond is the budget of log lines on streams that are continued.
 const continueLinesPerSecond = 20
 
+// strayLinesPerSecond is the budget of log lines on responses that belong to no request.
+const strayLinesPerSecond = 10
+
 // closeLinesPerSecond is the budget of log lines on responses that ended with their connection.
 const closeLinesPerSecond = 10
 
@@ -66,6 +71,10 @@
 			Burst:  continueLinesPerSecond,
 			Period: time.Second,
 		}),
+		strayLog: log.Sample(&zerolog.BurstSampler{
+			Burst:  strayLinesPerSecond,
+			Period: time.Second,
+		}),
 		requestID: requestID,
 	}
 }
@@ -88,6 +97,7 @@
 		Str("route", attempt.Route).Str("backend", attempt.Backend).Str("address", attempt.Address).
 		Str("version", attempt.Version).Str("result", attempt.Result).Int("status", attempt.Status).
 		Int("events", attempt.Events).Str("framing", string(attempt.Framing)).Strs("parts", partNames(attempt)).
+		Uint64("connection", attempt.Use.Connection).Int("exchanges", attempt.Use.Exchanges).Bool("named", attempt.IsNamed).
 		Dur("took_ms", attempt.Duration).Bool("leaving", attempt.Notice.Leaving).Dur("rest_ms", attempt.Notice.Pause).
 		AnErr("cause", attempt.Err).Send()
 }
@@ -119,6 +129,13 @@
 		Str("pool", stream.Pool).Str("backend", stream.Backend).Str("version", stream.Version).Str("where", where).Send()
 }
 
+// responseSkipped records a response that belongs to no request under way.
+func (o *observer) responseSkipped(stray *upstream.StrayResponse) {
+	events.StrayResponse.On(&o.strayLog).Str("backend", stray.Key).Str("request", stray.RequestID).
+		Str("named", stray.ResponseID).Int("status", stray.Status).
+		Uint64("connection", stray.Use.Connection).Int("exchanges", stray.Use.Exchanges).Send()
+}
+
 // ResponseRead records how the end of a response was found; only ends with the connection are logged.
 func (o *observer) ResponseRead(read *gateway.ReadResponse) {
 	o.metrics.responses.WithLabelValues(string(read.Framing)).Inc()
--- a/gateway/observer.go
+++ b/gateway/observer.go
@@ -47,6 +47,10 @@
 	Status int
 	// Framing is how the response marks the end of its body; empty without a response.
 	Framing upstream.Framing
+	// Use is the connection that the response came on; zero without a response. IsNamed says that the response
+	// names the request.
+	Use     upstream.ConnectionUse
+	IsNamed bool
 	// Notice is what the backend server announced about itself.
 	Notice slipwick.Notice
 	// Events is the number of stream events that this send delivered.
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -90,7 +90,12 @@
 	if response.Header.Get(names.Stamp) == "" || response.Header.Get("Content-Encoding") != "" {
 		return false
 	}
-	return response.Header.Get(names.RequestID) == c.id
+	return c.isNamedBy(response)
+}
+
+// isNamedBy reports whether the response names the request.
+func (c *call) isNamedBy(response *upstream.Response) bool {
+	return response.Header.Get(c.gateway.Headers.RequestID) == c.id
 }
 
 // forwardBuffered reads a response to its end and forwards it. A failure is kept instead, and
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -284,6 +284,7 @@
 	} else {
 		c.responseStart = clock.Now()
 		attempt.Status, attempt.Framing = response.Status, response.Framing
+		attempt.Use, attempt.IsNamed = response.Use, c.isNamedBy(response)
 		attempt.Notice = c.noticeOf(response)
 		sendResult, evidence, attempt.Err = c.handleResponse(lease, response, attempt.Notice)
 		response.Close()
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -60,6 +60,9 @@
 	OnPathChange        func(lost bool)
 	OnServerPathLost    func(key string)
 	OnServerUnreachable func(key string)
+	// OnStray is called for each response that is skipped because it belongs to another request. It must not
+	// block; it may be nil.
+	OnStray func(stray *StrayResponse)
 
 	// OpenedConnections counts the connections opened, StrayResponses the responses skipped because
 	// they belonged to an earlier request.
@@ -78,6 +81,8 @@
 	dialTimes map[string]time.Duration
 	// maxIdleConns is the limit that SetMaxIdleConns set; 0 stands for maxIdleConnsPerServer.
 	maxIdleConns int
+	// opened counts the connections, those through other routers included.
+	opened atomic.Uint64
 	// isClosed says that no connection is kept any more.
 	isClosed bool
 	// open counts the open connections. It has a lock of its own, as connections are closed under mu.
@@ -126,7 +131,7 @@
 	timeouts := watch.headTimeouts()
 	err = conn.awaitData(ctx, timeouts.FirstByte, timeouts.OnTimeout)
 	if err == nil {
-		response, err = conn.readHead(ctx, request, &c.StrayResponses)
+		response, err = conn.readHead(ctx, request, c.recordStray)
 	}
 	if err != nil {
 		stop()
@@ -145,6 +150,7 @@
 		Header:   response.Header,
 		Length:   response.ContentLength,
 		Framing:  framing,
+		Use:      conn.use(),
 		ctx:      ctx,
 		client:   c,
 		key:      key,
@@ -372,6 +378,7 @@
 	}
 	return &connection{
 		Conn:    tcp,
+		number:  c.opened.Add(1),
 		key:     key,
 		reader:  bufio.NewReaderSize(limited, bufferSize),
 		limited: limited,
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -5,7 +5,6 @@
 	"context"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -28,7 +27,9 @@
 	// any more, as the backend server is expected to close it.
 	idleSince time.Time
 	idleUntil time.Time
-	// exchanges counts the exchanges before the current one.
+	// number is different for each connection of the client; exchanges counts the exchanges before the
+	// current one.
+	number    uint64
 	exchanges int
 	// onClose is called when the connection is closed for the first time.
 	onClose   func()
@@ -103,7 +104,9 @@
 
 // readHead reads the header of the response to the request. Responses to other requests are
 // skipped: a backend server may respond to a request twice, and the right response follows.
-func (c *connection) readHead(ctx context.Context, request *Request, strays *atomic.Int64) (*http.Response, error) {
+func (c *connection) readHead(
+	ctx context.Context, request *Request, onStray func(*StrayResponse),
+) (*http.Response, error) {
 	c.limited.Limit(maxHeadBytes)
 	defer c.limited.Unlimit()
 	httpRequest := &http.Request{
@@ -126,7 +129,13 @@
 			return response, nil
 		}
 		skipped++
-		strays.Add(1)
+		onStray(&StrayResponse{
+			Key:        c.key,
+			Use:        c.use(),
+			RequestID:  request.ID,
+			ResponseID: id,
+			Status:     response.StatusCode,
+		})
 		// The next response can be found only if the body has a known end.
 		if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 			return nil, errors.New("response belongs to another request, and the connection cannot be reused")
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -19,6 +19,8 @@
 	Length int64
 	// Framing is how the end of the body is marked.
 	Framing Framing
+	// Use is the connection that the response came on.
+	Use ConnectionUse
 
 	ctx     context.Context
 	client  *Client
