upstream: Send no request twice on one connection

Cause: a rejected request may go to the same server again, and the pool hands out the connection that was used last. A server that sends its rejection once more, where the next response is due, so answers the second send, as all sends of a request share its ID.

If no further connection may be open, the one that was idle the longest makes room. Ruled out: closing connections after rejections (a new one for each rejection), waiting (no time is long enough).

Tests that used one ID for several requests have one for each now, as a second one would open a connection for another reason than the one they test; their checks are as they were.

--- a/gateway/connections_test.go
+++ b/gateway/connections_test.go
@@ -49,6 +49,7 @@
 		send(t, f.request(t, "/single/x", ""))
 		time.Sleep(250 * time.Millisecond)
 		r := f.request(t, "/single/x", "")
+		r.Header.Set("Slipwick-Request", "q2")
 		r.Header.Set(forget, "1")
 		send(t, r)
 		if f.gateway.Client.SafeIdleTime() > 0 {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -114,11 +115,12 @@
 	if err := c.unread.add(ctx, key, size, request.Timeouts.FirstByte); err != nil {
 		return nil, unreadError(address, err)
 	}
-	conn, err := c.connection(ctx, key, address, request.MaxIdleTime)
+	conn, err := c.connection(ctx, key, address, request)
 	if err != nil {
 		c.unread.removeUnsent(key, size)
 		return nil, err
 	}
+	conn.requestIDs.add(request.ID)
 	started := clock.Now()
 	stop := conn.interruptOnDone(ctx)
 	written := conn.write(request, &bodyWriter{
@@ -164,20 +166,22 @@
 	}, nil
 }
 
-// connection returns an idle connection that is still usable and was idle for no longer than
-// maxIdleTime, or dials a new one. A maxIdleTime of 0 sets no bound. Connections that were idle for
-// longer stay open for other requests.
-func (c *Client) connection(ctx context.Context, key, address string, maxIdleTime time.Duration) (*connection, error) {
+// connection returns an idle connection that may carry the request, or dials a new one. Connections that may not
+// stay open for other requests.
+func (c *Client) connection(ctx context.Context, key, address string, request *Request) (*connection, error) {
 	now, cause := clock.Now(), DialBusy
 	if !c.hasConnected(key) {
 		cause = DialFirst
 	}
 	for {
-		conn := c.popIdle(key)
+		conn, isPassedOver := c.popIdle(key, request)
+		if conn == nil && isPassedOver {
+			return c.dialInPlaceOfIdle(ctx, key, address)
+		}
 		if conn == nil {
-			break
+			return c.dialFor(ctx, key, address, cause)
 		}
-		switch {
+		switch maxIdleTime := request.MaxIdleTime; {
 		case !now.Before(conn.idleUntil):
 			cause = DialIdleTooLong
 		case !conn.isIdle():
@@ -192,7 +196,21 @@
 		}
 		_ = conn.Close()
 	}
-	return c.dialFor(ctx, key, address, cause)
+}
+
+// dialInPlaceOfIdle dials a connection for a request that the idle connections may not carry. If no further connection
+// may be open, it closes the longest idle one.
+func (c *Client) dialInPlaceOfIdle(ctx context.Context, key, address string) (*connection, error) {
+	conn, err := c.dialFor(ctx, key, address, DialCarriedRequest)
+	if !IsConnectionLimit(err) {
+		return conn, err
+	}
+	oldest := c.takeLongestIdle(key)
+	if oldest == nil {
+		return nil, err
+	}
+	_ = oldest.Close()
+	return c.dialFor(ctx, key, address, DialCarriedRequest)
 }
 
 // dialFor dials a connection for a request and counts it by cause.
@@ -212,7 +230,7 @@
 	return isKnown
 }
 
-// pushIdle puts back the connection that popIdle returned last.
+// pushIdle puts back a connection that popIdle returned.
 func (c *Client) pushIdle(key string, conn *connection) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -220,20 +238,42 @@
 		_ = conn.Close()
 		return
 	}
-	c.idle[key] = append(c.idle[key], conn)
+	idle := c.idle[key]
+	at := len(idle)
+	for at > 0 && idle[at-1].idleSince.After(conn.idleSince) {
+		at--
+	}
+	c.idle[key] = slices.Insert(idle, at, conn)
+}
+
+// popIdle removes the most recently used idle connection that may carry the request and returns it, or nil if there
+// is none. isPassedOver says that there are others, which may not carry it.
+func (c *Client) popIdle(key string, request *Request) (conn *connection, isPassedOver bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	idle := c.idle[key]
+	for i := len(idle) - 1; i >= 0; i-- {
+		if conn := idle[i]; conn.mayCarry(request) {
+			c.idle[key] = slices.Delete(idle, i, i+1)
+			return conn, isPassedOver
+		}
+		isPassedOver = true
+	}
+	return nil, isPassedOver
 }
 
-// popIdle removes the most recently used idle connection and returns it, or nil if there is none.
-func (c *Client) popIdle(key string) *connection {
+// takeLongestIdle removes the connection that has been idle for the longest time and returns it, or nil if there is
+// none.
+func (c *Client) takeLongestIdle(key string) *connection {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	idle := c.idle[key]
 	if len(idle) == 0 {
 		return nil
 	}
-	conn := idle[len(idle)-1]
-	c.idle[key] = idle[:len(idle)-1]
-	return conn
+	oldest := idle[0]
+	c.idle[key] = slices.Delete(idle, 0, 1)
+	return oldest
 }
 
 // dialTimeout returns the timeout of the next dial to the backend server.
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -144,17 +144,18 @@
 func TestClientDetectsClosedIdleConnections(t *testing.T) {
 	closed := make(chan struct{})
 	server := serve(t, func(conn net.Conn, requests *bufio.Reader) {
-		if _, err := http.ReadRequest(requests); err != nil {
+		id, err := readRequest(requests)
+		if err != nil {
 			return
 		}
-		_, _ = conn.Write([]byte(responseText("1", "one")))
+		_, _ = conn.Write([]byte(responseText(id, "one")))
 		_ = conn.Close()
 		closed <- struct{}{}
 	})
 	client := &Client{}
 	defer client.Close()
-	for range 3 {
-		mustExchange(t, client, server.address, request("1"), "one")
+	for i := range 3 {
+		mustExchange(t, client, server.address, requestWithID(itoa(i)), "one")
 		<-closed
 		// The end of the connection may take a moment to arrive.
 		time.Sleep(20 * time.Millisecond)
@@ -224,31 +225,31 @@
 }
 
 func TestClientObservesMaxIdleTimeOfARequest(t *testing.T) {
-	server := serve(t, script(responseText("1", "one"), responseText("2", "two")))
+	server := serve(t, respondToAll)
 	client := &Client{}
 	defer client.Close()
-	mustExchange(t, client, server.address, request("1"), "one")
+	mustExchange(t, client, server.address, requestWithID("1"), "from 1")
 	time.Sleep(30 * time.Millisecond)
-	r := request("1")
+	r := requestWithID("2")
 	r.MaxIdleTime = 10 * time.Millisecond
-	mustExchange(t, client, server.address, r, "one")
+	mustExchange(t, client, server.address, r, "from 2")
 	if got := client.OpenedConnections.Load(); got != 2 {
 		t.Errorf("got %d connections, want 2", got)
 	}
 }
 
 func TestRetainClosesConnectionsOfRemovedBackends(t *testing.T) {
-	server := serve(t, script(responseText("1", "one"), responseText("2", "two")))
+	server := serve(t, respondToAll)
 	client := &Client{}
 	defer client.Close()
-	mustExchange(t, client, server.address, request("1"), "one")
+	mustExchange(t, client, server.address, requestWithID("1"), "from 1")
 	client.Retain(func(key string) bool { return key == "key" })
-	mustExchange(t, client, server.address, request("2"), "two")
+	mustExchange(t, client, server.address, requestWithID("2"), "from 2")
 	if got := client.OpenedConnections.Load(); got != 1 {
 		t.Errorf("retained backend server: got %d connections, want 1", got)
 	}
 	client.Retain(func(string) bool { return false })
-	mustExchange(t, client, server.address, request("1"), "one")
+	mustExchange(t, client, server.address, requestWithID("3"), "from 3")
 	if got := client.OpenedConnections.Load(); got != 2 {
 		t.Errorf("removed backend server: got %d connections, want a new one", got)
 	}
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -31,6 +31,8 @@
 	// current one.
 	number    uint64
 	exchanges int
+	// requestIDs are those of the last requests that were sent on the connection.
+	requestIDs recentIDs
 	// onClose is called when the connection is closed for the first time.
 	onClose   func()
 	closeOnce sync.Once
@@ -42,6 +44,12 @@
 	return c.Conn.Close()
 }
 
+// mayCarry reports whether the request may be sent on the connection. A backend server may respond to an earlier
+// request once more, where the response to the next one is due, and only the ID tells them apart.
+func (c *connection) mayCarry(request *Request) bool {
+	return !c.requestIDs.contains(request.ID)
+}
+
 // isIdle reports whether the connection is open and has no unread bytes. Bytes that arrive while no
 // exchange is in progress belong to no request.
 func (c *connection) isIdle() bool {
--- a/upstream/dialcause.go
+++ b/upstream/dialcause.go
@@ -14,12 +14,14 @@
 	DialIdleTooLong
 	// DialClosedByServer says that the server had closed the idle connection.
 	DialClosedByServer
+	// DialCarriedRequest says that the request had been sent on the idle connections before.
+	DialCarriedRequest
 	dialCauses
 )
 
 // DialCauses returns all causes.
 func DialCauses() []DialCause {
-	return []DialCause{DialFirst, DialBusy, DialIdleTooLong, DialClosedByServer}
+	return []DialCause{DialFirst, DialBusy, DialIdleTooLong, DialClosedByServer, DialCarriedRequest}
 }
 
 // String returns the name used in metrics.
@@ -31,6 +33,8 @@
 		return "busy"
 	case DialIdleTooLong:
 		return "idle-too-long"
+	case DialCarriedRequest:
+		return "carried-request"
 	default:
 		return "closed-by-server"
 	}
--- a/upstream/openconns_test.go
+++ b/upstream/openconns_test.go
@@ -15,15 +15,15 @@
 // too long for one request that must not be repeated, though others could use it: the router then opens
 // a connection for nearly each request of a server that it seldom uses.
 func TestPassedOverConnectionStaysOpen(t *testing.T) {
-	server := serve(t, script(responseText("1", "one"), responseText("2", "two")))
+	server := serve(t, respondToAll)
 	client := &Client{}
 	defer client.Close()
-	mustExchange(t, client, server.address, request("1"), "one")
+	mustExchange(t, client, server.address, requestWithID("1"), "from 1")
 	time.Sleep(30 * time.Millisecond)
-	once := request("1")
+	once := requestWithID("2")
 	once.MaxIdleTime = 10 * time.Millisecond
-	mustExchange(t, client, server.address, once, "one")
-	mustExchange(t, client, server.address, request("2"), "two")
+	mustExchange(t, client, server.address, once, "from 2")
+	mustExchange(t, client, server.address, requestWithID("3"), "from 3")
 	if got := client.OpenedConnections.Load(); got != 2 {
 		t.Errorf("got %d connections opened, want 2", got)
 	}
@@ -47,16 +47,17 @@
 // keeps them.
 func TestForgottenConnectionBoundsIdleTime(t *testing.T) {
 	server := serve(t, func(conn net.Conn, requests *bufio.Reader) {
-		if _, err := http.ReadRequest(requests); err != nil {
+		id, err := readRequest(requests)
+		if err != nil {
 			return
 		}
-		_, _ = conn.Write([]byte(responseText("1", "one")))
+		_, _ = conn.Write([]byte(responseText(id, "one")))
 		// The second request of the connection finds it forgotten.
 		_, _ = http.ReadRequest(requests)
 	})
 	client := &Client{}
 	defer client.Close()
-	mustExchange(t, client, server.address, request("1"), "one")
+	mustExchange(t, client, server.address, requestWithID("1"), "one")
 	if got := client.SafeIdleTime(); got != 0 {
 		t.Errorf("got bound %v before a connection was forgotten, want none", got)
 	}
@@ -64,16 +65,16 @@
 	client.setDialTime("key", time.Second)
 	const idle = minForgottenIdle + 20*time.Millisecond
 	time.Sleep(idle)
-	if _, err := exchange(t, client, server.address, request("1")); err == nil {
+	if _, err := exchange(t, client, server.address, requestWithID("2")); err == nil {
 		t.Fatal("got no error on the forgotten connection")
 	}
 	bound := client.SafeIdleTime()
 	if bound < idle/2 || bound > 10*idle {
 		t.Errorf("got bound %v, want about half of the idle time of %v", bound, idle)
 	}
-	mustExchange(t, client, server.address, request("1"), "one")
+	mustExchange(t, client, server.address, requestWithID("3"), "one")
 	time.Sleep(2 * bound)
-	once := request("1")
+	once := requestWithID("4")
 	once.MaxIdleTime = client.SafeIdleTime()
 	mustExchange(t, client, server.address, once, "one")
 }
@@ -107,7 +108,7 @@
 		// On a busy machine, the dial may have taken as long as the work on the request.
 		client.setDialTime("key", time.Millisecond)
 		time.Sleep(test.idle)
-		if _, err := exchange(t, client, server.address, request("1")); err == nil {
+		if _, err := exchange(t, client, server.address, request("2")); err == nil {
 			t.Fatalf("%s: got no error", name)
 		}
 		if got := client.SafeIdleTime(); got != 0 {
