upstream: Take a response that names no request on unused connections only

Cause: a response without a request ID counted as the one to the request under way, also on a connection where a server may still send something after an earlier response. Only successes had to name the request.

On a connection with earlier exchanges such a response is skipped, and the right one is read. If the server has never named its request in a response with that status, the right one is waited for 500 ms; then the outcome is unknown, and for 30 s requests that must run once get connections without earlier exchanges at this server. There a rejection without an ID can be nothing else than theirs. Ruled out: to skip all of them without a bound (servers that reject without an ID would hold requests until their deadline), and to end the exchange at once (the right response follows within milliseconds where the server sends further ones).

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -142,6 +142,7 @@
 		Body:     c.body,
 		ID:       c.id,
 		IDHeader: names.RequestID,
+		RunsOnce: !c.route.MayRepeat(),
 	}
 	request.Timeouts = c.timeoutsFor(lease)
 	request.MaxIdleTime = c.maxIdleTime()
--- a/gateway/rawserver_test.go
+++ b/gateway/rawserver_test.go
@@ -76,7 +76,7 @@
 	s.mu.Lock()
 	s.runs[id]++
 	s.mu.Unlock()
-	return rawResponse(http.StatusOK, "answer to "+id, "Slipwick-Request", id, "Slipwick-Stamp", s.id)
+	return rawResponse(http.StatusOK, rawAnswer(id), "Slipwick-Request", id, "Slipwick-Stamp", s.id)
 }
 
 // runsOf returns how often the servers ran a request in all.
@@ -122,3 +122,8 @@
 	}
 	f.gateway.Balancer.SetBackends(list)
 }
+
+// rawAnswer returns the body of the response to a request: a whole event, so that it ends a stream too.
+func rawAnswer(id string) string {
+	return "data: answer to " + id + "\n\n"
+}
--- a/gateway/repeatedresponse_test.go
+++ b/gateway/repeatedresponse_test.go
@@ -63,7 +63,7 @@
 					if runs > 1 || runs > 0 && impliesNotRun(got.status) {
 						t.Errorf("got %d runs of %s and the status %d, want one run, or a refusal and none", runs, id, got.status)
 					}
-					if got.status == http.StatusOK && got.body != "answer to "+id {
+					if got.status == http.StatusOK && got.body != rawAnswer(id) {
 						t.Errorf("got %q as the response to %s", got.body, id)
 					}
 				}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -381,6 +381,9 @@
 		}
 	}
 	c.possibleRuns++
+	if status, ok := upstream.UnnamedStatus(err); ok && impliesNotRun(status) {
+		return resultBroken, evidenceOfRejection(status)
+	}
 	if c.ctx.Err() == context.DeadlineExceeded || upstream.IsResponseTimeout(err) {
 		// If the response was overdue, timeoutHandler.onTimeout has already reported that to the
 		// balancer.
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -90,6 +90,8 @@
 	open openConns
 	// unread counts the bodies that backend servers have not read.
 	unread unreadBodies
+	// namings says, by key, whether the responses of backend servers name their requests.
+	namings map[string]*naming
 	// safeIdleTime bounds the idle time of connections for requests that must not be repeated.
 	safeIdleTime safeIdleTime
 	// path is the state of this router's own network paths. directRoutes has the routes from this router itself
@@ -133,13 +135,19 @@
 	timeouts := watch.headTimeouts()
 	err = conn.awaitData(ctx, timeouts.FirstByte, timeouts.OnTimeout)
 	if err == nil {
-		response, err = conn.readHead(ctx, request, c.recordStray)
+		reader := &responseReader{
+			connection: conn,
+			client:     c,
+			request:    request,
+			timeouts:   watch.bodyTimeouts(),
+		}
+		response, err = reader.readHead(ctx)
 	}
 	if err != nil {
 		stop()
 		_ = conn.Close()
 		took := clock.Since(started)
-		isForgotten := conn.exchanges > 0 && ctx.Err() == nil && isClosedByPeer(err)
+		isForgotten := !conn.idleSince.IsZero() && ctx.Err() == nil && isClosedByPeer(err)
 		err = c.exchangeError(ctx, address, conn.route, err)
 		if isForgotten && !IsRouteLost(err) {
 			c.recordClosedExchange(key, started.Sub(conn.idleSince), took)
@@ -169,14 +177,14 @@
 // connection returns an idle connection that may carry the request, or dials a new one. Connections that may not
 // stay open for other requests.
 func (c *Client) connection(ctx context.Context, key, address string, request *Request) (*connection, error) {
-	now, cause := clock.Now(), DialBusy
+	now, cause, needsUnused := clock.Now(), DialBusy, c.needsUnused(key, request)
 	if !c.hasConnected(key) {
 		cause = DialFirst
 	}
 	for {
-		conn, isPassedOver := c.popIdle(key, request)
+		conn, isPassedOver := c.popIdle(key, request, needsUnused)
 		if conn == nil && isPassedOver {
-			return c.dialInPlaceOfIdle(ctx, key, address)
+			return c.dialInPlaceOfIdle(ctx, key, address, passedOverCause(needsUnused))
 		}
 		if conn == nil {
 			return c.dialFor(ctx, key, address, cause)
@@ -191,7 +199,6 @@
 			c.pushIdle(key, conn)
 			return c.dialFor(ctx, key, address, DialIdleTooLong)
 		default:
-			conn.exchanges++
 			return conn, nil
 		}
 		_ = conn.Close()
@@ -200,8 +207,10 @@
 
 // dialInPlaceOfIdle dials a connection for a request that the idle connections may not carry. If no further connection
 // may be open, it closes the longest idle one.
-func (c *Client) dialInPlaceOfIdle(ctx context.Context, key, address string) (*connection, error) {
-	conn, err := c.dialFor(ctx, key, address, DialCarriedRequest)
+func (c *Client) dialInPlaceOfIdle(
+	ctx context.Context, key, address string, cause DialCause,
+) (*connection, error) {
+	conn, err := c.dialFor(ctx, key, address, cause)
 	if !IsConnectionLimit(err) {
 		return conn, err
 	}
@@ -210,7 +219,7 @@
 		return nil, err
 	}
 	_ = oldest.Close()
-	return c.dialFor(ctx, key, address, DialCarriedRequest)
+	return c.dialFor(ctx, key, address, cause)
 }
 
 // dialFor dials a connection for a request and counts it by cause.
@@ -248,12 +257,12 @@
 
 // popIdle removes the most recently used idle connection that may carry the request and returns it, or nil if there
 // is none. isPassedOver says that there are others, which may not carry it.
-func (c *Client) popIdle(key string, request *Request) (conn *connection, isPassedOver bool) {
+func (c *Client) popIdle(key string, request *Request, needsUnused bool) (conn *connection, isPassedOver bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	idle := c.idle[key]
 	for i := len(idle) - 1; i >= 0; i-- {
-		if conn := idle[i]; conn.mayCarry(request) {
+		if conn := idle[i]; conn.mayCarry(request, needsUnused) {
 			c.idle[key] = slices.Delete(idle, i, i+1)
 			return conn, isPassedOver
 		}
@@ -512,6 +521,9 @@
 	for key := range c.dialTimes {
 		keys[key] = struct{}{}
 	}
+	for key := range c.namings {
+		keys[key] = struct{}{}
+	}
 	return keys
 }
 
@@ -525,6 +537,7 @@
 		delete(c.directRoutes, key)
 		delete(c.idle, key)
 		delete(c.dialTimes, key)
+		delete(c.namings, key)
 	}
 	return idle
 }
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -28,7 +28,7 @@
 	idleSince time.Time
 	idleUntil time.Time
 	// number is different for each connection of the client; exchanges counts the exchanges before the
-	// current one.
+	// current one. The client may have opened the connection without one.
 	number    uint64
 	exchanges int
 	// requestIDs are those of the last requests that were sent on the connection.
@@ -44,10 +44,17 @@
 	return c.Conn.Close()
 }
 
-// mayCarry reports whether the request may be sent on the connection. A backend server may respond to an earlier
-// request once more, where the response to the next one is due, and only the ID tells them apart.
-func (c *connection) mayCarry(request *Request) bool {
-	return !c.requestIDs.contains(request.ID)
+// mayCarry reports whether the request may be sent on the connection. A backend server may send a further response
+// after that to an earlier request, where the response to the next one is due, and only the ID tells them apart.
+// needsUnused says that responses to the request may come without one.
+func (c *connection) mayCarry(request *Request, needsUnused bool) bool {
+	return !c.requestIDs.contains(request.ID) && (c.exchanges == 0 || !needsUnused)
+}
+
+// isResponseTo reports whether a response with the ID is the one to the request. Without an ID it is so on a connection
+// without earlier exchanges only.
+func (c *connection) isResponseTo(request *Request, id string) bool {
+	return id == request.ID && id != "" || id == "" && c.exchanges == 0
 }
 
 // isIdle reports whether the connection is open and has no unread bytes. Bytes that arrive while no
@@ -108,20 +115,29 @@
 	maxHeadBytes  = 64 << 10
 	maxStrayBytes = 1 << 20
 	maxStrayTime  = 500 * time.Millisecond
+	// maxDoubtTime is how long a response that names its request may take after one that names none.
+	maxDoubtTime = 500 * time.Millisecond
 )
 
-// readHead reads the header of the response to the request. Responses to other requests are
-// skipped: a backend server may respond to a request twice, and the right response follows.
-func (c *connection) readHead(
-	ctx context.Context, request *Request, onStray func(*StrayResponse),
-) (*http.Response, error) {
-	c.limited.Limit(maxHeadBytes)
-	defer c.limited.Unlimit()
+// responseReader reads the response to one request from its connection.
+type responseReader struct {
+	*connection
+	client  *Client
+	request *Request
+	// timeouts apply to what follows a response that is skipped.
+	timeouts Timeouts
+}
+
+// readHead reads the header of the response to the request. Responses that belong to other requests, or to none, are
+// skipped: the right one follows.
+func (r *responseReader) readHead(ctx context.Context) (*http.Response, error) {
+	r.limited.Limit(maxHeadBytes)
+	defer r.limited.Unlimit()
 	httpRequest := &http.Request{
-		Method: request.Method,
+		Method: r.request.Method,
 	}
 	for skipped, informational := 0, 0; skipped <= maxStrayResponses; {
-		response, err := http.ReadResponse(c.reader, httpRequest)
+		response, err := http.ReadResponse(r.reader, httpRequest)
 		if err != nil {
 			return nil, err
 		}
@@ -132,30 +148,56 @@
 			}
 			continue
 		}
-		id := response.Header.Get(request.IDHeader)
-		if request.ID == "" || id == "" || id == request.ID {
+		id := response.Header.Get(r.request.IDHeader)
+		if r.isResponseTo(r.request, id) {
+			r.client.recordNaming(r.key, response.StatusCode, id != "")
 			return response, nil
 		}
 		skipped++
-		onStray(&StrayResponse{
-			Key:        c.key,
-			Use:        c.use(),
-			RequestID:  request.ID,
-			ResponseID: id,
-			Status:     response.StatusCode,
-		})
-		// The next response can be found only if the body has a known end.
-		if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
-			return nil, errors.New("response belongs to another request, and the connection cannot be reused")
-		}
-		if err := c.skipBody(ctx, response); err != nil {
-			return nil, errors.Wrap(err, "skip the response to another request")
+		if err := r.skip(ctx, response, id); err != nil {
+			return nil, err
 		}
-		c.limited.Limit(maxHeadBytes)
+		r.limited.Limit(maxHeadBytes)
 	}
 	return nil, errors.New("too many responses to other requests")
 }
 
+// skip skips a response that is not known to be the one to the request, and waits for the next one.
+func (r *responseReader) skip(ctx context.Context, response *http.Response, id string) error {
+	r.client.recordStray(&StrayResponse{
+		Key:        r.key,
+		Use:        r.use(),
+		RequestID:  r.request.ID,
+		ResponseID: id,
+		Status:     response.StatusCode,
+	})
+	isDoubtful := id == "" && !r.client.names(r.key, response.StatusCode)
+	doubt := &unnamedError{
+		status: response.StatusCode,
+	}
+	// The next response can be found only if the body has a known end.
+	isLast := response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	switch {
+	case isDoubtful && (isLast || r.client.hasUnnamed(r.key)):
+		r.client.recordNaming(r.key, response.StatusCode, false)
+		return doubt
+	case isLast:
+		return errors.New("response belongs to another request, and the connection cannot be reused")
+	}
+	if err := r.skipBody(ctx, response); err != nil {
+		return errors.Wrap(err, "skip the response to another request")
+	}
+	if !isDoubtful {
+		return r.awaitData(ctx, r.timeouts.FirstByte, r.timeouts.OnTimeout)
+	}
+	err := r.awaitData(ctx, maxDoubtTime, func() time.Duration { return 0 })
+	if errors.Is(err, errResponseTimeout) {
+		r.client.recordNaming(r.key, response.StatusCode, false)
+		return doubt
+	}
+	return err
+}
+
 // skipBody reads the body of a response to its end.
 func (c *connection) skipBody(ctx context.Context, response *http.Response) error {
 	if response.ContentLength > maxStrayBytes {
--- a/upstream/dialcause.go
+++ b/upstream/dialcause.go
@@ -16,12 +16,15 @@
 	DialClosedByServer
 	// DialCarriedRequest says that the request had been sent on the idle connections before.
 	DialCarriedRequest
+	// DialNeedsUnused says that the idle connections had carried other requests, and that the response to this one
+	// may name none.
+	DialNeedsUnused
 	dialCauses
 )
 
 // DialCauses returns all causes.
 func DialCauses() []DialCause {
-	return []DialCause{DialFirst, DialBusy, DialIdleTooLong, DialClosedByServer, DialCarriedRequest}
+	return []DialCause{DialFirst, DialBusy, DialIdleTooLong, DialClosedByServer, DialCarriedRequest, DialNeedsUnused}
 }
 
 // String returns the name used in metrics.
@@ -35,7 +38,17 @@
 		return "idle-too-long"
 	case DialCarriedRequest:
 		return "carried-request"
+	case DialNeedsUnused:
+		return "needs-unused"
 	default:
 		return "closed-by-server"
 	}
 }
+
+// passedOverCause returns why a connection is opened for a request that none of the idle ones may carry.
+func passedOverCause(needsUnused bool) DialCause {
+	if needsUnused {
+		return DialNeedsUnused
+	}
+	return DialCarriedRequest
+}
--- a/upstream/idleconnection_test.go
+++ b/upstream/idleconnection_test.go
@@ -43,7 +43,7 @@
 		check("after more than 2 s", 0, true)
 		client.putIdle("key", pipeConnection(), 10*time.Second)
 		check("with a second one", 2*time.Second, true)
-		if conn, _ := client.popIdle("key", request("1")); conn != nil {
+		if conn, _ := client.popIdle("key", request("1"), false); conn != nil {
 			_ = conn.Close()
 		}
 		check("with the second one in use", 2*time.Second, false)
@@ -87,7 +87,7 @@
 			for range 200 {
 				client.putIdle("key", pipeConnection(), time.Minute)
 				client.Retain(func(string) bool { return false })
-				if conn, _ := client.popIdle("key", request("1")); conn != nil {
+				if conn, _ := client.popIdle("key", request("1"), false); conn != nil {
 					client.pushIdle("key", conn)
 				}
 			}
@@ -105,7 +105,7 @@
 func TestConnectionIsPutBackAfterClose(t *testing.T) {
 	client := &Client{}
 	client.putIdle("key", pipeConnection(), time.Minute)
-	conn, _ := client.popIdle("key", request("1"))
+	conn, _ := client.popIdle("key", request("1"), false)
 	isOpen := true
 	conn.onClose = func() { isOpen = false }
 	client.Close()
--- a/upstream/repeatedresponse_test.go
+++ b/upstream/repeatedresponse_test.go
@@ -153,13 +153,13 @@
 		client.putIdle("key", conn, time.Minute)
 		conn.idleSince = start.Add(time.Duration(i) * time.Second)
 	}
-	conn, isPassedOver := client.popIdle("key", request("c"))
+	conn, isPassedOver := client.popIdle("key", request("c"), false)
 	if !isPassedOver || !conn.requestIDs.contains("b") {
 		t.Fatal("got another connection, want the second one")
 	}
 	client.pushIdle("key", conn)
 	for _, id := range []string{"c", "b", "a"} {
-		conn, _ := client.popIdle("key", request("d"))
+		conn, _ := client.popIdle("key", request("d"), false)
 		defer func() { _ = conn.Close() }()
 		if !conn.requestIDs.contains(id) {
 			t.Errorf("got another connection, want that of %s", id)
--- a/upstream/request.go
+++ b/upstream/request.go
@@ -15,9 +15,12 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// ID is the request ID, which the backend server repeats in the response header named IDHeader.
+	// ID is the request ID, which the backend server repeats in the response header named IDHeader. A request
+	// without one gets a connection without earlier exchanges.
 	ID       string
 	IDHeader string
+	// RunsOnce says that the request must not run twice.
+	RunsOnce bool
 	// MaxIdleTime is the longest time for which a pooled connection may have been idle to be used; 0
 	// sets no bound. The shorter, the less likely the connection has been closed unnoticed.
 	MaxIdleTime time.Duration
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -94,6 +94,7 @@
 		_ = r.conn.Close()
 		return
 	}
+	r.conn.exchanges++
 	r.client.putIdle(r.key, r.conn, parseMaxIdleTime(r.Header))
 }
 
