engine, service: Take no response to another request for the one that is due

What callers saw, in tests: a chat turn that must run once was sent to a second engine though the first one ran it, and a caller of a plain service got the response to another call.

Cause: net/http takes what arrives where a response is due, and the chat router didn't look whose it was. Once a server has named the request in a response (X-Request-Id), one that names none is taken on a new connection only, and one that names another request never; the outcome is unknown then. Turns that must run once get a connection each until their engine has named a request; calls to plain services that must run once always had.

An engine that names its requests gets one connection for two turns, as before.

--- a/chatrequest.go
+++ b/chatrequest.go
@@ -11,6 +11,8 @@
 	// IdempotencyKey is the caller's idempotency key, for engines that check keys; empty if the
 	// caller sent none.
 	IdempotencyKey string
+	// RunsOnce says that the turn must not run twice.
+	RunsOnce bool
 	// Body is the OpenAI-style JSON body with streaming enabled.
 	Body []byte
 }
--- a/cmd/internal/daemon/assemble.go
+++ b/cmd/internal/daemon/assemble.go
@@ -110,13 +110,16 @@
 func (r *Router) newDispatcher() *dispatch.Dispatcher {
 	// A server may close a reused connection just as a request is sent, which would leave the outcome of
 	// a call that may not be repeated unknown. Such calls open a connection each.
-	shared, singleUse := httpclient.New(), httpclient.NewSingleUse()
+	shared, singleUse, naming := httpclient.New(), httpclient.NewSingleUse(), httpclient.NewNaming()
 	return &dispatch.Dispatcher{
 		Admission: r.coordinator,
 		Engine: func(b slipwick.Backend) slipwick.Engine {
 			return &engine.Client{
-				Address: b.Address,
-				HTTP:    shared,
+				Address:   b.Address,
+				HTTP:      shared,
+				SingleUse: singleUse,
+				Names:     naming.Names(b.Incarnation()),
+				OnNamed:   func() { naming.Record(b.Incarnation()) },
 
 				OnNotice: func(notice slipwick.Notice) { r.coordinator.ForwardNotice(b.ID, notice) },
 			}
@@ -129,6 +132,8 @@
 			return &service.Client{
 				Address: b.Address,
 				HTTP:    client,
+				Names:   naming.Names(b.Incarnation()),
+				OnNamed: func() { naming.Record(b.Incarnation()) },
 
 				OnNotice: func(notice slipwick.Notice) { r.coordinator.ForwardNotice(b.ID, asPause(notice)) },
 			}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -53,6 +53,7 @@
 func (d *Dispatcher) Chat(
 	ctx context.Context, call Call, request slipwick.ChatRequest, sink func(slipwick.StreamEvent) error,
 ) error {
+	request.RunsOnce = !call.Repeatable
 	return d.runWithRetries(ctx, call, func(ctx context.Context, backend slipwick.Backend) (bool, error) {
 		response := &stream.Response{
 			Engine:  d.Engine(backend),
--- a/engine/client.go
+++ b/engine/client.go
@@ -28,6 +28,12 @@
 	// Address is host:port.
 	Address string
 	HTTP    *http.Client
+	// SingleUse opens a connection for each request. It is used for turns that must not run twice, unless Names says
+	// that the engine names the request in its responses. If it is nil, HTTP is used.
+	SingleUse *http.Client
+	Names     bool
+	// OnNamed, if not nil, is called for each response that names its request.
+	OnNamed func()
 	// OnNotice, if not nil, is called with the notice in each response of the engine, including
 	// an empty one.
 	OnNotice func(slipwick.Notice)
@@ -54,7 +60,11 @@
 	if request.IdempotencyKey != "" {
 		call.Header.Set(IdempotencyKeyHeader, request.IdempotencyKey)
 	}
-	return c.stream(call)
+	client := c.HTTP
+	if request.RunsOnce && !c.Names && c.SingleUse != nil {
+		client = c.SingleUse
+	}
+	return c.stream(client, call, request.ID)
 }
 
 // Resume continues the response to a request, from the event with the given offset.
@@ -64,16 +74,26 @@
 	if err != nil {
 		return nil, err
 	}
-	return c.stream(call)
+	return c.stream(c.HTTP, call, request)
 }
 
-func (c *Client) stream(call *http.Request) (slipwick.EventStream, error) {
-	response, err := c.HTTP.Do(call)
+// stream makes a call whose response is a stream of events. The events name their request; another response that may
+// belong to an earlier request says nothing about this one.
+func (c *Client) stream(client *http.Client, call *http.Request, request string) (slipwick.EventStream, error) {
+	call, attribution := httpclient.Attribute(call)
+	response, err := client.Do(call)
 	if err != nil {
 		return nil, connectionError(err)
 	}
 	c.reportNotice(response)
-	if response.StatusCode != http.StatusOK {
+	if c.OnNamed != nil && response.Header.Get(RequestHeader) == request {
+		c.OnNamed()
+	}
+	switch {
+	case response.StatusCode == http.StatusOK:
+	case !attribution.IsOwn(response, RequestHeader, request, c.Names):
+		return nil, unattributedError(response)
+	default:
 		return nil, responseError(response)
 	}
 	return newEventStream(response.Body), nil
--- a/engine/errors.go
+++ b/engine/errors.go
@@ -34,6 +34,18 @@
 	}
 }
 
+// unattributedError returns the error of an error response that may belong to an earlier request. It closes the body,
+// and with it the connection: the right response may follow.
+func unattributedError(response *http.Response) error {
+	_ = response.Body.Close()
+	return &slipwick.Error{
+		Kind:    slipwick.KindBackendError,
+		Message: "the engine returned " + response.Status + " without naming the request, on a connection used before",
+		Remedy:  "let the engine repeat " + RequestHeader + " in its responses",
+		Outcome: slipwick.OutcomeUnknown,
+	}
+}
+
 // responseError converts an error response of an engine to a *slipwick.Error and closes the body.
 func responseError(response *http.Response) error {
 	text := httpclient.ErrorBody(response)
--- a/service/client.go
+++ b/service/client.go
@@ -15,6 +15,9 @@
 // each body is kept in memory whole.
 const maxResponseBytes = 8 << 20
 
+// requestHeader carries the request's ID.
+const requestHeader = "X-Request-Id"
+
 // removedHeaders are not forwarded in either direction: the hop-by-hop headers, which concern only
 // one connection, and Authorization.
 var removedHeaders = []string{
@@ -27,6 +30,10 @@
 	// Address is host:port.
 	Address string
 	HTTP    *http.Client
+	// Names says that the server names the request in its responses. OnNamed, if not nil, is called for each response
+	// that does.
+	Names   bool
+	OnNamed func()
 	// OnNotice, if not nil, is called with the notice of each response of the server, also if the
 	// notice is empty.
 	OnNotice func(slipwick.Notice)
@@ -49,13 +56,17 @@
 		return slipwick.ServiceResponse{}, err
 	}
 	call.Header = forwardedHeader(request.Header)
-	call.Header.Set("X-Request-Id", request.ID)
+	call.Header.Set(requestHeader, request.ID)
+	call, attribution := httpclient.Attribute(call)
 	response, err := c.HTTP.Do(call)
 	if err != nil {
 		return slipwick.ServiceResponse{}, connectionError(httpclient.OutcomeOf(err), err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	c.reportNotice(response)
+	if !c.isOwn(response, attribution, request.ID) {
+		return slipwick.ServiceResponse{}, unattributedError(response)
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
 		return slipwick.ServiceResponse{}, connectionError(slipwick.OutcomeUnknown, err)
@@ -73,6 +84,14 @@
 	}, nil
 }
 
+// isOwn reports whether the response is taken for the one to the request.
+func (c *Client) isOwn(response *http.Response, attribution *httpclient.Attribution, id string) bool {
+	if response.Header.Get(requestHeader) == id && c.OnNamed != nil {
+		c.OnNamed()
+	}
+	return attribution.IsOwn(response, requestHeader, id, c.Names)
+}
+
 func forwardedHeader(header http.Header) http.Header {
 	forwarded := header.Clone()
 	if forwarded == nil {
@@ -94,6 +113,16 @@
 	}
 }
 
+// unattributedError returns the error of a response that may belong to an earlier request.
+func unattributedError(response *http.Response) error {
+	return &slipwick.Error{
+		Kind:    slipwick.KindBackendError,
+		Message: "the service returned " + response.Status + " without naming the request, on a connection used before",
+		Remedy:  "let the service repeat " + requestHeader + " in its responses",
+		Outcome: slipwick.OutcomeUnknown,
+	}
+}
+
 func tooLargeError() error {
 	return &slipwick.Error{
 		Kind:    slipwick.KindBackendError,
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -143,6 +143,7 @@
 }
 
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(engine.RequestHeader, r.Header.Get(engine.RequestHeader))
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
--- a/standin/service.go
+++ b/standin/service.go
@@ -4,6 +4,8 @@
 	"io"
 	"net/http"
 	"sync"
+
+	"github.com/slipwick/slipwick/engine"
 )
 
 // Service is a stand-in for a backend server of a pool of kind service, which is
@@ -35,6 +37,7 @@
 
 // ServeHTTP serves requests to any path.
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(engine.RequestHeader, r.Header.Get(engine.RequestHeader))
 	body, err := io.ReadAll(r.Body)
 	s.mu.Lock()
 	intercept, drops := s.intercept, s.dropAfterBody
