gateway, balance: Continue a stream of unknown origin only if no other version can have begun it

Cause: a router that doesn't know where a stream began took the only version that was listed for twice the route's timeout. Callers may come back for longer, and a version that joined within 2 s may not be listed yet.

The time is the longest deadline of a caller who began a stream on the route, at least twice the timeout, plus the age that lists may have; ten minutes without a deadline. The route has to have led to its pool for that long. A caller that names its request waits for a list that is newer than the take-up.

TestOnlyVersionRemembersThoseThatAreGone checks the time that OnlyVersion returns instead of passing it.

--- a/balance/version_test.go
+++ b/balance/version_test.go
@@ -94,9 +94,12 @@
 		b := New("d")
 		check := func(when, want string) {
 			t.Helper()
-			version, ok := b.OnlyVersion("p", within)
-			if ok != (want != "") || version != want {
-				t.Errorf("%s: got %q, %t, want %q", when, version, ok, want)
+			version, since, ok := b.OnlyVersion("p")
+			if !ok || time.Since(since) < within {
+				version = ""
+			}
+			if version != want {
+				t.Errorf("%s: got %q, %t since %v, want %q", when, version, ok, since, want)
 			}
 		}
 		check("no list", "")
@@ -116,5 +119,9 @@
 		changed[0].Version = "v3"
 		b.SetBackends(changed)
 		check("a server has another version now", "")
+		b.MarkCachesKnown()
+		if _, since, ok := b.OnlyVersion("p"); !ok || time.Since(since) != 0 {
+			t.Errorf("got %t since %v at a first start, want the time at which the other version was last listed", ok, since)
+		}
 	})
 }
--- a/cmd/internal/events/catalogue.go
+++ b/cmd/internal/events/catalogue.go
@@ -157,7 +157,8 @@
 		Name:   "stream-continued",
 		Level:  zerolog.InfoLevel,
 		Meaning: "A backend server continues a stream, within the same response or in that to a later request of the " +
-			"caller, which names the request `resumes`; version is that of the server's software.",
+			"caller, which names the request `resumes`; version is that of the server's software. origin says how it is " +
+			"known: forwarded in this response, told by a router, or only-version if no other one can have begun the stream.",
 		Remedy: "None; the lines of an earlier server of the stream have the same request, or the one in resumes.",
 	}
 	RetryBudgetSpent = Event{
--- a/cmd/internal/gatewayd/assemble.go
+++ b/cmd/internal/gatewayd/assemble.go
@@ -141,7 +141,8 @@
 
 		PermitsActive: p.admission.NeedsPermits,
 
-		BackendsCurrent: p.areBackendsCurrent,
+		BackendsAge:    p.backendsAge,
+		MaxBackendsAge: p.maxBackendsAge,
 	}
 }
 
--- a/cmd/internal/gatewayd/backends.go
+++ b/cmd/internal/gatewayd/backends.go
@@ -30,11 +30,18 @@
 	p.backendsListed.Store(true)
 }
 
-// areBackendsCurrent reports whether the list of backend servers is no older than the time within which its changes
-// are to be known.
-func (p *Process) areBackendsCurrent() bool {
+// backendsAge returns how long ago the store was in the state of the list of backend servers.
+func (p *Process) backendsAge() time.Duration {
+	if p.Feeds.Private {
+		return 0
+	}
+	return p.backends.Age()
+}
+
+// maxBackendsAge returns within which time changes of the list are to be known.
+func (p *Process) maxBackendsAge() time.Duration {
 	bounds := p.bounds.Load()
-	return p.Feeds.Private || p.backends.Age() <= min(bounds.ApplyTime, bounds.LeaveTime)
+	return min(bounds.ApplyTime, bounds.LeaveTime)
 }
 
 // limitConnections limits the connections to each backend server: every router gets an equal share of
--- a/cmd/internal/gatewayd/observer.go
+++ b/cmd/internal/gatewayd/observer.go
@@ -126,7 +126,8 @@
 	}
 	o.metrics.continued.WithLabelValues(where).Inc()
 	events.StreamContinued.On(&o.continueLog).Str("request", stream.RequestID).Str("resumes", stream.Resumes).
-		Str("pool", stream.Pool).Str("backend", stream.Backend).Str("version", stream.Version).Str("where", where).Send()
+		Str("pool", stream.Pool).Str("backend", stream.Backend).Str("version", stream.Version).Str("where", where).
+		Str("origin", string(stream.Origin)).Send()
 }
 
 // responseSkipped records a response that belongs to no request under way.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -60,6 +60,8 @@
 	// resumes is the ID of the caller's request that brought the first event of the stream that this one
 	// continues, as the caller says.
 	resumes string
+	// origin is how the version of a stream that the caller takes up is known.
+	origin OriginSource
 	// eventsBegun says that events of the current send are being forwarded.
 	eventsBegun bool
 	// originNotedAt is when the other routers were last told where the stream began.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,9 +41,9 @@
 	Quarantine *quarantine.Tracker
 	// Streams knows at which pool and version streams began that callers take up; nil if nobody does.
 	Streams slipwick.StreamSource
-	// BackendsCurrent reports whether the list of backend servers is not older than it may be; nil stands for
-	// always.
-	BackendsCurrent func() bool
+	// BackendsAge returns how long ago the store was in the state of the list of backend servers, MaxBackendsAge how
+	// old the list may be. Nil stands for 0.
+	BackendsAge, MaxBackendsAge func() time.Duration
 	// Memory bounds the bytes held for bodies, responses and streams; nil sets no bound.
 	Memory *memory.Account
 	// Ready is closed once the router has a configuration and the list of backend servers, and
@@ -78,6 +78,7 @@
 	workOnce sync.Once
 	work     *pace.WorkEstimator
 	refused  refusedKeys
+	routes   routeHistory
 }
 
 // RecordPace notes that a backend server reported its pace.
@@ -96,6 +97,7 @@
 			return false
 		}
 		if g.table.CompareAndSwap(current, table) {
+			g.routes.recordTable(table)
 			return true
 		}
 	}
@@ -230,6 +232,7 @@
 	c.setPool(route.ChoosePool(rand.Float64()))
 	c.progress.lastID, c.resumes = r.Header.Get(lastEventID), r.Header.Get(g.Headers.Resumes)
 	c.progress.isTakenUp = c.progress.lastID != "" || c.resumes != ""
+	c.recordDeadline()
 	return c, nil
 }
 
--- a/gateway/streamorigin.go
+++ b/gateway/streamorigin.go
@@ -3,9 +3,11 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"strconv"
 	"time"
 
 	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/balance"
 	"github.com/slipwick/slipwick/clock"
 	"github.com/slipwick/slipwick/routing"
 )
@@ -14,7 +16,7 @@
 	// originRefreshInterval is how often the origin of a stream that goes on is noted again, as routers forget
 	// old ones.
 	originRefreshInterval = time.Minute
-	// streamAgeFactor times the route's timeout is how long ago a stream that is taken up may have begun: the
+	// streamAgeFactor times the route's timeout is how long ago a stream that is taken up may have begun at least: the
 	// attempt that began it and one that continued it may each have lasted as long.
 	streamAgeFactor = 2
 )
@@ -61,10 +63,12 @@
 		var origin uint32
 		origin, answer = c.gateway.Streams.FindOrigin(c.ctx, streamKey(c.workspaceName(), c.resumes))
 		if answer == slipwick.OriginKnown {
+			c.origin = OriginTold
 			return c.bindTo(origin)
 		}
 	}
 	if version, ok := c.onlyVersion(); ok {
+		c.origin = OriginOnlyVersion
 		c.selection.Version, c.selection.HasVersion = version, true
 		return nil
 	}
@@ -91,13 +95,73 @@
 // onlyVersion returns the version of the route's servers if there has been no other one since the stream can have
 // begun.
 func (c *call) onlyVersion() (version string, ok bool) {
-	isCurrent := c.gateway.BackendsCurrent
-	if len(c.route.Targets) != 1 || isCurrent != nil && !isCurrent() {
+	if len(c.route.Targets) != 1 || !c.awaitCurrentList() {
 		return "", false
 	}
+	version, since, ok := c.gateway.Balancer.OnlyVersion(c.pool)
+	state := c.gateway.routes.state(c.route.Name)
+	if state.since.After(since) {
+		since = state.since
+	}
+	return version, ok && (since.IsZero() || clock.Since(since) >= c.maxStreamAge(state.longestDeadline))
+}
+
+// maxStreamAge returns how long ago a stream that the caller takes up can have begun. A caller comes back until its
+// deadline, which it had when it began the stream: as long as others at most.
+func (c *call) maxStreamAge(longestDeadline time.Duration) time.Duration {
+	if _, ok := c.callerDeadline(); !ok || longestDeadline == 0 {
+		return balance.VersionRetention
+	}
 	timeout := c.route.Timeout
 	if timeout == 0 {
 		timeout = defaultTimeout
 	}
-	return c.gateway.Balancer.OnlyVersion(c.pool, streamAgeFactor*timeout)
+	age := max(streamAgeFactor*timeout, longestDeadline)
+	if c.gateway.MaxBackendsAge != nil {
+		// Other routers may have sent requests to servers that this one knew to have left.
+		age += c.gateway.MaxBackendsAge()
+	}
+	return min(age, balance.VersionRetention)
+}
+
+// recordDeadline records for how long a caller waits who begins a stream.
+func (c *call) recordDeadline() {
+	if deadline, ok := c.callerDeadline(); ok && c.route.Resumable && !c.progress.isTakenUp {
+		c.gateway.routes.recordDeadline(c.route.Name, deadline)
+	}
+}
+
+// callerDeadline returns for how long the caller waits, as it says.
+func (c *call) callerDeadline() (deadline time.Duration, ok bool) {
+	millis, err := strconv.ParseInt(c.request.Header.Get(c.gateway.Headers.Deadline), 10, 64)
+	if err != nil || millis < 0 {
+		return 0, false
+	}
+	return time.Duration(min(millis, maxTimeout.Milliseconds())) * time.Millisecond, true
+}
+
+// listPollInterval is the interval at which a request looks whether the list of backend servers is newer than itself.
+const listPollInterval = 20 * time.Millisecond
+
+// awaitCurrentList reports whether the list of backend servers is current. A stream that a request began which is named
+// may have begun at a version that this router doesn't know yet; all versions are listed before they serve, so that it
+// waits for a list that is newer than the request.
+func (c *call) awaitCurrentList() bool {
+	age, maxAge := c.gateway.BackendsAge, time.Duration(0)
+	if age == nil {
+		return true
+	}
+	if c.gateway.MaxBackendsAge != nil {
+		maxAge = c.gateway.MaxBackendsAge()
+	}
+	if c.resumes == "" {
+		return age() <= maxAge
+	}
+	for end := c.arrived.Add(maxAge); age() > clock.Since(c.arrived); {
+		if !clock.Now().Before(end) || c.ctx.Err() != nil {
+			return false
+		}
+		time.Sleep(listPollInterval)
+	}
+	return true
 }
--- a/gateway/streamversion.go
+++ b/gateway/streamversion.go
@@ -15,6 +15,10 @@
 func (c *call) bindToVersion(lease *balance.Lease) {
 	c.eventsBegun = true
 	c.selection.Version, c.selection.HasVersion = lease.Version, true
+	origin := c.origin
+	if c.progress.headWritten {
+		origin = OriginForwarded
+	}
 	if c.progress.headWritten || c.progress.isTakenUp {
 		c.gateway.Observer.StreamContinued(&ContinuedStream{
 			RequestID:      c.id,
@@ -22,6 +26,7 @@
 			Pool:           c.pool,
 			Backend:        lease.Backend.ID,
 			Version:        lease.Version,
+			Origin:         origin,
 			IsSameResponse: c.progress.headWritten,
 		})
 	}
--- a/gateway/streamversion_test.go
+++ b/gateway/streamversion_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/slipwick/slipwick/balance"
 )
 
 // newVersion starts a backend server of a version of the software.
@@ -154,7 +156,9 @@
 		if test.isFirstStart {
 			f.gateway.Balancer.MarkCachesKnown()
 		}
-		f.gateway.BackendsCurrent = func() bool { return test.isCurrent }
+		if !test.isCurrent {
+			f.gateway.BackendsAge = func() time.Duration { return time.Second }
+		}
 		if got := f.takeUp(t, "unknown"); got.status != test.want {
 			t.Errorf("%s: got %d %q, want %d", test.name, got.status, got.body, test.want)
 		}
@@ -186,3 +190,54 @@
 		}
 	}
 }
+
+// TestStreamIsNotContinuedInAPoolOfALaterTable guards against a stream of unknown origin that goes on in the pool to
+// which the route leads now, though it can have begun in the one before.
+func TestStreamIsNotContinuedInAPoolOfALaterTable(t *testing.T) {
+	f := newFixture(t, newVersion(t, "b1", "v1", respondWith(http.StatusOK, event("2"))))
+	f.gateway.Balancer.MarkCachesKnown()
+	if got := f.takeUp(t, "unknown"); got.status != http.StatusOK {
+		t.Fatalf("got %d in the first table, want 200", got.status)
+	}
+	moved := testTable(2)
+	moved.Route("a.example", "/resumable/").Targets[0].Pool = "q"
+	f.gateway.SetTable(moved)
+	f.gateway.SetTable(testTable(3))
+	if got := f.takeUp(t, "unknown too"); got.status != http.StatusServiceUnavailable {
+		t.Errorf("got %d after the route led to another pool, want 503", got.status)
+	}
+	f.gateway.SetTable(testTable(4))
+	if since := f.gateway.routes.state("resumable").since; since.IsZero() {
+		t.Error("got a route that counts as unchanged after a later table, want the time of its change")
+	}
+}
+
+// TestLongWaitingCallersBoundTheAgeOfStreams guards against streams that go on at another version, as their callers
+// come back for longer than twice the route's timeout.
+func TestLongWaitingCallersBoundTheAgeOfStreams(t *testing.T) {
+	f := newFixture(t, newVersion(t, "b1", "v1", respondWith(http.StatusOK, event("1"))))
+	const maxListAge = 2 * time.Second
+	f.gateway.MaxBackendsAge = func() time.Duration { return maxListAge }
+	for _, test := range []struct {
+		deadline string
+		want     time.Duration
+	}{
+		{"", balance.VersionRetention},
+		{"1000", 2*5*time.Second + maxListAge},
+		{"30000", 30*time.Second + maxListAge},
+		{"2000", 30*time.Second + maxListAge},
+		{"86400000", balance.VersionRetention},
+	} {
+		r := f.request(t, "/resumable/x", "x")
+		r.Header.Set(f.gateway.Headers.Deadline, test.deadline)
+		send(t, r)
+		c := &call{
+			gateway: f.gateway,
+			request: r,
+			route:   f.gateway.Table().Route("a.example", "/resumable/"),
+		}
+		if got := c.maxStreamAge(f.gateway.routes.state("resumable").longestDeadline); got != test.want {
+			t.Errorf("deadline %q: got streams up to %v old, want %v", test.deadline, got, test.want)
+		}
+	}
+}
--- a/routing/table.go
+++ b/routing/table.go
@@ -1,6 +1,9 @@
 package routing
 
-import "strings"
+import (
+	"iter"
+	"strings"
+)
 
 // Table is one version of the routing configuration. It is safe for concurrent use, as it does not
 // change.
@@ -64,6 +67,19 @@
 	return nil
 }
 
+// Routes returns all routes, in no order.
+func (t *Table) Routes() iter.Seq[*Route] {
+	return func(yield func(*Route) bool) {
+		for _, prefixes := range t.hosts {
+			for _, r := range prefixes {
+				if !yield(r) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // Workspace returns the workspace that a key belongs to; nil for an unknown key.
 func (t *Table) Workspace(key string) *Workspace {
 	return t.keys[key]
