gateway, upstream: Refuse at once where the list is too old, and limit what follows a skipped response

A take-up whose caller names its request waits for a newer list only while the list may still count as current; in an outage of the store it held requests for 2 s that it then refused. What is read after a skipped response has the limit of a head; a body of nearly 1 MiB left none.

--- a/gateway/streamorigin.go
+++ b/gateway/streamorigin.go
@@ -143,9 +143,9 @@
 // listPollInterval is the interval at which a request looks whether the list of backend servers is newer than itself.
 const listPollInterval = 20 * time.Millisecond
 
-// awaitCurrentList reports whether the list of backend servers is current. A stream that a request began which is named
-// may have begun at a version that this router doesn't know yet; all versions are listed before they serve, so that it
-// waits for a list that is newer than the request.
+// awaitCurrentList reports whether the list of backend servers is current. If the caller names the request that began
+// the stream, other versions may serve, and the stream may have begun at one that this router doesn't know yet: all are
+// listed before they serve, so that it waits for a list that is newer than the request.
 func (c *call) awaitCurrentList() bool {
 	age, maxAge := c.gateway.BackendsAge, time.Duration(0)
 	if age == nil {
@@ -154,14 +154,8 @@
 	if c.gateway.MaxBackendsAge != nil {
 		maxAge = c.gateway.MaxBackendsAge()
 	}
-	if c.resumes == "" {
-		return age() <= maxAge
-	}
-	for end := c.arrived.Add(maxAge); age() > clock.Since(c.arrived); {
-		if !clock.Now().Before(end) || c.ctx.Err() != nil {
-			return false
-		}
+	for c.resumes != "" && age() > clock.Since(c.arrived) && age() <= maxAge && c.ctx.Err() == nil {
 		time.Sleep(listPollInterval)
 	}
-	return true
+	return age() <= maxAge && (c.resumes == "" || age() <= clock.Since(c.arrived))
 }
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -174,8 +174,8 @@
 	}, nil
 }
 
-// connection returns an idle connection that may carry the request, or dials a new one. Connections that may not
-// stay open for other requests.
+// connection returns an idle connection that may carry the request, or dials a new one. Idle connections that may not
+// carry it stay open for other requests.
 func (c *Client) connection(ctx context.Context, key, address string, request *Request) (*connection, error) {
 	now, cause, needsUnused := clock.Now(), DialBusy, c.needsUnused(key, request)
 	if !c.hasConnected(key) {
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -157,7 +157,6 @@
 		if err := r.skip(ctx, response, id); err != nil {
 			return nil, err
 		}
-		r.limited.Limit(maxHeadBytes)
 	}
 	return nil, errors.New("too many responses to other requests")
 }
@@ -187,6 +186,7 @@
 	if err := r.skipBody(ctx, response); err != nil {
 		return errors.Wrap(err, "skip the response to another request")
 	}
+	r.limited.Limit(maxHeadBytes)
 	if !isDoubtful {
 		return r.awaitData(ctx, r.timeouts.FirstByte, r.timeouts.OnTimeout)
 	}
