gateway: Log what the refusal of a request rests on

A line of a refusal had the number of sends, but not how they ended, so that a refusal after a send of unknown outcome could not be told from one after rejections alone. Events 205 and 208 have unsent and possible_runs now.

--- a/cmd/internal/events/catalogue.go
+++ b/cmd/internal/events/catalogue.go
@@ -108,18 +108,19 @@
 		Remedy: "Follow the request by its ID; check the backend server if many attempts at it fail.",
 	}
 	RequestUnserved = Event{
-		Number:  205,
-		Name:    "request-unserved",
-		Level:   zerolog.WarnLevel,
-		Meaning: "A request ended without a complete response; the field reason says why it was not retried.",
-		Remedy:  "Read the attempt-failed lines with the same request ID.",
+		Number: 205,
+		Name:   "request-unserved",
+		Level:  zerolog.WarnLevel,
+		Meaning: "A request ended without a complete response; the field reason says why it was not retried. Of its " +
+			"sends, unsent reached no backend server, and after possible_runs the request may have run.",
+		Remedy: "Read the attempt-failed lines with the same request ID.",
 	}
 	RequestOverloaded = Event{
 		Number: 208,
 		Name:   "request-overloaded",
 		Level:  zerolog.InfoLevel,
 		Meaning: "A request got no permit for its pool and was refused without being run; " +
-			"the caller was told to return after retry_after_ms.",
+			"the caller was told to return after retry_after_ms. unsent and possible_runs are as in event 205.",
 		Remedy: "Read the pool-overloaded lines of the pool: single refusals are logged within a small budget.",
 	}
 	PoolOverloaded = Event{
--- a/cmd/internal/gatewayd/observer.go
+++ b/cmd/internal/gatewayd/observer.go
@@ -164,12 +164,13 @@
 	case isOverloadRefusal(summary):
 		events.RequestOverloaded.On(&o.overloadLog).Str("request", summary.RequestID).Stringer("key", summary.Key).
 			Str("route", summary.Route.Name).Str("pool", summary.Pool).Str("workspace", summary.Workspace).
-			Int("priority", summary.Priority).Int("sends", summary.Sends).Dur("waited_ms", summary.Waited).
+			Int("priority", summary.Priority).Int("sends", summary.Sends).Int("unsent", summary.Unsent).
+			Int("possible_runs", summary.PossibleRuns).Dur("waited_ms", summary.Waited).
 			Dur("retry_after_ms", summary.RetryAfter).Dur("took_ms", summary.Duration).Send()
 		return
 	}
 	events.RequestUnserved.On(&o.log).Str("request", summary.RequestID).Stringer("key", summary.Key).
 		Str("route", summary.Route.Name).Str("pool", summary.Pool).Uint64("version", summary.Version).
 		Str("result", summary.Result).Str("reason", summary.Reason).Int("status", summary.Status).Int("sends", summary.Sends).
-		Int("events", summary.Events).Dur("took_ms", summary.Duration).Send()
+		Int("unsent", summary.Unsent).Int("possible_runs", summary.PossibleRuns).Int("events", summary.Events).Dur("took_ms", summary.Duration).Send()
 }
--- a/gateway/observer.go
+++ b/gateway/observer.go
@@ -98,9 +98,10 @@
 	// the request waited for permits.
 	RetryAfter time.Duration
 	Waited     time.Duration
-	// Sends is how often the gateway sent the request or tried to, Events how many events of a
-	// stream were forwarded.
-	Sends    int
+	// Sends is how often the gateway sent the request or tried to, Unsent how many of these sends reached no
+	// backend server, and PossibleRuns after how many of them the request may have run.
+	Sends, Unsent, PossibleRuns int
+	// Events is how many events of a stream were forwarded.
 	Events   int
 	Duration time.Duration
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -234,21 +234,23 @@
 
 func (c *call) notifyEnded(resultName, reason string, status int) {
 	c.gateway.Observer.Ended(&RequestSummary{
-		RequestID:  c.id,
-		Key:        c.key,
-		Route:      c.route,
-		Pool:       c.pool,
-		Workspace:  c.workspaceName(),
-		Priority:   c.priority(),
-		Version:    c.table.Version,
-		Result:     resultName,
-		Reason:     reason,
-		Status:     status,
-		RetryAfter: c.retryAfter,
-		Waited:     c.waited,
-		Sends:      c.sends,
-		Events:     c.progress.events,
-		Duration:   clock.Since(c.arrived),
+		RequestID:    c.id,
+		Key:          c.key,
+		Route:        c.route,
+		Pool:         c.pool,
+		Workspace:    c.workspaceName(),
+		Priority:     c.priority(),
+		Version:      c.table.Version,
+		Result:       resultName,
+		Reason:       reason,
+		Status:       status,
+		RetryAfter:   c.retryAfter,
+		Waited:       c.waited,
+		Sends:        c.sends,
+		Unsent:       c.unreached,
+		PossibleRuns: c.possibleRuns,
+		Events:       c.progress.events,
+		Duration:     clock.Since(c.arrived),
 	})
 }
 
