--- a/cmd/internal/gatewayd/observer.go
+++ b/cmd/internal/gatewayd/observer.go
@@ -172,5 +172,6 @@
 	events.RequestUnserved.On(&o.log).Str("request", summary.RequestID).Stringer("key", summary.Key).
 		Str("route", summary.Route.Name).Str("pool", summary.Pool).Uint64("version", summary.Version).
 		Str("result", summary.Result).Str("reason", summary.Reason).Int("status", summary.Status).Int("sends", summary.Sends).
-		Int("unsent", summary.Unsent).Int("possible_runs", summary.PossibleRuns).Int("events", summary.Events).Dur("took_ms", summary.Duration).Send()
+		Int("unsent", summary.Unsent).Int("possible_runs", summary.PossibleRuns).Int("events", summary.Events).
+		Dur("took_ms", summary.Duration).Send()
 }
--- a/cmd/slipwickd/soak/doc.go
+++ b/cmd/slipwickd/soak/doc.go
@@ -7,5 +7,10 @@
 // none is sent to a backend server that has been leaving for too long. Admission control is
 // on, and at times a workspace sends more requests than the plain servers accept; in the end,
 // nothing may be left in flight.
+//
+// The tests of exchanges run gateway processes, with the settings of a large site, before servers that answer
+// each send by a plan: they reject, lose, cut, delay or repeat responses, and send bytes that belong to no request.
+// TestServersOfKnownFaults plays what once broke a rule, TestServersOfAnyKind draws plans and disruptions.
+//
 // `make soak SEED=7 FOR=30s` runs the test with one seed and 30 seconds of faults.
 package soak
