--- a/balance/notice_test.go
+++ b/balance/notice_test.go
@@ -145,9 +145,9 @@
 	}
 }
 
-// TestNoticeOfLaterIncarnationThanListedIsKept has the list name an earlier incarnation, as after a restore of the store
-// from a backup, while the running one announces that it is leaving or asks for a pause. Its own entry follows, before
-// or after the response.
+// TestNoticeOfLaterIncarnationThanListedIsKept has the list name an earlier incarnation, as after a restore of the
+// store from a backup, while the running one announces that it is leaving or asks for a pause. Its own entry follows,
+// before or after the response.
 //
 // It guards against requests to that server: the notice was taken for one of the earlier incarnation.
 func TestNoticeOfLaterIncarnationThanListedIsKept(t *testing.T) {
