gatewayd: Have the engines of a test reject requests for another instance

The engines of TestPromptPartThatCrashesEnginesIsQuarantined ran requests that named another engine. One for an engine that had ended, at the address of its successor, crashed the latter, and was no crash of the engine that it named. Engines have to reject such requests with 421 (docs/WIRE.md). Checks and bounds of the test are as they were.

--- a/cmd/internal/gatewayd/quarantine_test.go
+++ b/cmd/internal/gatewayd/quarantine_test.go
@@ -91,6 +91,11 @@
 	crash := func() { once.Do(func() { f.crash(id, address, server) }) }
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
+		if r.Header.Get("Slipwick-Instance") != id {
+			w.Header().Set("Slipwick-Request", r.Header.Get("Slipwick-Request"))
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
 		if string(body) == crashBody || strings.Contains(r.Header.Get("Slipwick-Prompt"), crashPart) {
 			f.mu.Lock()
 			f.attempts = append(f.attempts, time.Now())
