quarantine: Count a crash against attempts that were stopped at its server

Cause: when the part at fault becomes quarantined its attempts are stopped, and a stopped attempt counted as no evidence. An engine that has begun to process one crashes all the same, under the requests beside it, so that their parts have more crashes than the part at fault, and are taken for the cause. Why this holds: a crash within half a second after the stop counts as it would have without the stop, seen by this router or another one.

--- a/quarantine/attempt.go
+++ b/quarantine/attempt.go
@@ -15,6 +15,8 @@
 	parts []Key
 	// stop aborts the attempt; see Tracker.Begin.
 	stop func()
+	// stoppedAt is when stop was called; zero before that.
+	stoppedAt time.Time
 	// hasBegun is true once the server has begun to respond.
 	hasBegun atomic.Bool
 }
@@ -82,6 +84,15 @@
 		crash.Key = key
 		a.tracker.addCrashLocked(crash)
 	}
+	a.tracker.addStoppedLocked(a.crash)
+}
+
+// isAt reports whether the attempt was at the server that crashed.
+func (a *Attempt) isAt(crash *Crash) bool {
+	if a.crash.Incarnation == 0 {
+		return a.crash.ServerIDHash == crash.ServerIDHash
+	}
+	return crash.isOf(a.crash.incarnation())
 }
 
 // keys returns the keys of the request and of its prompt parts.
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -70,6 +70,55 @@
 	}
 }
 
+// TestStoppedAttemptCountsIfItsServerCrashes has a part become quarantined while a server processes another request
+// with it, which is stopped. The server crashes all the same, under a request with another part of the prompts.
+//
+// It guards against that part being quarantined in place of the one at fault, which then had fewer crashes.
+func TestStoppedAttemptCountsIfItsServerCrashes(t *testing.T) {
+	for name, startTime := range map[string]int64{"start time known": 1_000, "no start time": 0} {
+		for where, isOwn := range map[string]bool{"this router": true, "another router": false} {
+			t.Run(name+", crash seen by "+where, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { testStoppedAttempt(t, startTime, isOwn) })
+			})
+		}
+	}
+}
+
+func testStoppedAttempt(t *testing.T, startTime int64, isOwn bool) {
+	bad, other := PartKey("p", 1), PartKey("p", 2)
+	if other < bad {
+		bad, other = other, bad
+	}
+	tracker, observer := NewTracker("r"), NewTracker("observer")
+	server := &slipwick.Backend{
+		ID:        "last",
+		StartTime: startTime,
+	}
+	stopped := false
+	attempt, _ := tracker.Begin(10, server, false, func() { stopped = true }, other, bad)
+	if !isOwn {
+		tracker, observer = observer, tracker
+	}
+	beside, _ := tracker.Begin(11, server, false, func() {}, other)
+	if !isOwn {
+		tracker, observer = observer, tracker
+	}
+	for i := range 3 {
+		crashParts(tracker, Key(i), fmt.Sprint(i), other, bad)
+		time.Sleep(crashInterval)
+	}
+	if !stopped {
+		t.Fatal("got the other request with the part sent on, want it stopped")
+	}
+	attempt.End(OutcomeInconclusive)
+	beside.End(OutcomeCrashed)
+	tracker.Merge(observer.TakePending())
+	if !tracker.IsQuarantined(100, bad) || tracker.IsQuarantined(100, other) {
+		t.Errorf("got quarantined: %t for the part at fault and %t for the other one, want the former alone",
+			tracker.IsQuarantined(100, bad), tracker.IsQuarantined(100, other))
+	}
+}
+
 // TestSimultaneousCrashesQuarantineNoPart guards against popular parts that are quarantined when the
 // servers of a rack fail together.
 func TestSimultaneousCrashesQuarantineNoPart(t *testing.T) {
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -19,6 +19,11 @@
 	// maxPending bounds the crashes that TakePending returns at a time, so that many crashes at once
 	// don't become a burst of hundreds of datagrams. The others are sent next.
 	maxPending = 512
+	// stoppedWindow is how long after an attempt was stopped a crash of its server counts as one during the attempt, and
+	// maxStopped bounds the attempts that are kept for it. A server that has begun to process a prompt crashes within
+	// this time.
+	stoppedWindow = 500 * time.Millisecond
+	maxStopped    = 1024
 	// recentPeriod is how long RecentCrashes returns the crashes of a record after a change.
 	recentPeriod = 10 * time.Second
 )
@@ -50,7 +55,9 @@
 	// completedAt is when each request that this router sent last completed.
 	completedAt *lru.LRU[Key, time.Time]
 	running     map[Key]map[*Attempt]struct{}
-	pending     []Crash
+	// stopped are the attempts that were stopped within stoppedWindow, the oldest first.
+	stopped []*Attempt
+	pending []Crash
 	// overflow has the requests with crashes that found no room in pending, oldest first.
 	overflow *lru.LRU[Key, struct{}]
 	// suspects are the prompt parts with enough crashes to be attributed some. partsChanged says that
@@ -244,7 +251,36 @@
 	}
 	for attempt := range t.running[key] {
 		if !key.IsPart() || !attempt.hasBegun.Load() {
-			attempt.stop()
+			t.stopLocked(attempt)
+		}
+	}
+}
+
+// stopLocked stops an attempt.
+func (t *Tracker) stopLocked(attempt *Attempt) {
+	attempt.stop()
+	if attempt.stoppedAt.IsZero() && len(t.stopped) < maxStopped {
+		attempt.stoppedAt = clock.Now()
+		t.stopped = append(t.stopped, attempt)
+	}
+}
+
+// addStoppedLocked adds a crash to the attempts at its server that were stopped shortly before: the server may have
+// begun to process them. Otherwise the part at fault, whose attempts are stopped, would have fewer crashes than the
+// parts of the requests that ran beside it.
+func (t *Tracker) addStoppedLocked(crash Crash) {
+	now := clock.Now()
+	t.stopped = slices.DeleteFunc(t.stopped, func(a *Attempt) bool { return now.Sub(a.stoppedAt) > stoppedWindow })
+	if crash.Excused {
+		return
+	}
+	for _, attempt := range t.stopped {
+		if !attempt.isAt(&crash) {
+			continue
+		}
+		for _, part := range attempt.parts {
+			crash.Key = part
+			t.addCrashLocked(crash)
 		}
 	}
 }
@@ -317,6 +353,7 @@
 	t.mu.Lock()
 	for _, crash := range crashes {
 		t.addCrashLocked(crash)
+		t.addStoppedLocked(crash)
 	}
 	t.unlockAndNotify()
 }
