--- a/cmd/slipwickd/soak/exchangefleet_test.go
+++ b/cmd/slipwickd/soak/exchangefleet_test.go
@@ -44,7 +44,7 @@
 	servers  []*scripted.Server
 	// links are the links to the servers, by group of gateways.
 	links   [linkGroups][]*proxy
-	mix     atomic.Pointer[mix]
+	mix     atomic.Pointer[scripted.Mix]
 	callers atomic.Int64
 }
 
@@ -56,7 +56,7 @@
 		recorder: newRecorder(),
 		ledger:   scripted.NewLedger(),
 	}
-	f.mix.Store(&mix{})
+	f.mix.Store(&scripted.Mix{})
 	s := newStore(t, host)
 	f.recorder.store = s
 	s.put("config", "main", exchangeConfiguration())
@@ -85,13 +85,14 @@
 		ID:             fmt.Sprintf("i-%08x", 0x7f3a0000+number),
 		Listener:       listener,
 		Headers:        platform.Headers(),
+		NotRunValue:    "1",
 		Ledger:         f.ledger,
 		HealthPath:     "/health",
 		InstanceHeader: "Instance-Id",
 		Slots:          exchangeSlots,
 		Queue:          exchangeQueue,
 		Work:           exchangeWork,
-		Plan:           func(send scripted.Send) scripted.Plan { return f.mix.Load().planFor(send) },
+		Plan:           func(send scripted.Send) scripted.Plan { return f.mix.Load().PlanFor(send) },
 	}
 	f.servers = append(f.servers, server)
 	go server.Run()
--- a/cmd/slipwickd/soak/exchanges_test.go
+++ b/cmd/slipwickd/soak/exchanges_test.go
@@ -3,7 +3,6 @@
 import (
 	"flag"
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"syscall"
@@ -35,6 +34,12 @@
 	minSoundShare = 0.97
 )
 
+// pauses are those of the servers before they respond, some of them longer than callers wait.
+var pauses = []time.Duration{
+	0, 0, 0, 5 * time.Millisecond, 60 * time.Millisecond, 400 * time.Millisecond, 900 * time.Millisecond,
+	1900 * time.Millisecond,
+}
+
 func TestMain(m *testing.M) { fixedseed.Main(m, checks) }
 
 // TestServersOfAnyKind guards against exchanges that run a request twice, refuse one that ran, or mix up responses:
@@ -43,7 +48,7 @@
 	f := newExchangeFleet(t)
 	var all []scripted.Violation
 	rapid.Check(t, func(rt *rapid.T) {
-		mix := drawMix(rt)
+		mix := scripted.DrawMix(rt, pauses)
 		disruptions := rapid.SliceOfN(rapid.Custom(drawDisruption), 0, maxDisruptions).Draw(rt, "disruptions")
 		f.play(mix, disruptions)
 		violations := f.ledger.Violations()
@@ -53,10 +58,10 @@
 		}
 	})
 	for range recoveryPlays {
-		f.play(&mix{}, nil)
+		f.play(&scripted.Mix{}, nil)
 	}
 	before := f.ledger.Counts()
-	f.play(&mix{}, nil)
+	f.play(&scripted.Mix{}, nil)
 	after := f.ledger.Counts()
 	sound := after.Since(before)
 	if served := sound.ByStatus[200]; float64(served) < minSoundShare*float64(sound.Requests) {
@@ -90,76 +95,6 @@
 	return counts
 }
 
-// mix is what the servers do in one play.
-type mix struct {
-	// seed and the ID of a request choose the plans of its sends. share is the percentage of sends that go by one of
-	// the plans; the others are answered as by a sound server.
-	seed  uint64
-	share int
-	plans []scripted.Plan
-}
-
-// planFor returns the plan of a send. It is the same in each play of the mix with that request.
-func (m *mix) planFor(send scripted.Send) scripted.Plan {
-	hash := m.seed
-	for _, b := range []byte(send.RequestID) {
-		hash = hash*31 + uint64(b)
-	}
-	random := rand.New(rand.NewPCG(hash, uint64(send.Number)))
-	if len(m.plans) == 0 || random.IntN(100) >= m.share {
-		return scripted.Plan{}
-	}
-	return m.plans[random.IntN(len(m.plans))]
-}
-
-func drawMix(rt *rapid.T) *mix {
-	return &mix{
-		seed:  rapid.Uint64().Draw(rt, "seed"),
-		share: rapid.IntRange(5, 95).Draw(rt, "share"),
-		plans: rapid.SliceOfN(rapid.Custom(drawPlan), 1, 6).Draw(rt, "plans"),
-	}
-}
-
-// drawPlan draws one way to answer a send.
-func drawPlan(rt *rapid.T) scripted.Plan {
-	plan := scripted.Plan{
-		Interim: rapid.SampledFrom([]int{0, 0, 0, 1, 3}).Draw(rt, "interim"),
-		Pause:   time.Duration(rapid.SampledFrom([]int{0, 0, 0, 5, 60, 400, 900, 1900}).Draw(rt, "pause")) * time.Millisecond,
-		Action: rapid.SampledFrom([]scripted.Action{
-			scripted.ActionRun, scripted.ActionRun, scripted.ActionReject, scripted.ActionReject, scripted.ActionReject,
-			scripted.ActionDrop,
-		}).Draw(rt, "action"),
-		Framing: scripted.Framing(rapid.IntRange(0, int(scripted.ByClose)).Draw(rt, "framing")),
-		Further: rapid.SliceOfN(rapid.Custom(drawFurther), 0, 2).Draw(rt, "further"),
-	}
-	if rapid.IntRange(0, 2).Draw(rt, "ends") == 0 {
-		plan.End = scripted.End(rapid.IntRange(0, int(scripted.EndSilent)).Draw(rt, "end"))
-	}
-	switch plan.Action {
-	case scripted.ActionRun:
-		plan.RunsLate = rapid.Bool().Draw(rt, "runs late")
-		plan.Status = rapid.SampledFrom([]int{200, 200, 200, 500, 504, 503, 404}).Draw(rt, "status")
-	case scripted.ActionReject:
-		plan.Status = rapid.SampledFrom([]int{503, 503, 503, 429, 421, 400}).Draw(rt, "status")
-		plan.IsUnnamed = rapid.IntRange(0, 5).Draw(rt, "unnamed") == 0
-	default:
-		plan.End = rapid.SampledFrom([]scripted.End{
-			scripted.EndLost, scripted.EndLostByReset, scripted.EndSilent,
-		}).Draw(rt, "end of a dropped request")
-	}
-	return plan
-}
-
-func drawFurther(rt *rapid.T) scripted.Further {
-	return scripted.Further{
-		Moment:      scripted.Moment(rapid.IntRange(0, int(scripted.BeforeNext)).Draw(rt, "moment")),
-		Content:     scripted.Content(rapid.IntRange(0, int(scripted.NoResponse)).Draw(rt, "content")),
-		Status:      rapid.SampledFrom([]int{503, 503, 429, 421, 408, 500, 404, 307, 200}).Draw(rt, "status of it"),
-		IsRejection: rapid.Bool().Draw(rt, "rejection"),
-		Pause:       time.Duration(rapid.IntRange(0, 60).Draw(rt, "pause before it")) * time.Millisecond,
-	}
-}
-
 const (
 	maxDisruptions    = 6
 	minDisruptionTime = 50 * time.Millisecond
@@ -232,7 +167,7 @@
 }
 
 // play has callers send requests for playTime while the servers answer by the mix, and ends all disruptions.
-func (f *exchangeFleet) play(m *mix, disruptions []disruption) {
+func (f *exchangeFleet) play(m *scripted.Mix, disruptions []disruption) {
 	f.mix.Store(m)
 	var disrupted, callers sync.WaitGroup
 	for _, d := range disruptions {
@@ -245,7 +180,7 @@
 	callers.Wait()
 	disrupted.Wait()
 	f.awaitIdle()
-	f.mix.Store(&mix{})
+	f.mix.Store(&scripted.Mix{})
 	for _, g := range f.gateways {
 		g.signal(syscall.SIGCONT, false)
 		g.start(f.t)
--- a/cmd/slipwickd/soak/knownfaults_test.go
+++ b/cmd/slipwickd/soak/knownfaults_test.go
@@ -10,7 +10,7 @@
 // knownFault is what servers do that once made exchanges break a rule, or may look like it.
 type knownFault struct {
 	name string
-	mix  mix
+	mix  scripted.Mix
 	// disruptions repeat beside it.
 	disruptions []disruption
 }
@@ -72,30 +72,30 @@
 var knownFaults = []knownFault{
 	{
 		name: "rejections are sent once more",
-		mix: mix{
-			share: 60,
-			plans: []scripted.Plan{rejectionFollowedBy(repeated), rejectionFollowedBy(repeated), anyRejection},
+		mix: scripted.Mix{
+			Share: 60,
+			Plans: []scripted.Plan{rejectionFollowedBy(repeated), rejectionFollowedBy(repeated), anyRejection},
 		},
 	},
 	{
 		name: "rejections are followed by ones with another status",
-		mix: mix{
-			share: 60,
-			plans: []scripted.Plan{rejectionFollowedBy(otherStatus), rejectionFollowedBy(misdirected), anyRejection},
+		mix: scripted.Mix{
+			Share: 60,
+			Plans: []scripted.Plan{rejectionFollowedBy(otherStatus), rejectionFollowedBy(misdirected), anyRejection},
 		},
 	},
 	{
 		name: "responses are lost, cut, late or missing beside rejections",
-		mix: mix{
-			share: 60,
-			plans: []scripted.Plan{anyRejection, anyRejection, anyRejection, lost, lostByReset, cutShort, silent, late},
+		mix: scripted.Mix{
+			Share: 60,
+			Plans: []scripted.Plan{anyRejection, anyRejection, anyRejection, lost, lostByReset, cutShort, silent, late},
 		},
 	},
 	{
 		name: "the same beside frozen and killed gateways and cut links",
-		mix: mix{
-			share: 60,
-			plans: []scripted.Plan{anyRejection, anyRejection, anyRejection, lost, lostByReset, cutShort, silent, late},
+		mix: scripted.Mix{
+			Share: 60,
+			Plans: []scripted.Plan{anyRejection, anyRejection, anyRejection, lost, lostByReset, cutShort, silent, late},
 		},
 		disruptions: []disruption{
 			{
@@ -136,9 +136,9 @@
 	},
 	{
 		name: "responses are followed by rejections that name no request",
-		mix: mix{
-			share: 30,
-			plans: []scripted.Plan{responseFollowedBy(unnamed)},
+		mix: scripted.Mix{
+			Share: 30,
+			Plans: []scripted.Plan{responseFollowedBy(unnamed)},
 		},
 	},
 }
@@ -151,9 +151,9 @@
 		t.Run(known.name, func(t *testing.T) {
 			before := f.ledger.Counts()
 			for seed := range *exchangePlays {
-				played := known.mix
-				played.seed = uint64(seed)
-				f.play(&played, known.disruptions)
+				mix := known.mix
+				mix.Seed = uint64(seed)
+				f.play(&mix, known.disruptions)
 			}
 			played, violations := f.ledger.Counts().Since(before), f.ledger.Violations()
 			t.Logf("%d requests, %d sends, %d runs, by status %v, %d cases of broken rules: %v", played.Requests,
--- /dev/null
+++ b/dispatch/exchanges_test.go
@@ -0,0 +1,179 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/gateway"
+	"github.com/slipwick/slipwick/httpclient"
+	"github.com/slipwick/slipwick/internal/fixedseed"
+	"github.com/slipwick/slipwick/service"
+	"github.com/slipwick/slipwick/standin/scripted"
+)
+
+func TestMain(m *testing.M) { fixedseed.Main(m, exchangeChecks) }
+
+const (
+	// exchangeChecks is how many mixes are drawn, with so many calls each by so many callers at a time.
+	exchangeChecks  = 20
+	exchangeCalls   = 40
+	exchangeCallers = 8
+	exchangeServers = 3
+	exchangeTimeout = 400 * time.Millisecond
+	maxLateTime     = time.Second
+)
+
+// exchangePauses are those of the servers, some of them longer than callers wait.
+var exchangePauses = []time.Duration{0, 0, 5 * time.Millisecond, 60 * time.Millisecond, 600 * time.Millisecond}
+
+// randomAdmission grants a slot of any server that the request doesn't exclude.
+type randomAdmission struct {
+	servers []slipwick.Backend
+}
+
+func (r *randomAdmission) Acquire(_ context.Context, request slipwick.AcquireRequest) (slipwick.Grant, error) {
+	for _, i := range rand.Perm(len(r.servers)) {
+		if !slices.Contains(request.Exclude, r.servers[i].ID) {
+			return slipwick.Grant{
+				Backend: r.servers[i],
+			}, nil
+		}
+	}
+	return slipwick.Grant{}, &slipwick.Error{
+		Kind:    slipwick.KindNoBackend,
+		Outcome: slipwick.OutcomeNotRun,
+	}
+}
+
+func (r *randomAdmission) Release(slipwick.Grant, slipwick.Evidence) {}
+
+// exchangeFixture calls servers that answer by the plans of a mix.
+type exchangeFixture struct {
+	ledger     *scripted.Ledger
+	mix        atomic.Pointer[scripted.Mix]
+	servers    []*scripted.Server
+	dispatcher *Dispatcher
+	calls      atomic.Int64
+}
+
+func newExchangeFixture(t *testing.T) *exchangeFixture {
+	t.Helper()
+	f := &exchangeFixture{
+		ledger: scripted.NewLedger(),
+	}
+	f.mix.Store(&scripted.Mix{})
+	admission := &randomAdmission{}
+	for i := range exchangeServers {
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := &scripted.Server{
+			ID:       fmt.Sprint("s", i),
+			Listener: listener,
+			Headers: gateway.Headers{
+				RequestID: "X-Request-Id",
+				NotRun:    "X-Not-Run",
+				Stamp:     "X-Stamp",
+			},
+			NotRunValue: "true",
+			Ledger:      f.ledger,
+			Slots:       2,
+			Queue:       4,
+			Work:        time.Millisecond,
+			Plan:        func(send scripted.Send) scripted.Plan { return f.mix.Load().PlanFor(send) },
+		}
+		go server.Run()
+		t.Cleanup(server.Close)
+		f.servers = append(f.servers, server)
+		admission.servers = append(admission.servers, slipwick.Backend{
+			ID:      server.ID,
+			Address: listener.Addr().String(),
+		})
+	}
+	client := httpclient.NewSingleUse()
+	f.dispatcher = &Dispatcher{
+		Admission:   admission,
+		MaxSlotWait: time.Second,
+		Service: func(backend slipwick.Backend, _ bool) slipwick.Service {
+			return &service.Client{
+				Address: backend.Address,
+				HTTP:    client,
+			}
+		},
+	}
+	return f
+}
+
+// call makes a call that must run once and records its outcome.
+func (f *exchangeFixture) call(ctx context.Context) {
+	request := scripted.Request{
+		ID: fmt.Sprint("call-", f.calls.Add(1)),
+	}
+	f.ledger.Sent(request)
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	response, err := f.dispatcher.CallService(ctx, Call{
+		Pools: []string{"p"},
+	}, slipwick.ServiceRequest{
+		ID:     request.ID,
+		Method: http.MethodPost,
+		Path:   "/x",
+		Header: http.Header{},
+		Body:   []byte("body"),
+	})
+	switch {
+	case err == nil:
+		f.ledger.Ended(request.ID, scripted.Outcome{
+			Status:  response.Status,
+			Stamp:   response.Header.Get("X-Stamp"),
+			Body:    string(response.Body),
+			IsWhole: true,
+		})
+	case isNotRun(err):
+		f.ledger.Ended(request.ID, scripted.Outcome{
+			Status: http.StatusServiceUnavailable,
+		})
+	}
+}
+
+// TestCallsToServersOfAnyKind guards against calls of the chat router that run twice, are reported as not run though
+// they ran, or get another response than their own. It draws how the servers answer.
+func TestCallsToServersOfAnyKind(t *testing.T) {
+	f := newExchangeFixture(t)
+	rapid.Check(t, func(rt *rapid.T) {
+		f.mix.Store(scripted.DrawMix(rt, exchangePauses))
+		var callers sync.WaitGroup
+		for range exchangeCallers {
+			callers.Go(func() {
+				for range exchangeCalls / exchangeCallers {
+					f.call(t.Context())
+				}
+			})
+		}
+		callers.Wait()
+		isBusy := func(s *scripted.Server) bool { return s.InFlight() > 0 }
+		for started := time.Now(); time.Since(started) < maxLateTime && slices.ContainsFunc(f.servers, isBusy); {
+			time.Sleep(time.Millisecond)
+		}
+		for _, v := range f.ledger.Violations() {
+			rt.Errorf("%s: request %s: %s", v.Rule, v.Request, v.Text)
+		}
+	})
+	counts := f.ledger.Counts()
+	t.Logf("%d calls, %d sends, %d runs, by status %v", counts.Requests, counts.Sends, counts.Runs, counts.ByStatus)
+	if counts.ByStatus[http.StatusOK] == 0 || counts.ByStatus[http.StatusServiceUnavailable] == 0 {
+		t.Errorf("got the statuses %v, want calls that were served and others that were not run", counts.ByStatus)
+	}
+}
--- a/standin/scripted/exchange.go
+++ b/standin/scripted/exchange.go
@@ -45,7 +45,7 @@
 		e.header = e.name(e.sent.ID)
 	}
 	if status != http.StatusMisdirectedRequest {
-		e.header += e.server.Headers.NotRun + ": 1\r\n"
+		e.header += e.notRun()
 	}
 	return e.finish(status)
 }
@@ -90,6 +90,11 @@
 	return err == nil && time.Since(e.arrived) > time.Duration(limit)*time.Millisecond
 }
 
+// notRun returns the header line that says that a request was not run.
+func (e *exchange) notRun() string {
+	return e.server.Headers.NotRun + ": " + e.server.NotRunValue + "\r\n"
+}
+
 // name returns the header line that names a request.
 func (e *exchange) name(id string) string {
 	return e.server.Headers.RequestID + ": " + id + "\r\n"
@@ -213,7 +218,7 @@
 func (e *exchange) further(f Further, response string) string {
 	header := ""
 	if f.IsRejection {
-		header = e.server.Headers.NotRun + ": 1\r\n"
+		header = e.notRun()
 	}
 	switch f.Content {
 	case Repeated:
--- a/standin/scripted/server.go
+++ b/standin/scripted/server.go
@@ -26,8 +26,10 @@
 type Server struct {
 	ID       string
 	Listener net.Listener
-	Headers  gateway.Headers
-	Ledger   *Ledger
+	// Headers are the names of the headers. NotRunValue is the value of the one that says that a request was not run.
+	Headers     gateway.Headers
+	NotRunValue string
+	Ledger      *Ledger
 	// HealthPath is the path of health checks, InstanceHeader the header of their responses with the server's ID.
 	HealthPath, InstanceHeader string
 	// Slots is how many requests run at once, Queue how many more wait; others are rejected. Work is how long a
