--- a/cmd/slipwickd/soak/exchangefleet_test.go
+++ b/cmd/slipwickd/soak/exchangefleet_test.go
@@ -258,12 +258,19 @@
 	}
 }
 
-// logOutput ends the gateways and logs the end of what each wrote.
-func (f *exchangeFleet) logOutput() {
+// end ends the gateways and logs how often they used other routers' paths and skipped responses and, if the test has
+// failed, the end of what each wrote.
+func (f *exchangeFleet) end() {
 	const kept = 64 << 10
+	lostPaths, skipped := 0, 0
 	for _, g := range f.gateways {
 		g.kill()
 		output := g.output.Bytes()
-		f.t.Logf("output of %s: %s", g.name, output[max(len(output)-kept, 0):])
+		lostPaths += bytes.Count(output, []byte(`"name":"path-lost"`)) + bytes.Count(output, []byte(`"name":"server-path-lost"`))
+		skipped += bytes.Count(output, []byte(`"name":"stray-response"`))
+		if f.t.Failed() {
+			f.t.Logf("output of %s: %s", g.name, output[max(len(output)-kept, 0):])
+		}
 	}
+	f.t.Logf("lines of lost paths: %d, of skipped responses: %d", lostPaths, skipped)
 }
--- a/cmd/slipwickd/soak/exchanges_test.go
+++ b/cmd/slipwickd/soak/exchanges_test.go
@@ -69,9 +69,7 @@
 	}
 	t.Logf("%d requests, %d sends, %d runs, by status %v; at the end, with sound servers, %v; cases by rule: %v",
 		after.Requests, after.Sends, after.Runs, after.ByStatus, sound.ByStatus, byRule(all))
-	if t.Failed() {
-		f.logOutput()
-	}
+	f.end()
 }
 
 // summary returns the number of cases of each rule, and the first ones.
--- a/cmd/slipwickd/soak/knownfaults_test.go
+++ b/cmd/slipwickd/soak/knownfaults_test.go
@@ -163,4 +163,5 @@
 			}
 		})
 	}
+	f.end()
 }
