--- a/cmd/slipwickd/soak/exchangefleet_test.go
+++ b/cmd/slipwickd/soak/exchangefleet_test.go
@@ -266,7 +266,7 @@
 	for _, g := range f.gateways {
 		g.kill()
 		output := g.output.Bytes()
-		lostPaths += bytes.Count(output, []byte(`"name":"path-lost"`)) + bytes.Count(output, []byte(`"name":"server-path-lost"`))
+		lostPaths += bytes.Count(output, []byte(`path-lost"`))
 		skipped += bytes.Count(output, []byte(`"name":"stray-response"`))
 		if f.t.Failed() {
 			f.t.Logf("output of %s: %s", g.name, output[max(len(output)-kept, 0):])
