gateway: Have the test of late bodies say when its handler began

TestBodyIsReadUntilTheDeadline failed once, and nothing told a connection that was accepted late from a deadline that wasn't in force.

--- a/gateway/body_test.go
+++ b/gateway/body_test.go
@@ -7,9 +7,11 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/slipwick/slipwick/clock"
 	"github.com/slipwick/slipwick/memory"
 )
 
@@ -122,11 +124,17 @@
 	f := newMemoryFixture(t, 1<<20, b)
 	const wait = 200 * time.Millisecond
 	started := time.Now()
+	var began atomic.Int64
+	f.gateway.EarliestArrival = func() time.Time {
+		began.Store(int64(time.Since(started)))
+		return clock.Now()
+	}
 	conn := f.dialCaller(t, "/single/x",
 		fmt.Sprintf("Content-Length: 1000\r\nSlipwick-Deadline-Ms: %s\r\n", strconv.FormatInt(wait.Milliseconds(), 10)))
 	got := readResponse(t, conn)
 	if took := time.Since(started); got.status != http.StatusRequestTimeout || took < wait || took > wait+2*time.Second {
-		t.Errorf("got %d after %v, want 408 after %v", got.status, took, wait)
+		t.Errorf("got %d after %v, want 408 after %v; its handler began after %v",
+			got.status, took, wait, time.Duration(began.Load()))
 	}
 	if got := b.runs.Load(); got != 0 {
 		t.Errorf("got %d runs, want 0", got)
