--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 export GOBIN := $(CURDIR)/bin
 PACKAGES := ./... ./cmd/...
 
-.PHONY: test lint fix build generate measure soak fuzz rename
+.PHONY: test lint fix build generate measure soak exchanges fuzz rename
 
 # The tests that KNOWN-RED.txt lists, as go test -skip takes them; empty without any.
 KNOWN_RED = $(shell sed -n 's/^\(Test[A-Za-z0-9_]*\) |.*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
@@ -41,6 +41,14 @@
 soak:
 	go test ./cmd/slipwickd/soak -count 1 -v -soak-seed $(SEED) -soak-for $(FOR) -timeout 1h
 
+# Runs the tests of exchanges with servers of any kind: ROUTERS= is the number of gateway processes, PLAYS= how many mixes of
+# plans are drawn, from SEED=, and how often each known fault is played.
+ROUTERS ?= 8
+PLAYS ?= 8
+exchanges:
+	go test ./cmd/slipwickd/soak -run TestServersOf -count 1 -v -exchange-routers $(ROUTERS) -exchange-plays $(PLAYS) \
+		-rapid.checks $(PLAYS) -rapid.seed $(SEED) -timeout 2h
+
 # Runs the fuzz tests, which feed random input to the decoders of external data, each for FUZZ_FOR.
 # The go command may report the end of that time as a failure, "context deadline exceeded", though
 # no input failed: that alone is no failure (docs/findings/fuzz-deadline.txt).
--- a/cmd/slipwickd/soak/doc.go
+++ b/cmd/slipwickd/soak/doc.go
@@ -12,5 +12,6 @@
 // each send by a plan: they reject, lose, cut, delay or repeat responses, and send bytes that belong to no request.
 // TestServersOfKnownFaults plays what once broke a rule, TestServersOfAnyKind draws plans and disruptions.
 //
-// `make soak SEED=7 FOR=30s` runs the test with one seed and 30 seconds of faults.
+// `make soak SEED=7 FOR=30s` runs the soak test with one seed and 30 seconds of faults, `make exchanges ROUTERS=84
+// PLAYS=40 SEED=7` the tests of exchanges.
 package soak
--- a/cmd/slipwickd/soak/exchanges_test.go
+++ b/cmd/slipwickd/soak/exchanges_test.go
@@ -30,7 +30,8 @@
 	recoveryPlays = 2
 	// checks is the number of plays in CI.
 	checks = 8
-	// minSoundShare is the share of the requests that have to be served while nothing goes wrong.
+	// minSoundShare is the share of the requests that have to be served while nothing goes wrong; the callers of
+	// leavePercent leave.
 	minSoundShare = 0.97
 )
 
@@ -69,6 +70,9 @@
 	}
 	t.Logf("%d requests, %d sends, %d runs, by status %v; at the end, with sound servers, %v; cases by rule: %v",
 		after.Requests, after.Sends, after.Runs, after.ByStatus, sound.ByStatus, byRule(all))
+	for _, v := range f.recorder.violationsSoFar() {
+		t.Error(v)
+	}
 	f.end()
 }
 
