--- a/cmd/slipwickd/soak/proxy_test.go
+++ b/cmd/slipwickd/soak/proxy_test.go
@@ -152,6 +152,16 @@
 	_ = from.Close()
 }
 
+// withholdsResponses reports whether a response of the server doesn't arrive as long as the mode stays as it is.
+func (p *proxy) withholdsResponses() bool {
+	switch proxyMode(p.mode.Load()) {
+	case proxyStalls, proxyStallsResponses, proxyResets:
+		return true
+	default:
+		return false
+	}
+}
+
 // isStalled reports whether data that was read must wait. In the mode proxyDelays, it first sleeps
 // for readDelay.
 func (p *proxy) isStalled(isResponse bool) bool {
