gatewayd: Ask again for permits in a test until the routers know each other

A router uses a copy of the list of routers for 20 ms; the test waits until the membership has both and asks once, so that the router which doesn't coordinate the pool may still grant its permit itself. A fleet whose gateways never reach the coordinator fails as before.

--- a/cmd/internal/gatewayd/permits_test.go
+++ b/cmd/internal/gatewayd/permits_test.go
@@ -78,24 +78,32 @@
 		waitFor(t, "two members", func() bool { return len(r.node.Routers()) == len(routers) })
 	}
 	for _, r := range routers {
-		client := r.permitEndpoint.endpoint.Client
-		waitFor(t, "a permit of the coordinator", func() bool {
-			client.RecordShed("p")
-			permit, err := client.Acquire(t.Context(), &slipwick.PermitRequest{
-				Pool:     "p",
-				Work:     time.Millisecond,
-				Arrived:  time.Now(),
-				Deadline: time.Now().Add(time.Second),
-			})
-			if err == nil {
-				client.Release(permit, slipwick.EvidenceGood)
-			}
-			return err == nil && permit.Backend == "b1"
-		})
+		waitFor(t, "a permit of the coordinator", func() bool { return acquirePermit(t, r) })
 	}
-	if routers[0].permitEndpoint.bytes()+routers[1].permitEndpoint.bytes() == 0 {
-		t.Error("got no datagrams about permits, want those between the two gateways")
+	// A router's copy of the list of routers may be some milliseconds old, so that it still coordinates the pool itself.
+	waitFor(t, "datagrams about permits between the two gateways", func() bool {
+		for _, r := range routers {
+			acquirePermit(t, r)
+		}
+		return routers[0].permitEndpoint.bytes()+routers[1].permitEndpoint.bytes() > 0
+	})
+}
+
+// acquirePermit asks for a permit, releases it, and reports whether it is for the server of the fixture.
+func acquirePermit(t *testing.T, router *testGateway) bool {
+	t.Helper()
+	client := router.permitEndpoint.endpoint.Client
+	client.RecordShed("p")
+	permit, err := client.Acquire(t.Context(), &slipwick.PermitRequest{
+		Pool:     "p",
+		Work:     time.Millisecond,
+		Arrived:  time.Now(),
+		Deadline: time.Now().Add(time.Second),
+	})
+	if err == nil {
+		client.Release(permit, slipwick.EvidenceGood)
 	}
+	return err == nil && permit.Backend == "b1"
 }
 
 // openPermitSocket returns a router whose port for permits is open.
