balance: Let no announcement of a server expire like an inherited one

What callers would see: requests at a server that is leaving, 30 s after it said so. Cause: a leaving notice that is inherited from an earlier incarnation of the list counts for 30 s, as the start by which it is attributed is of the server's clock. The expiry stayed when the server then announced it itself, which is certain and counts for good. Why this holds: each announcement of the server sets the expiry of announcements again.

--- a/balance/notice.go
+++ b/balance/notice.go
@@ -106,14 +106,21 @@
 	}
 }
 
+// announcementExpiry returns how long a server's own announcement that it is leaving counts; 0 for good.
+func (b *Balancer) announcementExpiry() time.Duration {
+	if b.EntriesReused {
+		return leavingExpiry
+	}
+	return 0
+}
+
 // ensureNoticesLocked returns the notices of an incarnation, and creates them if needed. They
 // outlive its entry, which may expire and reappear while the server runs.
 func (b *Balancer) ensureNoticesLocked(incarnation uint64) *notices {
 	n := b.notices[incarnation]
 	if n == nil {
-		n = &notices{}
-		if b.EntriesReused {
-			n.expiry = leavingExpiry
+		n = &notices{
+			expiry: b.announcementExpiry(),
 		}
 		b.notices[incarnation] = n
 	}
@@ -221,7 +228,7 @@
 	now, known := clock.Now(), b.ensureNoticesLocked(s.hash)
 	isNew := notice.Leaving && !known.saysLeaving() || notice.Pause > 0 && !known.isPaused(now)
 	if notice.Leaving {
-		known.leavingAt = now
+		known.leavingAt, known.expiry = now, b.announcementExpiry()
 	}
 	if notice.Pause > 0 {
 		known.extendPause(now.Add(notice.Pause))
--- a/balance/notice_test.go
+++ b/balance/notice_test.go
@@ -190,6 +190,29 @@
 	}
 }
 
+// TestOwnAnnouncementOutlastsAnInheritedOne has a server announce that it is leaving while the list names an earlier
+// incarnation, and once more when its own entry is listed.
+//
+// It guards against requests to a server that is leaving: its own announcement expired like the inherited one.
+func TestOwnAnnouncementOutlastsAnInheritedOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, list := New("dc-0"), testEntries(2)
+		list[0].StartTime = time.Now().Add(-time.Minute).UnixMilli()
+		b.SetBackends(list)
+		earlier := leaseAt(t, b, "p-0")
+		b.RecordSend(earlier)
+		b.RecordNotice(earlier, leavingNotice)
+		list = testEntries(2)
+		list[0].StartTime = time.Now().Add(-time.Second).UnixMilli()
+		b.SetBackends(list)
+		b.RecordNotice(leaseAt(t, b, "p-0"), leavingNotice)
+		time.Sleep(2 * leavingExpiry)
+		if got := countChosen(t, b, 20)["p-0"]; got != 0 {
+			t.Errorf("got %d of 20 requests at the server that is leaving, want none", got)
+		}
+	})
+}
+
 // TestNoticeInOtherResponsesApplies has engines announce that they are leaving in responses that
 // list their caches. One of the responses is from an incarnation that is not listed.
 func TestNoticeInOtherResponsesApplies(t *testing.T) {
