--- a/cmd/internal/gatewayd/permits_test.go
+++ b/cmd/internal/gatewayd/permits_test.go
@@ -77,16 +77,15 @@
 	for _, r := range routers {
 		waitFor(t, "two members", func() bool { return len(r.node.Routers()) == len(routers) })
 	}
+	// Until its copy of the list of routers is fetched again, a router may still coordinate the pool itself.
+	const maxCopyAge = 20 * time.Millisecond
+	time.Sleep(maxCopyAge)
 	for _, r := range routers {
 		waitFor(t, "a permit of the coordinator", func() bool { return acquirePermit(t, r) })
 	}
-	// A router's copy of the list of routers may be some milliseconds old, so that it still coordinates the pool itself.
-	waitFor(t, "datagrams about permits between the two gateways", func() bool {
-		for _, r := range routers {
-			acquirePermit(t, r)
-		}
-		return routers[0].permitEndpoint.bytes()+routers[1].permitEndpoint.bytes() > 0
-	})
+	if routers[0].permitEndpoint.bytes()+routers[1].permitEndpoint.bytes() == 0 {
+		t.Error("got no datagrams about permits, want those between the two gateways")
+	}
 }
 
 // acquirePermit asks for a permit, releases it, and reports whether it is for the server of the fixture.
