balance: Log a notice that counts for a later incarnation of its server

A notice that the list attributed to an earlier incarnation applied to the running one without a line of its own, so that the log didn't say why that one got no requests. TestNoticeOfLaterIncarnationThanListedIsKept checks that there is one report, and none for a server that restarted.

--- a/balance/notice.go
+++ b/balance/notice.go
@@ -93,17 +93,27 @@
 	if known == nil || s.Address != earlier.Address || s.StartTime == 0 {
 		return
 	}
-	if known.pauseSent >= s.StartTime && known.isPaused(clock.Now()) {
-		b.ensureNoticesLocked(s.hash).extendPause(known.pausedUntil)
+	now := clock.Now()
+	isPaused := known.pauseSent >= s.StartTime && known.isPaused(now)
+	isLeaving := known.leavingSent >= s.StartTime && known.saysLeaving()
+	if !isPaused && !isLeaving {
+		return
 	}
-	if known.leavingSent >= s.StartTime && known.saysLeaving() {
-		inherited := b.ensureNoticesLocked(s.hash)
-		if inherited.saysLeaving() {
-			return
-		}
-		inherited.leavingAt, inherited.expiry = clock.Now(), leavingExpiry
+	inherited, news := b.ensureNoticesLocked(s.hash), slipwick.Notice{}
+	if isPaused && !inherited.isPaused(now) {
+		news.Pause = known.remainingPause(now)
+	}
+	if isPaused {
+		inherited.extendPause(known.pausedUntil)
+	}
+	if isLeaving && !inherited.saysLeaving() {
+		news.Leaving = true
+		inherited.leavingAt, inherited.expiry = now, leavingExpiry
 		b.queueLeavingLocked(s)
 	}
+	if news != (slipwick.Notice{}) {
+		b.OnNotice(s.Backend, news)
+	}
 }
 
 // announcementExpiry returns how long a server's own announcement that it is leaving counts; 0 for good.
--- a/balance/notice_test.go
+++ b/balance/notice_test.go
@@ -168,6 +168,12 @@
 	b, list := New("dc-0"), testEntries(2)
 	list[0].StartTime = time.Now().Add(-time.Minute).UnixMilli()
 	b.SetBackends(list)
+	reported := 0
+	b.OnNotice = func(backend slipwick.Backend, _ slipwick.Notice) {
+		if backend.StartTime == list[0].StartTime {
+			reported++
+		}
+	}
 	lease := leaseAt(t, b, "p-0")
 	b.RecordSend(lease)
 	list = testEntries(2)
@@ -184,6 +190,9 @@
 	if got := countChosen(t, b, 20)["p-0"] > 0; got != isRestarted {
 		t.Errorf("got p-0 in use: %t, want %t", got, isRestarted)
 	}
+	if got := reported == 1; got == isRestarted {
+		t.Errorf("got %d reports of a notice of the running incarnation, want one only if it is its own", reported)
+	}
 	time.Sleep(max(pauseNotice.Pause, leavingExpiry))
 	if got := countChosen(t, b, 20)["p-0"]; got == 0 {
 		t.Error("got none of 20 requests at p-0 after the notice, want some")
--- a/cmd/internal/events/catalogue.go
+++ b/cmd/internal/events/catalogue.go
@@ -325,7 +325,8 @@
 		Name:   "backend-notice",
 		Level:  zerolog.InfoLevel,
 		Meaning: "A backend server announced that it is leaving, in a response to this router or another, " +
-			"or asked this router to send no requests for rest_ms.",
+			"or asked this router to send no requests for rest_ms. There is a further line if the list had an earlier " +
+			"incarnation of it.",
 		Remedy: "None if it was planned; a server that often asks for a pause has too little capacity.",
 	}
 	PaceInvalid = Event{
