soak, standin: Draw early responses, long bodies and connections closed when idle

The drawn servers read each body before they answered, all bodies were short and had a length, and no server closed an idle connection. So nothing drew a response before its body was read, where a remainder of the body that is replaced by other bytes is a request that nobody sent; nor a send that meets a connection as it closes.

Plans have IsEarly and MaxIdle now; callers send 2 in 100 bodies of 256 KiB, more than the links buffer, and a quarter without a length. The ledger has a further rule, UNASKED: a send of a request that no caller sent, or with another body.

--- a/cmd/slipwickd/soak/exchangecaller_test.go
+++ b/cmd/slipwickd/soak/exchangecaller_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/slipwick/slipwick/standin/scripted"
@@ -25,6 +26,11 @@
 	// retriesAfterRefusal is how often a caller comes back after a refusal, with a request of another ID.
 	retriesAfterRefusal = 1
 	maxStreamEvents     = 12
+	// longPercent is the percentage of bodies that are longer than the buffers of a connection to a server,
+	// chunkedPercent that of bodies without a length.
+	longPercent    = 2
+	chunkedPercent = 25
+	longBodyBytes  = 256 << 10
 )
 
 // exchangeCaller sends one request after the other over a connection that it keeps.
@@ -83,6 +89,12 @@
 	if kind.IsStream() {
 		request.Events = 1 + rand.IntN(maxStreamEvents)
 	}
+	if kind != scripted.Repeatable {
+		request.Body = requestBody(request.ID)
+	}
+	if request.Body != "" && rand.IntN(100) < longPercent {
+		request.Body += strings.Repeat("x", longBodyBytes)
+	}
 	c.fleet.ledger.Sent(request)
 	outcome, after, err := c.exchange(&request, left)
 	if err != nil {
@@ -128,17 +140,23 @@
 }
 
 func (c *exchangeCaller) write(request *scripted.Request, left time.Duration) error {
-	method, extra, body := http.MethodPost, "", requestBody(request.ID)
+	method, extra, body := http.MethodPost, "", request.Body
 	if request.Kind == scripted.Repeatable {
-		method, body = http.MethodGet, ""
+		method = http.MethodGet
 	}
 	if request.Kind.IsStream() {
 		extra = "Accept: text/event-stream\r\nModel: m\r\nToken-Counts: 910,20\r\n" +
 			fmt.Sprintf("Prompt-Prefix: %x:900,%s:10\r\n", rand.IntN(20), request.ID[:8])
 	}
+	if body != "" && rand.IntN(100) < chunkedPercent {
+		extra += "Transfer-Encoding: chunked\r\n"
+		body = fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	} else {
+		extra += fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	}
 	_, err := fmt.Fprintf(c.conn, "%s /%s/x HTTP/1.1\r\nHost: soak.example\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n"+
-		"Authorization: Bearer %s\r\n%sContent-Length: %d\r\n\r\n%s",
-		method, routes[request.Kind], request.ID, left.Milliseconds(), workspaceKey, extra, len(body), body)
+		"Authorization: Bearer %s\r\n%s\r\n%s",
+		method, routes[request.Kind], request.ID, left.Milliseconds(), workspaceKey, extra, body)
 	return err
 }
 
--- a/cmd/slipwickd/soak/exchangefleet_test.go
+++ b/cmd/slipwickd/soak/exchangefleet_test.go
@@ -23,6 +23,8 @@
 const (
 	// linkGroups is the number of groups of gateways that have links of their own to the servers.
 	linkGroups = 2
+	// linkBufferBytes is the size of the buffers of links, so that long bodies wait for the servers to read them.
+	linkBufferBytes = 16 << 10
 	// serversPerPool is the number of servers of each pool, with exchangeSlots and exchangeQueue.
 	serversPerPool = 4
 	exchangeSlots  = 6
@@ -98,7 +100,9 @@
 	go server.Run()
 	f.t.Cleanup(server.Close)
 	for i := range f.links {
-		f.links[i] = append(f.links[i], newProxy(f.t, host, listener.Addr().String()))
+		link := newProxy(f.t, host, listener.Addr().String())
+		link.bufferBytes.Store(linkBufferBytes)
+		f.links[i] = append(f.links[i], link)
 	}
 	pool := poolPlain
 	if number >= serversPerPool {
--- a/cmd/slipwickd/soak/proxy_test.go
+++ b/cmd/slipwickd/soak/proxy_test.go
@@ -31,6 +31,8 @@
 type proxy struct {
 	address string
 	mode    atomic.Int32
+	// bufferBytes is the size of the kernel's buffers of its connections; 0 keeps the default.
+	bufferBytes atomic.Int32
 
 	mu       sync.Mutex
 	target   string
@@ -100,6 +102,14 @@
 	_ = conn.Close()
 }
 
+// limitBuffers sets the sizes of the kernel's buffers of a connection. An error leaves them as they are.
+func limitBuffers(conn net.Conn, bytes int) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(bytes)
+		_ = tcp.SetWriteBuffer(bytes)
+	}
+}
+
 func (p *proxy) serve(client net.Conn) {
 	if proxyMode(p.mode.Load()) == proxyResets {
 		reset(client)
@@ -113,6 +123,10 @@
 		reset(client)
 		return
 	}
+	if size := int(p.bufferBytes.Load()); size > 0 {
+		limitBuffers(client, size)
+		limitBuffers(server, size)
+	}
 	p.mu.Lock()
 	p.conns[client], p.conns[server] = true, true
 	p.mu.Unlock()
--- a/dispatch/exchanges_test.go
+++ b/dispatch/exchanges_test.go
@@ -119,7 +119,8 @@
 // call makes a call that must run once and records its outcome.
 func (f *exchangeFixture) call(ctx context.Context) {
 	request := scripted.Request{
-		ID: fmt.Sprint("call-", f.calls.Add(1)),
+		ID:   fmt.Sprint("call-", f.calls.Add(1)),
+		Body: "body",
 	}
 	f.ledger.Sent(request)
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
@@ -131,7 +132,7 @@
 		Method: http.MethodPost,
 		Path:   "/x",
 		Header: http.Header{},
-		Body:   []byte("body"),
+		Body:   []byte(request.Body),
 	})
 	switch {
 	case err == nil:
--- a/standin/scripted/draw.go
+++ b/standin/scripted/draw.go
@@ -10,8 +10,9 @@
 const (
 	maxPlans   = 6
 	maxFurther = 2
-	// maxFurtherPause bounds the pause before further bytes.
+	// maxFurtherPause bounds the pause before further bytes, maxIdleTime the time after which idle connections are closed.
 	maxFurtherPause = 60 * time.Millisecond
+	maxIdleTime     = 60 * time.Millisecond
 )
 
 // DrawMix draws a mix for a property-based test, with these pauses before responses.
@@ -32,9 +33,13 @@
 		Action: rapid.SampledFrom([]Action{
 			ActionRun, ActionRun, ActionReject, ActionReject, ActionReject, ActionDrop,
 		}).Draw(t, "action"),
+		IsEarly: rapid.IntRange(0, 3).Draw(t, "early") == 0,
 		Framing: Framing(rapid.IntRange(0, int(ByClose)).Draw(t, "framing")),
 		Further: rapid.SliceOfN(rapid.Custom(drawFurther), 0, maxFurther).Draw(t, "further"),
 	}
+	if rapid.IntRange(0, 3).Draw(t, "closes when idle") == 0 {
+		plan.MaxIdle = time.Duration(rapid.Int64Range(1, int64(maxIdleTime)).Draw(t, "idle time"))
+	}
 	if rapid.IntRange(0, 2).Draw(t, "ends") == 0 {
 		plan.End = End(rapid.IntRange(0, int(EndSilent)).Draw(t, "end"))
 	}
--- a/standin/scripted/ledger.go
+++ b/standin/scripted/ledger.go
@@ -20,6 +20,8 @@
 	RunsThoughRefused Rule = "REFUSED"
 	// IsMixedUp says that a caller got something other than the whole response of a run of its request.
 	IsMixedUp Rule = "MIXED"
+	// IsUnasked says that a server got a request that no caller sent, or one with another body.
+	IsUnasked Rule = "UNASKED"
 	// IsOutOfOrder says that the events of a stream were not those of one run in order.
 	IsOutOfOrder Rule = "ORDER"
 )
@@ -45,6 +47,7 @@
 	// Kind is the kind of its route, Events how many events its stream has.
 	Kind   Kind
 	Events int
+	Body   string
 
 	sends int
 	runs  []Run
@@ -123,17 +126,41 @@
 }
 
 // arrived counts a send and returns the request and the number of the send, from 0; nil if nobody sent such a request.
+// A send without an ID is a call of a router.
 func (l *Ledger) arrived(id string) (request *Request, number int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	request = l.requests[id]
 	if request == nil {
+		if id != "" {
+			l.others = append(l.others, Violation{
+				Rule:    IsUnasked,
+				Request: id,
+				Text:    "no caller sent it",
+			})
+		}
 		return nil, 0
 	}
 	request.sends++
 	return request, request.sends - 1
 }
 
+// bodyArrived records a whole body of a request.
+func (l *Ledger) bodyArrived(request *Request, body string) {
+	if body == request.Body {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	const shown = 100
+	l.others = append(l.others, Violation{
+		Rule:    IsUnasked,
+		Request: request.ID,
+		Text: fmt.Sprintf("a server got a body of %d bytes, its caller sent %d; it begins with %q", len(body),
+			len(request.Body), body[:min(len(body), shown)]),
+	})
+}
+
 // began records that a server begins to run a request, and returns the stamp of the run.
 func (l *Ledger) began(request *Request, server string, status int) string {
 	l.mu.Lock()
--- a/standin/scripted/plan.go
+++ b/standin/scripted/plan.go
@@ -104,12 +104,16 @@
 	// begins to run at the end of this time, whether or not its connection is still open.
 	Pause    time.Duration
 	RunsLate bool
-	Action   Action
+	// IsEarly responds before the body of the request is read, and reads it afterwards.
+	IsEarly bool
+	Action  Action
 	// Status is that of the response: of a run 200 if it is 0, of a rejection 503.
 	Status int
 	// IsUnnamed leaves out the ID of the request in a rejection.
 	IsUnnamed bool
 	Framing   Framing
 	End       End
-	Further   []Further
+	// MaxIdle closes a kept connection on which no request has begun for that long; 0 keeps it open.
+	MaxIdle time.Duration
+	Further []Further
 }
--- a/standin/scripted/server.go
+++ b/standin/scripted/server.go
@@ -107,36 +107,27 @@
 		reader: bufio.NewReader(conn),
 	}
 	for {
-		request, err := http.ReadRequest(c.reader)
+		request, err := c.readHead()
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, request.Body); err != nil {
-			return
-		}
-		if err := c.sendDue(WhereDue); err != nil {
-			return
-		}
 		if isKept := s.answer(c, request); !isKept {
 			return
 		}
 	}
 }
 
-// answer answers one request and reports whether the connection is kept.
+// answer reads the body of one request and answers it, or the other way round, and reports whether the connection is
+// kept.
 func (s *Server) answer(c *connection, request *http.Request) bool {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	id := request.Header.Get(s.Headers.RequestID)
 	sent, number := s.Ledger.arrived(id)
 	expected := request.Header.Get(s.Headers.Instance)
-	switch {
-	case request.URL.Path == s.HealthPath:
-		return c.send(http.StatusOK, s.InstanceHeader+": "+s.ID+"\r\n", "") == nil
-	case sent == nil:
-		return c.send(http.StatusNotFound, "", "") == nil
-	case expected != "" && expected != s.ID:
-		return c.send(http.StatusMisdirectedRequest, s.Headers.RequestID+": "+id+"\r\n", "") == nil
+	isExpected := expected == "" || expected == s.ID
+	if request.URL.Path == s.HealthPath || sent == nil || !isExpected {
+		return s.readBody(request, sent) == nil && c.sendDue(WhereDue) == nil && s.answerOther(c, request, sent) == nil
 	}
 	e := &exchange{
 		server:  s,
@@ -149,7 +140,33 @@
 			Number:    number,
 		}),
 	}
-	return e.play()
+	if !e.plan.IsEarly && s.readBody(request, sent) != nil || c.sendDue(WhereDue) != nil {
+		return false
+	}
+	c.maxIdle = e.plan.MaxIdle
+	isKept := e.play()
+	return isKept && (!e.plan.IsEarly || s.readBody(request, sent) == nil)
+}
+
+// readBody reads the body of a request, which is that of its caller.
+func (s *Server) readBody(request *http.Request, sent *Request) error {
+	body, err := io.ReadAll(request.Body)
+	if err == nil && sent != nil {
+		s.Ledger.bodyArrived(sent, string(body))
+	}
+	return err
+}
+
+// answerOther answers a health check, a request that nobody sent, or one for another server.
+func (s *Server) answerOther(c *connection, request *http.Request, sent *Request) error {
+	switch {
+	case request.URL.Path == s.HealthPath:
+		return c.send(http.StatusOK, s.InstanceHeader+": "+s.ID+"\r\n", "")
+	case sent == nil:
+		return c.send(http.StatusNotFound, "", "")
+	default:
+		return c.send(http.StatusMisdirectedRequest, s.Headers.RequestID+": "+sent.ID+"\r\n", "")
+	}
 }
 
 // InFlight returns the number of requests that are not over.
@@ -175,6 +192,8 @@
 	// mu guards writes: further bytes may be sent after a pause.
 	mu  sync.Mutex
 	due []dueBytes
+	// maxIdle is how long the connection is kept while no request begins; 0 for ever.
+	maxIdle time.Duration
 }
 
 type dueBytes struct {
@@ -182,6 +201,22 @@
 	bytes  string
 }
 
+// readHead reads the head of the next request, which has to begin within maxIdle.
+func (c *connection) readHead() (*http.Request, error) {
+	if c.maxIdle > 0 {
+		if err := c.SetReadDeadline(time.Now().Add(c.maxIdle)); err != nil {
+			return nil, err
+		}
+	}
+	if _, err := c.reader.Peek(1); err != nil {
+		return nil, err
+	}
+	if err := c.SetReadDeadline(time.Time{}); err != nil {
+		return nil, err
+	}
+	return http.ReadRequest(c.reader)
+}
+
 // sendDue sends the bytes that are due at a moment.
 func (c *connection) sendDue(moment Moment) error {
 	kept := c.due[:0]
