httpclient: Report no call as not run that had a connection

What callers saw: the chat router may report a call without a body to a plain service as not run (503) though the service ran it. Found by reading who says "not run", and on what proof.

Cause: the proof was that the call's error came from opening a connection. net/http sends a request without a body again, by itself, when a reused connection breaks before the response; if the server has ended meanwhile, the call's error is that of the second connection.

Why this works: net/http reports each connection that it gets for a request before it writes to it. A request for which there was none reached nobody. Turns of chats have bodies that net/http can't send again; they go by the same proof now. The gateway has a client of its own and isn't concerned.

--- a/engine/client.go
+++ b/engine/client.go
@@ -83,7 +83,7 @@
 	call, attribution := httpclient.Attribute(call)
 	response, err := client.Do(call)
 	if err != nil {
-		return nil, connectionError(err)
+		return nil, connectionError(attribution.OutcomeOf(err), err)
 	}
 	c.reportNotice(response)
 	if c.OnNamed != nil && response.Header.Get(RequestHeader) == request {
@@ -140,7 +140,7 @@
 	case errors.As(err, &syntax), errors.As(err, &mismatch):
 		return invalidResponseError(path, err)
 	default:
-		return connectionError(err)
+		return connectionError(slipwick.OutcomeUnknown, err)
 	}
 }
 
@@ -154,10 +154,11 @@
 		cancel()
 		return nil, err
 	}
+	call, attribution := httpclient.Attribute(call)
 	response, err := c.HTTP.Do(call)
 	if err != nil {
 		cancel()
-		return nil, connectionError(err)
+		return nil, connectionError(attribution.OutcomeOf(err), err)
 	}
 	c.reportNotice(response)
 	if response.StatusCode/100 != 2 {
--- a/engine/errors.go
+++ b/engine/errors.go
@@ -13,12 +13,12 @@
 // announces that it accepts no new requests.
 var ErrLeaving = errors.New("the engine is stopping and accepts no new requests")
 
-func connectionError(cause error) error {
+func connectionError(outcome slipwick.Outcome, cause error) error {
 	return &slipwick.Error{
 		Kind:    slipwick.KindBackendUnreachable,
 		Message: "no response from the engine",
 		Remedy:  "try again; if the error persists, check the engine",
-		Outcome: httpclient.OutcomeOf(cause),
+		Outcome: outcome,
 		Cause:   cause,
 	}
 }
--- a/httpclient/client.go
+++ b/httpclient/client.go
@@ -11,7 +11,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/internal/tcpconn"
 )
 
@@ -107,16 +106,6 @@
 	io.Reader
 }
 
-// OutcomeOf returns the outcome of a request whose call returned err: OutcomeNotRun if the
-// connection could not be established, because no byte was sent then, else OutcomeUnknown.
-func OutcomeOf(err error) slipwick.Outcome {
-	var operation *net.OpError
-	if errors.As(err, &operation) && operation.Op == "dial" {
-		return slipwick.OutcomeNotRun
-	}
-	return slipwick.OutcomeUnknown
-}
-
 // ErrorBody returns the first maxErrorBytes of the body of an error response, or the text of the
 // error if it cannot be read, and closes the body.
 func ErrorBody(response *http.Response) string {
--- a/service/client.go
+++ b/service/client.go
@@ -60,7 +60,7 @@
 	call, attribution := httpclient.Attribute(call)
 	response, err := c.HTTP.Do(call)
 	if err != nil {
-		return slipwick.ServiceResponse{}, connectionError(httpclient.OutcomeOf(err), err)
+		return slipwick.ServiceResponse{}, connectionError(attribution.OutcomeOf(err), err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	c.reportNotice(response)
--- a/standin/scripted/ledger.go
+++ b/standin/scripted/ledger.go
@@ -247,7 +247,7 @@
 	if request.Kind.RunsOnce() && len(request.runs) > 1 {
 		add(RunsTwice, status)
 	}
-	if request.Kind.RunsOnce() && len(request.runs) > 0 && IsPromise(outcome.Status) {
+	if len(request.runs) > 0 && IsPromise(outcome.Status) {
 		add(RunsThoughRefused, status)
 	}
 	if rule := checkResponse(request, outcome); rule != "" {
