--- a/httpclient/attribution.go
+++ b/httpclient/attribution.go
@@ -11,8 +11,8 @@
 	"github.com/slipwick/slipwick"
 )
 
-// Attribution tells whether the response to a request can belong to another one, and whether the request may have run. A
-// server may send a further response after that to an earlier request, where the next one on the connection is due.
+// Attribution tells whether the response to a request can belong to another one, and whether the request may have run.
+// A server may send a further response after that to an earlier request, where the next one on the connection is due.
 type Attribution struct {
 	// connections counts the connections for the request. Where a reused one breaks, net/http may send the request again.
 	connections atomic.Int32
