standin: Draw connections closed when idle less often, and after real times

rapid prefers small numbers, so that a quarter of the plans closed their connection within nanoseconds of a response. Idle times are 5, 20 or 60 ms now, in one plan of eight.

--- a/standin/scripted/draw.go
+++ b/standin/scripted/draw.go
@@ -10,11 +10,13 @@
 const (
 	maxPlans   = 6
 	maxFurther = 2
-	// maxFurtherPause bounds the pause before further bytes, maxIdleTime the time after which idle connections are closed.
+	// maxFurtherPause bounds the pause before further bytes.
 	maxFurtherPause = 60 * time.Millisecond
-	maxIdleTime     = 60 * time.Millisecond
 )
 
+// maxIdleTimes are the times after which idle connections are closed.
+var maxIdleTimes = []time.Duration{5 * time.Millisecond, 20 * time.Millisecond, 60 * time.Millisecond}
+
 // DrawMix draws a mix for a property-based test, with these pauses before responses.
 func DrawMix(t *rapid.T, pauses []time.Duration) *Mix {
 	drawPlan := func(t *rapid.T) Plan { return DrawPlan(t, pauses) }
@@ -33,12 +35,12 @@
 		Action: rapid.SampledFrom([]Action{
 			ActionRun, ActionRun, ActionReject, ActionReject, ActionReject, ActionDrop,
 		}).Draw(t, "action"),
-		IsEarly: rapid.IntRange(0, 3).Draw(t, "early") == 0,
+		IsEarly: rapid.IntRange(0, 3).Draw(t, "early") == 3,
 		Framing: Framing(rapid.IntRange(0, int(ByClose)).Draw(t, "framing")),
 		Further: rapid.SliceOfN(rapid.Custom(drawFurther), 0, maxFurther).Draw(t, "further"),
 	}
-	if rapid.IntRange(0, 3).Draw(t, "closes when idle") == 0 {
-		plan.MaxIdle = time.Duration(rapid.Int64Range(1, int64(maxIdleTime)).Draw(t, "idle time"))
+	if rapid.IntRange(0, 7).Draw(t, "closes when idle") == 7 {
+		plan.MaxIdle = rapid.SampledFrom(maxIdleTimes).Draw(t, "idle time")
 	}
 	if rapid.IntRange(0, 2).Draw(t, "ends") == 0 {
 		plan.End = End(rapid.IntRange(0, int(EndSilent)).Draw(t, "end"))
