tunnel: Test that a tunnel that was given up carries nothing

A send that gets no tunnel in time counts as unsent, and its caller may be told that the request was not run. The other router may open its half of the tunnel afterwards. That nothing of the request arrives there was known by reading alone.

--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -164,6 +164,35 @@
 	}
 }
 
+// TestGivenUpTunnelCarriesNothing guards against a request that counts as unsent, as its tunnel wasn't open in time,
+// and reaches the backend server once the other router has opened its half.
+func TestGivenUpTunnelCarriesNothing(t *testing.T) {
+	received := make(chan []byte, 1)
+	f := newFixture(t, func(conn *net.TCPConn) {
+		// An error ends the connection as its end does.
+		bytes, _ := io.ReadAll(conn)
+		_ = conn.Close()
+		received <- bytes
+	})
+	dial := f.server.Dial
+	f.server.Dial = func(ctx context.Context, backend *slipwick.Backend) (*tcpconn.Conn, error) {
+		time.Sleep(askTimeout + openTimeout)
+		return dial(context.WithoutCancel(ctx), backend)
+	}
+	if _, _, err := f.dialer.OpenTunnel(t.Context(), "s"); err == nil {
+		t.Fatal("got a tunnel, want an error, as the other router takes too long")
+	}
+	const limit = 5 * time.Second
+	select {
+	case got := <-received:
+		if len(got) > 0 {
+			t.Errorf("got %q at the backend server, want nothing", got)
+		}
+	case <-time.After(limit):
+		t.Errorf("got no end of the late half after %v, want it closed", limit)
+	}
+}
+
 // TestEndsAreDistinguished guards against a response that ends with its connection and looks complete although the
 // backend server reset it, or the router that the tunnel leads through ended.
 func TestEndsAreDistinguished(t *testing.T) {
