dispatch: Have turns of chats meet engines of any kind

TestChatsWithServersOfAnyKind has the dispatcher run turns at the servers of TestCallsToServersOfAnyKind, which send events as engines do: turns that must run once and repeatable ones, on shared connections and on those of their own, beside servers that start again.

--- a/dispatch/exchanges_test.go
+++ b/dispatch/exchanges_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -15,11 +16,13 @@
 	"pgregory.net/rapid"
 
 	"github.com/slipwick/slipwick"
+	"github.com/slipwick/slipwick/engine"
 	"github.com/slipwick/slipwick/gateway"
 	"github.com/slipwick/slipwick/httpclient"
 	"github.com/slipwick/slipwick/internal/fixedseed"
 	"github.com/slipwick/slipwick/service"
 	"github.com/slipwick/slipwick/standin/scripted"
+	"github.com/slipwick/slipwick/stream"
 )
 
 func TestMain(m *testing.M) { fixedseed.Main(m, exchangeChecks) }
@@ -66,13 +69,22 @@
 	servers    []*scripted.Server
 	dispatcher *Dispatcher
 	calls      atomic.Int64
+	// formatBody is that of the servers.
+	formatBody func(request *scripted.Request, text string) (header, body string)
+	// call makes a call and records its outcome.
+	call func(ctx context.Context, kind scripted.Kind)
 }
 
-func newExchangeFixture(t *testing.T) *exchangeFixture {
+// newExchangeFixture returns a fixture whose callers call plain services, or engines if isChat is set.
+func newExchangeFixture(t *testing.T, isChat bool) *exchangeFixture {
 	t.Helper()
 	f := &exchangeFixture{
 		ledger: scripted.NewLedger(),
 	}
+	f.call = f.callService
+	if isChat {
+		f.call, f.formatBody = f.chat, formatEvents
+	}
 	f.mix.Store(&scripted.Mix{})
 	admission := &randomAdmission{}
 	for i := range exchangeServers {
@@ -99,6 +111,20 @@
 				OnNamed: func() { naming.Record(backend.ID) },
 			}
 		},
+		Engine: func(backend slipwick.Backend) slipwick.Engine {
+			return &engine.Client{
+				Address:   backend.Address,
+				HTTP:      shared,
+				SingleUse: singleUse,
+				Names:     naming.Names(backend.ID),
+				OnNamed:   func() { naming.Record(backend.ID) },
+			}
+		},
+		Limits: stream.Limits{
+			FirstToken:    exchangeTimeout,
+			BetweenTokens: exchangeTimeout / 2,
+			Resumes:       1,
+		},
 	}
 	f.nameRequests(t)
 	return f
@@ -124,6 +150,7 @@
 		Slots:       2,
 		Queue:       4,
 		Work:        time.Millisecond,
+		FormatBody:  f.formatBody,
 		Plan:        func(send scripted.Send) scripted.Plan { return f.mix.Load().PlanFor(send) },
 	}
 	go server.Run()
@@ -150,8 +177,53 @@
 	f.servers[number] = f.start(t, server.ID, server.Listener.Addr().String())
 }
 
-// call makes a call and records its outcome.
-func (f *exchangeFixture) call(ctx context.Context, kind scripted.Kind) {
+// formatEvents returns a text as the events of an engine, one for each line.
+func formatEvents(request *scripted.Request, text string) (header, body string) {
+	lines := strings.Split(strings.TrimSuffix(text, "\n"), "\n")
+	var events strings.Builder
+	for offset, data := range append(lines, engine.EndMarker) {
+		fmt.Fprintf(&events, "id: %s\ndata: %s\n\n", engine.EventID(request.ID, offset), data)
+	}
+	return "Content-Type: text/event-stream\r\n", events.String()
+}
+
+// chat makes a chat turn and records its outcome.
+func (f *exchangeFixture) chat(ctx context.Context, kind scripted.Kind) {
+	request := scripted.Request{
+		ID:   fmt.Sprint("turn-", f.calls.Add(1)),
+		Kind: kind,
+		Body: "{}",
+	}
+	f.ledger.Sent(request)
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	outcome := scripted.Outcome{}
+	err := f.dispatcher.Chat(ctx, Call{
+		Pools:      []string{"p"},
+		Repeatable: kind == scripted.Repeatable,
+	}, slipwick.ChatRequest{
+		ID:   request.ID,
+		Body: []byte(request.Body),
+	}, func(event slipwick.StreamEvent) error {
+		outcome.Status = http.StatusOK
+		if !event.End {
+			outcome.Body += string(event.Data) + "\n"
+		}
+		return nil
+	})
+	// The first line is "response of STAMP to ID".
+	if words := strings.Fields(outcome.Body); len(words) > 2 {
+		outcome.Stamp = words[2]
+	}
+	outcome.IsWhole = err == nil
+	if err != nil && isNotRun(err) {
+		outcome.Status = http.StatusServiceUnavailable
+	}
+	f.ledger.Ended(request.ID, outcome)
+}
+
+// callService calls a plain service and records the outcome.
+func (f *exchangeFixture) callService(ctx context.Context, kind scripted.Kind) {
 	request := scripted.Request{
 		ID:   fmt.Sprint("call-", f.calls.Add(1)),
 		Kind: kind,
@@ -193,7 +265,17 @@
 // TestCallsToServersOfAnyKind guards against calls of the chat router that run twice, are reported as not run though
 // they ran, or get another response than their own. It draws how the servers answer, and which of them start again.
 func TestCallsToServersOfAnyKind(t *testing.T) {
-	f := newExchangeFixture(t)
+	testServersOfAnyKind(t, newExchangeFixture(t, false))
+}
+
+// TestChatsWithServersOfAnyKind guards against turns of chats that run twice, are reported as not run though they ran,
+// or get events of another response.
+func TestChatsWithServersOfAnyKind(t *testing.T) {
+	testServersOfAnyKind(t, newExchangeFixture(t, true))
+}
+
+func testServersOfAnyKind(t *testing.T, f *exchangeFixture) {
+	t.Helper()
 	rapid.Check(t, func(rt *rapid.T) {
 		f.mix.Store(scripted.DrawMix(rt, exchangePauses))
 		restarts := rapid.SliceOfN(rapid.IntRange(0, exchangeServers-1), 0, maxRestarts).Draw(rt, "restarts")
--- a/standin/scripted/exchange.go
+++ b/standin/scripted/exchange.go
@@ -76,6 +76,10 @@
 	time.Sleep(e.server.Work)
 	e.header = e.name(e.sent.ID) + e.server.Headers.Stamp + ": " + stamp + "\r\n"
 	e.body = bodyOf(e.sent, stamp)
+	if e.server.FormatBody != nil && status == http.StatusOK {
+		header, body := e.server.FormatBody(e.sent, e.body)
+		e.header, e.body = e.header+header, body
+	}
 	if e.sent.Kind.IsStream() && status == http.StatusOK {
 		last, _ := strconv.Atoi(e.request.Header.Get("Last-Event-Id"))
 		e.header += "Content-Type: text/event-stream\r\n"
--- a/standin/scripted/server.go
+++ b/standin/scripted/server.go
@@ -36,6 +36,8 @@
 	// request runs beside the pause of its plan.
 	Slots, Queue int
 	Work         time.Duration
+	// FormatBody, if not nil, returns the header lines and the body of the response to a plain request, from its text.
+	FormatBody func(request *Request, text string) (header, body string)
 	// Plan returns how the server answers a send. It is called concurrently.
 	Plan func(send Send) Plan
 
