standin: Draw responses that stall, wrong lengths and bodies of rejections

A response may stop in the middle while its connection stays open, a further response may announce a wrong length, and rejections have bodies, in chunks too. Further bytes after a response that stalls stay out: no one can tell them from the rest of its body.

--- a/standin/scripted/draw.go
+++ b/standin/scripted/draw.go
@@ -17,6 +17,14 @@
 // maxIdleTimes are the times after which idle connections are closed.
 var maxIdleTimes = []time.Duration{5 * time.Millisecond, 20 * time.Millisecond, 60 * time.Millisecond}
 
+// rejectionBytes are the lengths of the bodies of rejections, furtherBytes those of further responses, and lengthErrors
+// how much the announced lengths of these are wrong.
+var (
+	rejectionBytes = []int{0, 0, 60, 64 << 10}
+	furtherBytes   = []int{0, 0, 40}
+	lengthErrors   = []int{0, 0, 0, -20, 30, 5000}
+)
+
 // DrawMix draws a mix for a property-based test, with these pauses before responses.
 func DrawMix(t *rapid.T, pauses []time.Duration) *Mix {
 	drawPlan := func(t *rapid.T) Plan { return DrawPlan(t, pauses) }
@@ -51,6 +59,7 @@
 		plan.Status = rapid.SampledFrom([]int{200, 200, 200, 500, 504, 503, 404}).Draw(t, "status")
 	case ActionReject:
 		plan.Status = rapid.SampledFrom([]int{503, 503, 503, 429, 421, 400}).Draw(t, "status")
+		plan.RejectionBytes = rapid.SampledFrom(rejectionBytes).Draw(t, "rejection bytes")
 		plan.IsUnnamed = rapid.IntRange(0, 5).Draw(t, "unnamed") == 0
 	default:
 		plan.End = rapid.SampledFrom([]End{EndLost, EndLostByReset, EndSilent}).Draw(t, "end of a dropped request")
@@ -64,6 +73,8 @@
 		Content:     Content(rapid.IntRange(0, int(NoResponse)).Draw(t, "content")),
 		Status:      rapid.SampledFrom([]int{503, 503, 429, 421, 408, 500, 404, 307, 200}).Draw(t, "status of it"),
 		IsRejection: rapid.Bool().Draw(t, "rejection"),
+		BodyBytes:   rapid.SampledFrom(furtherBytes).Draw(t, "bytes of it"),
+		LengthError: rapid.SampledFrom(lengthErrors).Draw(t, "error of its length"),
 		Pause:       time.Duration(rapid.Int64Range(0, int64(maxFurtherPause)).Draw(t, "pause before it")),
 	}
 }
--- a/standin/scripted/exchange.go
+++ b/standin/scripted/exchange.go
@@ -47,6 +47,7 @@
 	if status != http.StatusMisdirectedRequest {
 		e.header += e.notRun()
 	}
+	e.body = strings.Repeat("r", e.plan.RejectionBytes)
 	return e.finish(status)
 }
 
@@ -119,7 +120,7 @@
 		return false
 	}
 	text, start := e.response(status)
-	if e.plan.End == EndCut || e.plan.End == EndCutByReset {
+	if e.plan.End == EndCut || e.plan.End == EndCutByReset || e.plan.End == EndStalled {
 		e.cut(text, start)
 		return false
 	}
@@ -136,12 +137,16 @@
 	return true
 }
 
-// cut sends a part of a response and ends the connection. The body of the response begins at start.
+// cut sends a part of a response and ends the connection, or waits for its end. The body begins at start.
 func (e *exchange) cut(text string, start int) {
 	if start == len(text) {
 		start = 0
 	}
 	_ = e.conn.write(text[:start+(len(text)-start)/2])
+	if e.plan.End == EndStalled {
+		_, _ = io.Copy(io.Discard, e.conn.reader)
+		return
+	}
 	if e.plan.End == EndCutByReset || e.plan.Framing == ByClose {
 		// An orderly close of a body without a length would look like its end.
 		e.conn.reset()
@@ -164,7 +169,7 @@
 		header += "Connection: close\r\n"
 	}
 	framing := e.plan.Framing
-	if e.plan.Action != ActionRun || status/100 != 2 {
+	if framing == ByClose && (e.plan.Action != ActionRun || status/100 != 2) {
 		framing = ByLength
 	}
 	switch framing {
@@ -235,5 +240,6 @@
 		header += e.name("0" + e.sent.ID)
 	default:
 	}
-	return head(f.Status, header+"Content-Length: 0\r\n")
+	length := max(f.BodyBytes+f.LengthError, 0)
+	return head(f.Status, fmt.Sprintf("%sContent-Length: %d\r\n", header, length)) + strings.Repeat("f", f.BodyBytes)
 }
--- a/standin/scripted/plan.go
+++ b/standin/scripted/plan.go
@@ -36,6 +36,8 @@
 	EndCut
 	// EndCutByReset resets it there.
 	EndCutByReset
+	// EndStalled sends nothing from there on and waits until the other side closes it.
+	EndStalled
 	// EndSilent sends nothing and waits until the other side closes it.
 	EndSilent
 )
@@ -92,6 +94,9 @@
 	// Status is the status of the response, unless it is Repeated. With IsRejection it says that the request was not run.
 	Status      int
 	IsRejection bool
+	// BodyBytes is the length of its body, unless it is Repeated. LengthError is how much the length that it announces
+	// is above that.
+	BodyBytes, LengthError int
 	// Pause is that of AfterPause.
 	Pause time.Duration
 }
@@ -111,8 +116,10 @@
 	Status int
 	// IsUnnamed leaves out the ID of the request in a rejection.
 	IsUnnamed bool
-	Framing   Framing
-	End       End
+	// RejectionBytes is the length of the body of a rejection.
+	RejectionBytes int
+	Framing        Framing
+	End            End
 	// MaxIdle closes a kept connection on which no request has begun for that long; 0 keeps it open.
 	MaxIdle time.Duration
 	Further []Further
--- a/standin/scripted/server_test.go
+++ b/standin/scripted/server_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -122,3 +126,70 @@
 		t.Errorf("got the end of the connection after %v, want it after %v", took, maxIdle)
 	}
 }
+
+// TestStalledResponseKeepsItsConnection guards against a stalled response that ends, or is whole.
+func TestStalledResponseKeepsItsConnection(t *testing.T) {
+	ledger := NewLedger()
+	ledger.Sent(Request{
+		ID: "a",
+	})
+	const rejectionBytes = 60
+	conn, reader := newServer(t, ledger, Plan{
+		Action:         ActionReject,
+		RejectionBytes: rejectionBytes,
+		End:            EndStalled,
+	})
+	writeHead(t, conn, "a", 0)
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	const wait = 50 * time.Millisecond
+	if err := conn.SetReadDeadline(time.Now().Add(wait)); err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(response.Body)
+	if got, want := len(body), rejectionBytes/2; got != want || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("got %d bytes of the body and %v, want %d and an open connection", got, err, want)
+	}
+}
+
+// TestFurtherResponseMayAnnounceAWrongLength guards against further responses whose length is right.
+func TestFurtherResponseMayAnnounceAWrongLength(t *testing.T) {
+	ledger := NewLedger()
+	for _, id := range []string{"a", "b"} {
+		ledger.Sent(Request{
+			ID: id,
+		})
+	}
+	const bodyBytes, lengthError = 40, 30
+	conn, reader := newServer(t, ledger, Plan{
+		Action: ActionReject,
+		Further: []Further{
+			{
+				Moment:      WhereDue,
+				Content:     SameRequest,
+				Status:      http.StatusServiceUnavailable,
+				BodyBytes:   bodyBytes,
+				LengthError: lengthError,
+			},
+		},
+	})
+	writeHead(t, conn, "a", 0)
+	expectStatus(t, reader, http.StatusServiceUnavailable)
+	writeHead(t, conn, "b", 0)
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := strings.Repeat("f", bodyBytes) + "HTTP/1.1 503 Service Unavailable"[:lengthError]
+	if got := string(body); got != want {
+		t.Errorf("got the body %q, want %q", got, want)
+	}
+}
