soak: Restart servers beside drawn exchanges, and have callers pause in their requests

Servers end as in a crash and come back with another ID at the same address, so that requests for the one before get a 421. Callers pause at any byte of a request, some for longer than it may take, so that a 408 is checked, too.

--- a/cmd/slipwickd/soak/exchangecaller_test.go
+++ b/cmd/slipwickd/soak/exchangecaller_test.go
@@ -31,6 +31,10 @@
 	longPercent    = 2
 	chunkedPercent = 25
 	longBodyBytes  = 256 << 10
+	// slowPercent is the percentage of requests whose callers pause within them, for up to maxSlowPause, unless the
+	// servers are sound: some of these pauses are longer than the request may take.
+	slowPercent  = 4
+	maxSlowPause = exchangeTimeout * 3 / 2
 )
 
 // exchangeCaller sends one request after the other over a connection that it keeps.
@@ -154,9 +158,18 @@
 	} else {
 		extra += fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
-	_, err := fmt.Fprintf(c.conn, "%s /%s/x HTTP/1.1\r\nHost: soak.example\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n"+
+	text := fmt.Sprintf("%s /%s/x HTTP/1.1\r\nHost: soak.example\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n"+
 		"Authorization: Bearer %s\r\n%s\r\n%s",
 		method, routes[request.Kind], request.ID, left.Milliseconds(), workspaceKey, extra, body)
+	if len(c.fleet.mix.Load().Plans) > 0 && rand.IntN(100) < slowPercent {
+		at := rand.IntN(len(text))
+		if _, err := io.WriteString(c.conn, text[:at]); err != nil {
+			return err
+		}
+		time.Sleep(rand.N(maxSlowPause))
+		text = text[at:]
+	}
+	_, err := io.WriteString(c.conn, text)
 	return err
 }
 
--- a/cmd/slipwickd/soak/exchangefleet_test.go
+++ b/cmd/slipwickd/soak/exchangefleet_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -43,13 +44,24 @@
 	recorder *recorder
 	ledger   *scripted.Ledger
 	gateways []*gateway
-	servers  []*scripted.Server
+	store    *store
+	// servers are the servers that were started, slots where each of the pools' servers runs.
+	mu      sync.Mutex
+	servers []*scripted.Server
+	slots   [2 * serversPerPool]serverSlot
 	// links are the links to the servers, by group of gateways.
 	links   [linkGroups][]*proxy
 	mix     atomic.Pointer[scripted.Mix]
 	callers atomic.Int64
 }
 
+// serverSlot is a place where one server runs after the other, with the same address.
+type serverSlot struct {
+	mu       sync.Mutex
+	server   *scripted.Server
+	restarts int
+}
+
 func newExchangeFleet(t *testing.T) *exchangeFleet {
 	t.Helper()
 	host := loopback.Host()
@@ -60,10 +72,10 @@
 	}
 	f.mix.Store(&scripted.Mix{})
 	s := newStore(t, host)
-	f.recorder.store = s
+	f.store, f.recorder.store = s, s
 	s.put("config", "main", exchangeConfiguration())
-	for i := range 2 * serversPerPool {
-		f.addServer(s, host, i)
+	for i := range f.slots {
+		f.addSlot(host, i)
 	}
 	binary := *exchangeBinary
 	if binary == "" {
@@ -76,15 +88,30 @@
 	return f
 }
 
-// addServer starts a server and lists it in the store.
-func (f *exchangeFleet) addServer(s *store, host string, number int) {
+// addSlot starts a server behind links of its own and lists it in the store.
+func (f *exchangeFleet) addSlot(host string, number int) {
 	f.t.Helper()
-	listener, err := net.Listen("tcp4", host+":0")
+	server, err := f.startServer(host, number)
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	for i := range f.links {
+		link := newProxy(f.t, host, server.Listener.Addr().String())
+		link.bufferBytes.Store(linkBufferBytes)
+		f.links[i] = append(f.links[i], link)
+	}
+	f.list(server, number)
+}
+
+// startServer starts the next server of a slot. Each one has an ID of its own.
+func (f *exchangeFleet) startServer(host string, number int) (*scripted.Server, error) {
+	listener, err := net.Listen("tcp4", host+":0")
+	if err != nil {
+		return nil, err
+	}
+	slot := &f.slots[number]
 	server := &scripted.Server{
-		ID:             fmt.Sprintf("i-%08x", 0x7f3a0000+number),
+		ID:             fmt.Sprintf("i-%04x%04x", 0x7f3a+slot.restarts, number),
 		Listener:       listener,
 		Headers:        platform.Headers(),
 		NotRunValue:    "1",
@@ -96,24 +123,58 @@
 		Work:           exchangeWork,
 		Plan:           func(send scripted.Send) scripted.Plan { return f.mix.Load().PlanFor(send) },
 	}
+	slot.server = server
+	slot.restarts++
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.servers = append(f.servers, server)
 	go server.Run()
 	f.t.Cleanup(server.Close)
-	for i := range f.links {
-		link := newProxy(f.t, host, listener.Addr().String())
-		link.bufferBytes.Store(linkBufferBytes)
-		f.links[i] = append(f.links[i], link)
-	}
+	return server, nil
+}
+
+// list writes the entry of a server to the store.
+func (f *exchangeFleet) list(server *scripted.Server, number int) {
 	pool := poolPlain
 	if number >= serversPerPool {
 		pool = poolEngines
 	}
-	s.put("servers", server.ID, map[string]any{
+	f.store.put("servers", server.ID, map[string]any{
 		"service": pool, "address": f.links[0][number].address, "zone": siteZones[number%len(siteZones)],
 		"version": "v1", "slots": exchangeSlots, "state": "ready", "cold_remaining_ms": 0, "sequence": 1,
 	})
 }
 
+// restartServer ends a server as a crash does and, some time later, starts one with another ID at its address. The
+// entry of the one that has ended stays in the store until then.
+func (f *exchangeFleet) restartServer(d disruption) {
+	number := d.Server % len(f.slots)
+	slot := &f.slots[number]
+	slot.mu.Lock()
+	defer slot.mu.Unlock()
+	ended := slot.server
+	for _, links := range f.links {
+		links[number].close()
+	}
+	ended.Close()
+	time.Sleep(d.Duration)
+	host, _, _ := net.SplitHostPort(ended.Listener.Addr().String())
+	server, err := f.startServer(host, number)
+	if err != nil {
+		f.t.Error(err)
+		return
+	}
+	for _, links := range f.links {
+		link := links[number]
+		if err := link.open(link.address, server.Listener.Addr().String()); err != nil {
+			f.t.Error(err)
+		}
+		link.setMode(proxyForwards)
+	}
+	f.store.removeServer(ended.ID)
+	f.list(server, number)
+}
+
 // storeOf returns the address of the store for a group of gateways, which gives them the addresses of their links.
 func (f *exchangeFleet) storeOf(s *store, group int) string {
 	var addresses []string
--- a/cmd/slipwickd/soak/exchanges_test.go
+++ b/cmd/slipwickd/soak/exchanges_test.go
@@ -118,7 +118,7 @@
 	}
 	return disruption{
 		Kind: rapid.SampledFrom([]string{
-			"kill", "terminate", "freeze", "cut", "reset", "cut server", "reset server", "freeze", "kill",
+			"kill", "terminate", "freeze", "cut", "reset", "cut server", "reset server", "restart server", "freeze", "kill",
 		}).Draw(rt, "kind"),
 		After:    milliseconds(0, playTime, "after"),
 		Duration: milliseconds(minDisruptionTime, maxDisruptionTime, "for"),
@@ -143,6 +143,8 @@
 		g.signal(syscall.SIGSTOP, true)
 		time.Sleep(d.Duration)
 		g.signal(syscall.SIGCONT, false)
+	case "restart server":
+		f.restartServer(d)
 	default:
 		f.cut(d)
 	}
@@ -193,6 +195,8 @@
 // awaitIdle waits until no server works on a request, for maxLateTime at most.
 func (f *exchangeFleet) awaitIdle() {
 	isBusy := func(s *scripted.Server) bool { return s.InFlight() > 0 }
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for started := time.Now(); time.Since(started) < maxLateTime; time.Sleep(pollInterval) {
 		if !slices.ContainsFunc(f.servers, isBusy) {
 			return
