soak: Log for how long requests held places of sound servers

The check of requests that sound servers serve failed once with 84 gateways: 3,663 of 4,054. It was supposed that the servers had too little processor time. The test logs for how long requests held places now.

--- a/cmd/slipwickd/soak/exchanges_test.go
+++ b/cmd/slipwickd/soak/exchanges_test.go
@@ -61,10 +61,13 @@
 	for range recoveryPlays {
 		f.play(&scripted.Mix{}, nil)
 	}
-	before := f.ledger.Counts()
+	before, heldBefore := f.ledger.Counts(), f.held()
 	f.play(&scripted.Mix{}, nil)
 	after := f.ledger.Counts()
 	sound := after.Since(before)
+	t.Logf("sound servers: %d runs held places for %v each; they work %v on one, and their %d places can be held for %v",
+		sound.Runs, (f.held()-heldBefore)/time.Duration(max(sound.Runs, 1)), exchangeWork,
+		len(f.slots)*exchangeSlots, time.Duration(len(f.slots)*exchangeSlots)*playTime)
 	if served := sound.ByStatus[200]; float64(served) < minSoundShare*float64(sound.Requests) {
 		t.Errorf("got %d of %d requests served by sound servers, by status %v", served, sound.Requests, sound.ByStatus)
 	}
@@ -204,6 +207,17 @@
 	}
 }
 
+// held returns for how long requests have held places of all servers.
+func (f *exchangeFleet) held() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var sum time.Duration
+	for _, s := range f.servers {
+		sum += s.Held()
+	}
+	return sum
+}
+
 // areReady reports whether all gateways are ready.
 func (f *exchangeFleet) areReady() bool {
 	return !slices.ContainsFunc(f.gateways, func(g *gateway) bool { return !g.isReady() })
--- a/standin/scripted/exchange.go
+++ b/standin/scripted/exchange.go
@@ -57,6 +57,8 @@
 		return e.reject(0)
 	}
 	defer e.server.leave()
+	entered := time.Now()
+	defer func() { e.server.held.Add(int64(time.Since(entered))) }()
 	switch {
 	case e.conn.isClosed():
 		return false
--- a/standin/scripted/server.go
+++ b/standin/scripted/server.go
@@ -44,8 +44,10 @@
 	places chan struct{}
 	// waiting counts the requests that wait for a place, inFlight all that are not over.
 	waiting, inFlight atomic.Int64
-	mu                sync.Mutex
-	open              map[net.Conn]struct{}
+	// held is how long requests have held places, in nanoseconds.
+	held atomic.Int64
+	mu   sync.Mutex
+	open map[net.Conn]struct{}
 	// isClosed says that Close was called.
 	isClosed bool
 }
@@ -174,6 +176,9 @@
 // InFlight returns the number of requests that are not over.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
+// Held returns for how long requests have held places, all together.
+func (s *Server) Held() time.Duration { return time.Duration(s.held.Load()) }
+
 // enter takes a place and reports whether there was one.
 func (s *Server) enter() bool {
 	if s.waiting.Add(1) > int64(s.Queue) {
