--- a/balance/spread.go
+++ b/balance/spread.go
@@ -15,8 +15,9 @@
 	// above the bound fills the room of an average engine. Requests stay for several times as long as other routers
 	// take to learn of them, so that one engine for each would soon be above the bound as well.
 	enginesPerOvershoot = 8.0
-	minSpread           = 1.0
-	maxSpread           = 24
+	// A spread among fewer than minSpread engines has ended.
+	minSpread = 1.0
+	maxSpread = 24
 	// spreadDecayTime is the time constant with which a spread ends once no engine is above the bound.
 	spreadDecayTime = time.Second
 	// maxSpreadPrompts bounds the prompts whose spread is remembered.
