--- a/cmd/slipwickd/soak/exchangefleet_test.go
+++ b/cmd/slipwickd/soak/exchangefleet_test.go
@@ -45,7 +45,7 @@
 	ledger   *scripted.Ledger
 	gateways []*gateway
 	store    *store
-	// servers are the servers that were started, slots where each of the pools' servers runs.
+	// servers are those that were started, guarded by mu; slots is where the servers of the pools run.
 	mu      sync.Mutex
 	servers []*scripted.Server
 	slots   [2 * serversPerPool]serverSlot
@@ -57,9 +57,11 @@
 
 // serverSlot is a place where one server runs after the other, with the same address.
 type serverSlot struct {
-	mu       sync.Mutex
-	server   *scripted.Server
-	restarts int
+	// mu is held while a server is replaced.
+	mu     sync.Mutex
+	server *scripted.Server
+	// started counts the servers so far.
+	started int
 }
 
 func newExchangeFleet(t *testing.T) *exchangeFleet {
@@ -111,7 +113,7 @@
 	}
 	slot := &f.slots[number]
 	server := &scripted.Server{
-		ID:             fmt.Sprintf("i-%04x%04x", 0x7f3a+slot.restarts, number),
+		ID:             fmt.Sprintf("i-%04x%04x", 0x7f3a+slot.started, number),
 		Listener:       listener,
 		Headers:        platform.Headers(),
 		NotRunValue:    "1",
@@ -124,7 +126,7 @@
 		Plan:           func(send scripted.Send) scripted.Plan { return f.mix.Load().PlanFor(send) },
 	}
 	slot.server = server
-	slot.restarts++
+	slot.started++
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.servers = append(f.servers, server)
