--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -6,4 +6,4 @@
 trouble=true
 test "$TROUBLE" = 0 && trouble=false
 test -x target/stand2 || { echo "run review/build-2.sh first"; exit 2; }
-exec target/stand2 -case open-route -gateway target/slipwickd -record "$folder/record.txt" -trouble=$trouble
+exec target/stand2 -case last-tenant -gateway target/slipwickd -record "$folder/record.txt" -trouble=$trouble
