Review: an entry of another writer that lacks fields is used as a replica

Seen: an entry without version, cold_remaining_ms, sequence and born counts as a replica. A fifth of the proper requests goes to the server at its address, and its 404 goes to the clients.

Nothing was changed in the product.

--- a/review/stand2/keys.go
+++ b/review/stand2/keys.go
@@ -68,22 +68,31 @@
 	}
 }
 
-// play plays a case; with trouble the key is taken away. It returns how many requests ran although every
-// configuration that may be in force has dropped their key.
-func (c *keyCase) play(program string, hasTrouble bool, rec *record) (broken int, err error) {
+// startBackend starts a store with a configuration that has the tenants, and the replicas.
+func startBackend(tenants []tenant) (*store, *ledger, error) {
 	s, err := startStore()
 	if err != nil {
-		return 0, err
+		return nil, nil, err
 	}
-	if err := s.put("config", "main", configuration(7, c.before)); err != nil {
-		return 0, err
+	if err := s.put("config", "main", configuration(7, tenants)); err != nil {
+		return nil, nil, err
 	}
 	runs := newLedger()
 	for i := range replicaCount {
 		if _, err := startReplica("i-replica-"+string(rune('a'+i)), serviceName, s, runs); err != nil {
-			return 0, err
+			return nil, nil, err
 		}
 	}
+	return s, runs, nil
+}
+
+// play plays a case; with trouble the key is taken away. It returns how many requests ran although every
+// configuration that may be in force has dropped their key.
+func (c *keyCase) play(program string, hasTrouble bool, rec *record) (broken int, err error) {
+	s, runs, err := startBackend(c.before)
+	if err != nil {
+		return 0, err
+	}
 	f, err := startFleet(program, s.address, gatewayCount)
 	if err != nil {
 		return 0, err
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -31,12 +31,12 @@
 		fmt.Println(err)
 		return exitNotPlayed
 	}
-	c, ok := keyCases[name]
-	if !ok {
-		fmt.Println("unknown case", name)
-		return exitNotPlayed
+	broken, err := 0, errNotPlayed
+	if c, ok := keyCases[name]; ok {
+		broken, err = c.play(program, hasTrouble, rec)
+	} else if c, ok := entryCases[name]; ok {
+		broken, err = c.play(program, hasTrouble, rec)
 	}
-	broken, err := c.play(program, hasTrouble, rec)
 	switch {
 	case err != nil:
 		rec.add("not played: %v", err)
--- a/review/stand2/replica.go
+++ b/review/stand2/replica.go
@@ -71,6 +71,7 @@
 		"state":             "ready",
 		"cold_remaining_ms": 0,
 		"sequence":          1,
+		"born":              time.Now().UnixMilli(),
 	})
 }
 
