Review: scripts end their processes when they are cut off

Seen: a script that was killed left its gateways running. They end with it now, by a signal of the kernel or by its own handler, and all ports that a gateway uses are looked at before an address is taken.

After KILL its temporary folder stays.

--- a/review/stand2/gateway.go
+++ b/review/stand2/gateway.go
@@ -8,7 +8,10 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"sync"
+	"syscall"
 	"time"
 )
 
@@ -17,6 +20,8 @@
 	readyPort    = 8220
 	controlPort  = 8229
 	internalPort = 7340
+	// metricsPort is that of the deploy file.
+	metricsPort  = 9464
 	readyTimeout = 10 * time.Second
 	stopTimeout  = 12 * time.Second
 )
@@ -32,7 +37,11 @@
 // fleet has the gateways of a deployment, and the folder of their settings and logs.
 type fleet struct {
 	program, folder string
-	gateways        []*gateway
+
+	// mu guards the fields after it: a signal may end the fleet while it starts.
+	mu        sync.Mutex
+	isStopped bool
+	gateways  []*gateway
 }
 
 // startFleet starts gateways and waits until all are ready.
@@ -45,6 +54,7 @@
 		program: program,
 		folder:  folder,
 	}
+	stopOnSignal(f)
 	network := freeNetwork(count)
 	var seeds []string
 	for i := range count {
@@ -69,18 +79,24 @@
 	return f, nil
 }
 
+// stopOnSignal ends the fleet and this process when the script is cut off by a signal that can be handled.
+func stopOnSignal(f *fleet) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-signals
+		f.stop()
+		os.Exit(exitNotPlayed)
+	}()
+}
+
 // freeNetwork returns the first three numbers of loopback addresses whose ports are free.
 func freeNetwork(count int) string {
 	for {
 		network := fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250))
 		isFree := true
 		for i := range count {
-			listener, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", network, i+1, frontendPort))
-			if err != nil {
-				isFree = false
-				break
-			}
-			_ = listener.Close()
+			isFree = isFree && hasFreePorts(fmt.Sprintf("%s.%d", network, i+1))
 		}
 		if isFree {
 			return network
@@ -88,6 +104,25 @@
 	}
 }
 
+// hasFreePorts reports whether the ports that a gateway uses are free at an address.
+func hasFreePorts(ip string) bool {
+	for _, port := range []int{frontendPort, readyPort, controlPort, metricsPort, internalPort} {
+		listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
+		if err != nil {
+			return false
+		}
+		_ = listener.Close()
+	}
+	for port := internalPort; port < internalPort+3; port++ {
+		connection, err := net.ListenPacket("udp", fmt.Sprintf("%s:%d", ip, port))
+		if err != nil {
+			return false
+		}
+		_ = connection.Close()
+	}
+	return true
+}
+
 // start writes the settings of a gateway and starts its process as the deploy file says.
 func (f *fleet) start(g *gateway, storeAddress string, seeds []string) error {
 	text, err := json.Marshal(settings(g, storeAddress, seeds))
@@ -105,6 +140,15 @@
 	g.process = exec.Command(f.program, "gateway")
 	g.process.Env = []string{"SLIPWICK_NODE_FILE=" + path, "PATH=" + os.Getenv("PATH"), "HOME=" + f.folder}
 	g.process.Stdout, g.process.Stderr = log, log
+	// The gateway ends with this process, also if that is killed; see init.
+	g.process.SysProcAttr = &syscall.SysProcAttr{
+		Pdeathsig: syscall.SIGKILL,
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.isStopped {
+		return errNotPlayed
+	}
 	if err := g.process.Start(); err != nil {
 		return err
 	}
@@ -173,6 +217,9 @@
 
 // stop ends all processes and removes their files.
 func (f *fleet) stop() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.isStopped = true
 	for _, g := range f.gateways {
 		_ = g.process.Process.Kill()
 		select {
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"runtime"
 )
 
 // The exit codes of a script.
@@ -16,6 +17,10 @@
 
 var errNotPlayed = errors.New("the case could not be played: requests failed, or none was served")
 
+// init keeps the main goroutine, which starts the gateways, on the first thread: they get their signal when the thread
+// that started them ends.
+func init() { runtime.LockOSThread() }
+
 func main() {
 	name := flag.String("case", "", "name of the case")
 	program := flag.String("gateway", "target/slipwickd", "program of the gateway")
