Review: case 8, requests that wait for a replica's other bodies are sent to it after it left

Seen: a gateway chooses a replica, then waits within the exchange until the replica has read more of other bodies, and sends without asking whether it still accepts requests.

--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -26,20 +26,25 @@
 
 // send sends a request with a key to a gateway and waits for the answer.
 func send(client *http.Client, g *gateway, path, key string) *sent {
+	return sendBody(client, g, path, key, strings.NewReader("body"), requestDeadline)
+}
+
+// sendBody sends a request with a body and a deadline.
+func sendBody(client *http.Client, g *gateway, path, key string, body io.Reader, deadline time.Duration) *sent {
 	s := &sent{
 		id:   fmt.Sprintf("%016x", 0x51ab000000+sequence.Add(1)),
 		path: path,
 		key:  key,
 		at:   time.Now(),
 	}
-	request, err := http.NewRequest(http.MethodPost, "http://"+g.frontend()+path, strings.NewReader("body"))
+	request, err := http.NewRequest(http.MethodPost, "http://"+g.frontend()+path, body)
 	if err != nil {
 		s.err = err
 		return s
 	}
 	request.Host = serviceHost
 	request.Header.Set("Request-Id", s.id)
-	request.Header.Set("Deadline-Ms", strconv.FormatInt(requestDeadline.Milliseconds(), 10))
+	request.Header.Set("Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
 	request.Header.Set("Authorization", "Bearer "+key)
 	response, err := client.Do(request)
 	if err != nil {
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -41,6 +41,8 @@
 		broken, err = c.play(program, hasTrouble, rec)
 	} else if c, ok := entryCases[name]; ok {
 		broken, err = c.play(program, hasTrouble, rec)
+	} else if c, ok := readCases[name]; ok {
+		broken, err = c.play(program, hasTrouble, rec)
 	}
 	switch {
 	case err != nil:
--- a/review/stand2/record.go
+++ b/review/stand2/record.go
@@ -34,3 +34,6 @@
 	// If the file cannot be written, the exit code still tells the result.
 	_, _ = fmt.Fprintf(r.file, "%9.3f  %s\n", time.Since(r.started).Seconds(), line)
 }
+
+// seconds returns the seconds from the start to a time.
+func (r *record) seconds(at time.Time) float64 { return at.Sub(r.started).Seconds() }
