--- a/review/stand2/entries.go
+++ b/review/stand2/entries.go
@@ -85,7 +85,7 @@
 	if err != nil {
 		return 0, err
 	}
-	f, err := startFleet(program, s.address, gatewayCount)
+	f, err := startFleet(program, s.address, gatewayCount, listings)
 	if err != nil {
 		return 0, err
 	}
--- a/review/stand2/gateway.go
+++ b/review/stand2/gateway.go
@@ -26,6 +26,18 @@
 	stopTimeout  = 12 * time.Second
 )
 
+// deployment has the settings that differ between sites.
+type deployment struct {
+	memoryMB, descriptors, retryExtra, recoveryS int
+	contact, drainTimeout, configApply           time.Duration
+}
+
+var (
+	// listings is chantha-board, bookkeeping the smallest machine of ledgerlight-grown.
+	listings    = deployment{284, 4100, 56, 12, 3 * time.Second, 2 * time.Second, configApply}
+	bookkeeping = deployment{415, 8192, 168, 15, 4 * time.Second, drainTimeout, 3 * time.Second}
+)
+
 // gateway is a gateway process.
 type gateway struct {
 	name, ip string
@@ -37,6 +49,7 @@
 // fleet has the gateways of a deployment, and the folder of their settings and logs.
 type fleet struct {
 	program, folder string
+	deployment      deployment
 
 	// mu guards the fields after it: a signal may end the fleet while it starts.
 	mu        sync.Mutex
@@ -45,14 +58,15 @@
 }
 
 // startFleet starts gateways and waits until all are ready.
-func startFleet(program, storeAddress string, count int) (*fleet, error) {
+func startFleet(program, storeAddress string, count int, of deployment) (*fleet, error) {
 	folder, err := os.MkdirTemp("", "stand2-")
 	if err != nil {
 		return nil, err
 	}
 	f := &fleet{
-		program: program,
-		folder:  folder,
+		program:    program,
+		folder:     folder,
+		deployment: of,
 	}
 	stopOnSignal(f)
 	network := freeNetwork(count)
@@ -125,7 +139,7 @@
 
 // start writes the settings of a gateway and starts its process as the deploy file says.
 func (f *fleet) start(g *gateway, storeAddress string, seeds []string) error {
-	text, err := json.Marshal(settings(g, storeAddress, seeds))
+	text, err := json.Marshal(settings(g, storeAddress, seeds, f.deployment))
 	if err != nil {
 		return err
 	}
@@ -163,7 +177,7 @@
 }
 
 // settings returns the settings of a process of a small deployment.
-func settings(g *gateway, storeAddress string, seeds []string) map[string]any {
+func settings(g *gateway, storeAddress string, seeds []string, of deployment) map[string]any {
 	return map[string]any{
 		"node_name":     g.name,
 		"role":          "gateway",
@@ -181,15 +195,16 @@
 		"internal_port_range":   []int{internalPort, internalPort + 15},
 		"seed_nodes":            seeds,
 		"bootstrap":             true,
-		"limits":                map[string]any{"memory_mb": 284, "file_descriptors": 4100},
+		"limits":                map[string]any{"memory_mb": of.memoryMB, "file_descriptors": of.descriptors},
 		"heartbeat_interval_ms": 1200,
 		"contracts": []string{
 			"base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "platform",
 		},
 		"bounds": map[string]any{
-			"contact_ms": 3000, "drain_timeout_ms": 2000, "grace_period_s": 8, "loss_slack_ms": 200,
-			"config_apply_ms": configApply.Milliseconds(), "retry_budget_ratio": 0.2, "retry_window_s": 10,
-			"retry_budget_extra": 56, "recovery_s": 12, "capacity_factor": 2,
+			"contact_ms": of.contact.Milliseconds(), "drain_timeout_ms": of.drainTimeout.Milliseconds(), "grace_period_s": 8,
+			"loss_slack_ms": 200,
+			"config_apply_ms": of.configApply.Milliseconds(), "retry_budget_ratio": 0.2, "retry_window_s": 10,
+			"retry_budget_extra": of.retryExtra, "recovery_s": of.recoveryS, "capacity_factor": 2,
 		},
 		"platform_settings": map[string]any{"address": storeAddress, "form": "objects"},
 	}
--- a/review/stand2/keys.go
+++ b/review/stand2/keys.go
@@ -93,7 +93,7 @@
 	if err != nil {
 		return 0, err
 	}
-	f, err := startFleet(program, s.address, gatewayCount)
+	f, err := startFleet(program, s.address, gatewayCount, listings)
 	if err != nil {
 		return 0, err
 	}
--- a/review/stand2/replica.go
+++ b/review/stand2/replica.go
@@ -57,10 +57,13 @@
 	ledger      *ledger
 	// born is when it started, in Unix milliseconds.
 	born int64
-	// readsSlowly says that it takes its time to read bodies.
-	readsSlowly atomic.Bool
+	// readsSlowly says that it takes its time to read bodies, isLeaving that it has said that it leaves.
+	readsSlowly, isLeaving atomic.Bool
 }
 
+// healthPath is the path at which a replica says whether it is well.
+const healthPath = "/health"
+
 // startReplica starts a replica of a service and writes its entry into the store.
 func startReplica(id, service string, s *store, l *ledger) (*replica, error) {
 	listen := net.ListenConfig{
@@ -92,7 +95,7 @@
 		"address":           r.address,
 		"zone":              "zone-1",
 		"version":           "v1",
-		"slots":             64,
+		"slots":             48,
 		"state":             state,
 		"cold_remaining_ms": 0,
 		"sequence":          sequence,
@@ -114,6 +117,16 @@
 
 // ServeHTTP runs a request unless it expects another replica.
 func (r *replica) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	if r.isLeaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if request.URL.Path == healthPath {
+		w.Header().Set("Instance-Id", r.id)
+		if r.isLeaving.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
 	id := request.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
 	if request.Header.Get("Expect-Instance") != r.id {
@@ -132,6 +145,9 @@
 		// The gateway has left.
 		return
 	}
+	if r.isLeaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	w.Header().Set("Response-Stamp", "stamp-"+r.id+"-"+id)
 	// An error means that the gateway has left.
 	_, _ = fmt.Fprintf(w, "response to %s\n", id)
--- a/review/stand2/slowread.go
+++ b/review/stand2/slowread.go
@@ -12,20 +12,20 @@
 
 const (
 	uploadPath = "/upload/"
-	// uploadBytes is the size of a body, five eighths of max_body_bytes; uploadTimeout is the route's timeout and the
+	// uploadBytes is the size of a body, that of max_body_bytes; uploadTimeout is the route's timeout and the
 	// client's deadline, uploadTarget the route's target latency.
-	uploadBytes   = 5 << 19
+	uploadBytes   = 4 << 20
 	uploadTimeout = 12 * time.Second
-	uploadTarget  = 2 * time.Second
+	uploadTarget  = 600 * time.Millisecond
 	// uploadsPerGateway is how many clients upload through each gateway, one body after the other.
-	uploadsPerGateway = 27
-	// slowPiece is what a replica that reads slowly reads of a body every slowPause: 0.8 MB a second.
-	slowPiece, slowPause = 16 << 10, 20 * time.Millisecond
+	uploadsPerGateway = 24
+	// slowPiece is what a replica that reads slowly reads of a body every slowPause: some 2.3 MB a second.
+	slowPiece, slowPause = 16 << 10, 7 * time.Millisecond
 	// succeededAt is when the service's next replica is ready, leavesAt when the one before says that it leaves, and
 	// uploadTime for how long bodies are sent.
 	succeededAt, leavesAt, uploadTime = 12 * time.Second, 13 * time.Second, 18 * time.Second
 	// drainTimeout is the bound drain_timeout_ms of the settings.
-	drainTimeout = 2 * time.Second
+	drainTimeout = 3 * time.Second
 )
 
 // readCase is a case in which replicas read the bodies of requests slowly, while one of them says that it leaves.
@@ -52,7 +52,7 @@
 		return 0, err
 	}
 	leaving.readsSlowly.Store(hasTrouble)
-	f, err := startFleet(program, s.address, gatewayCount)
+	f, err := startFleet(program, s.address, gatewayCount, bookkeeping)
 	if err != nil {
 		return 0, err
 	}
@@ -87,6 +87,7 @@
 		return 0, err
 	}
 	leftAt := time.Now()
+	leaving.isLeaving.Store(true)
 	rec.add("the store has acknowledged that replica %s is draining; it goes on to serve until the end", leaving.id)
 	clients.Wait()
 	return judgeUploads(uploads, runs, leaving, leftAt, rec)
