--- a/review/stand2/gateway.go
+++ b/review/stand2/gateway.go
@@ -202,7 +202,7 @@
 		},
 		"bounds": map[string]any{
 			"contact_ms": of.contact.Milliseconds(), "drain_timeout_ms": of.drainTimeout.Milliseconds(), "grace_period_s": 8,
-			"loss_slack_ms": 200,
+			"loss_slack_ms":   200,
 			"config_apply_ms": of.configApply.Milliseconds(), "retry_budget_ratio": 0.2, "retry_window_s": 10,
 			"retry_budget_extra": of.retryExtra, "recovery_s": of.recoveryS, "capacity_factor": 2,
 		},
