An empty list of workspaces lets no request in

Callers saw: once the last workspace was removed together with its key, requests with the removed key, with a key that never was, and without any were run by backend servers.

Cause: the gateway asked for a key only if the table had workspaces, and the decoders gave an empty list and a missing one the same table. Ruled out: a version that isn't in force (routes of the new version answer, other keys are accepted as well), and a key that stays in the table (keys that never were are accepted, and with a workspace without keys the key is refused).

Why this works: routing.Table.AllowAnonymous is what the decoder found, a list that is missing, and false by default. Event 301 says it. The fixtures of gatewayd had tables without workspaces; their routes are open now.

The chat router looks keys up only; its tests held before.

--- a/cmd/internal/events/catalogue.go
+++ b/cmd/internal/events/catalogue.go
@@ -200,8 +200,8 @@
 		Name:   "configuration-in-force",
 		Level:  zerolog.InfoLevel,
 		Meaning: "A newer version of the configuration is in force; the store confirmed it age_ms ago, " +
-			"through `hops` routers.",
-		Remedy: "None.",
+			"through `hops` routers. The field anonymous says that no request needs a key.",
+		Remedy: "If anonymous is true though callers have keys, write a list of workspaces, which may be empty.",
 	}
 	PlatformCallFailed = Event{
 		Number:  302,
--- a/cmd/internal/gatewayd/cutoff_test.go
+++ b/cmd/internal/gatewayd/cutoff_test.go
@@ -131,6 +131,7 @@
 		routes = append(routes, routing.Route{
 			Name:              string(kind),
 			Host:              "a.example",
+			AllowAnonymous:    true,
 			Prefix:            "/" + string(kind) + "/",
 			Kind:              kind,
 			Timeout:           3 * time.Second,
--- a/cmd/internal/gatewayd/fixture_test.go
+++ b/cmd/internal/gatewayd/fixture_test.go
@@ -112,12 +112,13 @@
 				IdleTimeout: f.idleTimeout,
 			}, nil, []routing.Route{
 				{
-					Name:        "r",
-					Host:        "a.example",
-					Prefix:      "/" + name + "/",
-					Kind:        routing.KindSingle,
-					Timeout:     5 * time.Second,
-					MaxAttempts: 1,
+					Name:           "r",
+					Host:           "a.example",
+					AllowAnonymous: true,
+					Prefix:         "/" + name + "/",
+					Kind:           routing.KindSingle,
+					Timeout:        5 * time.Second,
+					MaxAttempts:    1,
 					Targets: []routing.Target{
 						{
 							Pool:   "p",
--- a/cmd/internal/gatewayd/follow.go
+++ b/cmd/internal/gatewayd/follow.go
@@ -60,7 +60,7 @@
 			p.setColdLimits()
 			p.metrics.version.Set(float64(c.Value.Version))
 			events.ConfigurationInForce.On(&p.Log).Uint64("version", c.Value.Version).
-				Dur("age_ms", monitor.age).Int("hops", monitor.hops).Send()
+				Bool("anonymous", c.Value.AllowAnonymous).Dur("age_ms", monitor.age).Int("hops", monitor.hops).Send()
 		}
 	}
 	follower.Run(ctx)
--- a/cmd/internal/gatewayd/notices_test.go
+++ b/cmd/internal/gatewayd/notices_test.go
@@ -187,13 +187,14 @@
 			IdleTimeout: f.idleTimeout,
 		}, nil, []routing.Route{
 			{
-				Name:        "chat",
-				Host:        "a.example",
-				Prefix:      "/",
-				Kind:        routing.KindStream,
-				Resumable:   true,
-				Timeout:     5 * time.Second,
-				MaxAttempts: 2,
+				Name:           "chat",
+				Host:           "a.example",
+				AllowAnonymous: true,
+				Prefix:         "/",
+				Kind:           routing.KindStream,
+				Resumable:      true,
+				Timeout:        5 * time.Second,
+				MaxAttempts:    2,
 				Targets: []routing.Target{
 					{
 						Pool:   "p",
--- a/cmd/internal/gatewayd/quarantine_test.go
+++ b/cmd/internal/gatewayd/quarantine_test.go
@@ -147,14 +147,15 @@
 			IdleTimeout: f.idleTimeout,
 		}, nil, []routing.Route{
 			{
-				Name:        "chat",
-				Host:        "a.example",
-				Prefix:      "/",
-				Kind:        routing.KindStream,
-				Resumable:   true,
-				Affinity:    true,
-				Timeout:     5 * time.Second,
-				MaxAttempts: 2,
+				Name:           "chat",
+				Host:           "a.example",
+				AllowAnonymous: true,
+				Prefix:         "/",
+				Kind:           routing.KindStream,
+				Resumable:      true,
+				Affinity:       true,
+				Timeout:        5 * time.Second,
+				MaxAttempts:    2,
 				Targets: []routing.Target{
 					{
 						Pool:   "p",
--- a/cmd/internal/gatewayd/streamversions_test.go
+++ b/cmd/internal/gatewayd/streamversions_test.go
@@ -87,12 +87,13 @@
 			IdleTimeout: f.idleTimeout,
 		}, nil, []routing.Route{
 			{
-				Name:        "chat",
-				Host:        "a.example",
-				Prefix:      "/",
-				Kind:        routing.KindStream,
-				Resumable:   true,
-				MaxAttempts: 1,
+				Name:           "chat",
+				Host:           "a.example",
+				AllowAnonymous: true,
+				Prefix:         "/",
+				Kind:           routing.KindStream,
+				Resumable:      true,
+				MaxAttempts:    1,
 				Targets: []routing.Target{
 					{
 						Pool:   "p",
--- /dev/null
+++ b/gateway/authenticate.go
@@ -0,0 +1,34 @@
+package gateway
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/slipwick/slipwick/routing"
+)
+
+// bearerScheme is the scheme of the Authorization header with which callers send their keys.
+const bearerScheme = "Bearer"
+
+// authenticate returns the workspace of the key that a request has, or nil if it has none and needs none.
+func authenticate(r *http.Request, table *routing.Table, route *routing.Route) (*routing.Workspace, *Refusal) {
+	if key, ok := bearerKey(r.Header); ok {
+		if workspace := table.Workspace(key); workspace != nil {
+			return workspace, nil
+		}
+	}
+	if table.RequiresKey(route) {
+		return nil, refuseNoKey(table.Version)
+	}
+	return nil, nil
+}
+
+// bearerKey returns the key of a request, and whether it has one. The case of the scheme's name does not matter.
+func bearerKey(header http.Header) (key string, ok bool) {
+	scheme, key, _ := strings.Cut(header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, bearerScheme) {
+		return "", false
+	}
+	key = strings.TrimLeft(key, " ")
+	return key, key != ""
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -191,12 +191,9 @@
 	if route == nil {
 		return nil, refuseNoRoute(table.Version)
 	}
-	var workspace *routing.Workspace
-	if apiKey, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer "); ok {
-		workspace = table.Workspace(apiKey)
-	}
-	if workspace == nil && !route.AllowAnonymous && table.WorkspaceCount > 0 {
-		return nil, refuseNoKey(table.Version)
+	workspace, refusal := authenticate(r, table, route)
+	if refusal != nil {
+		return nil, refusal
 	}
 	if limit := table.Limits.HeaderBytes; limit > 0 && headerBytes(r) > limit {
 		return nil, refuseHeader(limit)
--- a/routing/table.go
+++ b/routing/table.go
@@ -11,23 +11,23 @@
 	Version uint64
 	Limits  Limits
 	Pools   map[string]*Pool
-	// WorkspaceCount is the number of workspaces; if it is 0, no request needs a key.
-	WorkspaceCount int
+	// AllowAnonymous says that no request needs a key, as the configuration has no list of workspaces.
+	// An empty list is one: then requests need a key, and none is valid.
+	AllowAnonymous bool
 
 	hosts map[string]map[string]*Route
 	keys  map[string]*Workspace
 }
 
-// NewTable returns a table that refers to the elements of the slices; the caller must not change
-// them after.
+// NewTable returns a table whose requests need keys, unless their route or AllowAnonymous says
+// otherwise. It refers to the elements of the slices; the caller must not change them after.
 func NewTable(version uint64, limits Limits, pools []Pool, routes []Route, workspaces []Workspace) *Table {
 	t := &Table{
-		Version:        version,
-		Limits:         limits,
-		Pools:          make(map[string]*Pool, len(pools)),
-		WorkspaceCount: len(workspaces),
-		hosts:          make(map[string]map[string]*Route),
-		keys:           make(map[string]*Workspace),
+		Version: version,
+		Limits:  limits,
+		Pools:   make(map[string]*Pool, len(pools)),
+		hosts:   make(map[string]map[string]*Route),
+		keys:    make(map[string]*Workspace),
 	}
 	for i := range pools {
 		t.Pools[pools[i].Name] = &pools[i]
@@ -80,6 +80,11 @@
 	}
 }
 
+// RequiresKey reports whether requests for the route need the key of a workspace.
+func (t *Table) RequiresKey(r *Route) bool {
+	return !t.AllowAnonymous && !r.AllowAnonymous
+}
+
 // Workspace returns the workspace that a key belongs to; nil for an unknown key.
 func (t *Table) Workspace(key string) *Workspace {
 	return t.keys[key]
--- a/tablefile/feed_test.go
+++ b/tablefile/feed_test.go
@@ -99,3 +99,29 @@
 		t.Errorf("got %v, want the missing pool named", err)
 	}
 }
+
+// TestOnlyAMissingListOfWorkspacesNeedsNoKeys guards against a file whose last workspace was removed and that lets
+// every request in.
+func TestOnlyAMissingListOfWorkspacesNeedsNoKeys(t *testing.T) {
+	list := `"workspaces": [{"name": "w", "keys": ["a-long-key"]}],`
+	for replacement, want := range map[string]bool{
+		``:                               true,
+		`"workspaces": [],`:              false,
+		`"workspaces": [{"name": "w"}],`: false,
+		`"workspaces": [{"name": "w", "keys": []}],`: false,
+		list: false,
+	} {
+		file, err := Parse("table.jsonc", []byte(strings.Replace(validFile, list, replacement, 1)))
+		if err != nil {
+			t.Errorf("%s: %v", replacement, err)
+			continue
+		}
+		if got := file.Table().AllowAnonymous; got != want {
+			t.Errorf("%s: got that requests need no key %t, want %t", replacement, got, want)
+		}
+	}
+	null := strings.Replace(validFile, list, `"workspaces": null,`, 1)
+	if file, err := Parse("table.jsonc", []byte(null)); err == nil {
+		t.Errorf("null in place of the list: got %+v, want an error", file.Workspaces)
+	}
+}
--- a/tablefile/file.go
+++ b/tablefile/file.go
@@ -13,10 +13,12 @@
 // File is the content of a table file: the whole desired state of a gateway.
 type File struct {
 	// Version has to rise with each change; a lower version is ignored.
-	Version    uint64      `json:"version" validate:"required"`
-	Limits     Limits      `json:"limits"`
-	Routes     []Route     `json:"routes" validate:"dive"`
-	Pools      []Pool      `json:"pools" validate:"dive"`
+	Version uint64  `json:"version" validate:"required"`
+	Limits  Limits  `json:"limits"`
+	Routes  []Route `json:"routes" validate:"dive"`
+	Pools   []Pool  `json:"pools" validate:"dive"`
+	// Workspaces is nil if the file has no such list. Then requests need no key; with an empty list,
+	// they need one and none is valid.
 	Workspaces []Workspace `json:"workspaces" validate:"dive"`
 	// Evacuated are the data centres whose backend servers get no new requests. The
 	// list may change without a new version.
@@ -165,11 +167,13 @@
 			Regions:     w.Regions,
 		})
 	}
-	return routing.NewTable(f.Version, routing.Limits{
+	table := routing.NewTable(f.Version, routing.Limits{
 		HeaderBytes: f.Limits.HeaderBytes,
 		BodyBytes:   f.Limits.BodyBytes,
 		IdleTimeout: time.Duration(f.Limits.IdleTimeout),
 	}, pools, routes, workspaces)
+	table.AllowAnonymous = f.Workspaces == nil
+	return table
 }
 
 func (r *Route) translate() routing.Route {
