A key that no workspace has is refused on every route

Callers saw: a removed key, and one that never was, was run by backend servers on routes that also take requests without a key, and on all routes of a configuration without a list of workspaces. Such a request ran without a workspace, with the priority and the regions of the route.

Cause: the gateway took a key that it doesn't know for no key.

Why this works: a key that a request has must be that of a workspace in the configuration in force; nothing else is derived from it. Requests without a key are not affected.

--- a/gateway/authenticate.go
+++ b/gateway/authenticate.go
@@ -11,16 +11,20 @@
 const bearerScheme = "Bearer"
 
 // authenticate returns the workspace of the key that a request has, or nil if it has none and needs none.
+// A key that no workspace has is refused even where no key is needed: it may have been taken away.
 func authenticate(r *http.Request, table *routing.Table, route *routing.Route) (*routing.Workspace, *Refusal) {
-	if key, ok := bearerKey(r.Header); ok {
-		if workspace := table.Workspace(key); workspace != nil {
-			return workspace, nil
+	key, hasKey := bearerKey(r.Header)
+	if !hasKey {
+		if table.RequiresKey(route) {
+			return nil, refuseNoKey(table.Version)
 		}
+		return nil, nil
 	}
-	if table.RequiresKey(route) {
-		return nil, refuseNoKey(table.Version)
+	workspace := table.Workspace(key)
+	if workspace == nil {
+		return nil, refuseUnknownKey(table.Version)
 	}
-	return nil, nil
+	return workspace, nil
 }
 
 // bearerKey returns the key of a request, and whether it has one. The case of the scheme's name does not matter.
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -66,6 +66,15 @@
 	return &Refusal{
 		Status:     http.StatusUnauthorized,
 		Reason:     "no-key",
+		Message:    fmt.Sprintf("version %d of the configuration asks for the key of a workspace", version),
+		RetryAfter: noRetry,
+	}
+}
+
+func refuseUnknownKey(version uint64) *Refusal {
+	return &Refusal{
+		Status:     http.StatusUnauthorized,
+		Reason:     "unknown-key",
 		Message:    fmt.Sprintf("no workspace has this key in version %d of the configuration", version),
 		RetryAfter: noRetry,
 	}
