A stopping router sends nothing that it can't finish

Callers saw: in a planned stop of one router, in calm, requests whose bodies arrived late in the grace period ran at a server and got no response when the router ended, among them requests that may not be repeated.

Cause: the gateway asked whether it stops before the deadline once, before it read the body. Nothing asked again after the body, after waits for a permit, for other bodies at the server or for a connection, nor before a further send.

Why this works: upstream.Request.BeforeWrite is asked after all waits, right before the first byte. What it withholds didn't run, so that the 503 is true. Bodies and waits for permits end at once when the router begins to refuse. Requests that may have run are repeated while a usual response arrives before the end. At the end, requests in progress get 502 (503 if not sent) and the server is shut down in order, so that the last responses are written.

--- a/cmd/internal/gatewayd/process.go
+++ b/cmd/internal/gatewayd/process.go
@@ -36,8 +36,10 @@
 	// lateRequestTime is how long a draining router serves new requests after
 	// Bounds.announceTime, provided their timeout ends within it.
 	lateRequestTime = 3 * time.Second
-	// graceMargin is the part of the grace period that is left for closing connections.
-	graceMargin = 300 * time.Millisecond
+	// graceMargin is the part of the grace period that is left for the last responses and for closing connections,
+	// shutDownTime what the responses may take of it.
+	graceMargin  = 300 * time.Millisecond
+	shutDownTime = 150 * time.Millisecond
 	// headerTimeout bounds the time to read a request's header.
 	headerTimeout = 10 * time.Second
 )
@@ -195,7 +197,9 @@
 	case err = <-failed:
 		err = errors.Wrap(err, "serve")
 	}
-	for _, server := range servers {
+	// The first server is that of the callers.
+	shutDown(servers[0].Server)
+	for _, server := range servers[1:] {
 		_ = server.Close()
 	}
 	p.tunnelServer.Close()
@@ -227,17 +231,17 @@
 }
 
 // drain marks the router as not ready, serves until the load balancer has noticed, then
-// refuses new requests that could last too long, and returns when no request is in progress
+// refuses requests that could last too long, and returns when no request is in progress
 // or the grace period is over. Idle connections stay open until then, since closing one would
 // lose a request that is already on its way; responses tell callers to use other connections.
 func (p *Process) drain() {
 	started := clock.Now()
 	events.DrainStarted.On(&p.Log).Int64("in_flight", p.gateway.InFlight()).Send()
 	p.draining.Store(true)
-	p.gateway.Drain()
+	end := started.Add(time.Duration(p.gracePeriod.Load()) - graceMargin)
+	p.gateway.Drain(end)
 	p.tunnelServer.Drain()
 	p.node.Leave()
-	end := started.Add(time.Duration(p.gracePeriod.Load()) - graceMargin)
 	time.Sleep(clock.Until(earlier(end, started.Add(p.Settings.Bounds.announceTime()))))
 	p.gateway.StopAt(earlier(end, clock.Now().Add(lateRequestTime)))
 	for refusing := clock.Now(); clock.Now().Before(end); time.Sleep(drainCheckInterval) {
@@ -246,9 +250,19 @@
 		}
 	}
 	interrupted := p.gateway.InFlight()
+	p.gateway.EndRequests()
 	events.DrainFinished.On(&p.Log).Int64("cut", interrupted).Bool("in_time", interrupted == 0).Send()
 }
 
+// shutDown closes a server once its responses have been written, or shutDownTime is over.
+func shutDown(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutDownTime)
+	defer cancel()
+	if server.Shutdown(ctx) != nil {
+		_ = server.Close()
+	}
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/cmd/slipwickd/gateway_test.go
+++ b/cmd/slipwickd/gateway_test.go
@@ -19,7 +19,7 @@
 const gatewaySettings = `{
 	"id": "g", "data_centre": "dc",
 	"listen": {"callers": "%s", "ready": "%s", "peers": "%s"},
-	"table": "table.jsonc",
+	"table": "table.jsonc", "grace": "%s",
 }`
 
 const gatewayTable = `{
@@ -37,18 +37,30 @@
 	table   string
 	backend *httptest.Server
 	runs    atomic.Int64
+	// work is for how long the backend server works on each request.
+	work time.Duration
 }
 
 // startGateway builds and starts slipwickd gateway with table version 1, and waits until it is ready.
 func startGateway(t *testing.T) *gatewayBinary {
+	t.Helper()
+	return startGatewayWith(t, 30*time.Second, 30*time.Millisecond)
+}
+
+// startGatewayWith is startGateway with a grace period, and with the time for which the backend server works on each
+// request.
+func startGatewayWith(t *testing.T, grace, work time.Duration) *gatewayBinary {
 	t.Helper()
 	g := &gatewayBinary{
 		callers: freeAddress(t),
 		ready:   freeAddress(t),
+		work:    work,
 	}
 	g.backend = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// The request runs once its whole body has been read.
+		_, _ = io.Copy(io.Discard, r.Body)
 		g.runs.Add(1)
-		time.Sleep(30 * time.Millisecond)
+		time.Sleep(g.work)
 		w.Header().Set("Slipwick-Request", r.Header.Get("Slipwick-Request"))
 		w.Header().Set("Slipwick-Stamp", "b")
 		_, _ = io.WriteString(w, r.Header.Get("Slipwick-Request"))
@@ -58,7 +70,7 @@
 	g.table = filepath.Join(directory, "table.jsonc")
 	g.setTable(t, 1)
 	settings := filepath.Join(directory, "gateway.jsonc")
-	text := fmt.Sprintf(gatewaySettings, g.callers, g.ready, freeAddress(t))
+	text := fmt.Sprintf(gatewaySettings, g.callers, g.ready, freeAddress(t), grace)
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/pkg/errors"
@@ -57,8 +59,8 @@
 }
 
 // readBody reserves the memory of a request and reads its whole body, at the latest until the
-// deadline.
-func readBody(
+// deadline or until the router refuses the request because it stops.
+func (g *Gateway) readBody(
 	w http.ResponseWriter, r *http.Request, route *routing.Route, limit int64, deadline time.Time,
 	held *memory.Reservation,
 ) ([]byte, *Refusal) {
@@ -84,11 +86,16 @@
 	connection := http.NewResponseController(w)
 	// An error means that the writer does not support deadlines.
 	_ = connection.SetReadDeadline(clock.ToRuntime(deadline))
+	stopWatching := g.interruptReads(connection, deadline)
 	conn := CallerConnection(r)
 	conn.BeginBody()
 	err := b.readAll()
 	conn.EndBody()
-	if err != nil {
+	stopWatching()
+	switch {
+	case g.stopsBefore(deadline) && (err == nil || errors.Is(err, os.ErrDeadlineExceeded)):
+		return nil, b.refuse(w, errStopping)
+	case err != nil:
 		return nil, b.refuse(w, err)
 	}
 	// The server watches for the disconnection of the caller with a read that must not time out.
@@ -96,6 +103,23 @@
 	return b.data, nil
 }
 
+// interruptReads makes reads from the connection time out once the router refuses requests with the deadline because it
+// stops. After the returned function has been called, it does so no more.
+func (g *Gateway) interruptReads(connection *http.ResponseController, deadline time.Time) (stop func()) {
+	done := make(chan struct{})
+	cancel := context.AfterFunc(g.refusing(), func() {
+		defer close(done)
+		if g.stopsBefore(deadline) {
+			_ = connection.SetReadDeadline(time.Now())
+		}
+	})
+	return func() {
+		if !cancel() {
+			<-done
+		}
+	}
+}
+
 // reserve reserves bytes, and waits for room as long as the request may still wait.
 func (b *bodyReader) reserve(use memory.Use, bytes int64) bool {
 	started := time.Now()
@@ -161,6 +185,8 @@
 		return refuseMemory()
 	case errors.Is(err, errTooLargeForMemory):
 		return refuseBodyForMemory()
+	case errors.Is(err, errStopping):
+		return refuseStopping()
 	default:
 		return refuseUnreadBody(err, b.limit)
 	}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -41,6 +41,9 @@
 	// deadline is the earlier one of the caller's deadline and the route's timeout.
 	deadline time.Time
 	ctx      context.Context
+	// permitCtx ends with ctx, or once the router refuses the request because it stops. A request that has not run
+	// waits for permits until then. It is nil without permits.
+	permitCtx context.Context
 
 	selection balance.Request
 	// nextLease is the lease of the next send, acquired while the current one was still waiting;
@@ -146,11 +149,21 @@
 		IDHeader: names.RequestID,
 		RunsOnce: !c.route.MayRepeat(),
 	}
+	request.BeforeWrite = c.checkSend
 	request.Timeouts = c.timeoutsFor(lease)
 	request.MaxIdleTime = c.maxIdleTime()
 	return request
 }
 
+// checkSend is called right before the request is written to a backend server. It returns an error if the request must
+// not be sent any more because of what has changed during the waits since the server was chosen.
+func (c *call) checkSend() error {
+	if c.isWithdrawn() {
+		return errStopping
+	}
+	return nil
+}
+
 // maxIdleTime returns for how long a connection may have been idle that is used for the request; 0 sets
 // no bound.
 func (c *call) maxIdleTime() time.Duration {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,13 +65,11 @@
 	Observer Observer
 
 	table atomic.Pointer[routing.Table]
-	// draining says that the router is about to stop: each response closes its connection, so that
-	// callers open one to another router.
-	draining atomic.Bool
-	// stopAt is when the router stops; requests that may last longer are refused. It is nil until
-	// StopAt is called.
-	stopAt   atomic.Pointer[time.Time]
-	inFlight atomic.Int64
+	// endsAt is when a draining router stops at the latest, stopAt the time from which on it has to have finished
+	// requests; those that may last longer are refused. They are nil until Drain and StopAt are called.
+	endsAt, stopAt atomic.Pointer[time.Time]
+	stop           stopSignals
+	inFlight       atomic.Int64
 	// firstPace guards the call of OnPace.
 	firstPace sync.Once
 	// work estimates the work of requests; workOnce guards its creation.
@@ -108,23 +106,6 @@
 	return g.table.Load()
 }
 
-// Drain makes each response from now on close its connection, so that callers open one to another
-// router.
-func (g *Gateway) Drain() {
-	g.draining.Store(true)
-}
-
-// StopAt refuses, from now on, all requests whose deadline is after end.
-func (g *Gateway) StopAt(end time.Time) {
-	g.stopAt.Store(&end)
-}
-
-// stopsBefore reports whether the router stops before the deadline.
-func (g *Gateway) stopsBefore(deadline time.Time) bool {
-	end := g.stopAt.Load()
-	return end != nil && deadline.After(*end)
-}
-
 // InFlight returns the number of requests in progress.
 func (g *Gateway) InFlight() int64 {
 	return g.inFlight.Load()
@@ -148,7 +129,7 @@
 	if id := r.Header.Get(g.Headers.RequestID); id != "" {
 		w.Header().Set(g.Headers.RequestID, id)
 	}
-	if g.draining.Load() || g.IsOverloaded != nil && g.IsOverloaded() {
+	if g.isDraining() || g.IsOverloaded != nil && g.IsOverloaded() {
 		w.Header().Set("Connection", "close")
 	}
 	g.awaitReady(r, arrived)
@@ -163,7 +144,13 @@
 	c.limitWrite()
 	ctx, cancel := context.WithDeadline(r.Context(), clock.ToRuntime(c.deadline))
 	defer cancel()
+	defer context.AfterFunc(g.ended(), cancel)()
 	c.ctx = ctx
+	if g.usesPermits() {
+		permitCtx, release := g.untilRefused(ctx, c.deadline)
+		defer release()
+		c.permitCtx = permitCtx
+	}
 	if refusal := c.checkQuarantine(); refusal != nil {
 		refusal.write(w)
 		g.Observer.Refused(r, refusal)
@@ -202,7 +189,7 @@
 	if g.stopsBefore(deadline) {
 		return nil, refuseStopping()
 	}
-	body, refusal := readBody(w, r, route, table.Limits.BodyBytes, deadline, held)
+	body, refusal := g.readBody(w, r, route, table.Limits.BodyBytes, deadline, held)
 	if refusal != nil {
 		return nil, refusal
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -65,7 +65,7 @@
 func TestDrainingAndStoppingRouters(t *testing.T) {
 	b := newBackend(t, "b1", respondWith(http.StatusOK, "answer"))
 	f := newFixture(t, b)
-	f.gateway.Drain()
+	f.gateway.Drain(time.Now().Add(time.Minute))
 	got := f.post(t, "/single/x")
 	if got.status != http.StatusOK || !got.closesConnection {
 		t.Errorf("draining: got %d, closing %v; want 200, closing", got.status, got.closesConnection)
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -187,6 +187,8 @@
 func (c *call) unservedReason(err error) string {
 	var refused *refusedPermit
 	switch {
+	case c.isWithdrawn():
+		return reasonStopping
 	case !errors.As(err, &refused) && !slipwick.IsKind(err, slipwick.KindOverloaded):
 		return "no-backend"
 	case c.request.Context().Err() != nil:
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -38,7 +38,7 @@
 func refuseStopping() *Refusal {
 	return &Refusal{
 		Status:     http.StatusServiceUnavailable,
-		Reason:     "stopping",
+		Reason:     reasonStopping,
 		Message:    "this router is stopping; the request was not run, send it to another router",
 		RetryAfter: retryElsewhere,
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -1,10 +1,11 @@
 package gateway
 
 import (
-	"context"
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/balance"
 	"github.com/slipwick/slipwick/clock"
@@ -106,7 +107,11 @@
 		return c.gateway.Balancer.Acquire(&c.selection)
 	}
 	asked := clock.Now()
-	lease, permit, err := c.acquireWithPermit(c.ctx, c.selection, c.possibleRuns > 0)
+	ctx := c.ctx
+	if c.permitCtx != nil && c.possibleRuns == 0 {
+		ctx = c.permitCtx
+	}
+	lease, permit, err := c.acquireWithPermit(ctx, c.selection, c.possibleRuns > 0)
 	if took := clock.Since(asked); took >= minCountedWait {
 		c.waited += took
 	}
@@ -152,9 +157,11 @@
 	switch {
 	case c.request.Context().Err() != nil:
 		return "left"
+	case c.isWithdrawn():
+		return reasonStopping
 	case c.hasNoPath:
 		return reasonNoPath
-	case clock.Until(c.deadline) < c.minRetryTime():
+	case c.timeLeft() < c.minRetryTime():
 		return "timeout"
 	case !sendResult.isNotRun() && !c.route.MayRepeat():
 		return "may-not-repeat"
@@ -201,6 +208,8 @@
 		c.finish(resultFailed, reason, c.failedResponse.status)
 	case c.possibleRuns == 0 && reason == reasonQuarantined:
 		c.refuse(refuseQuarantined(c.gateway.Quarantine.Admit(c.key, c.promptParts...).RetryAfter))
+	case c.possibleRuns == 0 && reason == reasonStopping:
+		c.refuse(refuseStopping())
 	case c.possibleRuns == 0 && reason == ReasonOverloaded:
 		c.gateway.refused.add(c.key, retryAfter)
 		c.refuse(refuseOverloaded(retryAfter))
@@ -367,6 +376,9 @@
 			return resultNotRun, slipwick.EvidenceNone
 		}
 		c.unreached++
+		if errors.Is(err, errStopping) {
+			return resultUnsent, slipwick.EvidenceNone
+		}
 		if limited, stalled := upstream.IsUnreadLimit(err); limited {
 			return resultUnsent, evidenceOfUnreadBodies(stalled)
 		}
@@ -386,7 +398,7 @@
 	if status, ok := upstream.UnnamedStatus(err); ok && impliesNotRun(status) {
 		return resultBroken, evidenceOfRejection(status)
 	}
-	if c.ctx.Err() == context.DeadlineExceeded || upstream.IsResponseTimeout(err) {
+	if c.ctx.Err() != nil || upstream.IsResponseTimeout(err) {
 		// If the response was overdue, timeoutHandler.onTimeout has already reported that to the
 		// balancer.
 		return resultBroken, slipwick.EvidenceNone
--- a/gateway/timeouts.go
+++ b/gateway/timeouts.go
@@ -99,7 +99,7 @@
 // retry returns how much longer to wait, like onTimeout, without a report to the balancer.
 func (h *timeoutHandler) retry() time.Duration {
 	c := h.call
-	if !h.mayRetry || clock.Until(c.deadline) < c.minRetryTime() {
+	if !h.mayRetry || c.timeLeft() < c.minRetryTime() {
 		if !h.reported {
 			return retryPollInterval
 		}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -113,13 +113,8 @@
 // interrupted, also while the body is read. Errors are of type *slipwick.Error; OutcomeNotRun means
 // that nothing was sent.
 func (c *Client) Do(ctx context.Context, key, address string, request *Request) (*Response, error) {
-	size := int64(len(request.Body))
-	if err := c.unread.add(ctx, key, size, request.Timeouts.FirstByte); err != nil {
-		return nil, unreadError(address, err)
-	}
-	conn, err := c.connection(ctx, key, address, request)
+	conn, err := c.prepare(ctx, key, address, request)
 	if err != nil {
-		c.unread.removeUnsent(key, size)
 		return nil, err
 	}
 	conn.requestIDs.add(request.ID)
@@ -174,6 +169,29 @@
 	}, nil
 }
 
+// prepare waits until the backend server may get the body, and returns a connection for the request unless BeforeWrite
+// withholds it. The body counts as unread then.
+func (c *Client) prepare(ctx context.Context, key, address string, request *Request) (*connection, error) {
+	size := int64(len(request.Body))
+	if err := c.unread.add(ctx, key, size, request.Timeouts.FirstByte); err != nil {
+		return nil, unreadError(address, err)
+	}
+	conn, err := c.connection(ctx, key, address, request)
+	if err != nil {
+		c.unread.removeUnsent(key, size)
+		return nil, err
+	}
+	if request.BeforeWrite == nil {
+		return conn, nil
+	}
+	if err := request.BeforeWrite(); err != nil {
+		c.unread.removeUnsent(key, size)
+		c.putBackUnused(key, conn)
+		return nil, withheldError(address, err)
+	}
+	return conn, nil
+}
+
 // connection returns an idle connection that may carry the request, or dials a new one. Idle connections that may not
 // carry it stay open for other requests.
 func (c *Client) connection(ctx context.Context, key, address string, request *Request) (*connection, error) {
@@ -255,6 +273,15 @@
 	c.idle[key] = slices.Insert(idle, at, conn)
 }
 
+// putBackUnused puts back a connection that was chosen for a request and not used, and closes it if it is new.
+func (c *Client) putBackUnused(key string, conn *connection) {
+	if conn.idleSince.IsZero() {
+		_ = conn.Close()
+		return
+	}
+	c.pushIdle(key, conn)
+}
+
 // popIdle removes the most recently used idle connection that may carry the request and returns it, or nil if there
 // is none. isPassedOver says that there are others, which may not carry it.
 func (c *Client) popIdle(key string, request *Request, needsUnused bool) (conn *connection, isPassedOver bool) {
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -412,3 +413,22 @@
 		t.Errorf("got %d dials timed out, want 1", got)
 	}
 }
+
+// TestWithheldRequestIsNotSent guards against a request that is written after the caller of the client has found,
+// during the wait for a connection, that it must not be sent; and against the loss of a connection that it didn't use.
+func TestWithheldRequestIsNotSent(t *testing.T) {
+	server := serve(t, script(responseText("a", "first"), responseText("c", "third")))
+	client := &Client{}
+	defer client.Close()
+	mustExchange(t, client, server.address, request("a"), "first")
+	withheld, cause := request("b"), errors.New("the router stops")
+	withheld.BeforeWrite = func() error { return cause }
+	_, err := exchange(t, client, server.address, withheld)
+	if got := errorOutcome(t, err); got != slipwick.OutcomeNotRun || !errors.Is(err, cause) {
+		t.Errorf("got outcome %q, error %v; want not-run because of %v", got, err, cause)
+	}
+	mustExchange(t, client, server.address, request("c"), "third")
+	if got := client.OpenedConnections.Load(); got != 1 {
+		t.Errorf("got %d connections, want 1", got)
+	}
+}
--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -23,6 +23,17 @@
 	}
 }
 
+// withheldError returns the error of an exchange that Request.BeforeWrite ended: nothing was sent.
+func withheldError(address string, cause error) error {
+	return &slipwick.Error{
+		Kind:    slipwick.KindCancelled,
+		Message: "the request was not sent to backend server " + address,
+		Remedy:  "send it to another backend server, or again",
+		Outcome: slipwick.OutcomeNotRun,
+		Cause:   cause,
+	}
+}
+
 // errRouteLost is a cause of the errors of exchanges that ended because of their route to the backend server.
 var errRouteLost = errors.New("the route to the backend server was lost")
 
--- a/upstream/request.go
+++ b/upstream/request.go
@@ -24,6 +24,9 @@
 	// MaxIdleTime is the longest time for which a pooled connection may have been idle to be used; 0
 	// sets no bound. The shorter, the less likely the connection has been closed unnoticed.
 	MaxIdleTime time.Duration
+	// BeforeWrite is called right before the request is written, after all waits for the backend server and the
+	// connection. If it returns an error, nothing is written, and that error is the cause of the exchange's; may be nil.
+	BeforeWrite func() error
 	// Timeouts end the exchange if the backend server sends nothing for too long. The zero value
 	// sets none.
 	Timeouts Timeouts
