A server is granted the time that is left when the request is written

Callers saw: a server could work for a caller that had given up, by the length of the wait between the choice of the server and the write.

Cause: the time limit in the header was computed before the waits for other bodies at the server and for a connection.

Evidence: TestServerIsGrantedWhatIsLeftAfterTheWait before: 19,994 ms granted after a wait of 200 ms of 20 s.

Why this works: the header is set in the check right before the write.

Result: 19,786 ms granted.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -128,7 +128,6 @@
 		header.Set(names.Workspace, c.workspace.Name)
 	}
 	header.Set(names.Instance, lease.Backend.ID)
-	header.Set(names.Deadline, strconv.FormatInt(max(clock.Until(c.deadline).Milliseconds(), 1), 10))
 	if c.route.Affinity {
 		header.Set(names.Priority, strconv.Itoa(c.priority()))
 	}
@@ -149,21 +148,23 @@
 		IDHeader: names.RequestID,
 		RunsOnce: !c.route.MayRepeat(),
 	}
-	request.BeforeWrite = func() error { return c.checkSend(lease) }
+	request.BeforeWrite = func() error { return c.checkSend(lease, header) }
 	request.Timeouts = c.timeoutsFor(lease)
 	request.MaxIdleTime = c.maxIdleTime()
 	return request
 }
 
 // checkSend is called right before the request is written to the server of the lease. It returns an error if the
-// request must not be sent there any more because of what has changed during the waits since the server was chosen.
-func (c *call) checkSend(lease *balance.Lease) error {
+// request must not be sent there any more because of what has changed during the waits since the server was chosen, and sets the
+// time that is left in the header.
+func (c *call) checkSend(lease *balance.Lease, header http.Header) error {
 	switch {
 	case c.isWithdrawn():
 		return errStopping
 	case !c.gateway.Balancer.StillAccepts(lease):
 		return errNotAccepting
 	}
+	header.Set(c.gateway.Headers.Deadline, strconv.FormatInt(max(clock.Until(c.deadline).Milliseconds(), 1), 10))
 	return nil
 }
 
--- a/gateway/unread_test.go
+++ b/gateway/unread_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -175,3 +176,24 @@
 		t.Errorf("got %d runs at the leaving server, want the one before", got)
 	}
 }
+
+// TestServerIsGrantedWhatIsLeftAfterTheWait guards against a server that may work for longer than the caller waits,
+// because the time limit it gets is from before the request waited.
+func TestServerIsGrantedWhatIsLeftAfterTheWait(t *testing.T) {
+	const waited = 200 * time.Millisecond
+	s := newSlowReader(t)
+	f, replies := s.sendTwoLargeBodies(t)
+	time.Sleep(waited)
+	close(s.mayEnd)
+	for range 2 {
+		if got := (<-replies).status; got != http.StatusOK {
+			t.Fatalf("got status %d, want 200", got)
+		}
+	}
+	first, second := <-s.granted, <-s.granted
+	granted, err := strconv.Atoi(second)
+	limit := f.gateway.Table().Route("a.example", "/single/x").Timeout - waited
+	if err != nil || time.Duration(granted)*time.Millisecond > limit {
+		t.Errorf("got %s and %s ms granted, error %v; want at most %v for the second", first, second, err, limit)
+	}
+}
