--- a/gateway/call.go
+++ b/gateway/call.go
@@ -155,8 +155,8 @@
 }
 
 // checkSend is called right before the request is written to the server of the lease. It returns an error if the
-// request must not be sent there any more because of what has changed during the waits since the server was chosen, and sets the
-// time that is left in the header.
+// request must not be sent there any more because of what has changed during the waits since the server was chosen, and
+// sets the time that is left in the header.
 func (c *call) checkSend(lease *balance.Lease, header http.Header) error {
 	switch {
 	case c.isWithdrawn():
