A stopping chat router sends nothing that it can't finish

Callers saw: when limits.drain was over, chats in progress got no response, among them some that had been sent to an engine shortly before.

Why this works: Dispatcher.Withhold is asked after the wait for a slot, while nothing may have run. When the drain is over, the contexts of requests end with a cause, so that they get 504 with the outcome unknown, or 503 with not-run where they have no slot.

--- a/cmd/internal/daemon/assemble.go
+++ b/cmd/internal/daemon/assemble.go
@@ -116,6 +116,7 @@
 	shared, singleUse, naming := httpclient.New(), httpclient.NewSingleUse(), httpclient.NewNaming()
 	return &dispatch.Dispatcher{
 		Admission: r.coordinator,
+		Withhold:  func() error { return r.frontend.withhold() },
 		Engine: func(b slipwick.Backend) slipwick.Engine {
 			return &engine.Client{
 				Address:   b.Address,
--- a/cmd/internal/daemon/frontend.go
+++ b/cmd/internal/daemon/frontend.go
@@ -39,8 +39,10 @@
 	// burn counts requests for the error budgets of the workspaces.
 	burn   burn.Recorder
 	routes atomic.Pointer[routes]
-	// stopping is set once the router refuses new requests because it is draining.
+	// stopping is set once the router refuses new requests because it is draining. endsAt is when it ends those in
+	// progress; nil before.
 	stopping atomic.Bool
+	endsAt   atomic.Pointer[time.Time]
 }
 
 // callerRequest is the state of one request of a caller. The handlers fill it in step by step.
@@ -64,13 +66,7 @@
 	current := f.routes.Load()
 	if current == nil || f.stopping.Load() {
 		c.Response().Header().Set("Connection", "close")
-		return nil, &slipwick.Error{
-			Kind:       slipwick.KindNotReady,
-			Message:    "this router has no configuration or is stopping",
-			Remedy:     "try another router",
-			Outcome:    slipwick.OutcomeNotRun,
-			RetryAfter: time.Second,
-		}
+		return nil, notReadyError()
 	}
 	workspace, err := current.workspace(c.Request().Header)
 	if err != nil {
@@ -89,6 +85,25 @@
 	}, nil
 }
 
+func notReadyError() error {
+	return &slipwick.Error{
+		Kind:       slipwick.KindNotReady,
+		Message:    "this router has no configuration or is stopping",
+		Remedy:     "try another router",
+		Outcome:    slipwick.OutcomeNotRun,
+		RetryAfter: time.Second,
+	}
+}
+
+// withhold refuses a request that no backend server has got yet if the router stops before its first token is certain
+// to arrive: another router can take it.
+func (f *frontend) withhold() error {
+	if end := f.endsAt.Load(); end != nil && time.Until(*end) < f.limits.FirstToken.Or(defaultFirstToken) {
+		return notReadyError()
+	}
+	return nil
+}
+
 // release gives back the memory of the request.
 func (cr *callerRequest) release() {
 	cr.held.Release()
--- a/cmd/internal/daemon/router.go
+++ b/cmd/internal/daemon/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 	"github.com/slipwick/slipwick/admission"
 	"github.com/slipwick/slipwick/claims"
 	"github.com/slipwick/slipwick/configuration"
+	"github.com/slipwick/slipwick/dispatch"
 	"github.com/slipwick/slipwick/exchange"
 	"github.com/slipwick/slipwick/fleet"
 	"github.com/slipwick/slipwick/inbound"
@@ -136,7 +138,10 @@
 	}
 	tasks.Go(func() { failed <- r.mesh.Run(background) })
 	tasks.Go(func() { failed <- r.membershipUDP.Run(background) })
+	requests, endRequests := context.WithCancelCause(background)
+	defer endRequests(nil)
 	callers := serverOf(r.callersHandler(), &r.Settings.Limits)
+	callers.BaseContext = func(net.Listener) context.Context { return requests }
 	callers.MaxHeaderBytes = int(r.Settings.Limits.headerBytes())
 	operators := serverOf(r.operatorsHandler(), &r.Settings.Limits)
 	operators.WriteTimeout = r.Settings.Limits.Write.Or(defaultWrite)
@@ -147,7 +152,7 @@
 	var err error
 	select {
 	case <-ctx.Done():
-		r.drain(callers)
+		r.drain(callers, endRequests)
 	case err = <-failed:
 		err = errors.Wrap(err, "serve")
 	}
@@ -164,18 +169,33 @@
 const readHeaderTimeout = 10 * time.Second
 
 // drain hands over what the router owns and reports not ready for limits.announce, so that the
-// load balancer stops sending requests. Then it finishes the requests in progress, up to
-// limits.drain.
-func (r *Router) drain(callers *http.Server) {
+// load balancer stops sending requests. Then it finishes the requests in progress, up to limits.drain,
+// and ends what is left with an error response.
+func (r *Router) drain(callers *http.Server, endRequests context.CancelCauseFunc) {
 	events.DrainStarted.On(&r.Log).Send()
 	r.draining.Store(true)
 	r.node.Leave()
 	time.Sleep(r.Settings.Limits.Announce.Or(defaultAnnounce))
+	limit := r.Settings.Limits.Drain.Or(defaultDrain)
+	end := time.Now().Add(limit)
+	r.frontend.endsAt.Store(&end)
 	r.frontend.stopping.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), r.Settings.Limits.Drain.Or(defaultDrain))
+	inTime := shutDown(callers, limit)
+	endRequests(dispatch.ErrStopped)
+	if !inTime {
+		shutDown(callers, lastResponsesTime)
+	}
+	events.DrainFinished.On(&r.Log).Bool("in_time", inTime).Send()
+}
+
+// lastResponsesTime is how long the error responses to requests that are ended may take.
+const lastResponsesTime = time.Second
+
+// shutDown closes a server when its requests have ended, and reports whether they did within the limit.
+func shutDown(server *http.Server, limit time.Duration) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	err := callers.Shutdown(ctx)
-	events.DrainFinished.On(&r.Log).Bool("in_time", err == nil).Send()
+	return server.Shutdown(ctx) == nil
 }
 
 // applySnapshot puts a version of the configuration in force.
--- a/cmd/internal/daemon/router_test.go
+++ b/cmd/internal/daemon/router_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -12,6 +14,7 @@
 
 	"github.com/slipwick/slipwick"
 	"github.com/slipwick/slipwick/chat"
+	"github.com/slipwick/slipwick/jsonfile"
 	"github.com/slipwick/slipwick/standin"
 )
 
@@ -232,3 +235,99 @@
 	}
 	<-f.router.Done()
 }
+
+// TestChatWhoseBodyEndsAfterTheStopIsNotRun guards against chats that a stopping router passes on when their body has
+// arrived, and may cut, though another router could have taken them.
+func TestChatWhoseBodyEndsAfterTheStopIsNotRun(t *testing.T) {
+	f := newFixture(t, 1)
+	f.router.Settings.Limits.Drain = jsonfile.Duration(time.Second)
+	reader, writer := io.Pipe()
+	request, err := http.NewRequestWithContext(
+		t.Context(), http.MethodPost, "http://"+f.router.CallersAddress()+chatPath, reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+testAPIKey)
+	statuses := make(chan int, 1)
+	go func() {
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Errorf("got %v, want a response", err)
+			statuses <- 0
+			return
+		}
+		_ = response.Body.Close()
+		statuses <- response.StatusCode
+	}()
+	if _, err := writer.Write([]byte(bufferedChat[:10])); err != nil {
+		t.Fatal(err)
+	}
+	f.awaitInFlight(t, 1)
+	f.stop()
+	for !f.router.frontend.stopping.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	if _, err := writer.Write([]byte(bufferedChat[10:])); err != nil {
+		t.Fatal(err)
+	}
+	_ = writer.Close()
+	if got := <-statuses; got != http.StatusServiceUnavailable {
+		t.Errorf("got status %d, want 503", got)
+	}
+	if got := len(f.engines[0].Runs()); got != 0 {
+		t.Errorf("got %d prompts run, want 0", got)
+	}
+}
+
+// TestEndOfTheDrainGivesOutcomes guards against chats that get no response when the time for the drain is over: those
+// that run at an engine, and those that wait for a slot.
+func TestEndOfTheDrainGivesOutcomes(t *testing.T) {
+	f := newFixture(t, 1)
+	f.router.Settings.Limits.Drain = jsonfile.Duration(50 * time.Millisecond)
+	f.engines[0].SetFaults(standin.Faults{
+		Hang: true,
+	})
+	replies := make(chan string, 2)
+	for _, body := range []string{streamedChat, bufferedChat} {
+		go func() { replies <- f.outcomeOf(body) }()
+	}
+	f.awaitInFlight(t, 2)
+	time.Sleep(100 * time.Millisecond)
+	f.stop()
+	for range 2 {
+		if got := <-replies; got != "504 unknown" && got != "503 not-run" {
+			t.Errorf("got %s, want 504 with the outcome unknown, or 503 with not-run", got)
+		}
+	}
+}
+
+// outcomeOf sends a chat and returns the status and the outcome of the error response, or the error.
+func (f *fixture) outcomeOf(chatBody string) string {
+	request, err := http.NewRequest(
+		http.MethodPost, "http://"+f.router.CallersAddress()+chatPath, strings.NewReader(chatBody))
+	if err != nil {
+		return err.Error()
+	}
+	request.Header.Set("Authorization", "Bearer "+testAPIKey)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	var failure failureBody
+	if err := json.NewDecoder(response.Body).Decode(&failure); err != nil {
+		return err.Error()
+	}
+	return fmt.Sprint(response.StatusCode, " ", failure.Error.Outcome)
+}
+
+// awaitInFlight waits until as many requests are in progress.
+func (f *fixture) awaitInFlight(t *testing.T, count float64) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); testutil.ToFloat64(f.router.frontend.metrics.InFlight) < count; {
+		if time.Now().After(deadline) {
+			t.Fatalf("not all of %v requests are in progress after 10 s", count)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -37,12 +37,18 @@
 	// Quarantine records the requests during which backend servers crashed and refuses those that
 	// crashed several; nil turns this off.
 	Quarantine *quarantine.Tracker
+	// Withhold returns an error with OutcomeNotRun if a request that no backend server has got yet must not be sent,
+	// as the router is stopping; nil withholds none. It is asked after the wait for a slot.
+	Withhold func() error
 	// HasCrashed reports whether a backend server whose connection was lost has crashed.
 	HasCrashed func(context.Context, slipwick.Backend) bool
 
 	budgets PoolBudgets
 }
 
+// ErrStopped is the cause of contexts that end because the router stops before their requests have a response.
+var ErrStopped = errors.New("the router stopped")
+
 // attemptFunc runs a request once at a backend server. delivered reports whether the caller has
 // received a part of the response; then the request is not retried.
 type attemptFunc func(ctx context.Context, backend slipwick.Backend) (delivered bool, err error)
@@ -115,7 +121,11 @@
 	// ambiguousErr is the error of the latest attempt that may have run the request.
 	var ambiguousErr error
 	for reached, unreached := 0, 0; ; {
-		backend, retryable, err := d.runAttempt(ctx, call, request, isTrial, attempt)
+		grant, err := d.acquireToSend(ctx, call.Pools, request, ambiguousErr != nil)
+		if err != nil {
+			return finalError(ambiguousErr, err)
+		}
+		backend, retryable, err := d.runAttempt(ctx, call, grant, isTrial, attempt)
 		if err == nil {
 			return nil
 		}
@@ -135,15 +145,29 @@
 	}
 }
 
-// runAttempt acquires a slot and makes one attempt. It returns the ID of the backend server and, if
-// the attempt failed, whether the request may be retried at another one.
+// acquireToSend acquires a slot, unless the request is withheld after the wait. One that may have run is not.
+func (d *Dispatcher) acquireToSend(
+	ctx context.Context, pools []string, request slipwick.AcquireRequest, mayHaveRun bool,
+) (slipwick.Grant, error) {
+	grant, err := d.acquire(ctx, pools, request)
+	switch {
+	case err != nil && errors.Is(context.Cause(ctx), ErrStopped):
+		return grant, stoppedError(err)
+	case err != nil || mayHaveRun || d.Withhold == nil:
+		return grant, err
+	}
+	if err := d.Withhold(); err != nil {
+		d.Admission.Release(grant, slipwick.EvidenceNone)
+		return slipwick.Grant{}, err
+	}
+	return grant, nil
+}
+
+// runAttempt makes one attempt with a slot. It returns the ID of the backend server and, if the attempt failed,
+// whether the request may be retried at another one.
 func (d *Dispatcher) runAttempt(
-	ctx context.Context, call Call, request slipwick.AcquireRequest, isTrial bool, attempt attemptFunc,
+	ctx context.Context, call Call, grant slipwick.Grant, isTrial bool, attempt attemptFunc,
 ) (backend string, retryable bool, err error) {
-	grant, err := d.acquire(ctx, call.Pools, request)
-	if err != nil {
-		return "", false, err
-	}
 	recorded, err := d.recordAttempt(call.QuarantineKey, grant, isTrial)
 	if err != nil {
 		return "", false, err
@@ -154,6 +178,10 @@
 	case err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded):
 		d.Admission.Release(grant, slipwick.EvidenceTimeout)
 		return "", false, interruptedError(slipwick.KindTimeout, "the backend server did not respond in time", err)
+	case err != nil && errors.Is(context.Cause(ctx), ErrStopped):
+		d.Admission.Release(grant, slipwick.EvidenceNone)
+		return "", false, interruptedError(
+			slipwick.KindTimeout, "the router stopped before the backend server had responded", err)
 	case err != nil && ctx.Err() != nil:
 		d.Admission.Release(grant, slipwick.EvidenceNone)
 		return "", false, cancelledError(err)
@@ -255,6 +283,17 @@
 	}
 }
 
+// stoppedError returns the error of a request that was waiting for a slot when the router stopped.
+func stoppedError(cause error) error {
+	return &slipwick.Error{
+		Kind:    slipwick.KindNotReady,
+		Message: "the router stopped before a slot was free",
+		Remedy:  "send the request to another router",
+		Outcome: slipwick.OutcomeNotRun,
+		Cause:   cause,
+	}
+}
+
 // cancelledError returns the error of a request whose caller disconnected.
 func cancelledError(cause error) error {
 	return interruptedError(slipwick.KindCancelled, "the caller disconnected before the response was complete", cause)
