Lines without data count for the bound of an event

Callers saw: nothing yet.

Cause: the bound of an event counted the bytes of the lines, of which there are none, and kept the lines one by one.

Evidence: TestEventOfEmptyLinesHasABound before: 262,146 lines gave an event, and no error.

Why this works: the data is kept in one piece with its line feeds, which are a part of the event, and count.

--- a/sse/reader.go
+++ b/sse/reader.go
@@ -36,16 +36,16 @@
 // end of input; an event that is incomplete there is dropped, as the HTML standard requires.
 func (r *Reader) Next() (Event, error) {
 	var event Event
-	var lines [][]byte
-	size := 0
+	// data is that of the lines so far, each followed by a line feed.
+	var data []byte
 	for r.scanner.Scan() {
 		line := r.scanner.Bytes()
 		if len(line) == 0 {
-			if lines == nil {
+			if len(data) == 0 {
 				event = Event{}
 				continue
 			}
-			event.Data = bytes.Join(lines, []byte("\n"))
+			event.Data = data[:len(data)-1]
 			return event, nil
 		}
 		name, value, _ := bytes.Cut(line, []byte(":"))
@@ -56,10 +56,9 @@
 		case "event":
 			event.Type = string(value)
 		case "data":
-			lines = append(lines, bytes.Clone(value))
-			size += len(value)
+			data = append(append(data, value...), '\n')
 		}
-		if size > MaxEventBytes {
+		if len(data) > MaxEventBytes+1 {
 			return Event{}, ErrTooLong
 		}
 	}
--- a/sse/reader_test.go
+++ b/sse/reader_test.go
@@ -105,3 +105,21 @@
 		}
 	})
 }
+
+// TestEventOfEmptyLinesHasABound guards against a server whose lines without data, sent without end, are kept until the
+// router has no memory left.
+func TestEventOfEmptyLinesHasABound(t *testing.T) {
+	for lines, want := range map[int]error{
+		MaxEventBytes + 1: nil,
+		MaxEventBytes + 2: ErrTooLong,
+	} {
+		reader := NewReader(strings.NewReader(strings.Repeat("data:\n", lines) + "\n"))
+		event, err := reader.Next()
+		if !errors.Is(err, want) {
+			t.Errorf("%d empty lines: got error %v, want %v", lines, err, want)
+		}
+		if got := len(event.Data); err == nil && got != lines-1 {
+			t.Errorf("%d empty lines: got %d bytes, want %d", lines, got, lines-1)
+		}
+	}
+}
