A chat response without end is not kept

Callers saw: nothing yet. An engine that sends valid chunks without end to a caller who waits for the whole response made the chat router keep them all.

Cause: a completion had no bound and didn't count as memory.

An error of the sink with a kind of its own is no longer reported as a disconnection of the caller.

--- a/cmd/internal/daemon/chathandler.go
+++ b/cmd/internal/daemon/chathandler.go
@@ -35,6 +35,7 @@
 		writer = &bufferedWriter{
 			context:  c,
 			frontend: f,
+			held:     cr.held,
 		}
 	}
 	call := cr.dispatchCall(placement.ChatKey(cr.workspace.Name, request.Chat))
@@ -100,37 +101,3 @@
 		Body:           bytes.Clone(body),
 	}, parsed, nil
 }
-
-// bufferedWriter collects the chunks of a response and sends one JSON object when it is complete.
-type bufferedWriter struct {
-	context    echo.Context
-	frontend   *frontend
-	completion chat.Completion
-}
-
-func (w *bufferedWriter) handleEvent(event slipwick.StreamEvent) error {
-	if event.End {
-		return nil
-	}
-	if err := w.completion.Add(event.Data); err != nil {
-		return &slipwick.Error{
-			Kind:    slipwick.KindBackendError,
-			Message: "the engine sent a chunk that cannot be decoded",
-			Remedy:  "check the engine's version",
-			Outcome: slipwick.OutcomeFailed,
-			Cause:   err,
-		}
-	}
-	return nil
-}
-
-func (w *bufferedWriter) finish() error {
-	w.context.Response().Header().Set(slipwick.OutcomeHeader, string(slipwick.OutcomeCompleted))
-	w.frontend.limitWrite(w.context)
-	return w.context.JSON(http.StatusOK, w.completion)
-}
-
-func (w *bufferedWriter) fail(failure *slipwick.Error, repeatable bool) error {
-	w.frontend.limitWrite(w.context)
-	return writeFailure(w.context, failure, repeatable)
-}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -88,11 +88,20 @@
 			return response.HasStarted(), err
 		}
 		if err := sink(event); err != nil {
-			return true, cancelledError(err)
+			return true, sinkError(err)
 		}
 	}
 }
 
+// sinkError returns the error of a response that could not be passed on: the sink's own, or else that of a caller who
+// disconnected.
+func sinkError(err error) error {
+	if _, ok := slipwick.AsError(err); ok {
+		return err
+	}
+	return cancelledError(err)
+}
+
 // CallService sends a request to a plain service and returns the response. Errors are the same as
 // those of Chat. It blocks until the service has responded or the request has failed.
 func (d *Dispatcher) CallService(
